--- /dev/null
+++ b/packages/geraniumshore-cli/src/geraniumshore_cli/internal/main.py
@@ -0,0 +1,162 @@
+"""The binary ``geraniumshore``."""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+from typing import Annotated, Any
+
+from cyclopts import App, Parameter
+
+from geraniumshore import InvalidInputError, UnknownOutcomeError, make_key
+from geraniumshore_cli.internal import release_commands
+from geraniumshore_cli.internal.client import Client
+from geraniumshore_cli.internal.output import (
+    ExitCode,
+    report_refusal,
+    show,
+    show_table,
+)
+
+__all__ = ["main"]
+
+SECRET_BYTES = 16
+
+app = App(
+    name="geraniumshore",
+    help="""Drive a fleet with release notes, and see what it does.
+
+    GERANIUMSHORE_ENTRIES has the entry hosts (address:port, by spaces) and
+    GERANIUMSHORE_KEY the key to show them. Exit codes: 0 done, 1 refused or failed,
+    2 bad input, 3 outcome unknown.
+    """,
+)
+app.command(release_commands.app)
+keys_app = App(name="keys", help="Keys of teams and operators.")
+app.command(keys_app)
+
+AsJson = Annotated[bool, Parameter(name="--json", negative="", help="Print JSON.")]
+
+
+@keys_app.command
+def make(key_id: str, *, team: str) -> int:
+    """Make a key: the bearer for the caller, the digest for a release note.
+
+    The digest also goes into the daemon's settings, for a key of an operator.
+    """
+    made = make_key(
+        key_id, team, os.urandom(SECRET_BYTES).hex(), os.urandom(SECRET_BYTES).hex()
+    )
+    digest = {"team": team, "salt": made.key.salt, "digest": made.key.digest}
+    show({"bearer": made.bearer, "keys": {key_id: digest}})
+    return ExitCode.DONE
+
+
+@app.command
+def members(*, as_json: AsJson = False) -> int:
+    """List the entry hosts in the view, each with its own word on itself."""
+    client = Client.from_environment()
+    listed = client.get("/operator/status")["members"]
+    rows = [_member_row(client, info) for info in listed]
+    if as_json:
+        show(rows)
+        return ExitCode.DONE
+    columns = ("member", "host", "data_centre", "http_address", "authority", "version")
+    show_table(columns, [[row[column] for column in columns] for row in rows])
+    return ExitCode.DONE
+
+
+@app.command
+def teams(*, as_json: AsJson = False) -> int:
+    """List the teams with share, limit and what they have running."""
+    client = Client.from_environment()
+    configuration = client.get("/operator/configuration")
+    running: dict[str, int] = {}
+    for info in client.get("/operator/status")["members"]:
+        status = _status_of(client, info)
+        running.update(status.get("running_by_team", {}))
+    rows = [
+        {
+            "team": name,
+            "share": team["share"],
+            "limit": team["limit"],
+            "running": running.get(name),
+        }
+        for name, team in configuration["teams"].items()
+    ]
+    if as_json:
+        show(rows)
+        return ExitCode.DONE
+    show_table(("team", "share", "limit", "running"), [list(r.values()) for r in rows])
+    return ExitCode.DONE
+
+
+@app.command
+def queues(*, as_json: AsJson = False) -> int:
+    """List the queues."""
+    listed = Client.from_environment().get("/operator/configuration")["queues"]
+    if as_json:
+        show(listed)
+        return ExitCode.DONE
+    columns = ("kind", "service", "pool", "urgent", "idempotent", "max_waiting")
+    show_table(
+        ("queue", *columns),
+        [(name, *(queue[c] for c in columns)) for name, queue in listed.items()],
+    )
+    return ExitCode.DONE
+
+
+@app.command
+def call(
+    queue: str,
+    body: str = "",
+    *,
+    file: Path | None = None,
+    deadline_ms: int | None = None,
+    idempotency_key: str | None = None,
+) -> int:
+    """Send a request to a queue as a caller, and print the answer's body."""
+    payload = file.read_bytes() if file is not None else body.encode()
+    headers = {}
+    if deadline_ms is not None:
+        headers["Deadline-Ms"] = str(deadline_ms)
+    if idempotency_key is not None:
+        headers["Idempotency-Key"] = idempotency_key
+    client = Client.from_environment()
+    reply = client.call("POST", f"/queues/{queue}", payload, headers)
+    if not reply.ok:
+        return report_refusal(reply)
+    sys.stdout.buffer.write(reply.body + b"\n")
+    return ExitCode.DONE
+
+
+def _member_row(client: Client, info: dict[str, str]) -> dict[str, object]:
+    status = _status_of(client, info)
+    return {
+        **info,
+        "authority": status.get("authority", "silent"),
+        "version": status.get("version", "silent"),
+    }
+
+
+def _status_of(client: Client, info: dict[str, str]) -> dict[str, Any]:
+    """Return a member's status, or nothing where the member is silent."""
+    try:
+        reply = client.call("GET", "/operator/status", entries=(info["http_address"],))
+    except UnknownOutcomeError:
+        return {}
+    document: dict[str, Any] = reply.json() if reply.ok else {}
+    return document
+
+
+def main() -> None:
+    """Run the command line."""
+    try:
+        sys.exit(app())
+    except InvalidInputError as error:
+        print(error, file=sys.stderr)
+        sys.exit(ExitCode.BAD_INPUT)
+    except UnknownOutcomeError as error:
+        print(f"unknown: {error}", file=sys.stderr)
+        sys.exit(ExitCode.UNKNOWN)
--- /dev/null
+++ b/packages/geraniumshore-cli/src/geraniumshore_cli/internal/output.py
@@ -0,0 +1,53 @@
+"""How results are shown, and the exit codes."""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Iterable, Sequence
+from enum import IntEnum
+from typing import Any
+
+from rich.console import Console
+from rich.table import Table
+
+from geraniumshore_cli.internal.client import Reply
+
+__all__ = ["ExitCode", "report_refusal", "show", "show_table"]
+
+
+class ExitCode(IntEnum):
+    """What the command's end means."""
+
+    DONE = 0
+    REFUSED = 1
+    BAD_INPUT = 2
+    UNKNOWN = 3
+
+
+def show(document: Any) -> None:
+    """Print a document as JSON."""
+    print(json.dumps(document, indent=2))
+
+
+def show_table(columns: Sequence[str], rows: Iterable[Sequence[object]]) -> None:
+    """Print rows for a person."""
+    table = Table(*columns, box=None, pad_edge=False)
+    for row in rows:
+        table.add_row(*(str(cell) for cell in row))
+    Console(width=None if sys.stdout.isatty() else 160).print(table)
+
+
+def report_refusal(reply: Reply) -> ExitCode:
+    """Say why a call was refused, with every finding, and return the exit code."""
+    try:
+        problem = reply.json()
+    except ValueError:
+        problem = {"title": f"status {reply.status}"}
+    detail = problem.get("detail", "")
+    print(f"{problem.get('title')}: {detail}", file=sys.stderr)
+    for finding in problem.get("findings", ()):
+        print(f"{finding['place']}: {finding['problem']}", file=sys.stderr)
+    if problem.get("outcome") == "unknown":
+        return ExitCode.UNKNOWN
+    return ExitCode.BAD_INPUT if reply.status in {400, 413} else ExitCode.REFUSED
--- /dev/null
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/__main__.py
@@ -0,0 +1,32 @@
+"""Runs one stand-in in a process of its own: ``python -m geraniumshore_standins``."""
+
+from __future__ import annotations
+
+import logging
+
+from cyclopts import App
+
+from geraniumshore_standins.internal.minion import MinionState
+from geraniumshore_standins.internal.platform import PlatformState
+from geraniumshore_standins.internal.wsgi import serve
+
+app = App(name="geraniumshore_standins", help="Stand-ins for tests and the demo.")
+
+THREADS = 64
+
+
+@app.command
+def platform(*, port: int) -> None:
+    """Run the platform's stand-in on loopback."""
+    serve(PlatformState().handle, port, THREADS)
+
+
+@app.command
+def minion(name: str, *, port: int, slots: int = 8) -> None:
+    """Run a minion's stand-in on loopback."""
+    serve(MinionState(name, slots).handle, port, THREADS)
+
+
+if __name__ == "__main__":
+    logging.getLogger("waitress").setLevel(logging.CRITICAL)
+    app()
--- /dev/null
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/fleet.py
@@ -0,0 +1,240 @@
+"""Starts real processes for tests and the demo, and ends every one of them."""
+
+from __future__ import annotations
+
+import contextlib
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from itertools import accumulate
+from pathlib import Path
+from typing import Any
+
+from geraniumshore import MadeKey, make_key
+from geraniumshore_standins.internal.operator_client import (
+    HttpReply,
+    OperatorClient,
+    http_call,
+)
+
+__all__ = ["EntryProcess", "Fleet", "free_port", "wait_for"]
+
+OPERATOR = make_key("ops", "operators", "0" * 32, "0" * 32)
+START_SECONDS = 30.0
+
+
+def free_port() -> int:
+    """Return a loopback port that is free just now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+def wait_for(
+    condition: Callable[[], bool], what: str, seconds: float = START_SECONDS
+) -> float:
+    """Wait until ``condition`` holds and return how long that took.
+
+    A refused or cut connection counts as not holding. Raises TimeoutError.
+    """
+    began = time.monotonic()
+    while time.monotonic() - began < seconds:
+        with contextlib.suppress(OSError):
+            if condition():
+                return time.monotonic() - began
+        time.sleep(0.02)
+    raise TimeoutError(f"got no {what} within {seconds} s")
+
+
+@dataclass(slots=True)
+class EntryProcess:
+    """One entry host's process."""
+
+    name: str
+    address: str
+    peer_address: str
+    process: subprocess.Popen[bytes]
+    settings_path: Path
+
+    @property
+    def operator(self) -> OperatorClient:
+        """An operator's access to this host."""
+        return OperatorClient(self.address, OPERATOR.bearer)
+
+    def ready(self) -> bool:
+        """Tell whether the balancer would send calls here."""
+        try:
+            return http_call(self.address, "GET", "/readyz", timeout=1).status == 200
+        except (OSError, http.client.HTTPException):
+            return False
+
+    def status(self) -> dict[str, Any]:
+        """Return the host's own view of things."""
+        document: dict[str, Any] = self.operator.get("status")
+        return document
+
+    def call(
+        self,
+        queue: str,
+        bearer: str | None,
+        body: bytes = b"{}",
+        headers: dict[str, str] | None = None,
+    ) -> HttpReply:
+        """Make a caller's request."""
+        all_headers = dict(headers or {})
+        if bearer is not None:
+            all_headers["Authorization"] = f"Bearer {bearer}"
+        return http_call(self.address, "POST", f"/queues/{queue}", body, all_headers)
+
+    def kill(self, number: int = signal.SIGKILL) -> None:
+        """Send a signal to the process."""
+        self.process.send_signal(number)
+
+
+@dataclass(slots=True)
+class Fleet:
+    """A platform, minions and entry hosts on loopback. Use it as a context."""
+
+    directory: Path = field(default_factory=lambda: Path(tempfile.mkdtemp()))
+    platform_address: str = ""
+    address_by_minion: dict[str, str] = field(default_factory=dict)
+    by_name: dict[str, EntryProcess] = field(default_factory=dict)
+    processes: list[subprocess.Popen[bytes]] = field(default_factory=list)
+
+    def __enter__(self) -> Fleet:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.stop()
+
+    def start_platform(self) -> None:
+        """Start the platform's stand-in."""
+        port = free_port()
+        self._start_module("platform", "--port", str(port))
+        self.platform_address = f"127.0.0.1:{port}"
+        wait_for(
+            lambda: http_call(self.platform_address, "GET", "/hosts").status == 200,
+            "platform",
+        )
+
+    def start_minion(self, name: str, slots: int = 8) -> str:
+        """Start a minion's stand-in and return its address."""
+        port = free_port()
+        self._start_module("minion", name, "--port", str(port), "--slots", str(slots))
+        address = f"127.0.0.1:{port}"
+        self.address_by_minion[name] = address
+        return address
+
+    def wait_for_minions(self) -> None:
+        """Wait until every minion answers."""
+        for name, address in self.address_by_minion.items():
+            wait_for(
+                lambda a=address: http_call(a, "GET", "/test/counts").status == 200,  # type: ignore[misc]
+                f"minion {name}",
+            )
+
+    def start_entry(
+        self,
+        name: str,
+        data_centre: str = "dc1",
+        platform_address: str | None = None,
+        **settings: Any,
+    ) -> EntryProcess:
+        """Start an entry host's process; it may not be a member yet."""
+        http_port, peer_port = free_port(), free_port()
+        address, _, port = (platform_address or self.platform_address).partition(":")
+        document = {
+            "host": name,
+            "data_centre": data_centre,
+            "http": {"address": "127.0.0.1", "port": http_port},
+            "peer": {"address": "127.0.0.1", "port": peer_port},
+            "platform": {"address": address, "port": int(port)},
+            "operators": {
+                "ops": {"salt": OPERATOR.key.salt, "digest": OPERATOR.key.digest}
+            },
+            "notice_ms": 500,
+            **settings,
+        }
+        path = self.directory / f"{name}.json"
+        path.write_text(json.dumps(document))
+        entry = EntryProcess(
+            name=name,
+            address=f"127.0.0.1:{http_port}",
+            peer_address=f"127.0.0.1:{peer_port}",
+            process=self._start_daemon(path),
+            settings_path=path,
+        )
+        self.by_name[name] = entry
+        return entry
+
+    def restart_entry(self, name: str) -> EntryProcess:
+        """Start a process again with the settings of one that has ended."""
+        entry = self.by_name[name]
+        entry.process.wait(START_SECONDS)
+        entry.process = self._start_daemon(entry.settings_path)
+        return entry
+
+    def wait_until_ready(self, seconds: float = START_SECONDS) -> None:
+        """Wait until every running entry host would get calls."""
+        for entry in self.by_name.values():
+            if entry.process.poll() is None:
+                wait_for(entry.ready, f"ready {entry.name}", seconds)
+
+    def set_faults(self, **faults: Any) -> None:
+        """Switch the platform's faults; those not named are off."""
+        body = json.dumps(faults).encode()
+        http_call(self.platform_address, "PUT", "/test/faults", body)
+
+    def minion_counts(self, name: str) -> dict[str, Any]:
+        """Return what has really run on a minion."""
+        reply = http_call(self.address_by_minion[name], "GET", "/test/counts")
+        document: dict[str, Any] = reply.json()
+        return document
+
+    def most_running(self, team: str) -> int:
+        """Return the most of a team's work that ran at once, on all minions."""
+        changes = sorted(
+            change
+            for minion in self.address_by_minion
+            for run in self.minion_counts(minion)["runs"]
+            if run["team"] == team
+            for change in ((run["began"], 1), (run["ended"], -1))
+        )
+        return max(accumulate(step for _, step in changes), default=0)
+
+    def stop(self) -> None:
+        """End every process that was started here."""
+        for process in self.processes:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes:
+            process.wait()
+
+    def make_key(self, team: str) -> MadeKey:
+        """Make a key with random parts."""
+        return make_key(f"{team}-1", team, os.urandom(16).hex(), os.urandom(16).hex())
+
+    def _start_module(self, *arguments: str) -> None:
+        command = [sys.executable, "-m", "geraniumshore_standins", *arguments]
+        self._start(command)
+
+    def _start_daemon(self, settings_path: Path) -> subprocess.Popen[bytes]:
+        binary = Path(sys.executable).parent / "geraniumshored"
+        return self._start([str(binary), "run", str(settings_path)])
+
+    def _start(self, command: list[str]) -> subprocess.Popen[bytes]:
+        log_path = self.directory / "processes.log"
+        with log_path.open("ab") as log:
+            process = subprocess.Popen(command, stdout=log, stderr=log)
+        self.processes.append(process)
+        return process
--- /dev/null
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/minion.py
@@ -0,0 +1,127 @@
+"""A minion's stand-in: runs work by sleeping, and counts what really ran.
+
+Its counts are the ground truth of the tests: how often each request ran, and when, so
+that a test can tell how many of a team's ran at once on all minions together.
+"""
+
+from __future__ import annotations
+
+import json
+import threading
+import time
+from collections import Counter
+from dataclasses import asdict, dataclass, field
+
+from pydantic import TypeAdapter
+
+from geraniumshore_standins.internal.wsgi import Answer, Call
+
+__all__ = ["MinionState"]
+
+
+@dataclass(slots=True)
+class Modes:
+    """How this minion misbehaves. Each fraction is of the requests."""
+
+    work_ms: int = 20
+    fail_status: int | None = None
+    silent: bool = False
+    cut: bool = False
+    crossed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """One run that has ended; times are of the machine's monotonic clock."""
+
+    request: str
+    team: str
+    queue: str
+    began: float
+    ended: float
+
+
+@dataclass(slots=True)
+class Counts:
+    """What has really happened here."""
+
+    runs_by_request: Counter[str] = field(default_factory=Counter)
+    runs_by_team: Counter[str] = field(default_factory=Counter)
+    running_by_team: Counter[str] = field(default_factory=Counter)
+    refused: int = 0
+    runs: list[Run] = field(default_factory=list)
+
+
+_COUNTS: TypeAdapter[Counts] = TypeAdapter(Counts)
+
+
+@dataclass(slots=True)
+class MinionState:
+    """One minion: its slots, its modes, its counts."""
+
+    name: str
+    slots: int = 8
+    modes: Modes = field(default_factory=Modes)
+    counts: Counts = field(default_factory=Counts)
+    lock: threading.Lock = field(default_factory=threading.Lock)
+
+    def handle(self, call: Call) -> Answer:
+        """Answer one call."""
+        match (call.method, call.path):
+            case ("POST", ("work", queue)):
+                return self._work(call, queue)
+            case ("GET", ("test", "counts")):
+                with self.lock:
+                    return Answer.json(_COUNTS.dump_python(self.counts, mode="json"))
+            case ("PUT", ("test", "modes")):
+                self.modes = Modes(**call.document())
+                return Answer.json(asdict(self.modes))
+            case _:
+                return Answer.json({"error": "no such path"}, 404)
+
+    def _work(self, call: Call, queue: str) -> Answer:
+        request_id = call.headers.get("request-id", "")
+        team = call.headers.get("team", "")
+        if not self._begin(request_id, team):
+            headers = {"Request-Id": request_id, "Outcome": "not-run"}
+            return Answer(503, b"", headers)
+        began = time.monotonic()
+        try:
+            return self._run(call, queue, request_id)
+        finally:
+            with self.lock:
+                self.counts.running_by_team[team] -= 1
+                run = Run(request_id, team, queue, began, time.monotonic())
+                self.counts.runs.append(run)
+
+    def _begin(self, request_id: str, team: str) -> bool:
+        with self.lock:
+            running = self.counts.running_by_team
+            if sum(running.values()) >= self.slots:
+                self.counts.refused += 1
+                return False
+            running[team] += 1
+            self.counts.runs_by_request[request_id] += 1
+            self.counts.runs_by_team[team] += 1
+            return True
+
+    def _run(self, call: Call, queue: str, request_id: str) -> Answer:
+        modes = self.modes
+        work_ms = int(call.headers.get("work-ms", modes.work_ms))
+        limit_ms = int(call.headers.get("run-limit-ms", "3600000"))
+        time.sleep(min(work_ms, limit_ms) / 1000)
+        if modes.silent:
+            time.sleep(limit_ms / 1000)
+        echoed = "another-request" if modes.crossed else request_id
+        document = {
+            "minion": self.name,
+            "queue": queue,
+            "request": request_id,
+            "bytes": len(call.body),
+        }
+        return Answer(
+            modes.fail_status or 200,
+            json.dumps(document).encode(),
+            {"Content-Type": "application/json", "Request-Id": echoed},
+            cut=modes.cut,
+        )
--- /dev/null
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/platform.py
@@ -0,0 +1,150 @@
+"""The platform's stand-in: the log service, the host list, and switches for faults."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import asdict, dataclass, field
+from typing import Any
+
+from geraniumshore_standins.internal.wsgi import Answer, Call, application_of
+
+__all__ = ["Faults", "PlatformState", "StoredRecord", "platform_application"]
+
+MAX_RECORDS_PER_READ = 500
+
+
+@dataclass(slots=True)
+class Faults:
+    """What is wrong with the log service just now.
+
+    ``lost_replies`` counts appends still to come that take effect and get no answer.
+    """
+
+    outage: bool = False
+    delay_ms: int = 0
+    lost_replies: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class StoredRecord:
+    """One append as it is kept."""
+
+    offset: int
+    at_ms: int
+    document: str
+
+
+@dataclass(slots=True)
+class LogState:
+    """The log: records from ``first`` on, kept while they are young enough."""
+
+    records: list[StoredRecord] = field(default_factory=list)
+    first: int = 0
+    retention_ms: int = 3_600_000
+    appends: int = 0
+    changed: threading.Condition = field(default_factory=threading.Condition)
+
+    @property
+    def tail(self) -> int:
+        """The next offset that will be given out."""
+        return self.first + len(self.records)
+
+    def append(self, document: str) -> int:
+        """Keep a document and return its offset."""
+        with self.changed:
+            offset = self.tail
+            now_ms = int(time.time() * 1000)
+            self.records.append(StoredRecord(offset, now_ms, document))
+            self.appends += 1
+            self._trim(now_ms)
+            self.changed.notify_all()
+            return offset
+
+    def read(self, offset: int, wait_seconds: float, most: int) -> dict[str, Any]:
+        """Return what stands from ``offset`` on, waiting for a first record."""
+        with self.changed:
+            self.changed.wait_for(lambda: self.tail > offset, wait_seconds)
+            self._trim(int(time.time() * 1000))
+            start = max(0, offset - self.first)
+            records = self.records[start : start + most]
+            return {
+                "first": self.first,
+                "tail": self.tail,
+                "records": [asdict(record) for record in records],
+            }
+
+    def _trim(self, now_ms: int) -> None:
+        expired = 0
+        while (
+            expired < len(self.records)
+            and self.records[expired].at_ms + self.retention_ms < now_ms
+        ):
+            expired += 1
+        del self.records[:expired]
+        self.first += expired
+
+
+@dataclass(slots=True)
+class PlatformState:
+    """Everything that the stand-in keeps."""
+
+    log: LogState = field(default_factory=LogState)
+    faults: Faults = field(default_factory=Faults)
+    hosts: list[dict[str, Any]] = field(default_factory=list)
+
+    def handle(self, call: Call) -> Answer:
+        """Answer one call."""
+        if call.path[:1] == ("test",):
+            return self._handle_test(call)
+        if self.faults.delay_ms:
+            time.sleep(self.faults.delay_ms / 1000)
+        if self.faults.outage:
+            return Answer.json({"error": "outage"}, 503)
+        match (call.method, call.path):
+            case ("POST", ("log", "records")):
+                return self._append(call)
+            case ("GET", ("log", "records")):
+                return self._read(call)
+            case ("GET", ("hosts",)):
+                return Answer.json({"hosts": self.hosts})
+            case _:
+                return Answer.json({"error": "no such path"}, 404)
+
+    def _append(self, call: Call) -> Answer:
+        offset = self.log.append(call.document()["document"])
+        if self.faults.lost_replies > 0:
+            self.faults.lost_replies -= 1
+            return Answer(200, b"{ }", cut=True)
+        return Answer.json({"offset": offset})
+
+    def _read(self, call: Call) -> Answer:
+        most = min(int(call.query.get("max", "100")), MAX_RECORDS_PER_READ)
+        wait_seconds = int(call.query.get("wait_ms", "0")) / 1000
+        document = self.log.read(int(call.query["from"]), wait_seconds, most)
+        if self.faults.outage:
+            return Answer.json({"error": "outage"}, 503)
+        return Answer.json(document)
+
+    def _handle_test(self, call: Call) -> Answer:
+        """Switch faults and show counts; for tests only."""
+        match (call.method, call.path[1:]):
+            case ("PUT", ("faults",)):
+                self.faults = Faults(**call.document())
+                return Answer.json(asdict(self.faults))
+            case ("PUT", ("hosts",)):
+                self.hosts = call.document()["hosts"]
+                return Answer.json({})
+            case ("PUT", ("retention",)):
+                self.log.retention_ms = int(call.document()["retention_ms"])
+                return Answer.json({})
+            case ("GET", ("counts",)):
+                return Answer.json({"appends": self.log.appends, "tail": self.log.tail})
+            case _:
+                return Answer.json({"error": "no such path"}, 404)
+
+
+def platform_application(state: PlatformState) -> Callable[..., Iterable[bytes]]:
+    """Return the WSGI application of a platform."""
+    return application_of(state.handle)
--- /dev/null
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/wsgi.py
@@ -0,0 +1,100 @@
+"""A small JSON-over-WSGI step that the stand-ins share."""
+
+from __future__ import annotations
+
+import json
+import threading
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import parse_qs
+
+from waitress.server import BaseWSGIServer, MultiSocketServer, create_server
+
+__all__ = ["Answer", "Call", "Handler", "application_of", "serve", "serve_in_thread"]
+
+WsgiEnviron = dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One HTTP call. Header names are in lower case."""
+
+    method: str
+    path: tuple[str, ...]
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+    def document(self) -> Any:
+        """Return the body as JSON."""
+        return json.loads(self.body)
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """One HTTP answer. One that is ``cut`` ends, and its connection, half way."""
+
+    status: int
+    body: bytes = b""
+    headers: dict[str, str] = field(default_factory=dict)
+    cut: bool = False
+
+    @classmethod
+    def json(cls, document: Any, status: int = 200) -> Answer:
+        """Answer with a JSON document."""
+        body = json.dumps(document).encode()
+        return cls(status, body, {"Content-Type": "application/json"})
+
+
+Handler = Callable[[Call], Answer]
+
+
+def application_of(handler: Handler) -> Callable[..., Iterable[bytes]]:
+    """Return the WSGI application that answers with ``handler``."""
+
+    def application(
+        environ: WsgiEnviron, start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        answer = handler(_read_call(environ))
+        headers = {**answer.headers, "Content-Length": str(len(answer.body))}
+        phrase = HTTPStatus(answer.status).phrase
+        start_response(f"{answer.status} {phrase}", list(headers.items()))
+        return [answer.body[: len(answer.body) // 2] if answer.cut else answer.body]
+
+    return application
+
+
+def serve(handler: Handler, port: int, threads: int) -> None:
+    """Serve on loopback until the process ends."""
+    create_server(
+        application_of(handler), host="127.0.0.1", port=port, threads=threads
+    ).run()
+
+
+def serve_in_thread(
+    handler: Handler, port: int, threads: int
+) -> BaseWSGIServer | MultiSocketServer:
+    """Serve on loopback from a thread; close the returned server to end it."""
+    server = create_server(
+        application_of(handler), host="127.0.0.1", port=port, threads=threads
+    )
+    threading.Thread(target=server.run, daemon=True).start()
+    return server
+
+
+def _read_call(environ: WsgiEnviron) -> Call:
+    headers = {
+        name[5:].replace("_", "-").lower(): value
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    }
+    query = parse_qs(environ.get("QUERY_STRING", ""))
+    return Call(
+        method=environ["REQUEST_METHOD"],
+        path=tuple(part for part in environ["PATH_INFO"].split("/") if part),
+        query={name: values[-1] for name, values in query.items()},
+        headers=headers,
+        body=environ["wsgi.input"].read(),
+    )
--- /dev/null
+++ b/packages/geraniumshore/src/geraniumshore/__init__.py
@@ -0,0 +1,142 @@
+"""Decisions of a fleet capacity and maintenance manager.
+
+The names below are the whole public surface. Everything is deterministic: times, ids
+and seeds are passed in.
+"""
+
+from geraniumshore.errors import (
+    Finding,
+    GeraniumshoreError,
+    InvalidInputError,
+    PlatformUnavailableError,
+    UnknownOutcomeError,
+)
+from geraniumshore.internal.configuration import Configuration, apply_release
+from geraniumshore.internal.entry import (
+    Decision,
+    Refusal,
+    Refuse,
+    SlotRequest,
+    Start,
+)
+from geraniumshore.internal.fold import (
+    ControlState,
+    ReleaseSummary,
+    Verdict,
+    fold_entry,
+)
+from geraniumshore.internal.items import (
+    Host,
+    Key,
+    Minion,
+    Pool,
+    Queue,
+    Service,
+    Team,
+    Wave,
+)
+from geraniumshore.internal.keys import MadeKey, make_key, verify_key
+from geraniumshore.internal.member import Effects, Member
+from geraniumshore.internal.messages import (
+    Message,
+    coalescing_key,
+    decode_message,
+    encode_message,
+)
+from geraniumshore.internal.outcomes import NotRun, Outcome, Ran, Unknown
+from geraniumshore.internal.platform import (
+    ControlLog,
+    HostList,
+    ListedHost,
+    LogRead,
+    RawEntry,
+)
+from geraniumshore.internal.records import (
+    Evict,
+    Join,
+    Leave,
+    LogEntry,
+    MemberInfo,
+    Record,
+    Release,
+    decode_records,
+    encode_records,
+)
+from geraniumshore.internal.release import (
+    Items,
+    ReleaseNote,
+    Withdrawn,
+    load_json,
+    parse_release,
+    validation_findings,
+)
+from geraniumshore.internal.shares import (
+    Candidate,
+    FirstComeFirstServed,
+    SharePolicy,
+    WeightedShares,
+)
+
+__all__ = [
+    "Candidate",
+    "Configuration",
+    "ControlLog",
+    "ControlState",
+    "Decision",
+    "Effects",
+    "Evict",
+    "Finding",
+    "FirstComeFirstServed",
+    "GeraniumshoreError",
+    "Host",
+    "HostList",
+    "InvalidInputError",
+    "Items",
+    "Join",
+    "Key",
+    "Leave",
+    "ListedHost",
+    "LogEntry",
+    "LogRead",
+    "MadeKey",
+    "Member",
+    "MemberInfo",
+    "Message",
+    "Minion",
+    "NotRun",
+    "Outcome",
+    "PlatformUnavailableError",
+    "Pool",
+    "Queue",
+    "Ran",
+    "RawEntry",
+    "Record",
+    "Refusal",
+    "Refuse",
+    "Release",
+    "ReleaseNote",
+    "ReleaseSummary",
+    "Service",
+    "SharePolicy",
+    "SlotRequest",
+    "Start",
+    "Team",
+    "Unknown",
+    "UnknownOutcomeError",
+    "Verdict",
+    "Wave",
+    "WeightedShares",
+    "Withdrawn",
+    "apply_release",
+    "coalescing_key",
+    "decode_message",
+    "decode_records",
+    "encode_message",
+    "encode_records",
+    "fold_entry",
+    "load_json",
+    "make_key",
+    "parse_release",
+    "validation_findings",
+    "verify_key",
+]
--- /dev/null
+++ b/packages/geraniumshore/src/geraniumshore/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Working parts; import them through the package itself."""
--- /dev/null
+++ b/packages/geraniumshore/src/geraniumshore/internal/configuration.py
@@ -0,0 +1,165 @@
+"""The operators' configuration, and the checks that a release note must pass."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field, fields, replace
+from itertools import chain
+from typing import Any
+
+from result import Err, Ok, Result
+
+from geraniumshore.errors import Finding
+from geraniumshore.internal.items import (
+    Host,
+    Key,
+    Minion,
+    Pool,
+    Queue,
+    Service,
+    Team,
+    Wave,
+)
+from geraniumshore.internal.release import Items, ReleaseNote
+
+__all__ = ["Configuration", "apply_release", "check_configuration"]
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """Everything in force. ``version`` counts the release notes that were accepted."""
+
+    version: int = 0
+    pools: dict[str, Pool] = field(default_factory=dict)
+    hosts: dict[str, Host] = field(default_factory=dict)
+    services: dict[str, Service] = field(default_factory=dict)
+    minions: dict[str, Minion] = field(default_factory=dict)
+    teams: dict[str, Team] = field(default_factory=dict)
+    keys: dict[str, Key] = field(default_factory=dict)
+    queues: dict[str, Queue] = field(default_factory=dict)
+    waves: dict[str, Wave] = field(default_factory=dict)
+
+
+SECTIONS = tuple(f.name for f in fields(Configuration) if f.name != "version")
+
+
+def apply_release(
+    configuration: Configuration, note: ReleaseNote
+) -> Result[Configuration, tuple[Finding, ...]]:
+    """Return the configuration after ``note``, or every fault that it has.
+
+    The same note on the same configuration always gives the same result.
+    """
+    findings = tuple(
+        chain(
+            _check_base(configuration, note),
+            _check_added(configuration, note),
+            _check_known(configuration, note),
+            _check_named_once(note),
+        )
+    )
+    if findings:
+        return Err(findings)
+    changed = _merge(configuration, note)
+    findings = tuple(check_configuration(changed))
+    return Err(findings) if findings else Ok(changed)
+
+
+def check_configuration(configuration: Configuration) -> Iterator[Finding]:
+    """Yield every reference in ``configuration`` that leads nowhere."""
+    yield from _references(configuration, "hosts", "pool", "pools")
+    yield from _references(configuration, "services", "pool", "pools")
+    yield from _references(configuration, "minions", "service", "services")
+    yield from _references(configuration, "minions", "host", "hosts")
+    yield from _references(configuration, "keys", "team", "teams")
+    yield from _references(configuration, "queues", "service", "services")
+    yield from _references(configuration, "queues", "pool", "pools")
+    yield from _references(configuration, "queues", "open_team", "teams")
+    yield from _check_queues(configuration)
+    yield from _check_waves(configuration)
+
+
+def _merge(configuration: Configuration, note: ReleaseNote) -> Configuration:
+    merged: dict[str, Any] = {}
+    for section in SECTIONS:
+        items = dict(getattr(configuration, section))
+        items.update(getattr(note.added, section))
+        items.update(getattr(note.changed, section))
+        for name in getattr(note.withdrawn, section):
+            items.pop(name, None)
+        merged[section] = items
+    return replace(configuration, version=configuration.version + 1, **merged)
+
+
+def _check_base(configuration: Configuration, note: ReleaseNote) -> Iterator[Finding]:
+    if note.base != configuration.version:
+        yield Finding(
+            "base",
+            f"got version {note.base}, but version {configuration.version} is in force",
+        )
+
+
+def _check_added(configuration: Configuration, note: ReleaseNote) -> Iterator[Finding]:
+    for section in SECTIONS:
+        present = getattr(configuration, section)
+        for name in getattr(note.added, section):
+            if name in present:
+                yield Finding(f"added.{section}.{name}", "is already there")
+
+
+def _check_known(configuration: Configuration, note: ReleaseNote) -> Iterator[Finding]:
+    for part, names_of in _NAMING_PARTS.items():
+        for section in SECTIONS:
+            present = getattr(configuration, section)
+            for name in names_of(note, section):
+                if name not in present:
+                    yield Finding(f"{part}.{section}.{name}", "is not there")
+
+
+_NAMING_PARTS: dict[str, Callable[[ReleaseNote, str], Any]] = {
+    "changed": lambda note, section: getattr(note.changed, section),
+    "withdrawn": lambda note, section: getattr(note.withdrawn, section),
+}
+
+
+def _check_named_once(note: ReleaseNote) -> Iterator[Finding]:
+    for section in SECTIONS:
+        changed: Items = note.changed
+        for name in getattr(note.withdrawn, section):
+            if name in getattr(changed, section):
+                yield Finding(
+                    f"withdrawn.{section}.{name}", "is also under changed; want one"
+                )
+
+
+def _references(
+    configuration: Configuration, section: str, attribute: str, target: str
+) -> Iterator[Finding]:
+    known = getattr(configuration, target)
+    for name, item in getattr(configuration, section).items():
+        wanted = getattr(item, attribute)
+        if wanted is not None and wanted not in known:
+            yield Finding(
+                f"{section}.{name}.{attribute}", f"no {target[:-1]} is named {wanted!r}"
+            )
+
+
+def _check_queues(configuration: Configuration) -> Iterator[Finding]:
+    for name, queue in configuration.queues.items():
+        target = "service" if queue.kind == "request" else "pool"
+        if getattr(queue, target) is None:
+            yield Finding(f"queues.{name}.{target}", f"a {queue.kind} queue needs one")
+        if queue.open and queue.open_team is None:
+            yield Finding(
+                f"queues.{name}.open_team", "an open queue needs a team to count for"
+            )
+
+
+def _check_waves(configuration: Configuration) -> Iterator[Finding]:
+    for name, wave in configuration.waves.items():
+        for pool in wave.pools:
+            if pool not in configuration.pools:
+                yield Finding(f"waves.{name}.pools", f"no pool is named {pool!r}")
+        for host in wave.hosts:
+            if host not in configuration.hosts:
+                yield Finding(f"waves.{name}.hosts", f"no host is named {host!r}")
--- /dev/null
+++ b/packages/geraniumshore/src/geraniumshore/internal/fold.py
@@ -0,0 +1,144 @@
+"""The fold of the control log: one state, the same on every member.
+
+A record that the state forbids is void, in the same way everywhere. So operators and
+members may race: which of them wins is settled by the order of the log alone.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from result import Err
+
+from geraniumshore.errors import Finding
+from geraniumshore.internal.configuration import Configuration, apply_release
+from geraniumshore.internal.homes import Home, LedgerKey, assign_homes
+from geraniumshore.internal.records import (
+    Evict,
+    Join,
+    Leave,
+    LogEntry,
+    Record,
+    Release,
+)
+from geraniumshore.internal.view import View, apply_evict, apply_join, apply_leave
+
+__all__ = ["ControlState", "ReleaseSummary", "Verdict", "fold_entry"]
+
+# Ids remembered to void a record that was appended twice. At 200 appends a second
+# this covers more than a minute of late duplicates.
+REMEMBERED_IDS = 16_384
+REMEMBERED_RELEASES = 50
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseSummary:
+    """One accepted release note, for the operators' history."""
+
+    version: int
+    offset: int
+    author: str
+    note: str
+    appended_at_ms: int
+
+
+@dataclass(slots=True)
+class ControlState:
+    """What the log says. ``position`` is the next offset to fold."""
+
+    position: int = 0
+    view: View = field(default_factory=View)
+    configuration: Configuration = field(default_factory=Configuration)
+    homes: dict[LedgerKey, Home] = field(default_factory=dict)
+    homes_changes: int = 0
+    releases: list[ReleaseSummary] = field(default_factory=list)
+    recent_ids: dict[str, None] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """What became of one record; it is void where there are findings."""
+
+    record: Record
+    offset: int
+    findings: tuple[Finding, ...]
+
+    @property
+    def accepted(self) -> bool:
+        """Tell whether the record took effect."""
+        return not self.findings
+
+
+def fold_entry(state: ControlState, entry: LogEntry) -> Iterator[Verdict]:
+    """Fold one log entry into ``state`` and yield the verdict on each record.
+
+    The iterator must be exhausted. An entry below ``state.position`` was folded
+    before and yields nothing; a gap raises ValueError, since records are missing.
+    """
+    if entry.offset < state.position:
+        return
+    if entry.offset > state.position:
+        raise ValueError(f"got offset {entry.offset}, want {state.position}")
+    state.position = entry.offset + 1
+    for record in entry.records:
+        yield Verdict(record, entry.offset, _fold_record(state, record, entry))
+
+
+def _fold_record(
+    state: ControlState, record: Record, entry: LogEntry
+) -> tuple[Finding, ...]:
+    if record.id in state.recent_ids:
+        return (Finding("id", f"{record.id} was appended before"),)
+    _remember(state, record.id)
+    match record:
+        case Join():
+            state.view, findings = apply_join(state.view, record)
+        case Leave():
+            state.view, findings = apply_leave(state.view, record)
+        case Evict():
+            state.view, findings = apply_evict(state.view, record)
+        case Release():
+            findings = _fold_release(state, record, entry)
+    if not findings:
+        _update_homes(state)
+    return findings
+
+
+def _fold_release(
+    state: ControlState, record: Release, entry: LogEntry
+) -> tuple[Finding, ...]:
+    applied = apply_release(state.configuration, record.note)
+    if isinstance(applied, Err):
+        return applied.err_value
+    state.configuration = applied.ok_value
+    state.releases.append(
+        ReleaseSummary(
+            state.configuration.version,
+            entry.offset,
+            record.author,
+            record.note.note,
+            entry.appended_at_ms,
+        )
+    )
+    del state.releases[:-REMEMBERED_RELEASES]
+    return ()
+
+
+def _update_homes(state: ControlState) -> None:
+    homes = assign_homes(
+        state.homes,
+        state.view.members,
+        state.configuration.services,
+        state.configuration.teams,
+        epoch=state.homes_changes + 1,
+    )
+    if homes != state.homes:
+        state.homes = homes
+        state.homes_changes += 1
+
+
+def _remember(state: ControlState, record_id: str) -> None:
+    state.recent_ids[record_id] = None
+    if len(state.recent_ids) > REMEMBERED_IDS:
+        del state.recent_ids[next(iter(state.recent_ids))]
--- /dev/null
+++ b/packages/geraniumshore/src/geraniumshore/internal/homes.py
@@ -0,0 +1,92 @@
+"""Homes: which member decides about which service and team.
+
+A home is chosen by rendezvous hashing, so that every member computes the same one
+and a change of the view moves few of them. Homes of teams are placed, as far as
+members allow, where no service has its home: a home of a team is then never at the
+same time a holder of that team's tokens, and one crash cannot take with it both the
+ledger and an entry that only this ledger knew.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from typing import NewType
+
+import xxhash
+
+__all__ = [
+    "Home",
+    "LedgerKey",
+    "assign_homes",
+    "choose_member",
+    "service_ledger",
+    "team_ledger",
+]
+
+LedgerKey = NewType("LedgerKey", str)
+
+
+@dataclass(frozen=True, slots=True)
+class Home:
+    """The member that keeps a ledger, since ``epoch``.
+
+    ``previous`` kept it before, or is None where the ledger is new.
+    """
+
+    member: str
+    epoch: int
+    previous: str | None = None
+
+
+def service_ledger(service: str) -> LedgerKey:
+    """Name the ledger of the slots of a service's minions."""
+    return LedgerKey(f"service/{service}")
+
+
+def team_ledger(team: str) -> LedgerKey:
+    """Name the ledger of a team's upper limit."""
+    return LedgerKey(f"team/{team}")
+
+
+def choose_member(key: str, members: Iterable[str]) -> str:
+    """Pick one of ``members`` for ``key`` by the highest random weight.
+
+    Raises ValueError where there is no member.
+    """
+    return max(members, key=lambda member: (_weight(key, member), member))
+
+
+def assign_homes(
+    previous: Mapping[LedgerKey, Home],
+    members: Iterable[str],
+    services: Iterable[str],
+    teams: Iterable[str],
+    epoch: int,
+) -> dict[LedgerKey, Home]:
+    """Return the home of each ledger; one that did not move keeps its epoch."""
+    all_members = frozenset(members)
+    if not all_members:
+        return {}
+    chosen = {
+        service_ledger(service): choose_member(service_ledger(service), all_members)
+        for service in services
+    }
+    without_service = all_members - set(chosen.values())
+    for team in teams:
+        key = team_ledger(team)
+        chosen[key] = choose_member(key, without_service or all_members)
+    return {
+        key: _keep_or_move(previous.get(key), member, epoch)
+        for key, member in chosen.items()
+    }
+
+
+def _keep_or_move(previous: Home | None, member: str, epoch: int) -> Home:
+    if previous is not None and previous.member == member:
+        return previous
+    return Home(member, epoch, previous.member if previous is not None else None)
+
+
+def _weight(key: str, member: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{key}\0{member}".encode())
--- /dev/null
+++ b/packages/geraniumshore/src/geraniumshore/internal/items.py
@@ -0,0 +1,137 @@
+"""The things that operators name in release notes: teams, hosts, queues and so on."""
+
+from __future__ import annotations
+
+from dataclasses import field
+from typing import Annotated, Literal
+
+from pydantic import ConfigDict, Field, StringConstraints
+from pydantic.dataclasses import dataclass
+
+__all__ = [
+    "Address",
+    "Host",
+    "Key",
+    "Minion",
+    "Name",
+    "Pool",
+    "Queue",
+    "Service",
+    "Team",
+    "Wave",
+]
+
+NAME_PATTERN = r"^[a-z0-9][a-z0-9._-]{0,62}$"
+ADDRESS_PATTERN = r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"
+
+Name = Annotated[str, StringConstraints(pattern=NAME_PATTERN)]
+Address = Annotated[str, StringConstraints(pattern=ADDRESS_PATTERN)]
+Digest = Annotated[str, StringConstraints(pattern=r"^[0-9a-f]{64}$")]
+Salt = Annotated[str, StringConstraints(pattern=r"^[0-9a-f]{16,64}$")]
+Milliseconds = Annotated[int, Field(ge=1, le=86_400_000)]
+
+STRICT = ConfigDict(extra="forbid")
+
+
+@dataclass(frozen=True, slots=True, config=STRICT)
+class Pool:
+    """A set of hosts with one availability budget.
+
+    ``max_away`` is the most hosts of the pool that may be away at once, whether
+    drained or failed; ``max_away_per_rack`` bounds it within one rack as well.
+    """
+
+    max_away: Annotated[int, Field(ge=0)] = 1
+    max_away_per_rack: Annotated[int, Field(ge=1)] | None = None
+    spare: bool = False
+
+
+@dataclass(frozen=True, slots=True, config=STRICT)
+class Host:
+    """A machine of the fleet, in exactly one pool."""
+
+    pool: Name
+    data_centre: Name
+    rack: Name
+    processors: Annotated[float, Field(gt=0)] = 16.0
+    memory_mb: Annotated[int, Field(gt=0)] = 32_768
+    accelerators: Annotated[int, Field(ge=0)] = 0
+
+
+@dataclass(frozen=True, slots=True, config=STRICT)
+class Service:
+    """A back end that minions serve together."""
+
+    pool: Name | None = None
+
+
+@dataclass(frozen=True, slots=True, config=STRICT)
+class Minion:
+    """One endpoint of a service. ``slots`` bounds what it runs at once."""
+
+    service: Name
+    address: Address
+    host: Name | None = None
+    data_centre: Name | None = None
+    slots: Annotated[int, Field(ge=1, le=10_000)] = 8
+    connections: Annotated[int, Field(ge=1, le=100_000)] = 64
+
+
+@dataclass(frozen=True, slots=True, config=STRICT)
+class Team:
+    """A customer. ``share`` weighs it when all is busy; ``limit`` is absolute."""
+
+    share: Annotated[float, Field(gt=0)]
+    limit: Annotated[int, Field(ge=0)]
+
+
+@dataclass(frozen=True, slots=True, config=STRICT)
+class Key:
+    """A caller key, kept as a salted digest; see :func:`make_key`."""
+
+    team: Name
+    salt: Salt
+    digest: Digest
+
+
+@dataclass(frozen=True, slots=True, config=STRICT)
+class Queue:
+    """Where callers send work.
+
+    A ``request`` queue names the service that answers while the caller waits; a
+    ``job`` queue names the pool whose hosts run the job as a platform task.
+    ``open`` admits work without a key; it then counts for ``open_team``.
+    ``run_limit_ms`` bounds one run, and ``wait_limit_ms`` the time in the queue.
+    ``objective`` is the fraction of work that must be good, good being answered
+    within ``objective_ms``.
+    """
+
+    service: Name | None = None
+    pool: Name | None = None
+    kind: Literal["request", "job"] = "request"
+    idempotent: bool = False
+    urgent: bool = False
+    open: bool = False
+    open_team: Name | None = None
+    max_waiting: Annotated[int, Field(ge=0, le=1_000_000)] = 200
+    wait_limit_ms: Milliseconds = 10_000
+    run_limit_ms: Milliseconds = 30_000
+    max_body_bytes: Annotated[int, Field(ge=0, le=64 * 1024 * 1024)] = 1024 * 1024
+    objective: Annotated[float, Field(gt=0, lt=1)] = 0.99
+    objective_ms: Milliseconds = 2_000
+
+
+@dataclass(frozen=True, slots=True, config=STRICT)
+class Wave:
+    """Maintenance of hosts, each drained, rebooted and returned once.
+
+    ``pools`` and ``hosts`` add up to the hosts that it covers. ``parallel`` bounds
+    how many are away for it at once; ``max_failures`` pauses it by itself.
+    """
+
+    purpose: str
+    pools: list[Name] = field(default_factory=list)
+    hosts: list[Name] = field(default_factory=list)
+    parallel: Annotated[int, Field(ge=1)] = 1
+    max_failures: Annotated[int, Field(ge=1)] = 2
+    paused: bool = False
--- /dev/null
+++ b/packages/geraniumshore/src/geraniumshore/internal/keys.py
@@ -0,0 +1,43 @@
+"""Caller keys: made once for the caller, kept only as salted digests."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from geraniumshore.internal.items import Key
+
+__all__ = ["MadeKey", "make_key", "verify_key"]
+
+# Compared against when a key's id is unknown, so that both cases take as long.
+_ABSENT = Key(team="none", salt="0" * 32, digest="0" * 64)
+
+
+@dataclass(frozen=True, slots=True)
+class MadeKey:
+    """A new key: ``bearer`` goes to the caller, ``key`` into a release note."""
+
+    key_id: str
+    bearer: str
+    key: Key
+
+
+def make_key(key_id: str, team: str, secret: str, salt: str) -> MadeKey:
+    """Build the key ``key_id`` of ``team`` from a random secret and salt, in hex."""
+    digest = _digest(salt, secret)
+    return MadeKey(key_id, f"{key_id}.{secret}", Key(team, salt, digest))
+
+
+def verify_key(keys: Mapping[str, Key], bearer: str) -> str | None:
+    """Return the team of ``bearer``, or None where the key is not in force."""
+    key_id, _, secret = bearer.rpartition(".")
+    key = keys.get(key_id)
+    expected = key or _ABSENT
+    matches = hmac.compare_digest(_digest(expected.salt, secret), expected.digest)
+    return key.team if key is not None and matches else None
+
+
+def _digest(salt: str, secret: str) -> str:
+    return hmac.new(bytes.fromhex(salt), secret.encode(), hashlib.sha256).hexdigest()
--- /dev/null
+++ b/packages/geraniumshore/src/geraniumshore/internal/ledger.py
@@ -0,0 +1,219 @@
+"""Ledgers of conserved units: who may use how many of what.
+
+A *home* keeps a :class:`Ledger`; each *holder* keeps a :class:`Holding`. Both count
+what was granted and what was returned in all, never differences, so a message that
+is lost, doubled or late does no harm: the larger count is the newer one. Units move
+on *lanes*, one for each team and minion.
+
+A unit is in the holder's hands from the moment that the home counts it as granted
+until the home learns that it was returned. So the home never counts too few. When a
+ledger moves to a new home, each holder *seals* its holding: it keeps what it has,
+starts new counts for the new epoch, and drops whatever the old home still sends.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from geraniumshore.internal.messages import (
+    GrantNotice,
+    LaneGrant,
+    LaneReport,
+    QuarantinedUnits,
+)
+
+__all__ = ["HolderAccount", "Holding", "Lane", "Ledger", "Quarantine"]
+
+
+class Lane(NamedTuple):
+    """The kind of unit: a team's, on a minion (empty for a unit of a team's limit)."""
+
+    team: str
+    minion: str = ""
+
+
+@dataclass(slots=True)
+class LaneCounts:
+    """Counts of one lane since the account began; they only grow."""
+
+    granted: int = 0
+    seen: int = 0
+    returned: int = 0
+
+    @property
+    def held(self) -> int:
+        """Units that the holder has or may be about to receive."""
+        return self.granted - self.returned
+
+    @property
+    def in_flight(self) -> int:
+        """Units granted that the holder has not yet confirmed."""
+        return self.granted - self.seen
+
+
+@dataclass(slots=True)
+class HolderAccount:
+    """A home's counts for one holder."""
+
+    holder_epoch: int
+    sequence: int = -1
+    by_lane: dict[Lane, LaneCounts] = field(default_factory=dict)
+
+    def update(self, lanes: Iterable[LaneReport]) -> int:
+        """Take in a report; return how many units it newly gives back."""
+        freed = 0
+        for report in lanes:
+            counts = self.by_lane.setdefault(
+                Lane(report.team, report.minion), LaneCounts()
+            )
+            counts.granted = max(counts.granted, report.seen)
+            counts.seen = max(counts.seen, report.seen)
+            freed += max(0, report.returned - counts.returned)
+            counts.returned = max(counts.returned, report.returned)
+        return freed
+
+    def held(self) -> int:
+        """Return how many units the holder has on all lanes."""
+        return sum(counts.held for counts in self.by_lane.values())
+
+
+@dataclass(frozen=True, slots=True)
+class Quarantine:
+    """Units that a departed holder may still use until ``until``."""
+
+    lane: Lane
+    count: int
+    until: float
+
+
+@dataclass(slots=True)
+class Ledger:
+    """The home's side: accounts by holder, and what departed holders may still use."""
+
+    epoch: int
+    by_holder: dict[str, HolderAccount] = field(default_factory=dict)
+    quarantined: list[Quarantine] = field(default_factory=list)
+
+    def open(self, holder: str, holder_epoch: int) -> HolderAccount:
+        """Return the holder's account, opened empty where it is new."""
+        account = self.by_holder.get(holder)
+        if account is None:
+            account = HolderAccount(holder_epoch)
+            self.by_holder[holder] = account
+        return account
+
+    def grant(self, holder: str, lane: Lane, count: int = 1) -> None:
+        """Count units as the holder's. Raises KeyError for an unknown holder."""
+        counts = self.by_holder[holder].by_lane.setdefault(lane, LaneCounts())
+        counts.granted += count
+
+    def close(self, holder: str, until: float) -> None:
+        """Quarantine all that a departed holder has."""
+        account = self.by_holder.pop(holder, None)
+        if account is None:
+            return
+        for lane, counts in account.by_lane.items():
+            self.quarantine(lane, counts.held, until)
+
+    def quarantine(self, lane: Lane, count: int, until: float) -> None:
+        """Count units as in use until ``until``, on nobody's account."""
+        if count > 0:
+            self.quarantined.append(Quarantine(lane, count, until))
+
+    def expire(self, now: float) -> bool:
+        """Free quarantined units whose time is over; tell whether there were any."""
+        kept = [units for units in self.quarantined if units.until > now]
+        freed = len(kept) != len(self.quarantined)
+        self.quarantined = kept
+        return freed
+
+    def in_use(self) -> Iterator[tuple[Lane, int]]:
+        """Yield the units in use, lane by lane; a lane may come more than once."""
+        for account in self.by_holder.values():
+            for lane, counts in account.by_lane.items():
+                if counts.held:
+                    yield lane, counts.held
+        for units in self.quarantined:
+            yield units.lane, units.count
+
+    def total(self) -> int:
+        """Return how many units are in use on all lanes."""
+        return sum(count for _, count in self.in_use())
+
+    def quarantined_units(self, now: float) -> tuple[QuarantinedUnits, ...]:
+        """Return the quarantined units in the form in which they are handed over."""
+        return tuple(
+            QuarantinedUnits(q.lane.team, q.lane.minion, q.count, q.until - now)
+            for q in self.quarantined
+            if q.until > now
+        )
+
+
+@dataclass(slots=True)
+class Holding:
+    """The holder's side of an account."""
+
+    epoch: int
+    holder_epoch: int = 0
+    by_lane: dict[Lane, LaneCounts] = field(default_factory=dict)
+
+    @classmethod
+    def sealed(
+        cls, epoch: int, held: Mapping[Lane, int], holder_epoch: int = 0
+    ) -> Holding:
+        """Begin a new account that takes over what is held already."""
+        by_lane = {
+            lane: LaneCounts(granted=count, seen=count)
+            for lane, count in held.items()
+            if count > 0
+        }
+        return cls(epoch, holder_epoch, by_lane)
+
+    def receive(self, notice: GrantNotice) -> Iterator[tuple[Lane, int]]:
+        """Take in a grant and yield the units that are new, lane by lane.
+
+        A notice of another epoch yields nothing: its home no longer decides, or
+        does not yet.
+        """
+        if (notice.epoch, notice.holder_epoch) != (self.epoch, self.holder_epoch):
+            return
+        for grant in notice.lanes:
+            lane = Lane(grant.team, grant.minion)
+            counts = self.by_lane.setdefault(lane, LaneCounts())
+            fresh = grant.granted - counts.granted
+            if fresh > 0:
+                counts.granted = counts.seen = grant.granted
+                yield lane, fresh
+
+    def give_back(self, lane: Lane, count: int = 1) -> None:
+        """Return units. Raises ValueError for more than are held."""
+        counts = self.by_lane.setdefault(lane, LaneCounts())
+        if count > counts.held:
+            raise ValueError(f"got {count} units to return, want at most {counts.held}")
+        counts.returned += count
+
+    def held(self) -> dict[Lane, int]:
+        """Return the units in hand by lane, without empty lanes."""
+        return {lane: c.held for lane, c in self.by_lane.items() if c.held}
+
+    def held_by(self, lane: Lane) -> int:
+        """Return the units in hand on one lane."""
+        counts = self.by_lane.get(lane)
+        return counts.held if counts is not None else 0
+
+    def lane_reports(self) -> tuple[LaneReport, ...]:
+        """Return the counts of every lane, for a report."""
+        return tuple(
+            LaneReport(lane.team, lane.minion, counts.seen, counts.returned)
+            for lane, counts in self.by_lane.items()
+        )
+
+
+def lane_grants(account: HolderAccount) -> tuple[LaneGrant, ...]:
+    """Return the counts of every lane, for a notice."""
+    return tuple(
+        LaneGrant(lane.team, lane.minion, counts.granted)
+        for lane, counts in account.by_lane.items()
+    )
--- /dev/null
+++ b/packages/geraniumshore/src/geraniumshore/internal/member.py
@@ -0,0 +1,322 @@
+"""One member's decisions: inputs and the time go in, effects come out.
+
+Nothing here does I/O, reads a clock, draws a random number or starts a thread, so a
+test, the daemon and any bench drive the same code.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from geraniumshore.internal.authority import Authority
+from geraniumshore.internal.entry import (
+    Decision,
+    Entry,
+    Refusal,
+    Refuse,
+    SlotRequest,
+)
+from geraniumshore.internal.fold import ControlState, Verdict, fold_entry
+from geraniumshore.internal.homes import LedgerKey, service_ledger, team_ledger
+from geraniumshore.internal.membership import Membership
+from geraniumshore.internal.messages import (
+    Endorsement,
+    EndorseRequest,
+    GrantNotice,
+    Handover,
+    HolderReport,
+    Message,
+)
+from geraniumshore.internal.records import LogEntry, MemberInfo, Record
+from geraniumshore.internal.service_home import ServiceHome, TeamTerms
+from geraniumshore.internal.shares import SharePolicy, WeightedShares
+from geraniumshore.internal.team_home import TeamHome
+from geraniumshore.internal.timing import HEARTBEAT_SECONDS
+
+__all__ = ["Effects", "Member"]
+
+DEFAULT_RUN_LIMIT_SECONDS = 30.0
+
+
+@dataclass(slots=True)
+class Effects:
+    """What the outside has to do: send, append, and tell callers."""
+
+    messages_by_member: dict[str, list[Message]] = field(default_factory=dict)
+    appends: list[Record] = field(default_factory=list)
+    decisions: list[Decision] = field(default_factory=list)
+
+
+class Member:
+    """The decisions of one process. Not safe for use by several threads at once."""
+
+    def __init__(
+        self,
+        info: MemberInfo,
+        new_id: Callable[[], str],
+        policy: SharePolicy | None = None,
+    ) -> None:
+        self.info = info
+        self.state = ControlState()
+        self.authority = Authority()
+        self.entry = Entry(info.member)
+        self.membership = Membership(info, new_id)
+        self.service_homes: dict[str, ServiceHome] = {}
+        self.team_homes: dict[str, TeamHome] = {}
+        self.unusable_minions: frozenset[str] = frozenset()
+        self._policy = policy or WeightedShares()
+        self._retired: dict[str, ServiceHome] = {}
+        self._effects = Effects()
+        self._local: list[Message] = []
+        self._next_heartbeat = float("-inf")
+
+    @property
+    def id(self) -> str:
+        """This process incarnation's id."""
+        return self.info.member
+
+    def has_authority(self, now: float) -> bool:
+        """Tell whether this member may start work and grant units at ``now``."""
+        return self.id in self.state.view.members and self.authority.holds(now)
+
+    def on_entries(self, entries: Iterable[LogEntry], now: float) -> list[Verdict]:
+        """Fold log entries, in order; return the verdicts on their records."""
+        verdicts = [
+            verdict for entry in entries for verdict in fold_entry(self.state, entry)
+        ]
+        if any(verdict.accepted for verdict in verdicts):
+            self._follow_state(now)
+            self._act(now)
+        return verdicts
+
+    def on_tail(self, sent_at: float, now: float) -> None:
+        """Take in that a log read sent at ``sent_at`` reached the tail, now folded."""
+        self.authority.confirm_tail(sent_at)
+        self._act(now)
+
+    def on_message(self, sender: str, message: Message, now: float) -> None:
+        """Take in a message of another member."""
+        self._handle(sender, message, now)
+        self._act(now)
+
+    def on_tick(self, now: float) -> None:
+        """Do what is due by time alone; call it a few times in each heartbeat."""
+        self._effects.decisions.extend(self.entry.expire(now))
+        for member, request in self.membership.requests(self.state.view, now):
+            self._send(member, request)
+        self._act(now)
+
+    def submit(self, request: SlotRequest, now: float) -> None:
+        """Ask for a slot; a decision with the same ticket follows."""
+        if not self.has_authority(now):
+            refusal = Refusal.NO_AUTHORITY
+        elif request.service not in self.entry.by_service:
+            refusal = Refusal.NO_SERVICE
+        elif self.entry.waiting(request.queue) >= request.max_waiting:
+            refusal = Refusal.QUEUE_FULL
+        else:
+            self.entry.submit(request)
+            self._act(now)
+            return
+        self._effects.decisions.append(Refuse(request.ticket, refusal))
+
+    def finish(self, ticket: str, now: float) -> None:
+        """Give back the slot of a started request."""
+        self.entry.finish(ticket)
+        self._act(now)
+
+    def cancel(self, ticket: str, now: float) -> bool:
+        """Drop a request that waits; False means that it was started or unknown."""
+        cancelled = self.entry.cancel(ticket)
+        self._act(now)
+        return cancelled
+
+    def set_unusable_minions(self, minions: Iterable[str], now: float) -> None:
+        """Name the minions that get no new work: leaving, draining, failed."""
+        self.unusable_minions = frozenset(minions)
+        self._configure_homes(now)
+        self._act(now)
+
+    def longest_call(self) -> float:
+        """Return the longest time, in seconds, that an admitted call may take."""
+        limits = (
+            (queue.wait_limit_ms + queue.run_limit_ms) / 1000
+            for queue in self.state.configuration.queues.values()
+            if queue.kind == "request"
+        )
+        return max(limits, default=0.0)
+
+    def drain_effects(self) -> Effects:
+        """Return what is to be done since the last call."""
+        effects, self._effects = self._effects, Effects()
+        return effects
+
+    def _handle(self, sender: str, message: Message, now: float) -> None:
+        match message:
+            case HolderReport():
+                self._on_report(message, now)
+            case GrantNotice():
+                self._on_notice(message, now)
+            case EndorseRequest():
+                endorsement = self.membership.endorse(message, self.state.view, self.id)
+                if endorsement is not None:
+                    self._send(sender, endorsement)
+            case Endorsement():
+                self.membership.on_endorsement(message)
+
+    def _on_report(self, report: HolderReport, now: float) -> None:
+        kind, _, name = report.ledger.partition("/")
+        if kind == "service" and name in self.service_homes:
+            self.service_homes[name].on_report(report, now)
+        elif kind == "team" and name in self.team_homes:
+            self.team_homes[name].on_report(report, now)
+
+    def _on_notice(self, notice: GrantNotice, now: float) -> None:
+        kind, _, name = notice.ledger.partition("/")
+        if kind == "team":
+            home = self.service_homes.get(notice.holder)
+            if home is not None:
+                home.on_tokens(name, notice)
+        elif name in self.entry.by_service and notice.holder == self.id:
+            decisions = self.entry.on_notice(name, notice, self.has_authority(now))
+            self._effects.decisions.extend(decisions)
+
+    def _act(self, now: float) -> None:
+        """Decide all that can be decided now, and say what others must hear."""
+        heartbeat = now >= self._next_heartbeat
+        if heartbeat:
+            self._next_heartbeat = now + HEARTBEAT_SECONDS
+        join = self.membership.join_record(self.state.view)
+        if join is not None:
+            self._effects.appends.append(join)
+        self._report_as_entry(heartbeat, now)
+        self._decide_as_home(heartbeat, now)
+        while self._local:
+            pending, self._local = self._local, []
+            for message in pending:
+                self._handle(self.id, message, now)
+            self._report_as_entry(False, now)
+            self._decide_as_home(False, now)
+
+    def _report_as_entry(self, everything: bool, now: float) -> None:
+        for service, entry in self.entry.by_service.items():
+            key = service_ledger(service)
+            if key not in self.state.homes or not (everything or entry.changed):
+                continue
+            handover = self._handover(service, now)
+            report = self.entry.report(service, key, handover)
+            self._send(self.state.homes[key].member, report)
+
+    def _decide_as_home(self, everything: bool, now: float) -> None:
+        if not self.has_authority(now):
+            return
+        for team_home in self.team_homes.values():
+            team_home.grant(now)
+            for notice in team_home.notices(everything):
+                self._send_to_home(service_ledger(notice.holder), notice)
+        for service_home in self.service_homes.values():
+            service_home.grant(now)
+            for notice in service_home.notices(everything):
+                self._send(notice.holder, notice)
+            for report in service_home.token_reports(everything, now):
+                self._send_to_home(report.ledger, report)
+
+    def _handover(self, service: str, now: float) -> Handover | None:
+        home = self.state.homes[service_ledger(service)]
+        retired = self._retired.get(service)
+        if retired is None or home.previous != self.id:
+            return None
+        return retired.handover(now)
+
+    def _follow_state(self, now: float) -> None:
+        """Open, keep and retire homes and holdings as the folded state says."""
+        self._follow_services(now)
+        self._follow_teams()
+        self._configure_homes(now)
+
+    def _follow_services(self, now: float) -> None:
+        members = self.state.view.members
+        for service in self.state.configuration.services:
+            home = self.state.homes.get(service_ledger(service))
+            if home is None:
+                continue
+            current = self.service_homes.get(service)
+            if current is not None and current.home.epoch != home.epoch:
+                self._retired[service] = self.service_homes.pop(service)
+            if home.member == self.id and service not in self.service_homes:
+                self.service_homes[service] = ServiceHome(
+                    service, home, self._policy, set(members), now
+                )
+            self.entry.seal(service, home.epoch)
+        for service in set(self.service_homes) - set(self.state.configuration.services):
+            del self.service_homes[service]
+
+    def _follow_teams(self) -> None:
+        epochs = self._epoch_by_service()
+        run_limit = self._run_limit()
+        for name, team in self.state.configuration.teams.items():
+            home = self.state.homes.get(team_ledger(name))
+            if home is None or home.member != self.id:
+                self.team_homes.pop(name, None)
+                continue
+            current = self.team_homes.get(name)
+            if current is None or current.epoch != home.epoch:
+                self.team_homes[name] = TeamHome(
+                    name, home.epoch, team.limit, run_limit, epochs
+                )
+        for name in set(self.team_homes) - set(self.state.configuration.teams):
+            del self.team_homes[name]
+
+    def _configure_homes(self, now: float) -> None:
+        epochs = self._epoch_by_service()
+        run_limit = self._run_limit()
+        terms = self._terms_by_team()
+        for name, team_home in self.team_homes.items():
+            limit = self.state.configuration.teams[name].limit
+            team_home.configure(limit, run_limit, epochs, now)
+        for service, service_home in self.service_homes.items():
+            service_home.on_members(self.state.view.members, now)
+            service_home.configure(self._slots_by_minion(service), terms, run_limit)
+
+    def _epoch_by_service(self) -> dict[str, int]:
+        return {
+            service: self.state.homes[service_ledger(service)].epoch
+            for service in self.state.configuration.services
+            if service_ledger(service) in self.state.homes
+        }
+
+    def _terms_by_team(self) -> dict[str, TeamTerms]:
+        return {
+            name: TeamTerms(team.share, self.state.homes[team_ledger(name)].epoch)
+            for name, team in self.state.configuration.teams.items()
+            if team_ledger(name) in self.state.homes
+        }
+
+    def _slots_by_minion(self, service: str) -> dict[str, int]:
+        return {
+            name: minion.slots
+            for name, minion in self.state.configuration.minions.items()
+            if minion.service == service and name not in self.unusable_minions
+        }
+
+    def _run_limit(self) -> float:
+        """Return the longest run, in seconds, that any queue allows."""
+        limits = (
+            queue.run_limit_ms / 1000
+            for queue in self.state.configuration.queues.values()
+            if queue.kind == "request"
+        )
+        return max(limits, default=DEFAULT_RUN_LIMIT_SECONDS)
+
+    def _send_to_home(self, ledger: LedgerKey, message: Message) -> None:
+        home = self.state.homes.get(ledger)
+        if home is not None:
+            self._send(home.member, message)
+
+    def _send(self, member: str, message: Message) -> None:
+        if member == self.id:
+            self._local.append(message)
+        else:
+            outbox = self._effects.messages_by_member.setdefault(member, [])
+            outbox.append(message)
--- /dev/null
+++ b/packages/geraniumshore/src/geraniumshore/internal/messages.py
@@ -0,0 +1,171 @@
+"""The messages between members, and their JSON form.
+
+Every message states a fact that stays true when it arrives late, twice or after a
+newer one: counts only grow within an epoch, and an older epoch is dropped.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Annotated, Literal
+
+from pydantic import Field, TypeAdapter, ValidationError
+from result import Err, Ok, Result
+
+from geraniumshore.errors import Finding
+from geraniumshore.internal.homes import LedgerKey
+from geraniumshore.internal.records import MemberInfo
+from geraniumshore.internal.release import validation_findings
+
+__all__ = [
+    "Demand",
+    "EndorseRequest",
+    "Endorsement",
+    "GrantNotice",
+    "Handover",
+    "HolderReport",
+    "LaneGrant",
+    "LaneReport",
+    "Message",
+    "QuarantinedUnits",
+    "coalescing_key",
+    "decode_message",
+    "encode_message",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class LaneReport:
+    """What a holder has seen granted and has given back on one lane, in all."""
+
+    team: str
+    minion: str
+    seen: int
+    returned: int
+
+
+@dataclass(frozen=True, slots=True)
+class LaneGrant:
+    """What a home has granted on one lane, in all."""
+
+    team: str
+    minion: str
+    granted: int
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """Work of one team that waits for units at a holder."""
+
+    team: str
+    urgent: bool
+    waiting: int
+
+
+@dataclass(frozen=True, slots=True)
+class QuarantinedUnits:
+    """Units that a departed holder may still use for ``remaining`` seconds."""
+
+    team: str
+    minion: str
+    count: int
+    remaining: float
+
+
+@dataclass(frozen=True, slots=True)
+class Handover:
+    """What the previous home of a ledger knew that no holder can report."""
+
+    epoch: int
+    ready: bool
+    quarantined: tuple[QuarantinedUnits, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class HolderReport:
+    """A holder's whole account with a home.
+
+    ``holder_epoch`` names the holder's own incarnation, where the holder is itself a
+    home that may move. ``complete`` is False while the holder may not know all that
+    its predecessor held.
+    """
+
+    ledger: LedgerKey
+    epoch: int
+    holder: str
+    holder_epoch: int
+    sequence: int
+    lanes: tuple[LaneReport, ...]
+    demand: tuple[Demand, ...] = ()
+    complete: bool = True
+    handover: Handover | None = None
+    kind: Literal["report"] = "report"
+
+
+@dataclass(frozen=True, slots=True)
+class GrantNotice:
+    """All that a home has granted to one holder.
+
+    ``recall`` asks for idle units back; ``elsewhere`` counts what others hold.
+    """
+
+    ledger: LedgerKey
+    epoch: int
+    holder: str
+    holder_epoch: int
+    lanes: tuple[LaneGrant, ...]
+    recall: bool = False
+    elsewhere: int = 0
+    kind: Literal["grant"] = "grant"
+
+
+@dataclass(frozen=True, slots=True)
+class EndorseRequest:
+    """Asks a member to endorse a change of the view numbered ``view``."""
+
+    change: Literal["join", "evict"]
+    member: str
+    view: int
+    info: MemberInfo | None = None
+    kind: Literal["endorse-request"] = "endorse-request"
+
+
+@dataclass(frozen=True, slots=True)
+class Endorsement:
+    """A member's word that ``view`` is the newest that it has folded."""
+
+    change: Literal["join", "evict"]
+    member: str
+    view: int
+    endorser: str
+    kind: Literal["endorsement"] = "endorsement"
+
+
+Message = Annotated[
+    HolderReport | GrantNotice | EndorseRequest | Endorsement,
+    Field(discriminator="kind"),
+]
+
+_MESSAGE: TypeAdapter[Message] = TypeAdapter(Message)
+
+
+def encode_message(message: Message) -> bytes:
+    """Return the JSON form of a message."""
+    return _MESSAGE.dump_json(message)
+
+
+def decode_message(document: bytes) -> Result[Message, tuple[Finding, ...]]:
+    """Read a message back; bytes that are none of ours give findings."""
+    try:
+        return Ok(_MESSAGE.validate_json(document))
+    except ValidationError as error:
+        return Err(validation_findings(error, "message"))
+
+
+def coalescing_key(message: Message) -> str:
+    """Name what ``message`` is about; a later message of the same name replaces it."""
+    match message:
+        case HolderReport() | GrantNotice():
+            return f"{message.kind} {message.ledger} {message.holder}"
+        case EndorseRequest() | Endorsement():
+            return f"{message.kind} {message.change} {message.member}"
--- /dev/null
+++ b/packages/geraniumshore/src/geraniumshore/internal/service_home.py
@@ -0,0 +1,334 @@
+"""The home of a service: gives its minions' slots to teams near their shares.
+
+Entry members report demand and what they hold; the home grants slots, each together
+with a token of the team's limit, which it gets from the team's home. So an entry
+needs only one answer to start a request.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass, field
+
+from geraniumshore.internal.homes import Home, service_ledger, team_ledger
+from geraniumshore.internal.ledger import Holding, Lane, Ledger, lane_grants
+from geraniumshore.internal.messages import (
+    Demand,
+    GrantNotice,
+    Handover,
+    HolderReport,
+)
+from geraniumshore.internal.shares import Candidate, SharePolicy
+from geraniumshore.internal.timing import IDLE_TOKEN_SECONDS, quarantine_until
+
+__all__ = ["ServiceHome", "TeamTerms"]
+
+# Tokens asked for beyond the slots that are free now, so that a slot that becomes
+# free does not wait for a token first.
+TOKEN_LOOKAHEAD = 2
+
+
+@dataclass(frozen=True, slots=True)
+class TeamTerms:
+    """What a service's home needs to know of a team."""
+
+    share: float
+    epoch: int
+
+
+@dataclass(slots=True)
+class _HolderDemand:
+    sequence: int = -1
+    waiting: dict[tuple[str, bool], int] = field(default_factory=dict)
+    since: dict[tuple[str, bool], float] = field(default_factory=dict)
+
+    def update(self, report: HolderReport, now: float) -> None:
+        if report.sequence <= self.sequence:
+            return
+        self.sequence = report.sequence
+        self.waiting = {(d.team, d.urgent): d.waiting for d in report.demand}
+        self.since = {key: self.since.get(key, now) for key in self.waiting}
+
+
+@dataclass(slots=True)
+class _TeamTokens:
+    holding: Holding
+    sequence: int = 0
+    elsewhere: int = 0
+    recall: bool = False
+    idle_since: float | None = None
+    reported_wanted: int = 0
+    changed: bool = True
+
+
+@dataclass(slots=True)
+class ServiceHome:
+    """Decides who gets the slots of one service."""
+
+    service: str
+    home: Home
+    policy: SharePolicy
+    members: set[str]
+    created_at: float
+    run_limit: float = 30.0
+    slots_by_minion: dict[str, int] = field(default_factory=dict)
+    terms_by_team: dict[str, TeamTerms] = field(default_factory=dict)
+    ledger: Ledger = field(init=False)
+    unreported: set[str] = field(init=False)
+    handed_over: bool = field(init=False)
+    demand_by_holder: dict[str, _HolderDemand] = field(default_factory=dict)
+    tokens_by_team: dict[str, _TeamTokens] = field(default_factory=dict)
+    changed: set[str] = field(default_factory=set)
+
+    def __post_init__(self) -> None:
+        self.ledger = Ledger(self.home.epoch)
+        self.unreported = set(self.members)
+        self.handed_over = self.home.previous is None
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether every member has reported what it holds."""
+        return not self.unreported
+
+    def complete(self, now: float) -> bool:
+        """Tell whether nothing that a predecessor granted can be unknown here."""
+        if self.handed_over:
+            return True
+        return now >= quarantine_until(self.created_at, self.run_limit)
+
+    def configure(
+        self,
+        slots_by_minion: Mapping[str, int],
+        terms_by_team: Mapping[str, TeamTerms],
+        run_limit: float,
+    ) -> None:
+        """Take in the minions that may get work, and the teams' terms."""
+        self.slots_by_minion = dict(slots_by_minion)
+        self.terms_by_team = dict(terms_by_team)
+        self.run_limit = run_limit
+        self._seal_tokens()
+
+    def on_members(self, members: Iterable[str], now: float) -> None:
+        """Quarantine what members that left the view still have."""
+        current = set(members)
+        for member in self.members - current:
+            self.ledger.close(member, quarantine_until(now, self.run_limit))
+            self.demand_by_holder.pop(member, None)
+            if member in self.unreported:
+                self.unreported.discard(member)
+                self.handed_over = False
+        self.members = current
+        self._seal_tokens()
+
+    def on_report(self, report: HolderReport, now: float) -> None:
+        """Take in an entry member's account and demand."""
+        if report.epoch != self.home.epoch or report.holder not in self.members:
+            return
+        self.ledger.open(report.holder, report.holder_epoch).update(report.lanes)
+        demand = self.demand_by_holder.setdefault(report.holder, _HolderDemand())
+        demand.update(report, now)
+        if report.holder in self.unreported:
+            self._take_over(report.handover, now)
+            self.unreported.discard(report.holder)
+            self._seal_tokens()
+
+    def on_tokens(self, team: str, notice: GrantNotice) -> None:
+        """Take in tokens from a team's home."""
+        tokens = self.tokens_by_team.get(team)
+        if tokens is None or notice.epoch != tokens.holding.epoch:
+            return
+        if any(True for _ in tokens.holding.receive(notice)):
+            tokens.changed = True
+        tokens.elsewhere = notice.elsewhere
+        tokens.recall = notice.recall
+
+    def grant(self, now: float) -> None:
+        """Grant free slots to waiting teams that have tokens, as the policy says."""
+        self.ledger.expire(now)
+        if not self.ready:
+            return
+        use_by_minion, use_by_team = self._tally()
+        unmet = self._unmet()
+        while True:
+            minion = self._freest_minion(use_by_minion)
+            candidates = list(self._candidates(unmet, use_by_team))
+            if minion is None or not candidates:
+                break
+            chosen = self.policy.choose(candidates)
+            holder = self._longest_waiting(unmet, chosen.team, chosen.urgent)
+            self.ledger.grant(holder, Lane(chosen.team, minion))
+            self.changed.add(holder)
+            use_by_minion[minion] += 1
+            use_by_team[chosen.team] += 1
+            unmet[holder, chosen.team, chosen.urgent] -= 1
+        self._return_idle_tokens(use_by_team, unmet, now)
+
+    def notices(self, everyone: bool) -> Iterator[GrantNotice]:
+        """Yield what entry members should hear, changed accounts or all."""
+        holders = list(self.ledger.by_holder) if everyone else sorted(self.changed)
+        self.changed.clear()
+        for holder in holders:
+            account = self.ledger.by_holder.get(holder)
+            if account is not None and (account.by_lane or self.unreported):
+                yield GrantNotice(
+                    ledger=service_ledger(self.service),
+                    epoch=self.home.epoch,
+                    holder=holder,
+                    holder_epoch=account.holder_epoch,
+                    lanes=lane_grants(account),
+                )
+
+    def token_reports(self, everyone: bool, now: float) -> Iterator[HolderReport]:
+        """Yield this home's accounts with the teams' homes, changed ones or all."""
+        if not self.ready:
+            return
+        use_by_minion, use_by_team = self._tally()
+        unmet = self._unmet()
+        free = sum(
+            max(0, slots - use_by_minion[minion])
+            for minion, slots in self.slots_by_minion.items()
+        )
+        for team, tokens in self.tokens_by_team.items():
+            wanted = self._tokens_wanted(team, use_by_team[team], unmet, free)
+            if everyone or tokens.changed or wanted != tokens.reported_wanted:
+                tokens.changed = False
+                tokens.reported_wanted = wanted
+                tokens.sequence += 1
+                yield self._token_report(team, tokens, wanted, now)
+
+    def handover(self, now: float) -> Handover:
+        """Return what the next home can learn from nobody else."""
+        return Handover(
+            epoch=self.home.epoch,
+            ready=self.ready and self.complete(now),
+            quarantined=self.ledger.quarantined_units(now),
+        )
+
+    def _take_over(self, handover: Handover | None, now: float) -> None:
+        if handover is None:
+            return
+        for units in handover.quarantined:
+            lane = Lane(units.team, units.minion)
+            self.ledger.quarantine(lane, units.count, now + units.remaining)
+        self.handed_over = self.handed_over or handover.ready
+
+    def _seal_tokens(self) -> None:
+        """Open the account with each team's home that is new or has moved."""
+        if not self.ready:
+            return
+        use_by_team = self._tally()[1]
+        for team in set(self.tokens_by_team) - set(self.terms_by_team):
+            del self.tokens_by_team[team]
+        for team, terms in self.terms_by_team.items():
+            tokens = self.tokens_by_team.get(team)
+            if tokens is None or tokens.holding.epoch != terms.epoch:
+                held = {Lane(team): use_by_team[team]}
+                holding = Holding.sealed(terms.epoch, held, self.home.epoch)
+                self.tokens_by_team[team] = _TeamTokens(holding)
+
+    def _tally(self) -> tuple[Counter[str], Counter[str]]:
+        use_by_minion: Counter[str] = Counter()
+        use_by_team: Counter[str] = Counter()
+        for lane, count in self.ledger.in_use():
+            use_by_minion[lane.minion] += count
+            use_by_team[lane.team] += count
+        return use_by_minion, use_by_team
+
+    def _unmet(self) -> Counter[tuple[str, str, bool]]:
+        """Count waiting work that no grant on its way will start."""
+        unmet: Counter[tuple[str, str, bool]] = Counter()
+        for holder, demand in self.demand_by_holder.items():
+            account = self.ledger.by_holder[holder]
+            in_flight: Counter[str] = Counter()
+            for lane, counts in account.by_lane.items():
+                in_flight[lane.team] += counts.in_flight
+            for team, urgent in sorted(demand.waiting, key=lambda k: (k[0], not k[1])):
+                waiting = demand.waiting[team, urgent]
+                met = min(waiting, in_flight[team])
+                in_flight[team] -= met
+                unmet[holder, team, urgent] = waiting - met
+        return unmet
+
+    def _candidates(
+        self,
+        unmet: Mapping[tuple[str, str, bool], int],
+        use_by_team: Counter[str],
+    ) -> Iterator[Candidate]:
+        for (holder, team, urgent), count in unmet.items():
+            tokens = self.tokens_by_team.get(team)
+            if count <= 0 or tokens is None:
+                continue
+            if tokens.holding.held_by(Lane(team)) <= use_by_team[team]:
+                continue
+            yield Candidate(
+                team=team,
+                share=self.terms_by_team[team].share,
+                in_use=use_by_team[team] + tokens.elsewhere,
+                urgent=urgent,
+                waiting_since=self.demand_by_holder[holder].since[team, urgent],
+            )
+
+    def _longest_waiting(
+        self, unmet: Mapping[tuple[str, str, bool], int], team: str, urgent: bool
+    ) -> str:
+        holders = [
+            holder
+            for (holder, t, u), count in unmet.items()
+            if (t, u) == (team, urgent) and count > 0
+        ]
+        return max(holders, key=lambda holder: (unmet[holder, team, urgent], holder))
+
+    def _freest_minion(self, use_by_minion: Counter[str]) -> str | None:
+        free = {
+            minion: slots - use_by_minion[minion]
+            for minion, slots in self.slots_by_minion.items()
+            if use_by_minion[minion] < slots
+        }
+        return max(free, key=lambda minion: (free[minion], minion), default=None)
+
+    def _return_idle_tokens(
+        self,
+        use_by_team: Counter[str],
+        unmet: Mapping[tuple[str, str, bool], int],
+        now: float,
+    ) -> None:
+        waiting = {team for (_, team, _), count in unmet.items() if count > 0}
+        for team, tokens in self.tokens_by_team.items():
+            idle = tokens.holding.held_by(Lane(team)) - use_by_team[team]
+            if idle <= 0:
+                tokens.idle_since = None
+                continue
+            if tokens.idle_since is None:
+                tokens.idle_since = now
+            if tokens.recall or (
+                team not in waiting and now - tokens.idle_since >= IDLE_TOKEN_SECONDS
+            ):
+                tokens.holding.give_back(Lane(team), idle)
+                tokens.changed = True
+                tokens.idle_since = None
+
+    def _tokens_wanted(
+        self,
+        team: str,
+        in_use: int,
+        unmet: Mapping[tuple[str, str, bool], int],
+        free_slots: int,
+    ) -> int:
+        waiting = sum(count for (_, t, _), count in unmet.items() if t == team)
+        idle = self.tokens_by_team[team].holding.held_by(Lane(team)) - in_use
+        return max(0, min(waiting, free_slots + TOKEN_LOOKAHEAD) - idle)
+
+    def _token_report(
+        self, team: str, tokens: _TeamTokens, wanted: int, now: float
+    ) -> HolderReport:
+        return HolderReport(
+            ledger=team_ledger(team),
+            epoch=tokens.holding.epoch,
+            holder=self.service,
+            holder_epoch=self.home.epoch,
+            sequence=tokens.sequence,
+            lanes=tokens.holding.lane_reports(),
+            demand=(Demand(team, False, wanted),) if wanted else (),
+            complete=self.complete(now),
+        )
--- /dev/null
+++ b/packages/geraniumshore/src/geraniumshore/internal/view.py
@@ -0,0 +1,85 @@
+"""The view: the list of members that the control log has agreed on."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+
+from geraniumshore.errors import Finding
+from geraniumshore.internal.records import Evict, Join, Leave, MemberInfo
+
+__all__ = ["View", "apply_evict", "apply_join", "apply_leave", "is_majority"]
+
+
+@dataclass(frozen=True, slots=True)
+class View:
+    """The members in force. ``number`` counts the changes and names the view."""
+
+    number: int = 0
+    members: dict[str, MemberInfo] = field(default_factory=dict)
+
+
+def is_majority(count: int, view: View) -> bool:
+    """Tell whether ``count`` members of ``view`` are more than half of it."""
+    return 2 * count > len(view.members)
+
+
+def apply_join(view: View, record: Join) -> tuple[View, tuple[Finding, ...]]:
+    """Return the view with the member added, or why the record is void."""
+    findings = [*_check_change(view, record.view, record.endorsed_by)]
+    if record.info.member in view.members:
+        findings.append(Finding("info.member", "is a member already"))
+    if findings:
+        return view, tuple(findings)
+    return _with(view, {**view.members, record.info.member: record.info}), ()
+
+
+def apply_evict(view: View, record: Evict) -> tuple[View, tuple[Finding, ...]]:
+    """Return the view without the member, or why the record is void."""
+    endorsers = set(record.endorsed_by) - {record.member}
+    findings = [*_check_number(view, record.view)]
+    if record.forced_by is None:
+        findings.extend(_check_majority(view, endorsers))
+    if record.member not in view.members:
+        findings.append(Finding("member", f"{record.member} is not a member"))
+    if findings:
+        return view, tuple(findings)
+    return _without(view, record.member), ()
+
+
+def apply_leave(view: View, record: Leave) -> tuple[View, tuple[Finding, ...]]:
+    """Return the view without the member that leaves by itself."""
+    if record.member not in view.members:
+        return view, (Finding("member", f"{record.member} is not a member"),)
+    return _without(view, record.member), ()
+
+
+def _check_change(view: View, number: int, endorsers: Iterable[str]) -> list[Finding]:
+    return [*_check_number(view, number), *_check_majority(view, endorsers)]
+
+
+def _check_number(view: View, number: int) -> list[Finding]:
+    if number == view.number:
+        return []
+    return [Finding("view", f"got view {number}, but view {view.number} is in force")]
+
+
+def _check_majority(view: View, endorsers: Iterable[str]) -> list[Finding]:
+    count = len(set(endorsers) & set(view.members))
+    if not view.members or is_majority(count, view):
+        return []
+    return [
+        Finding(
+            "endorsed_by",
+            f"got {count} of {len(view.members)} members, want more than half",
+        )
+    ]
+
+
+def _with(view: View, members: dict[str, MemberInfo]) -> View:
+    return replace(view, number=view.number + 1, members=members)
+
+
+def _without(view: View, member: str) -> View:
+    members = {name: info for name, info in view.members.items() if name != member}
+    return _with(view, members)
--- /dev/null
+++ b/packages/geraniumshored/src/geraniumshored/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Working parts of the daemon."""
--- /dev/null
+++ b/packages/geraniumshored/src/geraniumshored/internal/daemon.py
@@ -0,0 +1,106 @@
+"""Puts the parts of one entry host together, and takes them down in order."""
+
+from __future__ import annotations
+
+import logging
+import threading
+from uuid import uuid4
+
+from geraniumshore import Leave, Member, MemberInfo
+from geraniumshored.internal.calls import CallHandler
+from geraniumshored.internal.follower import LogAppender, LogFollower
+from geraniumshored.internal.front import Front
+from geraniumshored.internal.metrics import Metrics
+from geraniumshored.internal.operators import OperatorHandler
+from geraniumshored.internal.peers import PeerNetwork, PeerServer
+from geraniumshored.internal.platform_http import HttpControlLog, PlatformCaller
+from geraniumshored.internal.runtime import Runtime
+from geraniumshored.internal.settings import Settings
+from geraniumshored.internal.ticker import Ticker
+
+__all__ = ["Daemon"]
+
+logger = logging.getLogger(__name__)
+
+TICK_SECONDS = 0.05
+LEAVE_SECONDS = 3.0
+
+
+class Daemon:
+    """One entry host's process."""
+
+    def __init__(self, settings: Settings, member_id: str) -> None:
+        self._settings = settings
+        info = MemberInfo(
+            member=member_id,
+            host=settings.host,
+            data_centre=settings.data_centre,
+            peer_address=str(settings.peer),
+            http_address=str(settings.http),
+        )
+        caller = PlatformCaller.from_settings(settings.platform)
+        log = HttpControlLog(caller)
+        self._runtime = Runtime(Member(info, new_id=lambda: uuid4().hex), Metrics())
+        self._appender = LogAppender(log, self._runtime)
+        self._follower = LogFollower(log, self._runtime)
+        self._network = PeerNetwork(self._runtime)
+        self._peer_server = PeerServer(self._runtime, self._network)
+        self._calls = CallHandler(self._runtime)
+        operators = OperatorHandler(self._runtime, self._appender, settings.operators)
+        self._front = Front(self._runtime, self._calls, operators)
+        self._ticker = Ticker(TICK_SECONDS, self._tick)
+        self._runtime.connect(self._network, self._appender)
+
+    @classmethod
+    def from_settings(cls, settings: Settings) -> Daemon:
+        """Build the daemon of a new process incarnation."""
+        return cls(settings, f"{settings.host}-{uuid4().hex[:12]}")
+
+    @property
+    def member_id(self) -> str:
+        """This process incarnation's id."""
+        return self._runtime.member.id
+
+    def run(self, stop_requested: threading.Event) -> None:
+        """Serve until ``stop_requested`` is set, then shut down gracefully."""
+        self._start()
+        stop_requested.wait()
+        self._shut_down()
+
+    def _start(self) -> None:
+        self._peer_server.start(str(self._settings.peer))
+        self._appender.start()
+        self._follower.start()
+        self._ticker.start()
+        self._front.start(self._settings.http, self._settings.threads)
+        logger.info("started", extra={"http": str(self._settings.http)})
+
+    def _shut_down(self) -> None:
+        """Leave without cutting a request.
+
+        The balancer goes on sending for its notice time; those calls are served too.
+        """
+        logger.info("stopping")
+        self._front.announce_stop()
+        threading.Event().wait(self._settings.notice_ms / 1000)
+        longest = self._runtime.perform(lambda member, _: member.longest_call())
+        idle = self._calls.wait_until_idle(longest)
+        self._leave()
+        self._front.stop()
+        self._ticker.stop()
+        self._follower.stop()
+        self._appender.stop()
+        self._network.stop()
+        self._peer_server.stop(grace_seconds=0.5)
+        logger.info("stopped", extra={"every_call_ended": idle})
+
+    def _leave(self) -> None:
+        record = Leave(uuid4().hex, self.member_id)
+        try:
+            self._appender.append(record).result(LEAVE_SECONDS)
+        except Exception as error:
+            logger.warning("leave not confirmed", extra={"error": repr(error)})
+
+    def _tick(self) -> None:
+        self._runtime.perform(lambda member, now: member.on_tick(now))
+        self._network.forget_departed()
--- /dev/null
+++ b/packages/geraniumshored/src/geraniumshored/internal/front.py
@@ -0,0 +1,104 @@
+"""The HTTP front: routes calls of callers, operators, the balancer and scrapers."""
+
+from __future__ import annotations
+
+import logging
+import threading
+from collections.abc import Iterable
+
+from waitress.server import BaseWSGIServer, MultiSocketServer, create_server
+
+from geraniumshored.internal.calls import CallHandler
+from geraniumshored.internal.http_types import (
+    HttpAnswer,
+    HttpRequest,
+    StartResponse,
+    WsgiEnviron,
+    answer_json,
+    answer_problem,
+    read_request,
+)
+from geraniumshored.internal.operators import OperatorHandler
+from geraniumshored.internal.runtime import Runtime
+from geraniumshored.internal.settings import Listen
+
+__all__ = ["Front"]
+
+logger = logging.getLogger(__name__)
+
+MAX_BODY_BYTES = 64 * 1024 * 1024
+
+
+class Front:
+    """Serves HTTP with a bounded number of threads."""
+
+    def __init__(
+        self, runtime: Runtime, calls: CallHandler, operators: OperatorHandler
+    ) -> None:
+        self._runtime = runtime
+        self._calls = calls
+        self._operators = operators
+        self._stopping = threading.Event()
+        self._server: BaseWSGIServer | MultiSocketServer | None = None
+        self._thread: threading.Thread | None = None
+
+    def start(self, listen: Listen, threads: int) -> None:
+        """Listen. Raises OSError where the port is taken."""
+        server = create_server(
+            self.application,
+            host=listen.address,
+            port=listen.port,
+            threads=threads,
+            channel_timeout=120,
+            max_request_body_size=MAX_BODY_BYTES,
+            ident="geraniumshore",
+        )
+        self._server = server
+        self._thread = threading.Thread(target=server.run, name="http", daemon=True)
+        self._thread.start()
+
+    def announce_stop(self) -> None:
+        """Let ``/readyz`` fail, so that the balancer sends no more."""
+        self._stopping.set()
+
+    def stop(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+
+    def application(
+        self, environ: WsgiEnviron, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """The WSGI application."""
+        request = read_request(environ)
+        try:
+            answer = self._route(request)
+        except Exception:
+            logger.exception("fault in a handler", extra={"path": request.path})
+            answer = answer_problem(
+                500, "internal-error", "see this host's log", outcome="unknown"
+            )
+        return answer.send(start_response)
+
+    def _route(self, request: HttpRequest) -> HttpAnswer:
+        match (request.method, request.path):
+            case ("POST", ("queues", name)):
+                return self._calls.handle(request, name)
+            case ("GET", ("healthz",)):
+                return answer_json(200, {"status": "ok"})
+            case ("GET", ("readyz",)):
+                return self._readiness()
+            case ("GET", ("metrics",)):
+                return HttpAnswer(
+                    200,
+                    self._runtime.metrics.exposition(),
+                    {"Content-Type": "text/plain; version=0.0.4"},
+                )
+            case (_, ("operator", *_)):
+                return self._operators.handle(request)
+            case _:
+                return answer_problem(404, "unknown-path", "/".join(request.path))
+
+    def _readiness(self) -> HttpAnswer:
+        ready = self._runtime.has_authority() and not self._stopping.is_set()
+        return answer_json(200 if ready else 503, {"ready": ready})
--- /dev/null
+++ b/packages/geraniumshored/src/geraniumshored/internal/http_types.py
@@ -0,0 +1,112 @@
+"""Requests and answers as the HTTP front handles them, and the step to WSGI."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Any
+
+from geraniumshore import Finding
+
+__all__ = ["HttpAnswer", "HttpRequest", "answer_json", "answer_problem", "read_request"]
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+WsgiEnviron = dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """One call. Header names are in lower case."""
+
+    method: str
+    path: tuple[str, ...]
+    query: str
+    headers: dict[str, str]
+    environ: WsgiEnviron
+
+    def read_body(self) -> bytes:
+        """Return the body."""
+        body: bytes = self.environ["wsgi.input"].read()
+        return body
+
+    @property
+    def content_length(self) -> int:
+        """The length of the body in bytes."""
+        return int(self.environ.get("CONTENT_LENGTH") or 0)
+
+    @property
+    def bearer(self) -> str | None:
+        """The bearer key, or None without one."""
+        scheme, _, key = self.headers.get("authorization", "").partition(" ")
+        return key.strip() if scheme.lower() == "bearer" else None
+
+
+@dataclass(frozen=True, slots=True)
+class HttpAnswer:
+    """What goes back to the caller."""
+
+    status: int
+    body: bytes
+    headers: dict[str, str] = field(default_factory=dict)
+
+    def send(self, start_response: StartResponse) -> Iterable[bytes]:
+        """Give the answer to the WSGI server."""
+        headers = {**self.headers, "Content-Length": str(len(self.body))}
+        reason = HTTPStatus(self.status).phrase
+        start_response(f"{self.status} {reason}", list(headers.items()))
+        return [self.body]
+
+
+def read_request(environ: WsgiEnviron) -> HttpRequest:
+    """Read the call from a WSGI environment."""
+    headers = {
+        name[5:].replace("_", "-").lower(): value
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    }
+    if environ.get("CONTENT_TYPE"):
+        headers["content-type"] = environ["CONTENT_TYPE"]
+    return HttpRequest(
+        method=environ["REQUEST_METHOD"],
+        path=tuple(part for part in environ["PATH_INFO"].split("/") if part),
+        query=environ.get("QUERY_STRING", ""),
+        headers=headers,
+        environ=environ,
+    )
+
+
+def answer_json(status: int, document: Any) -> HttpAnswer:
+    """Answer with a JSON document."""
+    body = json.dumps(document).encode()
+    return HttpAnswer(status, body, {"Content-Type": "application/json"})
+
+
+def answer_problem(
+    status: int,
+    kind: str,
+    detail: str,
+    outcome: str = "not-run",
+    findings: Iterable[Finding] = (),
+    retry_after: int | None = None,
+) -> HttpAnswer:
+    """Answer with an RFC 9457 problem that carries what became of the request.
+
+    ``outcome`` is ``not-run`` (true: nothing was started) or ``unknown``;
+    ``retry_after`` is in seconds.
+    """
+    document: dict[str, Any] = {
+        "type": f"urn:geraniumshore:problem:{kind}",
+        "title": kind.replace("-", " "),
+        "status": status,
+        "detail": detail,
+        "outcome": outcome,
+    }
+    listed = [{"place": f.place, "problem": f.problem} for f in findings]
+    if listed:
+        document["findings"] = listed
+    headers = {"Content-Type": "application/problem+json"}
+    if retry_after is not None:
+        headers["Retry-After"] = str(retry_after)
+    return HttpAnswer(status, json.dumps(document).encode(), headers)
--- /dev/null
+++ b/packages/geraniumshored/src/geraniumshored/internal/peers.py
@@ -0,0 +1,248 @@
+"""gRPC between members: batches out, batches in."""
+
+from __future__ import annotations
+
+import logging
+import threading
+from concurrent.futures import ThreadPoolExecutor
+
+import grpc
+from result import Err
+
+from geraniumshore import (
+    Message,
+    coalescing_key,
+    decode_message,
+    encode_message,
+)
+from geraniumshored.internal import peer_pb2, peer_pb2_grpc
+from geraniumshored.internal.runtime import Runtime
+
+__all__ = ["PeerNetwork", "PeerServer"]
+
+logger = logging.getLogger(__name__)
+
+CALL_SECONDS = 1.0
+RETRY_SECONDS = 0.1
+SERVER_THREADS = 16
+# Each link has a subchannel pool of its own: a shared one would hand a rebuilt
+# channel the same dead connection again.
+CHANNEL_OPTIONS = (
+    ("grpc.use_local_subchannel_pool", 1),
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.keepalive_time_ms", 2_000),
+    ("grpc.keepalive_timeout_ms", 2_000),
+    ("grpc.keepalive_permit_without_calls", 1),
+    ("grpc.http2.max_pings_without_data", 0),
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 1_000),
+)
+# The port is bound exclusively: a second process on it would be a second member.
+SERVER_OPTIONS = (
+    ("grpc.so_reuseport", 0),
+    ("grpc.http2.min_ping_interval_without_data_ms", 1_000),
+    ("grpc.http2.max_ping_strikes", 0),
+)
+
+
+class Outbox:
+    """Messages that wait for one member. A newer message replaces its older form."""
+
+    def __init__(self) -> None:
+        self._by_key: dict[str, Message] = {}
+        self._filled = threading.Condition()
+
+    def put(self, messages: list[Message]) -> None:
+        """Add messages."""
+        with self._filled:
+            for message in messages:
+                key = coalescing_key(message)
+                self._by_key.pop(key, None)
+                self._by_key[key] = message
+            self._filled.notify()
+
+    def take(self, wait_seconds: float = 0) -> list[Message]:
+        """Take all messages, after waiting that long at most for a first one."""
+        with self._filled:
+            if not self._by_key and wait_seconds:
+                self._filled.wait(wait_seconds)
+            messages = list(self._by_key.values())
+            self._by_key.clear()
+            return messages
+
+
+class PeerLink(threading.Thread):
+    """Sends what is in an outbox to one member, a batch at a time."""
+
+    def __init__(
+        self,
+        own: str,
+        member: str,
+        address: str,
+        outbox: Outbox,
+        runtime: Runtime,
+    ) -> None:
+        super().__init__(name=f"link-{member}", daemon=True)
+        self._own = own
+        self._member = member
+        self._address = address
+        self._outbox = outbox
+        self._runtime = runtime
+        self._stop_requested = threading.Event()
+        self._channel: grpc.Channel | None = None
+
+    def run(self) -> None:
+        """Send until stopped."""
+        while not self._stop_requested.is_set():
+            messages = self._outbox.take(wait_seconds=0.5)
+            if messages:
+                self._exchange(messages)
+        self._drop_channel()
+
+    def stop(self) -> None:
+        """Ask the thread to end."""
+        self._stop_requested.set()
+
+    def _exchange(self, messages: list[Message]) -> None:
+        batch = make_batch(self._own, self._member, messages)
+        metrics = self._runtime.metrics
+        for message in messages:
+            metrics.peer_messages.labels(message.kind).inc()
+        metrics.peer_bytes.labels("request").inc(batch.ByteSize())
+        try:
+            answer = self._stub().Exchange(batch, timeout=CALL_SECONDS)
+        except grpc.RpcError as error:
+            metrics.peer_batches.labels("failed").inc()
+            self._after_failure(error)
+            return
+        metrics.peer_batches.labels("answered").inc()
+        take_in_batch(answer, self._runtime)
+
+    def _after_failure(self, error: grpc.RpcError) -> None:
+        # What was in the batch is sent again by the next heartbeat, in newer form.
+        if error.code() == grpc.StatusCode.DEADLINE_EXCEEDED:
+            self._drop_channel()
+        self._stop_requested.wait(RETRY_SECONDS)
+
+    def _stub(self) -> peer_pb2_grpc.PeerStub:
+        if self._channel is None:
+            self._channel = grpc.insecure_channel(
+                self._address, options=CHANNEL_OPTIONS
+            )
+        return peer_pb2_grpc.PeerStub(self._channel)
+
+    def _drop_channel(self) -> None:
+        if self._channel is not None:
+            self._channel.close()
+            self._channel = None
+
+
+class PeerNetwork:
+    """All links of this member."""
+
+    def __init__(self, runtime: Runtime) -> None:
+        self._runtime = runtime
+        self._lock = threading.Lock()
+        self._outbox_by_member: dict[str, Outbox] = {}
+        self._link_by_member: dict[str, PeerLink] = {}
+
+    def send(self, member: str, messages: list[Message]) -> None:
+        """Queue messages; to a member without an address they go with an answer."""
+        self.outbox(member).put(messages)
+        info = self._runtime.member.state.view.members.get(member)
+        if info is not None and member not in self._link_by_member:
+            self._open_link(member, info.peer_address)
+
+    def outbox(self, member: str) -> Outbox:
+        """Return the member's outbox."""
+        with self._lock:
+            return self._outbox_by_member.setdefault(member, Outbox())
+
+    def forget_departed(self) -> None:
+        """Close the links to processes that are members no longer."""
+        members = self._runtime.member.state.view.members
+        with self._lock:
+            departed = set(self._outbox_by_member) - set(members)
+            for member in departed:
+                del self._outbox_by_member[member]
+                link = self._link_by_member.pop(member, None)
+                if link is not None:
+                    link.stop()
+
+    def stop(self) -> None:
+        """Close every link."""
+        with self._lock:
+            links = list(self._link_by_member.values())
+        for link in links:
+            link.stop()
+
+    def _open_link(self, member: str, address: str) -> None:
+        outbox = self.outbox(member)
+        own = self._runtime.member.id
+        with self._lock:
+            if member in self._link_by_member:
+                return
+            link = PeerLink(own, member, address, outbox, self._runtime)
+            self._link_by_member[member] = link
+        link.start()
+
+
+class PeerServer(peer_pb2_grpc.PeerServicer):  # type: ignore[misc]
+    """Answers other members."""
+
+    def __init__(self, runtime: Runtime, network: PeerNetwork) -> None:
+        self._runtime = runtime
+        self._network = network
+        self._server: grpc.Server | None = None
+
+    def start(self, address: str) -> None:
+        """Listen on ``address``. Raises RuntimeError where it is taken."""
+        server = grpc.server(
+            ThreadPoolExecutor(SERVER_THREADS, thread_name_prefix="peer"),
+            options=SERVER_OPTIONS,
+        )
+        peer_pb2_grpc.add_PeerServicer_to_server(self, server)
+        server.add_insecure_port(address)
+        server.start()
+        self._server = server
+
+    def stop(self, grace_seconds: float) -> None:
+        """Stop listening; calls that are open may end within the grace."""
+        if self._server is not None:
+            self._server.stop(grace_seconds).wait()
+
+    def Exchange(  # noqa: N802 - the name is gRPC's
+        self, request: peer_pb2.Batch, context: grpc.ServicerContext
+    ) -> peer_pb2.Batch:
+        """Take in a batch and answer with what waits for the caller."""
+        own = self._runtime.member.id
+        if request.recipient != own:
+            context.abort(
+                grpc.StatusCode.FAILED_PRECONDITION,
+                f"got a batch for {request.recipient}, this is {own}",
+            )
+        take_in_batch(request, self._runtime)
+        answer = make_batch(
+            own, request.sender, self._network.outbox(request.sender).take()
+        )
+        self._runtime.metrics.peer_bytes.labels("answer").inc(answer.ByteSize())
+        return answer
+
+
+def make_batch(sender: str, recipient: str, messages: list[Message]) -> peer_pb2.Batch:
+    """Build the wire form of messages."""
+    return peer_pb2.Batch(
+        sender=sender,
+        recipient=recipient,
+        messages=[encode_message(message) for message in messages],
+    )
+
+
+def take_in_batch(batch: peer_pb2.Batch, runtime: Runtime) -> None:
+    """Hand every readable message of a batch to the member."""
+    for document in batch.messages:
+        decoded = decode_message(document)
+        if isinstance(decoded, Err):
+            logger.warning("unreadable message", extra={"sender": batch.sender})
+            continue
+        runtime.deliver(batch.sender, decoded.ok_value)
--- /dev/null
+++ b/packages/geraniumshored/src/geraniumshored/internal/runtime.py
@@ -0,0 +1,148 @@
+"""Drives one member's decisions: the only place that holds the lock around them."""
+
+from __future__ import annotations
+
+import logging
+import threading
+import time
+from collections.abc import Callable
+from concurrent.futures import Future
+from typing import Protocol, TypeVar
+
+from geraniumshore import (
+    Decision,
+    Effects,
+    LogEntry,
+    Member,
+    Message,
+    Record,
+    SlotRequest,
+    Verdict,
+)
+from geraniumshored.internal.metrics import Metrics
+
+__all__ = ["Appends", "Messenger", "Runtime"]
+
+logger = logging.getLogger(__name__)
+
+T = TypeVar("T")
+
+
+class Messenger(Protocol):
+    """Whatever carries messages to other members."""
+
+    def send(self, member: str, messages: list[Message]) -> None:
+        """Hand messages over without waiting."""
+
+
+class Appends(Protocol):
+    """Whatever appends records to the log."""
+
+    def submit(self, record: Record) -> Future[Verdict]:
+        """Append a record without waiting."""
+
+
+class Runtime:
+    """Makes a member's decisions available to threads.
+
+    Every input passes through :meth:`perform`, which reads the clock, lets the member
+    decide under the lock, and hands the effects on before it releases the lock, so
+    that effects leave in the order of the decisions.
+    """
+
+    def __init__(self, member: Member, metrics: Metrics) -> None:
+        self.member = member
+        self.metrics = metrics
+        self._lock = threading.Lock()
+        self._decision_by_ticket: dict[str, Future[Decision]] = {}
+        self._verdict_by_record: dict[str, Future[Verdict]] = {}
+        self._messenger: Messenger | None = None
+        self._appends: Appends | None = None
+        self._had_authority = False
+
+    def connect(self, messenger: Messenger, appends: Appends) -> None:
+        """Name what carries the effects; call it once, before the first input."""
+        self._messenger = messenger
+        self._appends = appends
+
+    def perform(self, action: Callable[[Member, float], T]) -> T:
+        """Run ``action(member, now)`` under the lock and carry out the effects."""
+        with self._lock:
+            now = time.monotonic()
+            result = action(self.member, now)
+            self._carry_out(self.member.drain_effects())
+            self._note_authority(now)
+            return result
+
+    def has_authority(self) -> bool:
+        """Tell whether this member may act at this very moment."""
+        return self.member.has_authority(time.monotonic())
+
+    def on_log(self, entries: list[LogEntry], sent_at: float, at_tail: bool) -> None:
+        """Take in what a log read gave."""
+
+        def fold(member: Member, now: float) -> None:
+            for verdict in member.on_entries(entries, now):
+                self._on_verdict(verdict)
+            if at_tail:
+                member.on_tail(sent_at, now)
+
+        self.perform(fold)
+
+    def deliver(self, sender: str, message: Message) -> None:
+        """Take in a message of another member."""
+        self.perform(lambda member, now: member.on_message(sender, message, now))
+
+    def request_slot(self, request: SlotRequest) -> Future[Decision]:
+        """Ask for a slot; the future gives the decision."""
+        future: Future[Decision] = Future()
+
+        def submit(member: Member, now: float) -> None:
+            self._decision_by_ticket[request.ticket] = future
+            member.submit(request, now)
+
+        self.perform(submit)
+        return future
+
+    def finish(self, ticket: str) -> None:
+        """Give a slot back."""
+        self.perform(lambda member, now: member.finish(ticket, now))
+
+    def await_verdict(self, record: Record) -> Future[Verdict]:
+        """Return a future of the verdict on a record that is about to be appended."""
+        future: Future[Verdict] = Future()
+        with self._lock:
+            self._verdict_by_record[record.id] = future
+        return future
+
+    def _on_verdict(self, verdict: Verdict) -> None:
+        label = "accepted" if verdict.accepted else "void"
+        self.metrics.log_records.labels(label).inc()
+        future = self._verdict_by_record.pop(verdict.record.id, None)
+        if future is not None:
+            future.set_result(verdict)
+        if verdict.accepted:
+            logger.info(
+                "record in force",
+                extra={"record": verdict.record.kind, "offset": verdict.offset},
+            )
+
+    def _carry_out(self, effects: Effects) -> None:
+        assert self._messenger is not None
+        assert self._appends is not None
+        for member, messages in effects.messages_by_member.items():
+            self._messenger.send(member, messages)
+        for record in effects.appends:
+            self._appends.submit(record)
+        for decision in effects.decisions:
+            future = self._decision_by_ticket.pop(decision.ticket, None)
+            if future is not None:
+                future.set_result(decision)
+
+    def _note_authority(self, now: float) -> None:
+        has_authority = self.member.has_authority(now)
+        if has_authority == self._had_authority:
+            return
+        self._had_authority = has_authority
+        self.metrics.authority.set(int(has_authority))
+        logger.warning("authority", extra={"authority": has_authority})
--- /dev/null
+++ b/packages/geraniumshored/src/geraniumshored/internal/ticker.py
@@ -0,0 +1,31 @@
+"""A thread that does one thing at a steady interval."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable
+
+__all__ = ["Ticker"]
+
+
+class Ticker(threading.Thread):
+    """Calls ``action`` at a steady interval until stopped."""
+
+    def __init__(self, seconds: float, action: Callable[[], None]) -> None:
+        super().__init__(name="ticker", daemon=True)
+        self._seconds = seconds
+        self._action = action
+        self._stop_requested = threading.Event()
+
+    def run(self) -> None:
+        """Tick until stopped."""
+        due = time.monotonic()
+        while not self._stop_requested.is_set():
+            self._action()
+            due = max(due + self._seconds, time.monotonic())
+            self._stop_requested.wait(due - time.monotonic())
+
+    def stop(self) -> None:
+        """Ask the thread to end."""
+        self._stop_requested.set()
