Let minion stand-ins show which body ran

Cause: a request id is made by the entry host, so a caller's retry could not be told from a second request in the minions' ground truth. Conclusion: tests that send different bodies can count runs per call.

--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/minion.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/minion.py
@@ -19,6 +19,9 @@
 __all__ = ["MinionState"]
 
 
+BODY_BYTES_KEPT = 64
+
+
 @dataclass(slots=True)
 class Modes:
     """How this minion misbehaves. Each fraction is of the requests."""
@@ -32,9 +35,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Run:
-    """One run that has ended; times are of the machine's monotonic clock."""
+    """One run that has ended; times are of the machine's monotonic clock.
+
+    ``body`` is the beginning of the request's body, by which a test that sends
+    different bodies knows its calls again.
+    """
 
     request: str
+    body: str
     team: str
     queue: str
     began: float
@@ -52,6 +60,10 @@
     runs: list[Run] = field(default_factory=list)
 
 
+def _beginning(call: Call) -> str:
+    return call.body[:BODY_BYTES_KEPT].decode("latin-1")
+
+
 _COUNTS: TypeAdapter[Counts] = TypeAdapter(Counts)
 
 
@@ -91,7 +103,8 @@
         finally:
             with self.lock:
                 self.counts.running_by_team[team] -= 1
-                run = Run(request_id, team, queue, began, time.monotonic())
+                ended = time.monotonic()
+                run = Run(request_id, _beginning(call), team, queue, began, ended)
                 self.counts.runs.append(run)
 
     def _begin(self, request_id: str, team: str) -> bool:
@@ -118,6 +131,7 @@
             "queue": queue,
             "request": request_id,
             "bytes": len(call.body),
+            "body": _beginning(call),
         }
         return Answer(
             modes.fail_status or 200,
