Scenario language and runner over real processes

Cause: promises are to be proved by scripted scenarios; there was no way to write one. Adds a grammar (lark), steps that set up, break and check, and checks of every answer against what the minions counted.

Tests show that each kind of untrue answer and a second run are found. Conclusion: usable for every promise whose fault the verbs can bring about.

--- a/packages/geraniumshore-standins/src/geraniumshore_standins/__main__.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/__main__.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import logging
+import sys
+from pathlib import Path
 
 from cyclopts import App
+from result import Err
 
 from geraniumshore_standins.internal.minion import MinionState
 from geraniumshore_standins.internal.platform import PlatformState
+from geraniumshore_standins.internal.scenario import parse_scenario, run_scenario
 from geraniumshore_standins.internal.wsgi import serve
 
 app = App(name="geraniumshore_standins", help="Stand-ins for tests and the demo.")
@@ -27,6 +31,26 @@
     serve(MinionState(name, slots).handle, port, THREADS)
 
 
+@app.command
+def scenario(*files: Path) -> int:
+    """Run scenario files; exit 1 where one found a fault, 2 where one is unreadable."""
+    worst = 0
+    for path in files:
+        parsed = parse_scenario(path.read_text(), path.name)
+        if isinstance(parsed, Err):
+            print(*parsed.err_value, sep="\n")
+            worst = 2
+            continue
+        report = run_scenario(parsed.ok_value)
+        verdict = "passed" if report.passed else "FAILED"
+        print(f"{report.name}: {verdict} in {report.seconds:.1f} s")
+        print(f"  answers {dict(report.answers)}")
+        for finding in report.findings:
+            print(f"  {finding}")
+        worst = max(worst, int(not report.passed))
+    return worst
+
+
 if __name__ == "__main__":
     logging.getLogger("waitress").setLevel(logging.CRITICAL)
-    app()
+    sys.exit(app())
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/demo.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/demo.py
@@ -123,7 +123,7 @@
     entries = list(fleet.by_name.values())
     stop = threading.Event()
     bearers = [made.bearer for made in keys.values()]
-    with Balancer(entries) as balancer, ThreadPoolExecutor(LOAD_THREADS) as pool:
+    with Balancer(fleet.by_name) as balancer, ThreadPoolExecutor(LOAD_THREADS) as pool:
         loads = [
             pool.submit(call_until, balancer, bearers[turn % len(bearers)], stop)
             for turn in range(LOAD_THREADS)
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/fleet.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/fleet.py
@@ -194,6 +194,11 @@
         body = json.dumps(faults).encode()
         http_call(self.platform_address, "PUT", "/test/faults", body)
 
+    def set_minion_modes(self, name: str, **modes: Any) -> None:
+        """Set how a minion behaves; modes not named are off."""
+        body = json.dumps(modes).encode()
+        http_call(self.address_by_minion[name], "PUT", "/test/modes", body)
+
     def minion_counts(self, name: str) -> dict[str, Any]:
         """Return what has really run on a minion."""
         reply = http_call(self.address_by_minion[name], "GET", "/test/counts")
--- /dev/null
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/scenario/steps.py
@@ -0,0 +1,254 @@
+"""Statements of the scenario language that set up, load and call."""
+
+from __future__ import annotations
+
+import time
+from abc import ABC, abstractmethod
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from geraniumshore import Items, Queue, Team, Withdrawn
+from geraniumshore_standins.internal.scenario.load import Load, call_once
+from geraniumshore_standins.internal.scenario.world import SERVICE, World
+
+__all__ = [
+    "AddEntry",
+    "Begin",
+    "Call",
+    "Entries",
+    "Limit",
+    "Minions",
+    "NewQueue",
+    "NewTeam",
+    "RunLimit",
+    "Scenario",
+    "StartLoad",
+    "Statement",
+    "Step",
+    "StopLoad",
+    "Wait",
+    "WaitLimit",
+    "WithdrawKey",
+    "WithdrawMinion",
+]
+
+MILLISECONDS = 1000
+
+
+class Step(ABC):
+    """One statement: it acts on the world, or checks it."""
+
+    @abstractmethod
+    def run(self, world: World) -> Iterator[str]:
+        """Act, or check; yield every fault that was found."""
+
+
+@dataclass(frozen=True, slots=True)
+class Statement:
+    """A step and the line on which it stands."""
+
+    line: int
+    step: Step
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """A file's statements, in order."""
+
+    name: str
+    statements: tuple[Statement, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Entries(Step):
+    """``entries 3``."""
+
+    count: int
+
+    def run(self, world: World) -> Iterator[str]:
+        """Set how many entry hosts start."""
+        world.entries = self.count
+        yield from ()
+
+
+@dataclass(frozen=True, slots=True)
+class Minions(Step):
+    """``minions 2 of 8 slots running 20 ms``."""
+
+    count: int
+    slots: int
+    work_seconds: float
+
+    def run(self, world: World) -> Iterator[str]:
+        """Set how many minions start, and how long their work takes."""
+        world.minions = self.count
+        world.slots = self.slots
+        world.work_ms = int(self.work_seconds * MILLISECONDS)
+        yield from ()
+
+
+@dataclass(frozen=True, slots=True)
+class NewTeam(Step):
+    """``team acme limit 3``."""
+
+    name: str
+    limit: int
+
+    def run(self, world: World) -> Iterator[str]:
+        """Add a team to the first note."""
+        world.limit_by_team[self.name] = self.limit
+        yield from ()
+
+
+@dataclass(frozen=True, slots=True)
+class RunLimit:
+    """``run limit 2 s``, part of a queue."""
+
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class WaitLimit:
+    """``wait limit 2 s``, part of a queue."""
+
+    seconds: float
+
+
+class NewQueue(Step):
+    """``queue count idempotent urgent run limit 2 s wait limit 5 s``."""
+
+    def __init__(self, name: str, *options: str | RunLimit | WaitLimit) -> None:
+        self.name = name
+        self.options = options
+
+    def run(self, world: World) -> Iterator[str]:
+        """Add a queue to the first note."""
+        runs = [o.seconds for o in self.options if isinstance(o, RunLimit)]
+        waits = [o.seconds for o in self.options if isinstance(o, WaitLimit)]
+        world.queue_by_name[self.name] = Queue(
+            service=SERVICE,
+            idempotent="idempotent" in self.options,
+            urgent="urgent" in self.options,
+            run_limit_ms=int((runs or [2.0])[-1] * MILLISECONDS),
+            wait_limit_ms=int((waits or [5.0])[-1] * MILLISECONDS),
+        )
+        yield from ()
+
+
+@dataclass(frozen=True, slots=True)
+class Begin(Step):
+    """``begin``."""
+
+    def run(self, world: World) -> Iterator[str]:
+        """Start every process and put the first note in force."""
+        world.begin()
+        yield from ()
+
+
+@dataclass(frozen=True, slots=True)
+class StartLoad(Step):
+    """``load count as acme by 8 callers``."""
+
+    queue: str
+    team: str
+    callers: int
+
+    def run(self, world: World) -> Iterator[str]:
+        """Start callers; they go on until ``stop load``."""
+        assert world.balancer is not None
+        bearer = world.bearer(self.team)
+        load = Load(world.balancer, self.queue, self.team, bearer, self.callers)
+        world.loads.append(load)
+        yield from ()
+
+
+@dataclass(frozen=True, slots=True)
+class StopLoad(Step):
+    """``stop load``."""
+
+    def run(self, world: World) -> Iterator[str]:
+        """Stop every load and wait for its last answers."""
+        world.stop_loads()
+        yield from ()
+
+
+@dataclass(frozen=True, slots=True)
+class Call(Step):
+    """``call count as acme expect 200``."""
+
+    queue: str
+    team: str
+    status: int
+
+    def run(self, world: World) -> Iterator[str]:
+        """Make one call through the balancer and compare its status."""
+        assert world.balancer is not None
+        entry = world.balancer.next()
+        body = f"call/{len(world.results)}"
+        bearer = world.bearer(self.team)
+        result = call_once(entry, self.queue, self.team, bearer, body)
+        world.results.append(result)
+        if result.status != self.status:
+            yield f"got {result.status or result.error}, want {self.status}"
+
+
+@dataclass(frozen=True, slots=True)
+class Wait(Step):
+    """``wait 2 s``."""
+
+    seconds: float
+
+    def run(self, world: World) -> Iterator[str]:
+        """Let time pass."""
+        time.sleep(self.seconds)
+        yield from ()
+
+
+@dataclass(frozen=True, slots=True)
+class AddEntry(Step):
+    """``add entry e3``."""
+
+    name: str
+
+    def run(self, world: World) -> Iterator[str]:
+        """Start one more entry host."""
+        world.fleet.start_entry(self.name)
+        yield from ()
+
+
+@dataclass(frozen=True, slots=True)
+class WithdrawKey(Step):
+    """``withdraw key of acme``."""
+
+    team: str
+
+    def run(self, world: World) -> Iterator[str]:
+        """Apply a note that withdraws the team's key."""
+        key_id = world.key_by_team[self.team].key_id
+        world.change(withdrawn=Withdrawn(keys=[key_id]))
+        yield from ()
+
+
+@dataclass(frozen=True, slots=True)
+class WithdrawMinion(Step):
+    """``withdraw minion m1``."""
+
+    name: str
+
+    def run(self, world: World) -> Iterator[str]:
+        """Apply a note that withdraws a minion."""
+        world.change(withdrawn=Withdrawn(minions=[self.name]))
+        yield from ()
+
+
+@dataclass(frozen=True, slots=True)
+class Limit(Step):
+    """``limit acme 2``."""
+
+    team: str
+    limit: int
+
+    def run(self, world: World) -> Iterator[str]:
+        """Apply a note that changes the team's upper limit."""
+        world.change(changed=Items(teams={self.team: Team(1.0, self.limit)}))
+        yield from ()
--- /dev/null
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/scenario/world.py
@@ -0,0 +1,143 @@
+"""What a scenario acts on: processes, loads, and what callers got so far."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass, field
+
+from geraniumshore import (
+    Items,
+    Key,
+    MadeKey,
+    Minion,
+    Queue,
+    ReleaseNote,
+    Service,
+    Team,
+    Withdrawn,
+)
+from geraniumshore_standins.internal.balancer import Balancer
+from geraniumshore_standins.internal.fleet import EntryProcess, Fleet, wait_for
+from geraniumshore_standins.internal.scenario.answers import CallResult, MinionRun
+from geraniumshore_standins.internal.scenario.load import Load
+
+__all__ = ["SERVICE", "World"]
+
+SERVICE = "work"
+NOTE_SECONDS = 20.0
+IDLE_SECONDS = 40.0
+
+
+@dataclass(slots=True)
+class World:
+    """One scenario's processes and findings so far."""
+
+    fleet: Fleet
+    entries: int = 3
+    minions: int = 2
+    slots: int = 8
+    work_ms: int = 20
+    limit_by_team: dict[str, int] = field(default_factory=dict)
+    queue_by_name: dict[str, Queue] = field(default_factory=dict)
+    key_by_team: dict[str, MadeKey] = field(default_factory=dict)
+    balancer: Balancer | None = None
+    loads: list[Load] = field(default_factory=list)
+    results: list[CallResult] = field(default_factory=list)
+    version: int = 0
+
+    def begin(self) -> None:
+        """Start the processes and put the first note in force."""
+        self.fleet.start_platform()
+        for number in range(self.minions):
+            self.fleet.start_minion(f"m{number}", self.slots)
+        for number in range(self.entries):
+            self.fleet.start_entry(f"e{number}")
+        self.fleet.wait_for_minions()
+        self.fleet.wait_until_ready()
+        for minion in self.fleet.address_by_minion:
+            self.fleet.set_minion_modes(minion, work_ms=self.work_ms)
+        self.key_by_team = {t: self.fleet.make_key(t) for t in self.limit_by_team}
+        self.apply(ReleaseNote(base=0, added=self._first_items()))
+        self.balancer = Balancer(self.fleet.by_name)
+        self.balancer.start()
+
+    def end(self) -> None:
+        """Stop loads and the balancer; the fleet ends its processes by itself."""
+        self.stop_loads()
+        if self.balancer is not None:
+            self.balancer.stop()
+
+    def stop_loads(self) -> None:
+        """Stop every load and keep what its callers got."""
+        for load in self.loads:
+            self.results.extend(load.stop())
+        self.loads.clear()
+
+    def apply(self, note: ReleaseNote) -> None:
+        """Apply a note through any entry host that answers."""
+        wait_for(lambda: self._apply_once(note), "accepted note", NOTE_SECONDS)
+        self.version = note.base + 1
+
+    def change(self, **sections: Items | Withdrawn) -> None:
+        """Apply a note on top of the version in force."""
+        self.apply(ReleaseNote.model_validate({"base": self.version, **sections}))
+
+    def entry(self, name: str) -> EntryProcess:
+        """Return an entry host's process. Raises KeyError for an unknown name."""
+        return self.fleet.by_name[name]
+
+    def running_entries(self) -> list[EntryProcess]:
+        """Return the entry hosts whose process runs."""
+        return [e for e in self.fleet.by_name.values() if e.process.poll() is None]
+
+    def bearer(self, team: str) -> str:
+        """Return the key of a team. Raises KeyError for an unknown team."""
+        return self.key_by_team[team].bearer
+
+    def runs(self) -> list[MinionRun]:
+        """Return all that minions ran, once nothing runs any more."""
+        wait_for(self._minions_idle, "idle minions", IDLE_SECONDS)
+        return [
+            MinionRun(
+                run["body"], run["team"], run["queue"], run["began"], run["ended"], name
+            )
+            for name in self.fleet.address_by_minion
+            for run in self.fleet.minion_counts(name)["runs"]
+        ]
+
+    def _minions_idle(self) -> bool:
+        return not any(
+            sum(self.fleet.minion_counts(name)["running_by_team"].values())
+            for name in self.fleet.address_by_minion
+        )
+
+    def _apply_once(self, note: ReleaseNote) -> bool:
+        for entry in self.running_entries():
+            if not entry.ready():
+                continue
+            reply = entry.operator.post("releases", note.model_dump(mode="json"))
+            if reply.status == 200:
+                return True
+            if reply.status == 409:
+                # An earlier try may have been accepted without an answer.
+                version: int = entry.status()["version"]
+                return version == note.base + 1
+        time.sleep(0.1)
+        return False
+
+    def _first_items(self) -> Items:
+        return Items(
+            services={SERVICE: Service()},
+            minions={
+                name: Minion(SERVICE, address, slots=self.slots)
+                for name, address in self.fleet.address_by_minion.items()
+            },
+            teams={
+                name: Team(1.0, limit) for name, limit in self.limit_by_team.items()
+            },
+            keys={
+                made.key_id: Key(team, made.key.salt, made.key.digest)
+                for team, made in self.key_by_team.items()
+            },
+            queues=self.queue_by_name,
+        )
