Evict silent members, attest while the log is down, replace by bind

Cause: a dead member stayed in the view for ever, so the ledgers waited for its report, and a log outage of more than 3 s took everybody's authority.

--- a/packages/geraniumshore/src/geraniumshore/__init__.py
+++ b/packages/geraniumshore/src/geraniumshore/__init__.py
@@ -11,6 +11,7 @@
     PlatformUnavailableError,
     UnknownOutcomeError,
 )
+from geraniumshore.internal.agreement import Standing
 from geraniumshore.internal.configuration import Configuration, apply_release
 from geraniumshore.internal.entry import (
     Decision,
@@ -38,6 +39,7 @@
 from geraniumshore.internal.keys import MadeKey, make_key, verify_key
 from geraniumshore.internal.member import Effects, Member
 from geraniumshore.internal.messages import (
+    EndorseRequest,
     Message,
     coalescing_key,
     decode_message,
@@ -59,6 +61,7 @@
     MemberInfo,
     Record,
     Release,
+    SnapshotPart,
     decode_records,
     encode_records,
 )
@@ -76,6 +79,7 @@
     SharePolicy,
     WeightedShares,
 )
+from geraniumshore.internal.view import predecessor
 
 __all__ = [
     "Candidate",
@@ -84,6 +88,7 @@
     "ControlState",
     "Decision",
     "Effects",
+    "EndorseRequest",
     "Evict",
     "Finding",
     "FirstComeFirstServed",
@@ -119,6 +124,8 @@
     "Service",
     "SharePolicy",
     "SlotRequest",
+    "SnapshotPart",
+    "Standing",
     "Start",
     "Team",
     "Unknown",
@@ -137,6 +144,7 @@
     "load_json",
     "make_key",
     "parse_release",
+    "predecessor",
     "validation_findings",
     "verify_key",
 ]
--- a/packages/geraniumshore/src/geraniumshore/internal/authority.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/authority.py
@@ -1,34 +1,84 @@
 """Authority: whether a member may act just now.
 
 A member may start work, grant units and accept callers' keys only while it is known
-to be up to date: while a read of the log's tail that it *sent* less than
-``AUTHORITY_SECONDS`` ago has been answered and folded. A process that was paused
-therefore wakes without authority.
+to be up to date, which one of two sources shows. Both count from when the member
+*sent* its question, so that a process that was paused wakes without authority.
+
+- A read of the log's tail, sent less than ``AUTHORITY_SECONDS`` ago and folded.
+- Attestations of a majority of the view, asked for while the log does not answer.
+  One counts only once the member has folded as far as the attester had.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from geraniumshore.internal.timing import AUTHORITY_SECONDS
+from geraniumshore.internal.view import View
 
 __all__ = ["Authority"]
 
 
+@dataclass(frozen=True, slots=True)
+class _Attested:
+    sent_at: float
+    position: int
+
+
 @dataclass(slots=True)
 class Authority:
-    """The times until which each source of authority lasts (monotonic seconds)."""
+    """The sources of one member's authority (monotonic seconds of its own clock)."""
 
     log_until: float = float("-inf")
+    attested_at: dict[str, float] = field(default_factory=dict)
+    _ahead: dict[str, _Attested] = field(default_factory=dict)
 
     def confirm_tail(self, sent_at: float) -> None:
         """Take in a tail read, sent at ``sent_at``, whose records are all folded."""
         self.log_until = max(self.log_until, sent_at + AUTHORITY_SECONDS)
 
-    def until(self) -> float:
+    def attest(self, member: str, sent_at: float, position: int, folded: int) -> None:
+        """Take in an attestation of a member that had folded up to ``position``."""
+        if not self._caught_up(position, folded):
+            self._ahead[member] = _Attested(sent_at, position)
+            return
+        latest = self.attested_at.get(member, float("-inf"))
+        self.attested_at[member] = max(latest, sent_at)
+
+    def on_folded(self, folded: int) -> None:
+        """Count the attestations that this member has caught up with."""
+        for member, attested in list(self._ahead.items()):
+            if self._caught_up(attested.position, folded):
+                del self._ahead[member]
+                self.attest(member, attested.sent_at, attested.position, folded)
+
+    def until(self, view: View, own: str) -> float:
         """Return when authority lapses unless it is renewed before."""
-        return self.log_until
+        if own not in view.members:
+            return float("-inf")
+        return max(self.log_until, self._attested_until(view, own))
 
-    def holds(self, now: float) -> bool:
+    def holds(self, now: float, view: View, own: str) -> bool:
         """Tell whether the member may act at ``now``."""
-        return now < self.until()
+        return now < self.until(view, own)
+
+    @staticmethod
+    def _caught_up(position: int, folded: int) -> bool:
+        return position <= folded
+
+    def _attested_until(self, view: View, own: str) -> float:
+        # The member itself is one of the majority.
+        needed = len(view.members) // 2
+        if needed == 0:
+            return float("inf")
+        sent = sorted(
+            (
+                sent_at
+                for member, sent_at in self.attested_at.items()
+                if member in view.members and member != own
+            ),
+            reverse=True,
+        )
+        if len(sent) < needed:
+            return float("-inf")
+        return sent[needed - 1] + AUTHORITY_SECONDS
--- a/packages/geraniumshore/src/geraniumshore/internal/fold.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/fold.py
@@ -21,6 +21,7 @@
     LogEntry,
     Record,
     Release,
+    SnapshotPart,
 )
 from geraniumshore.internal.view import View, apply_evict, apply_join, apply_leave
 
@@ -88,6 +89,8 @@
 def _fold_record(
     state: ControlState, record: Record, entry: LogEntry
 ) -> tuple[Finding, ...]:
+    if isinstance(record, SnapshotPart):
+        return ()
     if record.id in state.recent_ids:
         return (Finding("id", f"{record.id} was appended before"),)
     _remember(state, record.id)
--- a/packages/geraniumshore/src/geraniumshore/internal/homes.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/homes.py
@@ -20,6 +20,7 @@
     "LedgerKey",
     "assign_homes",
     "choose_member",
+    "rank_members",
     "service_ledger",
     "team_ledger",
 ]
@@ -57,6 +58,13 @@
     return max(members, key=lambda member: (_weight(key, member), member))
 
 
+def rank_members(key: str, members: Iterable[str]) -> list[str]:
+    """Order ``members`` for ``key``, the one of the highest random weight first."""
+    return sorted(
+        members, key=lambda member: (_weight(key, member), member), reverse=True
+    )
+
+
 def assign_homes(
     previous: Mapping[LedgerKey, Home],
     members: Iterable[str],
--- a/packages/geraniumshore/src/geraniumshore/internal/member.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/member.py
@@ -9,7 +9,9 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-from geraniumshore.internal.authority import Authority
+from result import Err
+
+from geraniumshore.internal.agreement import Agreement
 from geraniumshore.internal.entry import (
     Decision,
     Entry,
@@ -19,18 +21,19 @@
 )
 from geraniumshore.internal.fold import ControlState, Verdict, fold_entry
 from geraniumshore.internal.homes import LedgerKey, service_ledger, team_ledger
-from geraniumshore.internal.membership import Membership
 from geraniumshore.internal.messages import (
     Endorsement,
-    EndorseRequest,
     GrantNotice,
     Handover,
     HolderReport,
     Message,
+    Relay,
+    StateTransfer,
 )
-from geraniumshore.internal.records import LogEntry, MemberInfo, Record
+from geraniumshore.internal.records import LogEntry, MemberInfo, Record, Release
 from geraniumshore.internal.service_home import ServiceHome, TeamTerms
 from geraniumshore.internal.shares import SharePolicy, WeightedShares
+from geraniumshore.internal.snapshot import CatchUp, decode_state
 from geraniumshore.internal.team_home import TeamHome
 from geraniumshore.internal.timing import HEARTBEAT_SECONDS
 
@@ -46,6 +49,7 @@
     messages_by_member: dict[str, list[Message]] = field(default_factory=dict)
     appends: list[Record] = field(default_factory=list)
     decisions: list[Decision] = field(default_factory=list)
+    verdicts: list[Verdict] = field(default_factory=list)
 
 
 class Member:
@@ -59,9 +63,8 @@
     ) -> None:
         self.info = info
         self.state = ControlState()
-        self.authority = Authority()
+        self.agreement = Agreement(info, new_id)
         self.entry = Entry(info.member)
-        self.membership = Membership(info, new_id)
         self.service_homes: dict[str, ServiceHome] = {}
         self.team_homes: dict[str, TeamHome] = {}
         self.unusable_minions: frozenset[str] = frozenset()
@@ -78,21 +81,61 @@
 
     def has_authority(self, now: float) -> bool:
         """Tell whether this member may start work and grant units at ``now``."""
-        return self.id in self.state.view.members and self.authority.holds(now)
+        return self.agreement.holds_authority(self.state, now)
 
     def on_entries(self, entries: Iterable[LogEntry], now: float) -> list[Verdict]:
         """Fold log entries, in order; return the verdicts on their records."""
+        new = [entry for entry in entries if entry.offset >= self.state.position]
         verdicts = [
-            verdict for entry in entries for verdict in fold_entry(self.state, entry)
+            verdict for entry in new for verdict in fold_entry(self.state, entry)
         ]
+        self._effects.verdicts.extend(verdicts)
+        self.agreement.on_folded(new, self.state, now)
         if any(verdict.accepted for verdict in verdicts):
             self._follow_state(now)
             self._act(now)
+        if any(v.accepted and isinstance(v.record, Release) for v in verdicts):
+            # Others wait to hear that a majority has folded the note.
+            self._send_all(self.agreement.heartbeats(self.state))
+        return verdicts
+
+    def next_offset(self) -> int:
+        """Return the offset to read the log from."""
+        catch_up = self.agreement.catch_up
+        return self.state.position if catch_up is None else catch_up.next_offset
+
+    def on_read(
+        self,
+        first: int,
+        tail: int,
+        entries: Iterable[LogEntry],
+        sent_at: float,
+        now: float,
+    ) -> list[Verdict]:
+        """Take in a log read that was sent at ``sent_at``.
+
+        The log keeps offsets from ``first`` on and gives out ``tail`` next.
+        """
+        if tail < self.state.position:
+            self.agreement.log_reset = True
+            return []
+        self.agreement.snapshots.on_first(first, now)
+        read = list(entries)
+        if first > self.state.position:
+            read = self._entries_after_gap(first, read, now)
+        else:
+            self.agreement.catch_up = None
+        if read and read[0].offset > self.state.position:
+            # Read for a position from before peers' records or state were taken in.
+            return []
+        verdicts = self.on_entries(read, now)
+        if self.agreement.catch_up is None and self.state.position >= tail:
+            self.on_tail(sent_at, now)
         return verdicts
 
     def on_tail(self, sent_at: float, now: float) -> None:
         """Take in that a log read sent at ``sent_at`` reached the tail, now folded."""
-        self.authority.confirm_tail(sent_at)
+        self.agreement.authority.confirm_tail(sent_at)
         self._act(now)
 
     def on_message(self, sender: str, message: Message, now: float) -> None:
@@ -103,8 +146,8 @@
     def on_tick(self, now: float) -> None:
         """Do what is due by time alone; call it a few times in each heartbeat."""
         self._effects.decisions.extend(self.entry.expire(now))
-        for member, request in self.membership.requests(self.state.view, now):
-            self._send(member, request)
+        self._send_all(self.agreement.on_tick(self.state, now))
+        self._effects.appends.extend(self.agreement.records(self.state, now))
         self._act(now)
 
     def submit(self, request: SlotRequest, now: float) -> None:
@@ -152,18 +195,49 @@
         effects, self._effects = self._effects, Effects()
         return effects
 
+    def _entries_after_gap(
+        self, first: int, entries: list[LogEntry], now: float
+    ) -> list[LogEntry]:
+        """Start from the newest whole snapshot, since entries before it are lost."""
+        catch_up = self.agreement.catch_up
+        if catch_up is None or catch_up.first != first:
+            kept = [] if catch_up is None else catch_up.entries
+            catch_up = self.agreement.catch_up = CatchUp(first)
+            catch_up.add(entry for entry in kept if entry.offset >= first)
+        catch_up.add(entries)
+        if catch_up.newest is None or not self._adopt(catch_up.newest.document, now):
+            return []
+        return catch_up.entries
+
+    def _adopt(self, document: str, now: float) -> bool:
+        """Replace the folded state by one that is further on; never go back."""
+        decoded = decode_state(document)
+        if isinstance(decoded, Err):
+            return False
+        state = decoded.ok_value
+        behind = state.position <= self.state.position
+        if behind or state.configuration.version < self.state.configuration.version:
+            return False
+        self.state = state
+        self.agreement.on_adopted(state)
+        self._follow_state(now)
+        return True
+
     def _handle(self, sender: str, message: Message, now: float) -> None:
         match message:
             case HolderReport():
                 self._on_report(message, now)
             case GrantNotice():
                 self._on_notice(message, now)
-            case EndorseRequest():
-                endorsement = self.membership.endorse(message, self.state.view, self.id)
-                if endorsement is not None:
-                    self._send(sender, endorsement)
+            case Relay():
+                if message.entries and message.entries[0].offset <= self.state.position:
+                    self.on_entries(message.entries, now)
+            case StateTransfer():
+                self._adopt(message.document, now)
             case Endorsement():
-                self.membership.on_endorsement(message)
+                self.agreement.on_endorsement(message)
+                self._effects.appends.extend(self.agreement.records(self.state, now))
+        self._send_all(self.agreement.on_message(sender, message, self.state, now))
 
     def _on_report(self, report: HolderReport, now: float) -> None:
         kind, _, name = report.ledger.partition("/")
@@ -187,9 +261,6 @@
         heartbeat = now >= self._next_heartbeat
         if heartbeat:
             self._next_heartbeat = now + HEARTBEAT_SECONDS
-        join = self.membership.join_record(self.state.view)
-        if join is not None:
-            self._effects.appends.append(join)
         self._report_as_entry(heartbeat, now)
         self._decide_as_home(heartbeat, now)
         while self._local:
@@ -314,6 +385,10 @@
         if home is not None:
             self._send(home.member, message)
 
+    def _send_all(self, messages: Iterable[tuple[str, Message]]) -> None:
+        for member, message in messages:
+            self._send(member, message)
+
     def _send(self, member: str, message: Message) -> None:
         if member == self.id:
             self._local.append(message)
--- a/packages/geraniumshore/src/geraniumshore/internal/messages.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/messages.py
@@ -14,20 +14,25 @@
 
 from geraniumshore.errors import Finding
 from geraniumshore.internal.homes import LedgerKey
-from geraniumshore.internal.records import MemberInfo
+from geraniumshore.internal.records import LogEntry, MemberInfo
 from geraniumshore.internal.release import validation_findings
 
 __all__ = [
+    "AttestRequest",
+    "Attestation",
     "Demand",
     "EndorseRequest",
     "Endorsement",
     "GrantNotice",
     "Handover",
+    "Heartbeat",
     "HolderReport",
     "LaneGrant",
     "LaneReport",
     "Message",
     "QuarantinedUnits",
+    "Relay",
+    "StateTransfer",
     "coalescing_key",
     "decode_message",
     "encode_message",
@@ -141,8 +146,62 @@
     kind: Literal["endorsement"] = "endorsement"
 
 
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """A sign of life. The sender has folded the log up to ``position``."""
+
+    position: int
+    kind: Literal["heartbeat"] = "heartbeat"
+
+
+@dataclass(frozen=True, slots=True)
+class AttestRequest:
+    """Asks whether the sender is still a member, and for records that it lacks.
+
+    ``sent_at`` is the sender's own clock; the answer repeats it.
+    """
+
+    sent_at: float
+    position: int
+    kind: Literal["attest-request"] = "attest-request"
+
+
+@dataclass(frozen=True, slots=True)
+class Attestation:
+    """A member's word that the other was a member when it had folded ``position``."""
+
+    sent_at: float
+    position: int
+    kind: Literal["attestation"] = "attestation"
+
+
+@dataclass(frozen=True, slots=True)
+class Relay:
+    """Log entries, in order, for a member that may not reach the log."""
+
+    entries: tuple[LogEntry, ...]
+    kind: Literal["relay"] = "relay"
+
+
+@dataclass(frozen=True, slots=True)
+class StateTransfer:
+    """The whole folded state, in the compressed form of a snapshot."""
+
+    position: int
+    document: str
+    kind: Literal["state-transfer"] = "state-transfer"
+
+
 Message = Annotated[
-    HolderReport | GrantNotice | EndorseRequest | Endorsement,
+    HolderReport
+    | GrantNotice
+    | EndorseRequest
+    | Endorsement
+    | Heartbeat
+    | AttestRequest
+    | Attestation
+    | Relay
+    | StateTransfer,
     Field(discriminator="kind"),
 ]
 
@@ -169,3 +228,5 @@
             return f"{message.kind} {message.ledger} {message.holder}"
         case EndorseRequest() | Endorsement():
             return f"{message.kind} {message.change} {message.member}"
+        case Heartbeat() | AttestRequest() | Attestation() | Relay() | StateTransfer():
+            return message.kind
--- a/packages/geraniumshore/src/geraniumshore/internal/records.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/records.py
@@ -19,6 +19,7 @@
     "MemberInfo",
     "Record",
     "Release",
+    "SnapshotPart",
     "decode_records",
     "encode_records",
 ]
@@ -41,7 +42,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Join:
-    """Adds a member to the view numbered ``view``."""
+    """Adds a member to the view numbered ``view``.
+
+    ``replaces`` names the ended process whose host and peer address the member has;
+    ``gone`` names silent members whose hosts the platform lists no longer.
+    """
 
     __pydantic_config__: ClassVar[ConfigDict] = STRICT
 
@@ -49,6 +54,8 @@
     view: int
     info: MemberInfo
     endorsed_by: tuple[str, ...] = ()
+    replaces: str | None = None
+    gone: tuple[str, ...] = ()
     kind: Literal["join"] = "join"
 
 
@@ -65,7 +72,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Evict:
-    """Takes a silent member out of the view numbered ``view``."""
+    """Takes a silent member out of the view numbered ``view``.
+
+    ``forced_by`` names the operator who took it out by hand.
+    """
 
     __pydantic_config__: ClassVar[ConfigDict] = STRICT
 
@@ -73,6 +83,7 @@
     view: int
     member: str
     endorsed_by: tuple[str, ...] = ()
+    gone: tuple[str, ...] = ()
     forced_by: str | None = None
     kind: Literal["evict"] = "evict"
 
@@ -89,7 +100,24 @@
     kind: Literal["release"] = "release"
 
 
-Record = Annotated[Join | Leave | Evict | Release, Field(discriminator="kind")]
+@dataclass(frozen=True, slots=True)
+class SnapshotPart:
+    """One part of the state as folded up to ``position``, in the compressed form."""
+
+    __pydantic_config__: ClassVar[ConfigDict] = STRICT
+
+    id: str
+    snapshot: str
+    position: int
+    part: int
+    parts: int
+    document: str
+    kind: Literal["snapshot-part"] = "snapshot-part"
+
+
+Record = Annotated[
+    Join | Leave | Evict | Release | SnapshotPart, Field(discriminator="kind")
+]
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/geraniumshore/src/geraniumshore/internal/snapshot.py
@@ -0,0 +1,186 @@
+"""Snapshots of the folded state, kept in the log itself in parts.
+
+The log keeps its records for a limited time. A snapshot names the position that it was
+taken at, so a reader needs one whole snapshot and the entries from that position on.
+"""
+
+from __future__ import annotations
+
+import base64
+import zlib
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from pydantic import TypeAdapter, ValidationError
+from result import Err, Ok, Result
+
+from geraniumshore.errors import Finding
+from geraniumshore.internal.fold import ControlState
+from geraniumshore.internal.homes import rank_members
+from geraniumshore.internal.records import LogEntry, SnapshotPart
+from geraniumshore.internal.release import validation_findings
+
+__all__ = [
+    "CatchUp",
+    "SnapshotCollector",
+    "SnapshotSchedule",
+    "WholeSnapshot",
+    "decode_state",
+    "encode_state",
+    "snapshot_parts",
+]
+
+PART_CHARACTERS = 64 * 1024
+# A snapshot is due after this time, and at once where the log has trimmed the last.
+SNAPSHOT_SECONDS = 240.0
+SNAPSHOT_ENTRIES = 5_000
+# Members take their turn this long after one another, so that mostly one appends.
+TURN_SECONDS = 2.0
+# An append under way is given this long before the next try.
+APPEND_SECONDS = 10.0
+
+_STATE: TypeAdapter[ControlState] = TypeAdapter(ControlState)
+
+
+def encode_state(state: ControlState) -> str:
+    """Return the compressed form of a folded state."""
+    return base64.b64encode(zlib.compress(_STATE.dump_json(state))).decode()
+
+
+def decode_state(document: str) -> Result[ControlState, tuple[Finding, ...]]:
+    """Read a folded state back; a document that is none of ours gives findings."""
+    try:
+        return Ok(_STATE.validate_json(zlib.decompress(base64.b64decode(document))))
+    except ValidationError as error:
+        return Err(validation_findings(error, "snapshot"))
+    except (ValueError, zlib.error) as error:
+        return Err((Finding("snapshot", f"is not in the compressed form: {error}"),))
+
+
+def snapshot_parts(
+    state: ControlState, new_id: Callable[[], str]
+) -> tuple[SnapshotPart, ...]:
+    """Return the records that keep ``state``."""
+    document = encode_state(state)
+    starts = range(0, len(document), PART_CHARACTERS)
+    snapshot = new_id()
+    return tuple(
+        SnapshotPart(
+            id=new_id(),
+            snapshot=snapshot,
+            position=state.position,
+            part=number,
+            parts=len(starts),
+            document=document[start : start + PART_CHARACTERS],
+        )
+        for number, start in enumerate(starts)
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class WholeSnapshot:
+    """A snapshot of which every part was read."""
+
+    position: int
+    document: str
+
+
+@dataclass(slots=True)
+class SnapshotCollector:
+    """Puts the parts of snapshots together, in whatever order they come."""
+
+    _parts_by_snapshot: dict[str, dict[int, str]] = field(default_factory=dict)
+    _position: int = -1
+
+    def add(self, part: SnapshotPart) -> WholeSnapshot | None:
+        """Take in a part; return the snapshot once it is whole."""
+        if part.position < self._position:
+            return None
+        parts = self._parts_by_snapshot.setdefault(part.snapshot, {})
+        parts[part.part] = part.document
+        if len(parts) < part.parts:
+            return None
+        self._parts_by_snapshot.clear()
+        self._position = part.position
+        document = "".join(parts[number] for number in sorted(parts))
+        return WholeSnapshot(part.position, document)
+
+
+@dataclass(slots=True)
+class CatchUp:
+    """Reads a log that begins after the reader's position, until a snapshot helps."""
+
+    first: int
+    entries: list[LogEntry] = field(default_factory=list)
+    newest: WholeSnapshot | None = None
+    _collector: SnapshotCollector = field(default_factory=SnapshotCollector)
+
+    @property
+    def next_offset(self) -> int:
+        """The offset to read on from."""
+        return self.entries[-1].offset + 1 if self.entries else self.first
+
+    def add(self, entries: Iterable[LogEntry]) -> None:
+        """Take in entries, in order."""
+        for entry in entries:
+            if entry.offset < self.next_offset:
+                continue
+            self.entries.append(entry)
+            for record in entry.records:
+                whole = (
+                    self._collector.add(record)
+                    if isinstance(record, SnapshotPart)
+                    else None
+                )
+                if whole is not None and whole.position >= self.first:
+                    self.newest = whole
+
+
+@dataclass(slots=True)
+class SnapshotSchedule:
+    """Tells one member when it is its turn to append a snapshot."""
+
+    own: str
+    period: float = SNAPSHOT_SECONDS
+    whole_position: int = 0
+    _whole_at: float | None = None
+    _trimmed_at: float | None = None
+    _next_attempt: float = float("-inf")
+    _collector: SnapshotCollector = field(default_factory=SnapshotCollector)
+
+    def on_part(self, part: SnapshotPart, now: float) -> None:
+        """Note a part that was folded."""
+        whole = self._collector.add(part)
+        if whole is not None:
+            self.whole_position = whole.position
+            self._whole_at = now
+            self._trimmed_at = None
+
+    def on_first(self, first: int, now: float) -> None:
+        """Note where the log begins now."""
+        if first <= self.whole_position:
+            self._trimmed_at = None
+        elif self._trimmed_at is None:
+            self._trimmed_at = now
+
+    def due(self, members: Iterable[str], position: int, now: float) -> bool:
+        """Tell whether to append now; call it only for members with authority."""
+        if self._whole_at is None:
+            self._whole_at = now
+        overdue = now - self._due_at(position, now)
+        if overdue < 0 or now < self._next_attempt:
+            return False
+        ranked = rank_members("snapshot", members)
+        if self.own not in ranked[: 1 + int(overdue / TURN_SECONDS)]:
+            return False
+        self._next_attempt = now + APPEND_SECONDS
+        return True
+
+    def _due_at(self, position: int, now: float) -> float:
+        assert self._whole_at is not None
+        due_at = self._whole_at + self.period
+        if self._trimmed_at is not None:
+            due_at = min(due_at, self._trimmed_at)
+        if position - self.whole_position > SNAPSHOT_ENTRIES:
+            due_at = min(due_at, now)
+        return due_at
--- a/packages/geraniumshore/src/geraniumshore/internal/view.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/view.py
@@ -8,7 +8,14 @@
 from geraniumshore.errors import Finding
 from geraniumshore.internal.records import Evict, Join, Leave, MemberInfo
 
-__all__ = ["View", "apply_evict", "apply_join", "apply_leave", "is_majority"]
+__all__ = [
+    "View",
+    "apply_evict",
+    "apply_join",
+    "apply_leave",
+    "is_majority",
+    "predecessor",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,19 +31,37 @@
     return 2 * count > len(view.members)
 
 
+def predecessor(view: View, info: MemberInfo) -> str | None:
+    """Return the member whose host and peer address ``info`` has taken, if any."""
+    for name, member in view.members.items():
+        if name != info.member and _same_place(member, info):
+            return name
+    return None
+
+
 def apply_join(view: View, record: Join) -> tuple[View, tuple[Finding, ...]]:
     """Return the view with the member added, or why the record is void."""
-    findings = [*_check_change(view, record.view, record.endorsed_by)]
+    replaced = predecessor(view, record.info)
+    endorsers = {*record.endorsed_by, *record.gone, record.replaces}
+    findings = [
+        *_check_number(view, record.view),
+        *_check_majority(view, endorsers),
+    ]
     if record.info.member in view.members:
         findings.append(Finding("info.member", "is a member already"))
+    if record.replaces != replaced:
+        findings.append(
+            Finding("replaces", f"got {record.replaces}, want {replaced} by its place")
+        )
     if findings:
         return view, tuple(findings)
-    return _with(view, {**view.members, record.info.member: record.info}), ()
+    members = {name: m for name, m in view.members.items() if name != replaced}
+    return _with(view, {**members, record.info.member: record.info}), ()
 
 
 def apply_evict(view: View, record: Evict) -> tuple[View, tuple[Finding, ...]]:
     """Return the view without the member, or why the record is void."""
-    endorsers = set(record.endorsed_by) - {record.member}
+    endorsers = {*record.endorsed_by, *record.gone} - {record.member}
     findings = [*_check_number(view, record.view)]
     if record.forced_by is None:
         findings.extend(_check_majority(view, endorsers))
@@ -54,8 +79,8 @@
     return _without(view, record.member), ()
 
 
-def _check_change(view: View, number: int, endorsers: Iterable[str]) -> list[Finding]:
-    return [*_check_number(view, number), *_check_majority(view, endorsers)]
+def _same_place(one: MemberInfo, other: MemberInfo) -> bool:
+    return (one.host, one.peer_address) == (other.host, other.peer_address)
 
 
 def _check_number(view: View, number: int) -> list[Finding]:
@@ -64,7 +89,7 @@
     return [Finding("view", f"got view {number}, but view {view.number} is in force")]
 
 
-def _check_majority(view: View, endorsers: Iterable[str]) -> list[Finding]:
+def _check_majority(view: View, endorsers: Iterable[str | None]) -> list[Finding]:
     count = len(set(endorsers) & set(view.members))
     if not view.members or is_majority(count, view):
         return []
