--- a/packages/geraniumshored/src/geraniumshored/internal/daemon.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/daemon.py
@@ -4,6 +4,7 @@
 
 import logging
 import threading
+from enum import IntEnum
 from uuid import uuid4
 
 from geraniumshore import Leave, Member, MemberInfo
@@ -18,7 +19,7 @@
 from geraniumshored.internal.settings import Settings
 from geraniumshored.internal.ticker import Ticker
 
-__all__ = ["Daemon"]
+__all__ = ["Daemon", "ExitStatus"]
 
 logger = logging.getLogger(__name__)
 
@@ -26,6 +27,13 @@
 LEAVE_SECONDS = 3.0
 
 
+class ExitStatus(IntEnum):
+    """What the end of the process means to its supervisor."""
+
+    DONE = 0
+    EVICTED = 75
+
+
 class Daemon:
     """One entry host's process."""
 
@@ -49,6 +57,8 @@
         operators = OperatorHandler(self._runtime, self._appender, settings.operators)
         self._front = Front(self._runtime, self._calls, operators)
         self._ticker = Ticker(TICK_SECONDS, self._tick)
+        self._stop_requested = threading.Event()
+        self._evicted = False
         self._runtime.connect(self._network, self._appender)
 
     @classmethod
@@ -61,11 +71,16 @@
         """This process incarnation's id."""
         return self._runtime.member.id
 
-    def run(self, stop_requested: threading.Event) -> None:
-        """Serve until ``stop_requested`` is set, then shut down gracefully."""
+    def run(self, stop_requested: threading.Event) -> ExitStatus:
+        """Serve until ``stop_requested`` is set, or this member has been evicted.
+
+        Either way the calls that are open are answered before it returns.
+        """
+        self._stop_requested = stop_requested
         self._start()
         stop_requested.wait()
         self._shut_down()
+        return ExitStatus.EVICTED if self._evicted else ExitStatus.DONE
 
     def _start(self) -> None:
         self._peer_server.start(str(self._settings.peer))
@@ -85,7 +100,8 @@
         threading.Event().wait(self._settings.notice_ms / 1000)
         longest = self._runtime.perform(lambda member, _: member.longest_call())
         idle = self._calls.wait_until_idle(longest)
-        self._leave()
+        if not self._evicted:
+            self._leave()
         self._front.stop()
         self._ticker.stop()
         self._follower.stop()
@@ -104,3 +120,12 @@
     def _tick(self) -> None:
         self._runtime.perform(lambda member, now: member.on_tick(now))
         self._network.forget_departed()
+        if self._runtime.member.agreement.lost_membership:
+            self._on_lost_membership()
+
+    def _on_lost_membership(self) -> None:
+        if self._stop_requested.is_set():
+            return
+        logger.error("evicted: ending, so that a new process can join")
+        self._evicted = True
+        self._stop_requested.set()
--- a/packages/geraniumshored/src/geraniumshored/internal/follower.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/follower.py
@@ -19,6 +19,7 @@
     PlatformUnavailableError,
     RawEntry,
     Record,
+    SnapshotPart,
     UnknownOutcomeError,
     Verdict,
     decode_records,
@@ -35,6 +36,8 @@
 # Appends of one member wait this long for company, so that few go to the log.
 GATHER_SECONDS = 0.005
 MAX_RECORDS_PER_APPEND = 200
+# A part of a snapshot is about this large; each goes into an append of its own.
+MAX_PART_CHARACTERS = 32 * 1024
 # A record whose append never succeeds is given up after this time.
 APPEND_PATIENCE_SECONDS = 10.0
 
@@ -50,14 +53,18 @@
 
     def run(self) -> None:
         """Follow until stopped."""
+        # The first read, and the first one after a failure, asks for an answer at once.
+        wait_seconds = 0.0
         while not self._stop_requested.is_set():
             sent_at = time.monotonic()
             try:
-                read = self._log.read(self._position(), POLL_SECONDS)
+                read = self._log.read(self._runtime.member.next_offset(), wait_seconds)
             except PlatformUnavailableError:
                 self._runtime.metrics.log_reads.labels("failed").inc()
                 self._stop_requested.wait(RETRY_SECONDS)
+                wait_seconds = 0.0
                 continue
+            wait_seconds = POLL_SECONDS
             self._runtime.metrics.log_reads.labels("answered").inc()
             self._take_in(read, sent_at)
 
@@ -65,13 +72,9 @@
         """Ask the thread to end after its present read."""
         self._stop_requested.set()
 
-    def _position(self) -> int:
-        return self._runtime.member.state.position
-
     def _take_in(self, read: LogRead, sent_at: float) -> None:
         entries = list(decode_entries(read.entries))
-        reached = entries[-1].offset + 1 if entries else self._position()
-        self._runtime.on_log(entries, sent_at, at_tail=reached >= read.tail)
+        self._runtime.on_read(read, entries, sent_at)
 
 
 def decode_entries(raw_entries: tuple[RawEntry, ...]) -> Iterator[LogEntry]:
@@ -88,6 +91,12 @@
             yield LogEntry(raw.offset, raw.appended_at_ms, decoded.ok_value)
 
 
+def _is_large(record: Record) -> bool:
+    return (
+        isinstance(record, SnapshotPart) and len(record.document) > MAX_PART_CHARACTERS
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class _Pending:
     record: Record
@@ -141,6 +150,8 @@
         if first is None:
             return None
         batch = [first]
+        if _is_large(first.record):
+            return batch
         deadline = time.monotonic() + GATHER_SECONDS
         while len(batch) < MAX_RECORDS_PER_APPEND:
             try:
@@ -151,6 +162,8 @@
                 self._queue.put(None)
                 break
             batch.append(pending)
+            if _is_large(pending.record):
+                break
         return batch
 
     def _append(self, batch: list[_Pending]) -> None:
--- a/packages/geraniumshored/src/geraniumshored/internal/main.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/main.py
@@ -37,15 +37,18 @@
 
 @app.command
 def run(config: ConfigPath) -> int:
-    """Serve until SIGTERM or SIGINT, then shut down gracefully."""
+    """Serve until SIGTERM or SIGINT, then shut down gracefully.
+
+    Exit status 75 means that the other members have evicted this process: start it
+    again.
+    """
     settings = _load(config)
     daemon = Daemon.from_settings(settings)
     configure_logs(settings.host, daemon.member_id)
     stop_requested = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stop_requested.set())
-    daemon.run(stop_requested)
-    return 0
+    return daemon.run(stop_requested)
 
 
 def _load(config: Path) -> Settings:
--- a/packages/geraniumshored/src/geraniumshored/internal/operators.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/operators.py
@@ -13,6 +13,7 @@
 
 from geraniumshore import Configuration, Release, UnknownOutcomeError, parse_release
 from geraniumshored.internal.follower import LogAppender
+from geraniumshored.internal.forced_evictions import EvictionHandler
 from geraniumshored.internal.http_types import (
     HttpAnswer,
     HttpRequest,
@@ -25,6 +26,7 @@
 __all__ = ["OperatorHandler"]
 
 RELEASE_WAIT_SECONDS = 15.0
+ACCEPT_SECONDS = 10.0
 MAX_NOTE_BYTES = 8 * 1024 * 1024
 _CONFIGURATION: TypeAdapter[Configuration] = TypeAdapter(Configuration)
 
@@ -41,6 +43,7 @@
         self._runtime = runtime
         self._appender = appender
         self._operators = operators
+        self._evictions = EvictionHandler(runtime, appender)
 
     def handle(self, request: HttpRequest) -> HttpAnswer:
         """Answer one call of an operator."""
@@ -62,6 +65,8 @@
                 return answer_json(200, {"releases": [asdict(r) for r in releases]})
             case ("POST", ("releases",)):
                 return self._release(request, operator)
+            case ("POST", ("evictions",)):
+                return self._evictions.handle(request, operator)
             case _:
                 return answer_problem(404, "unknown-path", "/".join(request.path))
 
@@ -98,6 +103,13 @@
             return answer_problem(
                 409, "refused-note", "the note is void", findings=verdict.findings
             )
+        if not self._runtime.wait_until_accepted(verdict.offset, ACCEPT_SECONDS):
+            return answer_problem(
+                504,
+                "unknown",
+                "the note is in the log, but no majority of members has confirmed it",
+                outcome="unknown",
+            )
         version = parsed.ok_value.base + 1
         return answer_json(200, {"version": version, "offset": verdict.offset})
 
@@ -109,6 +121,7 @@
                 "data_centre": member.info.data_centre,
                 "authority": member.has_authority(now),
                 "version": member.state.configuration.version,
+                "standing": member.agreement.standing(member.state).value,
                 "position": member.state.position,
                 "view": member.state.view.number,
                 "members": [
--- a/packages/geraniumshored/src/geraniumshored/internal/peers.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/peers.py
@@ -4,16 +4,19 @@
 
 import logging
 import threading
+import time
 from concurrent.futures import ThreadPoolExecutor
 
 import grpc
 from result import Err
 
 from geraniumshore import (
+    EndorseRequest,
     Message,
     coalescing_key,
     decode_message,
     encode_message,
+    predecessor,
 )
 from geraniumshored.internal import peer_pb2, peer_pb2_grpc
 from geraniumshored.internal.runtime import Runtime
@@ -25,6 +28,14 @@
 CALL_SECONDS = 1.0
 RETRY_SECONDS = 0.1
 SERVER_THREADS = 16
+# An outbox for a process that is no member is dropped when it was unused this long.
+IDLE_OUTBOX_SECONDS = 30.0
+# A relayed release note, or a whole folded state, may be this large.
+MAX_BATCH_BYTES = 64 * 1024 * 1024
+SIZE_OPTIONS = (
+    ("grpc.max_send_message_length", MAX_BATCH_BYTES),
+    ("grpc.max_receive_message_length", MAX_BATCH_BYTES),
+)
 # Each link has a subchannel pool of its own: a shared one would hand a rebuilt
 # channel the same dead connection again.
 CHANNEL_OPTIONS = (
@@ -36,12 +47,14 @@
     ("grpc.http2.max_pings_without_data", 0),
     ("grpc.initial_reconnect_backoff_ms", 100),
     ("grpc.max_reconnect_backoff_ms", 1_000),
+    *SIZE_OPTIONS,
 )
 # The port is bound exclusively: a second process on it would be a second member.
 SERVER_OPTIONS = (
     ("grpc.so_reuseport", 0),
     ("grpc.http2.min_ping_interval_without_data_ms", 1_000),
     ("grpc.http2.max_ping_strikes", 0),
+    *SIZE_OPTIONS,
 )
 
 
@@ -51,10 +64,16 @@
     def __init__(self) -> None:
         self._by_key: dict[str, Message] = {}
         self._filled = threading.Condition()
+        self._used_at = time.monotonic()
+
+    def idle_seconds(self) -> float:
+        """Return for how long nothing was put in."""
+        return time.monotonic() - self._used_at
 
     def put(self, messages: list[Message]) -> None:
         """Add messages."""
         with self._filled:
+            self._used_at = time.monotonic()
             for message in messages:
                 key = coalescing_key(message)
                 self._by_key.pop(key, None)
@@ -162,12 +181,11 @@
         """Close the links to processes that are members no longer."""
         members = self._runtime.member.state.view.members
         with self._lock:
-            departed = set(self._outbox_by_member) - set(members)
-            for member in departed:
-                del self._outbox_by_member[member]
-                link = self._link_by_member.pop(member, None)
-                if link is not None:
-                    link.stop()
+            for member in set(self._link_by_member) - set(members):
+                self._link_by_member.pop(member).stop()
+            for member in set(self._outbox_by_member) - set(members):
+                if self._outbox_by_member[member].idle_seconds() > IDLE_OUTBOX_SECONDS:
+                    del self._outbox_by_member[member]
 
     def stop(self) -> None:
         """Close every link."""
@@ -215,13 +233,17 @@
         self, request: peer_pb2.Batch, context: grpc.ServicerContext
     ) -> peer_pb2.Batch:
         """Take in a batch and answer with what waits for the caller."""
-        own = self._runtime.member.id
-        if request.recipient != own:
+        member = self._runtime.member
+        own = member.id
+        if request.recipient == own:
+            take_in_batch(request, self._runtime)
+        elif request.recipient == predecessor(member.state.view, member.info):
+            take_in_batch(request, self._runtime, only=EndorseRequest)
+        else:
             context.abort(
                 grpc.StatusCode.FAILED_PRECONDITION,
                 f"got a batch for {request.recipient}, this is {own}",
             )
-        take_in_batch(request, self._runtime)
         answer = make_batch(
             own, request.sender, self._network.outbox(request.sender).take()
         )
@@ -238,11 +260,14 @@
     )
 
 
-def take_in_batch(batch: peer_pb2.Batch, runtime: Runtime) -> None:
-    """Hand every readable message of a batch to the member."""
+def take_in_batch(
+    batch: peer_pb2.Batch, runtime: Runtime, only: type | None = None
+) -> None:
+    """Hand every readable message of a batch, or those of one type, to the member."""
     for document in batch.messages:
         decoded = decode_message(document)
         if isinstance(decoded, Err):
             logger.warning("unreadable message", extra={"sender": batch.sender})
             continue
-        runtime.deliver(batch.sender, decoded.ok_value)
+        if only is None or isinstance(decoded.ok_value, only):
+            runtime.deliver(batch.sender, decoded.ok_value)
--- a/packages/geraniumshored/src/geraniumshored/internal/platform_http.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/platform_http.py
@@ -18,6 +18,7 @@
     UnknownOutcomeError,
 )
 from geraniumshored.internal.settings import PlatformSettings
+from geraniumshored.internal.sockets import watch_for_silence
 
 __all__ = ["HttpControlLog", "HttpHostList", "PlatformCaller"]
 
@@ -74,6 +75,7 @@
                 connection.connect()
             except OSError as error:
                 raise PlatformUnavailableError(f"connect: {error!r}") from error
+            watch_for_silence(connection.sock)
             self._local.connection = connection
         if connection.sock is None:
             self._drop()
--- a/packages/geraniumshored/src/geraniumshored/internal/runtime.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/runtime.py
@@ -13,10 +13,13 @@
     Decision,
     Effects,
     LogEntry,
+    LogRead,
     Member,
     Message,
     Record,
     SlotRequest,
+    SnapshotPart,
+    Standing,
     Verdict,
 )
 from geraniumshored.internal.metrics import Metrics
@@ -27,6 +30,8 @@
 
 T = TypeVar("T")
 
+ACCEPTED_POLL_SECONDS = 0.02
+
 
 class Messenger(Protocol):
     """Whatever carries messages to other members."""
@@ -59,6 +64,7 @@
         self._messenger: Messenger | None = None
         self._appends: Appends | None = None
         self._had_authority = False
+        self._standing = Standing.JOINING
 
     def connect(self, messenger: Messenger, appends: Appends) -> None:
         """Name what carries the effects; call it once, before the first input."""
@@ -72,22 +78,32 @@
             result = action(self.member, now)
             self._carry_out(self.member.drain_effects())
             self._note_authority(now)
+            self._note_standing()
             return result
 
     def has_authority(self) -> bool:
         """Tell whether this member may act at this very moment."""
         return self.member.has_authority(time.monotonic())
 
-    def on_log(self, entries: list[LogEntry], sent_at: float, at_tail: bool) -> None:
-        """Take in what a log read gave."""
-
-        def fold(member: Member, now: float) -> None:
-            for verdict in member.on_entries(entries, now):
-                self._on_verdict(verdict)
-            if at_tail:
-                member.on_tail(sent_at, now)
-
-        self.perform(fold)
+    def on_read(self, read: LogRead, entries: list[LogEntry], sent_at: float) -> None:
+        """Take in what a log read, sent at ``sent_at``, gave."""
+        self.perform(
+            lambda member, now: member.on_read(
+                read.first, read.tail, entries, sent_at, now
+            )
+        )
+
+    def wait_until_accepted(self, offset: int, seconds: float) -> bool:
+        """Wait until a majority has folded ``offset``; tell whether it has in time."""
+        deadline = time.monotonic() + seconds
+        while True:
+            with self._lock:
+                agreement, state = self.member.agreement, self.member.state
+                if agreement.folded_by_majority(offset, state):
+                    return True
+            if time.monotonic() >= deadline:
+                return False
+            time.sleep(ACCEPTED_POLL_SECONDS)
 
     def deliver(self, sender: str, message: Message) -> None:
         """Take in a message of another member."""
@@ -121,7 +137,7 @@
         future = self._verdict_by_record.pop(verdict.record.id, None)
         if future is not None:
             future.set_result(verdict)
-        if verdict.accepted:
+        if verdict.accepted and not isinstance(verdict.record, SnapshotPart):
             logger.info(
                 "record in force",
                 extra={"record": verdict.record.kind, "offset": verdict.offset},
@@ -134,11 +150,19 @@
             self._messenger.send(member, messages)
         for record in effects.appends:
             self._appends.submit(record)
+        for verdict in effects.verdicts:
+            self._on_verdict(verdict)
         for decision in effects.decisions:
             future = self._decision_by_ticket.pop(decision.ticket, None)
             if future is not None:
                 future.set_result(decision)
 
+    def _note_standing(self) -> None:
+        standing = self.member.agreement.standing(self.member.state)
+        if standing != self._standing:
+            self._standing = standing
+            logger.warning("standing", extra={"standing": standing.value})
+
     def _note_authority(self, now: float) -> None:
         has_authority = self.member.has_authority(now)
         if has_authority == self._had_authority:
