--- a/packages/geraniumshore-cli/src/geraniumshore_cli/internal/main.py
+++ b/packages/geraniumshore-cli/src/geraniumshore_cli/internal/main.py
@@ -5,13 +5,14 @@
 import os
 import sys
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated
 
 from cyclopts import App, Parameter
 
 from geraniumshore import InvalidInputError, UnknownOutcomeError, make_key
-from geraniumshore_cli.internal import release_commands
+from geraniumshore_cli.internal import member_commands, release_commands
 from geraniumshore_cli.internal.client import Client
+from geraniumshore_cli.internal.member_commands import status_of
 from geraniumshore_cli.internal.output import (
     ExitCode,
     report_refusal,
@@ -33,6 +34,7 @@
     """,
 )
 app.command(release_commands.app)
+app.command(member_commands.app)
 keys_app = App(name="keys", help="Keys of teams and operators.")
 app.command(keys_app)
 
@@ -53,20 +55,6 @@
     return ExitCode.DONE
 
 
-@app.command
-def members(*, as_json: AsJson = False) -> int:
-    """List the entry hosts in the view, each with its own word on itself."""
-    client = Client.from_environment()
-    listed = client.get("/operator/status")["members"]
-    rows = [_member_row(client, info) for info in listed]
-    if as_json:
-        show(rows)
-        return ExitCode.DONE
-    columns = ("member", "host", "data_centre", "http_address", "authority", "version")
-    show_table(columns, [[row[column] for column in columns] for row in rows])
-    return ExitCode.DONE
-
-
 @app.command
 def teams(*, as_json: AsJson = False) -> int:
     """List the teams with share, limit and what they have running."""
@@ -74,7 +62,7 @@
     configuration = client.get("/operator/configuration")
     running: dict[str, int] = {}
     for info in client.get("/operator/status")["members"]:
-        status = _status_of(client, info)
+        status = status_of(client, info)
         running.update(status.get("running_by_team", {}))
     rows = [
         {
@@ -131,25 +119,6 @@
     return ExitCode.DONE
 
 
-def _member_row(client: Client, info: dict[str, str]) -> dict[str, object]:
-    status = _status_of(client, info)
-    return {
-        **info,
-        "authority": status.get("authority", "silent"),
-        "version": status.get("version", "silent"),
-    }
-
-
-def _status_of(client: Client, info: dict[str, str]) -> dict[str, Any]:
-    """Return a member's status, or nothing where the member is silent."""
-    try:
-        reply = client.call("GET", "/operator/status", entries=(info["http_address"],))
-    except UnknownOutcomeError:
-        return {}
-    document: dict[str, Any] = reply.json() if reply.ok else {}
-    return document
-
-
 def main() -> None:
     """Run the command line."""
     try:
