--- /dev/null
+++ b/tests/common/agreement.py
@@ -0,0 +1,280 @@
+"""Real members on a faulty log and network, and what must hold at every moment."""
+
+from __future__ import annotations
+
+import itertools
+from dataclasses import dataclass, field
+
+from geraniumshore import (
+    ControlState,
+    EndorseRequest,
+    Evict,
+    Join,
+    LogEntry,
+    Member,
+    MemberInfo,
+    Message,
+    Record,
+    Relay,
+    Release,
+    ReleaseNote,
+    SnapshotPart,
+    Standing,
+    StateTransfer,
+    fold_entry,
+    predecessor,
+)
+
+T = 3.0
+MARGIN = 0.3
+# The rates for which the margin is just enough: T / SLOW <= (T + MARGIN) / FAST.
+FAST, SLOW = 1.047, 0.953
+STEP = 0.25
+SNAPSHOT_PERIOD = 15.0
+SUSPECTED_SECONDS = 10.0
+
+
+@dataclass
+class Process:
+    """One incarnation. Its clock starts anywhere and runs at its own rate."""
+
+    member: Member
+    rate: float
+    offset: float
+    paused: bool = False
+    log_reachable: bool = True
+    reads_held: bool = False
+    sent_at: float | None = None
+    reply: tuple[int, int, list[LogEntry]] | None = None
+    version: int = 0
+
+
+@dataclass
+class World:
+    """Places hold processes; the truth is the fold of all that was ever appended."""
+
+    now: float = 0.0
+    entries: list[LogEntry] = field(default_factory=list)
+    first: int = 0
+    log_up: bool = True
+    appends_held: bool = False
+    doubled_appends: bool = False
+    doubled_messages: bool = False
+    relays_lost: bool = False
+    by_place: dict[str, Process | None] = field(default_factory=dict)
+    cut: set[frozenset[str]] = field(default_factory=set)
+    held: set[frozenset[str]] = field(default_factory=set)
+    mail: list[tuple[str, str, str, str, Message]] = field(default_factory=list)
+    # Who takes whom for silent, however well it is heard.
+    suspected: set[tuple[str, str]] = field(default_factory=set)
+    pending: list[tuple[Process, Record]] = field(default_factory=list)
+    truth: ControlState = field(default_factory=ControlState)
+    true_states: list[tuple[dict[str, MemberInfo], int]] = field(
+        default_factory=lambda: [({}, 0)]
+    )
+    removed_at: dict[str, float] = field(default_factory=dict)
+    notes: dict[int, int] = field(default_factory=dict)
+    accepted_at: dict[int, float] = field(default_factory=dict)
+    ids: itertools.count[int] = field(default_factory=itertools.count)
+
+    def new_id(self) -> str:
+        return f"id{next(self.ids)}"
+
+    def live(self) -> list[tuple[str, Process]]:
+        return [(place, p) for place, p in self.by_place.items() if p is not None]
+
+    def start(self, place: str, rate: float = 1.0) -> Process:
+        """Start a process where none runs: its bind proves that."""
+        assert self.by_place.get(place) is None
+        name = f"{place}-{self.new_id()}"
+        info = MemberInfo(name, place, "dc1", f"{place}:1", f"{place}:2")
+        member = Member(info, self.new_id)
+        member.agreement.snapshots.period = SNAPSHOT_PERIOD
+        process = Process(member, rate, offset=1000.0 * next(self.ids))
+        self.by_place[place] = process
+        return process
+
+    def clock(self, process: Process) -> float:
+        return process.offset + process.rate * self.now
+
+    def note(self, place: str) -> None:
+        process = self.by_place[place]
+        assert process is not None
+        base = process.member.state.configuration.version
+        record = Release(self.new_id(), ReleaseNote(base=base), "tester")
+        self.pending.append((process, record))
+
+    def expire_log(self) -> None:
+        self.first = len(self.entries)
+
+    def trim_log(self) -> None:
+        """Trim what the newest whole snapshot makes superfluous."""
+        seen: dict[str, set[int]] = {}
+        for entry in self.entries[self.first :]:
+            for part in entry.records:
+                if isinstance(part, SnapshotPart):
+                    parts = seen.setdefault(part.snapshot, set())
+                    parts.add(part.part)
+                    if len(parts) == part.parts:
+                        self.first = max(self.first, part.position)
+
+    def run(self, seconds: float) -> None:
+        for _ in range(round(seconds / STEP)):
+            self.now += STEP
+            for place, process in self.live():
+                if not process.paused:
+                    self._step(place, process)
+            self._append_pending()
+            self._deliver()
+            self._note_acceptance()
+            self.check()
+
+    def heal(self) -> None:
+        """Undo every fault, start what has ended, and give it time."""
+        self.log_up, self.appends_held, self.relays_lost = True, False, False
+        self.suspected.clear()
+        self.cut.clear()
+        self.held.clear()
+        for _, process in self.live():
+            process.paused = process.reads_held = False
+            process.log_reachable = True
+        for _ in range(8):
+            for place, present in self.by_place.items():
+                if present is None:
+                    self.start(place)
+            self.run(3.0)
+
+    def _step(self, place: str, process: Process) -> None:
+        now = self.clock(process)
+        self._suspect(place, process, now)
+        self._read(process, now)
+        process.member.on_tick(now)
+        self._collect(place, process)
+        if process.member.agreement.lost_membership:
+            self.by_place[place] = None
+
+    def _suspect(self, place: str, process: Process, now: float) -> None:
+        heard_at = process.member.agreement.liveness.heard_at
+        for member in heard_at:
+            if (place, member.partition("-")[0]) in self.suspected:
+                heard_at[member] = now - SUSPECTED_SECONDS
+
+    def _read(self, process: Process, now: float) -> None:
+        member = process.member
+        if process.sent_at is None:
+            process.sent_at = now
+        if process.reply is None and self.log_up and process.log_reachable:
+            start = max(member.next_offset(), self.first)
+            process.reply = (self.first, len(self.entries), self.entries[start:])
+        if process.reply is not None and not process.reads_held:
+            sent_at, process.sent_at = process.sent_at, None
+            reply, process.reply = process.reply, None
+            member.on_read(*reply, sent_at, now)
+
+    def _collect(self, place: str, process: Process) -> None:
+        effects = process.member.drain_effects()
+        self.pending.extend((process, record) for record in effects.appends)
+        for target, messages in effects.messages_by_member.items():
+            there = target.partition("-")[0]
+            for message in messages:
+                self.mail.append((process.member.id, place, target, there, message))
+
+    def log_goes_down(self, appends_take_effect: bool) -> None:
+        """Begin an outage; appends under way may be in the log, and nobody knows."""
+        if appends_take_effect and self.log_up:
+            self._append_all()
+        self.log_up = False
+
+    def _append_pending(self) -> None:
+        if self.log_up and not self.appends_held:
+            self._append_all()
+
+    def _append_all(self) -> None:
+        pending, self.pending = self.pending, []
+        for process, record in pending:
+            if process.log_reachable:
+                for _ in range(2 if self.doubled_appends else 1):
+                    self._append(record)
+            else:
+                self.pending.append((process, record))
+
+    def _append(self, record: Record) -> None:
+        entry = LogEntry(len(self.entries), int(self.now * 1000), (record,))
+        self.entries.append(entry)
+        before = set(self.truth.view.members)
+        for verdict in fold_entry(self.truth, entry):
+            if verdict.accepted and isinstance(record, Release):
+                self.notes[entry.offset] = self.truth.configuration.version
+            if verdict.accepted and isinstance(record, Evict | Join):
+                for gone in before - set(self.truth.view.members):
+                    self.removed_at[gone] = self.now
+        view = dict(self.truth.view.members)
+        self.true_states.append((view, self.truth.configuration.version))
+
+    def _deliver(self) -> None:
+        mail, self.mail = self.mail, []
+        for item in mail:
+            sender, origin, target, place, message = item
+            link = frozenset((origin, place))
+            process = self.by_place.get(place)
+            if process is None or link in self.cut:
+                continue
+            if self.relays_lost and isinstance(message, Relay | StateTransfer):
+                continue
+            if link in self.held or process.paused:
+                self.mail.append(item)
+                continue
+            stands_in = isinstance(message, EndorseRequest) and target == predecessor(
+                process.member.state.view, process.member.info
+            )
+            if process.member.id == target or stands_in:
+                for _ in range(2 if self.doubled_messages else 1):
+                    process.member.on_message(sender, message, self.clock(process))
+                self._collect(place, process)
+
+    def _note_acceptance(self) -> None:
+        for offset, version in self.notes.items():
+            if version in self.accepted_at:
+                continue
+            for _, process in self.live():
+                member = process.member
+                if member.agreement.folded_by_majority(offset, member.state):
+                    self.accepted_at[version] = self.now
+
+    def check(self) -> None:
+        for _, process in self.live():
+            self._check_state(process)
+            self._check_authority(process)
+
+    def _check_state(self, process: Process) -> None:
+        state = process.member.state
+        assert state.configuration.version >= process.version, "the version went back"
+        process.version = state.configuration.version
+        truth = self.true_states[state.position]
+        assert (state.view.members, state.configuration.version) == truth, (
+            f"{process.member.id} disagrees with the log at {state.position}"
+        )
+        places = [info.host for info in state.view.members.values()]
+        assert len(places) == len(set(places)), "two members at one place"
+
+    def _check_authority(self, process: Process) -> None:
+        member = process.member
+        if not member.has_authority(self.clock(process)):
+            return
+        removed = self.removed_at.get(member.id, self.now)
+        assert self.now - removed <= (T + MARGIN) / FAST, (
+            f"{member.id} has authority, and was evicted {self.now - removed} s ago"
+        )
+        for version, accepted in self.accepted_at.items():
+            if self.now - accepted > T / SLOW:
+                assert member.state.configuration.version >= version, (
+                    f"{member.id} has authority without version {version}"
+                )
+
+    def check_healed(self) -> None:
+        assert all(
+            process.member.agreement.standing(process.member.state) == Standing.MEMBER
+            and process.member.has_authority(self.clock(process))
+            for _, process in self.live()
+        ), "not every process is a member again"
+        assert len(self.truth.view.members) == len(self.by_place)
