Service-level burn report: counts in the log, alerts by two windows, one page

Conclusion: the history outlives every member; what a silent member alone knew (its last minute, its latencies) is named as missing.

--- /dev/null
+++ b/packages/geraniumshore-cli/src/geraniumshore_cli/internal/report_commands.py
@@ -0,0 +1,32 @@
+"""``geraniumshore report ...``: what the fleet did, for people and for programs."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated
+
+from cyclopts import App, Parameter
+
+from geraniumshore_cli.internal.burn_report import gather_burn_report
+from geraniumshore_cli.internal.client import Client
+from geraniumshore_cli.internal.output import ExitCode, show
+
+__all__ = ["app"]
+
+app = App(name="report", help="Reports on service levels and on the fleet.")
+
+AsJson = Annotated[bool, Parameter(name="--json", negative="", help="Print JSON.")]
+HtmlPath = Annotated[Path | None, Parameter(help="Write one self-contained page.")]
+
+
+@app.command
+def burn(*, as_json: AsJson = False, html: HtmlPath = None) -> int:
+    """Show how fast each queue uses up its error budget, and which alerts fire."""
+    report = gather_burn_report(Client.from_environment())
+    if html is not None:
+        html.write_text(report.html())
+    if as_json:
+        show(report.document())
+    elif html is None:
+        report.show()
+    return ExitCode.DONE
--- a/packages/geraniumshore/src/geraniumshore/__init__.py
+++ b/packages/geraniumshore/src/geraniumshore/__init__.py
@@ -11,6 +11,12 @@
     PlatformUnavailableError,
     UnknownOutcomeError,
 )
+from geraniumshore.internal.burn import (
+    Alert,
+    QueueBurn,
+    WindowBurn,
+    burn_by_queue,
+)
 from geraniumshore.internal.configuration import Configuration, apply_release
 from geraniumshore.internal.entry import (
     Decision,
@@ -70,6 +76,12 @@
     parse_release,
     validation_findings,
 )
+from geraniumshore.internal.service_levels import (
+    QueueCounts,
+    ServiceLevelHistory,
+    ServiceLevels,
+    is_good_call,
+)
 from geraniumshore.internal.shares import (
     Candidate,
     FirstComeFirstServed,
@@ -78,6 +90,7 @@
 )
 
 __all__ = [
+    "Alert",
     "Candidate",
     "Configuration",
     "ControlLog",
@@ -108,6 +121,8 @@
     "PlatformUnavailableError",
     "Pool",
     "Queue",
+    "QueueBurn",
+    "QueueCounts",
     "Ran",
     "RawEntry",
     "Record",
@@ -117,6 +132,8 @@
     "ReleaseNote",
     "ReleaseSummary",
     "Service",
+    "ServiceLevelHistory",
+    "ServiceLevels",
     "SharePolicy",
     "SlotRequest",
     "Start",
@@ -126,14 +143,17 @@
     "Verdict",
     "Wave",
     "WeightedShares",
+    "WindowBurn",
     "Withdrawn",
     "apply_release",
+    "burn_by_queue",
     "coalescing_key",
     "decode_message",
     "decode_records",
     "encode_message",
     "encode_records",
     "fold_entry",
+    "is_good_call",
     "load_json",
     "make_key",
     "parse_release",
--- a/packages/geraniumshore/src/geraniumshore/internal/fold.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/fold.py
@@ -22,6 +22,11 @@
     Record,
     Release,
 )
+from geraniumshore.internal.service_levels import (
+    ServiceLevelHistory,
+    ServiceLevels,
+    fold_service_levels,
+)
 from geraniumshore.internal.view import View, apply_evict, apply_join, apply_leave
 
 __all__ = ["ControlState", "ReleaseSummary", "Verdict", "fold_entry"]
@@ -54,6 +59,7 @@
     homes_changes: int = 0
     releases: list[ReleaseSummary] = field(default_factory=list)
     recent_ids: dict[str, None] = field(default_factory=dict)
+    service_levels: dict[str, ServiceLevelHistory] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,6 +106,14 @@
             state.view, findings = apply_evict(state.view, record)
         case Release():
             findings = _fold_release(state, record, entry)
+        case ServiceLevels():
+            findings = ()
+            fold_service_levels(
+                state.service_levels,
+                record,
+                entry.appended_at_ms,
+                state.configuration.queues,
+            )
     if not findings:
         _update_homes(state)
     return findings
--- a/packages/geraniumshore/src/geraniumshore/internal/records.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/records.py
@@ -10,6 +10,7 @@
 
 from geraniumshore.errors import Finding
 from geraniumshore.internal.release import ReleaseNote, validation_findings
+from geraniumshore.internal.service_levels import ServiceLevels
 
 __all__ = [
     "Evict",
@@ -89,7 +90,9 @@
     kind: Literal["release"] = "release"
 
 
-Record = Annotated[Join | Leave | Evict | Release, Field(discriminator="kind")]
+Record = Annotated[
+    Join | Leave | Evict | Release | ServiceLevels, Field(discriminator="kind")
+]
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/geraniumshored/src/geraniumshored/internal/calls.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/calls.py
@@ -28,6 +28,7 @@
     answer_problem,
 )
 from geraniumshored.internal.runtime import Runtime
+from geraniumshored.internal.service_levels import ServiceLevelCounter
 
 __all__ = ["CallHandler"]
 
@@ -66,8 +67,9 @@
 class CallHandler:
     """Handles ``POST /queues/NAME``."""
 
-    def __init__(self, runtime: Runtime) -> None:
+    def __init__(self, runtime: Runtime, levels: ServiceLevelCounter) -> None:
         self._runtime = runtime
+        self._levels = levels
         self._metrics = runtime.metrics
         self._open = 0
         self._changed = threading.Condition()
@@ -87,7 +89,9 @@
         label = queue_name if known else "unknown"
         self._metrics.requests.labels(label, str(answer.status)).inc()
         if known:
-            self._metrics.record_latency(queue_name, time.monotonic() - began)
+            seconds = time.monotonic() - began
+            self._metrics.record_latency(queue_name, seconds)
+            self._levels.count(queue_name, answer.status, seconds)
         return answer
 
     def wait_until_idle(self, seconds: float) -> bool:
--- a/packages/geraniumshored/src/geraniumshored/internal/daemon.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/daemon.py
@@ -15,6 +15,7 @@
 from geraniumshored.internal.peers import PeerNetwork, PeerServer
 from geraniumshored.internal.platform_http import HttpControlLog, PlatformCaller
 from geraniumshored.internal.runtime import Runtime
+from geraniumshored.internal.service_levels import ServiceLevelCounter
 from geraniumshored.internal.settings import Settings
 from geraniumshored.internal.ticker import Ticker
 
@@ -23,6 +24,7 @@
 logger = logging.getLogger(__name__)
 
 TICK_SECONDS = 0.05
+LEVELS_SECONDS = 60.0
 LEAVE_SECONDS = 3.0
 
 
@@ -45,10 +47,14 @@
         self._follower = LogFollower(log, self._runtime)
         self._network = PeerNetwork(self._runtime)
         self._peer_server = PeerServer(self._runtime, self._network)
-        self._calls = CallHandler(self._runtime)
-        operators = OperatorHandler(self._runtime, self._appender, settings.operators)
+        self._levels = ServiceLevelCounter(self._runtime)
+        self._calls = CallHandler(self._runtime, self._levels)
+        operators = OperatorHandler(
+            self._runtime, self._appender, settings.operators, self._levels
+        )
         self._front = Front(self._runtime, self._calls, operators)
         self._ticker = Ticker(TICK_SECONDS, self._tick)
+        self._levels_ticker = Ticker(LEVELS_SECONDS, self._append_levels)
         self._runtime.connect(self._network, self._appender)
 
     @classmethod
@@ -72,6 +78,7 @@
         self._appender.start()
         self._follower.start()
         self._ticker.start()
+        self._levels_ticker.start()
         self._front.start(self._settings.http, self._settings.threads)
         logger.info("started", extra={"http": str(self._settings.http)})
 
@@ -85,6 +92,8 @@
         threading.Event().wait(self._settings.notice_ms / 1000)
         longest = self._runtime.perform(lambda member, _: member.longest_call())
         idle = self._calls.wait_until_idle(longest)
+        self._levels_ticker.stop()
+        self._append_levels()
         self._leave()
         self._front.stop()
         self._ticker.stop()
@@ -101,6 +110,9 @@
         except Exception as error:
             logger.warning("leave not confirmed", extra={"error": repr(error)})
 
+    def _append_levels(self) -> None:
+        self._levels.append(self.member_id)
+
     def _tick(self) -> None:
         self._runtime.perform(lambda member, now: member.on_tick(now))
         self._network.forget_departed()
--- a/packages/geraniumshored/src/geraniumshored/internal/operators.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/operators.py
@@ -11,7 +11,13 @@
 from pydantic import TypeAdapter
 from result import Err
 
-from geraniumshore import Configuration, Release, UnknownOutcomeError, parse_release
+from geraniumshore import (
+    Configuration,
+    Release,
+    ServiceLevelHistory,
+    UnknownOutcomeError,
+    parse_release,
+)
 from geraniumshored.internal.follower import LogAppender
 from geraniumshored.internal.http_types import (
     HttpAnswer,
@@ -20,12 +26,16 @@
     answer_problem,
 )
 from geraniumshored.internal.runtime import Runtime
+from geraniumshored.internal.service_levels import ServiceLevelCounter
 from geraniumshored.internal.settings import Operator
 
 __all__ = ["OperatorHandler"]
 
 RELEASE_WAIT_SECONDS = 15.0
 MAX_NOTE_BYTES = 8 * 1024 * 1024
+_HISTORY: TypeAdapter[dict[str, ServiceLevelHistory]] = TypeAdapter(
+    dict[str, ServiceLevelHistory]
+)
 _CONFIGURATION: TypeAdapter[Configuration] = TypeAdapter(Configuration)
 
 
@@ -37,7 +47,9 @@
         runtime: Runtime,
         appender: LogAppender,
         operators: dict[str, Operator],
+        levels: ServiceLevelCounter,
     ) -> None:
+        self._levels = levels
         self._runtime = runtime
         self._appender = appender
         self._operators = operators
@@ -57,6 +69,8 @@
                     _CONFIGURATION.dump_json(configuration),
                     {"Content-Type": "application/json"},
                 )
+            case ("GET", ("service-levels",)):
+                return self._service_levels()
             case ("GET", ("releases",)):
                 releases = self._runtime.member.state.releases
                 return answer_json(200, {"releases": [asdict(r) for r in releases]})
@@ -101,6 +115,20 @@
         version = parsed.ok_value.base + 1
         return answer_json(200, {"version": version, "offset": verdict.offset})
 
+    def _service_levels(self) -> HttpAnswer:
+        """Give the folded history, and what this member alone knows yet."""
+        history = self._runtime.perform(
+            lambda member, _: _HISTORY.dump_python(
+                member.state.service_levels, mode="json"
+            )
+        )
+        document = {
+            "history": history,
+            "pending": [asdict(counts) for counts in self._levels.pending()],
+            "latencies": self._runtime.metrics.encoded_latencies(),
+        }
+        return answer_json(200, document)
+
     def _status(self) -> dict[str, object]:
         return self._runtime.perform(
             lambda member, now: {
--- a/packages/geraniumshored/src/geraniumshored/internal/runtime.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/runtime.py
@@ -39,7 +39,10 @@
     """Whatever appends records to the log."""
 
     def submit(self, record: Record) -> Future[Verdict]:
-        """Append a record without waiting."""
+        """Append a record nobody waits for."""
+
+    def append(self, record: Record) -> Future[Verdict]:
+        """Append a record; the future gives its verdict."""
 
 
 class Runtime:
@@ -108,6 +111,11 @@
         """Give a slot back."""
         self.perform(lambda member, now: member.finish(ticket, now))
 
+    def append(self, record: Record) -> Future[Verdict]:
+        """Append a record; the future gives its verdict once it is folded here."""
+        assert self._appends is not None
+        return self._appends.append(record)
+
     def await_verdict(self, record: Record) -> Future[Verdict]:
         """Return a future of the verdict on a record that is about to be appended."""
         future: Future[Verdict] = Future()
--- a/tests/cover/test_whole_path.py
+++ b/tests/cover/test_whole_path.py
@@ -1,6 +1,8 @@
 import pytest
 
 from geraniumshore import Key, ReleaseNote, Withdrawn
+from geraniumshore_cli import Client, ClientSettings
+from geraniumshore_cli.internal.burn_report import gather_burn_report
 from geraniumshore_standins import Fleet
 from tests.common.notes import bearer
 from tests.common.processes import apply_note, start_fleet
@@ -80,3 +82,16 @@
     assert secret not in log
     assert secret not in str(fleet.by_name["e0"].operator.get("configuration"))
     assert set(Key.__dataclass_fields__) == {"team", "salt", "digest"}
+
+
+def test_the_burn_report_counts_every_members_calls(fleet):
+    first = fleet.by_name["e0"]
+    settings = ClientSettings((first.address,), first.operator.bearer)
+    before = {b.queue: b.good for b in gather_burn_report(Client(settings)).queues}
+    for entry in fleet.by_name.values():
+        assert entry.call("count", bearer("acme")).status == 200
+    report = gather_burn_report(Client(settings))
+    after = {b.queue: b.good for b in report.queues}
+    assert after["count"] == before["count"] + 3
+    assert report.silent == ()
+    assert "<svg" in report.html()
