Let pools' job homes hold tokens of a team's limit

Cause: only services' homes could hold tokens, but jobs count for a team's limit too. Holders are now named by their ledger's key (service/NAME or pool/NAME); the holder's side is TokenAccount in tokens.py, and a member routes notices to whatever is registered as TokenHolder. A pool's home without an implementation reports that it holds nothing (NoWork), so that a note with a job queue does not block the teams' homes.

--- a/packages/geraniumshore/src/geraniumshore/internal/configuration.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/configuration.py
@@ -39,6 +39,11 @@
     queues: dict[str, Queue] = field(default_factory=dict)
     waves: dict[str, Wave] = field(default_factory=dict)
 
+    def job_pools(self) -> list[str]:
+        """Return the pools that queues of jobs name, each once."""
+        named = (q.pool for q in self.queues.values() if q.kind == "job")
+        return sorted({pool for pool in named if pool is not None})
+
 
 SECTIONS = tuple(f.name for f in fields(Configuration) if f.name != "version")
 
--- a/packages/geraniumshore/src/geraniumshore/internal/fold.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/fold.py
@@ -130,6 +130,7 @@
         state.homes,
         state.view.members,
         state.configuration.services,
+        state.configuration.job_pools(),
         state.configuration.teams,
         epoch=state.homes_changes + 1,
     )
--- a/packages/geraniumshore/src/geraniumshore/internal/homes.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/homes.py
@@ -1,4 +1,4 @@
-"""Homes: which member decides about which service and team.
+"""Homes: which member decides about which service, pool and team.
 
 A home is chosen by rendezvous hashing, so that every member computes the same one
 and a change of the view moves few of them. Homes of teams are placed, as far as
@@ -20,6 +20,7 @@
     "LedgerKey",
     "assign_homes",
     "choose_member",
+    "pool_ledger",
     "service_ledger",
     "team_ledger",
 ]
@@ -44,6 +45,11 @@
     return LedgerKey(f"service/{service}")
 
 
+def pool_ledger(pool: str) -> LedgerKey:
+    """Name the ledger of a pool's job home."""
+    return LedgerKey(f"pool/{pool}")
+
+
 def team_ledger(team: str) -> LedgerKey:
     """Name the ledger of a team's upper limit."""
     return LedgerKey(f"team/{team}")
@@ -61,6 +67,7 @@
     previous: Mapping[LedgerKey, Home],
     members: Iterable[str],
     services: Iterable[str],
+    pools: Iterable[str],
     teams: Iterable[str],
     epoch: int,
 ) -> dict[LedgerKey, Home]:
@@ -72,7 +79,11 @@
         service_ledger(service): choose_member(service_ledger(service), all_members)
         for service in services
     }
+    # What runs for a pool is in the log, so its home is no risk to a team's.
     without_service = all_members - set(chosen.values())
+    for pool in pools:
+        key = pool_ledger(pool)
+        chosen[key] = choose_member(key, all_members)
     for team in teams:
         key = team_ledger(team)
         chosen[key] = choose_member(key, without_service or all_members)
--- a/packages/geraniumshore/src/geraniumshore/internal/member.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/member.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from itertools import chain
 
 from geraniumshore.internal.authority import Authority
 from geraniumshore.internal.entry import (
@@ -18,7 +19,12 @@
     SlotRequest,
 )
 from geraniumshore.internal.fold import ControlState, Verdict, fold_entry
-from geraniumshore.internal.homes import LedgerKey, service_ledger, team_ledger
+from geraniumshore.internal.homes import (
+    LedgerKey,
+    pool_ledger,
+    service_ledger,
+    team_ledger,
+)
 from geraniumshore.internal.membership import Membership
 from geraniumshore.internal.messages import (
     Endorsement,
@@ -29,10 +35,11 @@
     Message,
 )
 from geraniumshore.internal.records import LogEntry, MemberInfo, Record
-from geraniumshore.internal.service_home import ServiceHome, TeamTerms
+from geraniumshore.internal.service_home import ServiceHome
 from geraniumshore.internal.shares import SharePolicy, WeightedShares
 from geraniumshore.internal.team_home import TeamHome
 from geraniumshore.internal.timing import HEARTBEAT_SECONDS
+from geraniumshore.internal.tokens import NoWork, TeamTerms, TokenHolder
 
 __all__ = ["Effects", "Member"]
 
@@ -64,6 +71,7 @@
         self.membership = Membership(info, new_id)
         self.service_homes: dict[str, ServiceHome] = {}
         self.team_homes: dict[str, TeamHome] = {}
+        self.token_holders: dict[LedgerKey, TokenHolder] = {}
         self.unusable_minions: frozenset[str] = frozenset()
         self._policy = policy or WeightedShares()
         self._retired: dict[str, ServiceHome] = {}
@@ -175,9 +183,9 @@
     def _on_notice(self, notice: GrantNotice, now: float) -> None:
         kind, _, name = notice.ledger.partition("/")
         if kind == "team":
-            home = self.service_homes.get(notice.holder)
-            if home is not None:
-                home.on_tokens(name, notice)
+            holder = self.token_holders.get(LedgerKey(notice.holder))
+            if holder is not None:
+                holder.on_tokens(name, notice, now)
         elif name in self.entry.by_service and notice.holder == self.id:
             decisions = self.entry.on_notice(name, notice, self.has_authority(now))
             self._effects.decisions.extend(decisions)
@@ -214,12 +222,13 @@
         for team_home in self.team_homes.values():
             team_home.grant(now)
             for notice in team_home.notices(everything):
-                self._send_to_home(service_ledger(notice.holder), notice)
+                self._send_to_home(LedgerKey(notice.holder), notice)
         for service_home in self.service_homes.values():
             service_home.grant(now)
             for notice in service_home.notices(everything):
                 self._send(notice.holder, notice)
-            for report in service_home.token_reports(everything, now):
+        for holder in self.token_holders.values():
+            for report in holder.token_reports(everything, now):
                 self._send_to_home(report.ledger, report)
 
     def _handover(self, service: str, now: float) -> Handover | None:
@@ -232,6 +241,7 @@
     def _follow_state(self, now: float) -> None:
         """Open, keep and retire homes and holdings as the folded state says."""
         self._follow_services(now)
+        self._follow_pools()
         self._follow_teams()
         self._configure_homes(now)
 
@@ -244,16 +254,28 @@
             current = self.service_homes.get(service)
             if current is not None and current.home.epoch != home.epoch:
                 self._retired[service] = self.service_homes.pop(service)
+                del self.token_holders[service_ledger(service)]
             if home.member == self.id and service not in self.service_homes:
-                self.service_homes[service] = ServiceHome(
-                    service, home, self._policy, set(members), now
-                )
+                opened = ServiceHome(service, home, self._policy, set(members), now)
+                self.service_homes[service] = opened
+                self.token_holders[service_ledger(service)] = opened
             self.entry.seal(service, home.epoch)
         for service in set(self.service_homes) - set(self.state.configuration.services):
             del self.service_homes[service]
+            del self.token_holders[service_ledger(service)]
+
+    def _follow_pools(self) -> None:
+        pools = self.state.configuration.job_pools()
+        for key in [key for key in self.token_holders if key.startswith("pool/")]:
+            del self.token_holders[key]
+        terms = self._terms_by_team()
+        for key in map(pool_ledger, pools):
+            home = self.state.homes.get(key)
+            if home is not None and home.member == self.id:
+                self.token_holders[key] = NoWork(key, home.epoch, terms)
 
     def _follow_teams(self) -> None:
-        epochs = self._epoch_by_service()
+        epochs = self._epoch_by_holder()
         run_limit = self._run_limit()
         for name, team in self.state.configuration.teams.items():
             home = self.state.homes.get(team_ledger(name))
@@ -269,7 +291,7 @@
             del self.team_homes[name]
 
     def _configure_homes(self, now: float) -> None:
-        epochs = self._epoch_by_service()
+        epochs = self._epoch_by_holder()
         run_limit = self._run_limit()
         terms = self._terms_by_team()
         for name, team_home in self.team_homes.items():
@@ -279,11 +301,14 @@
             service_home.on_members(self.state.view.members, now)
             service_home.configure(self._slots_by_minion(service), terms, run_limit)
 
-    def _epoch_by_service(self) -> dict[str, int]:
+    def _epoch_by_holder(self) -> dict[LedgerKey, int]:
+        configuration = self.state.configuration
+        services = map(service_ledger, configuration.services)
+        pools = map(pool_ledger, configuration.job_pools())
         return {
-            service: self.state.homes[service_ledger(service)].epoch
-            for service in self.state.configuration.services
-            if service_ledger(service) in self.state.homes
+            key: self.state.homes[key].epoch
+            for key in chain(services, pools)
+            if key in self.state.homes
         }
 
     def _terms_by_team(self) -> dict[str, TeamTerms]:
--- a/packages/geraniumshore/src/geraniumshore/internal/service_home.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/service_home.py
@@ -11,32 +11,20 @@
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
-from geraniumshore.internal.homes import Home, service_ledger, team_ledger
-from geraniumshore.internal.ledger import Holding, Lane, Ledger, lane_grants
-from geraniumshore.internal.messages import (
-    Demand,
-    GrantNotice,
-    Handover,
-    HolderReport,
-)
+from geraniumshore.internal.homes import Home, service_ledger
+from geraniumshore.internal.ledger import Lane, Ledger, lane_grants
+from geraniumshore.internal.messages import GrantNotice, Handover, HolderReport
 from geraniumshore.internal.shares import Candidate, SharePolicy
-from geraniumshore.internal.timing import IDLE_TOKEN_SECONDS, quarantine_until
+from geraniumshore.internal.timing import quarantine_until
+from geraniumshore.internal.tokens import TeamTerms, TokenAccount, TokenHolder
 
-__all__ = ["ServiceHome", "TeamTerms"]
+__all__ = ["ServiceHome"]
 
 # Tokens asked for beyond the slots that are free now, so that a slot that becomes
 # free does not wait for a token first.
 TOKEN_LOOKAHEAD = 2
 
 
-@dataclass(frozen=True, slots=True)
-class TeamTerms:
-    """What a service's home needs to know of a team."""
-
-    share: float
-    epoch: int
-
-
 @dataclass(slots=True)
 class _HolderDemand:
     sequence: int = -1
@@ -52,18 +40,7 @@
 
 
 @dataclass(slots=True)
-class _TeamTokens:
-    holding: Holding
-    sequence: int = 0
-    elsewhere: int = 0
-    recall: bool = False
-    idle_since: float | None = None
-    reported_wanted: int = 0
-    changed: bool = True
-
-
-@dataclass(slots=True)
-class ServiceHome:
+class ServiceHome(TokenHolder):
     """Decides who gets the slots of one service."""
 
     service: str
@@ -78,7 +55,7 @@
     unreported: set[str] = field(init=False)
     handed_over: bool = field(init=False)
     demand_by_holder: dict[str, _HolderDemand] = field(default_factory=dict)
-    tokens_by_team: dict[str, _TeamTokens] = field(default_factory=dict)
+    tokens_by_team: dict[str, TokenAccount] = field(default_factory=dict)
     changed: set[str] = field(default_factory=set)
 
     def __post_init__(self) -> None:
@@ -133,15 +110,11 @@
             self.unreported.discard(report.holder)
             self._seal_tokens()
 
-    def on_tokens(self, team: str, notice: GrantNotice) -> None:
+    def on_tokens(self, team: str, notice: GrantNotice, now: float) -> None:
         """Take in tokens from a team's home."""
         tokens = self.tokens_by_team.get(team)
-        if tokens is None or notice.epoch != tokens.holding.epoch:
-            return
-        if any(True for _ in tokens.holding.receive(notice)):
-            tokens.changed = True
-        tokens.elsewhere = notice.elsewhere
-        tokens.recall = notice.recall
+        if tokens is not None:
+            tokens.receive(notice)
 
     def grant(self, now: float) -> None:
         """Grant free slots to waiting teams that have tokens, as the policy says."""
@@ -191,11 +164,9 @@
         )
         for team, tokens in self.tokens_by_team.items():
             wanted = self._tokens_wanted(team, use_by_team[team], unmet, free)
-            if everyone or tokens.changed or wanted != tokens.reported_wanted:
-                tokens.changed = False
-                tokens.reported_wanted = wanted
-                tokens.sequence += 1
-                yield self._token_report(team, tokens, wanted, now)
+            report = tokens.report(wanted, self.complete(now), always=everyone)
+            if report is not None:
+                yield report
 
     def handover(self, now: float) -> Handover:
         """Return what the next home can learn from nobody else."""
@@ -223,9 +194,13 @@
         for team, terms in self.terms_by_team.items():
             tokens = self.tokens_by_team.get(team)
             if tokens is None or tokens.holding.epoch != terms.epoch:
-                held = {Lane(team): use_by_team[team]}
-                holding = Holding.sealed(terms.epoch, held, self.home.epoch)
-                self.tokens_by_team[team] = _TeamTokens(holding)
+                self.tokens_by_team[team] = TokenAccount.sealed(
+                    team,
+                    service_ledger(self.service),
+                    self.home.epoch,
+                    terms.epoch,
+                    use_by_team[team],
+                )
 
     def _tally(self) -> tuple[Counter[str], Counter[str]]:
         use_by_minion: Counter[str] = Counter()
@@ -259,7 +234,7 @@
             tokens = self.tokens_by_team.get(team)
             if count <= 0 or tokens is None:
                 continue
-            if tokens.holding.held_by(Lane(team)) <= use_by_team[team]:
+            if tokens.held <= use_by_team[team]:
                 continue
             yield Candidate(
                 team=team,
@@ -295,18 +270,7 @@
     ) -> None:
         waiting = {team for (_, team, _), count in unmet.items() if count > 0}
         for team, tokens in self.tokens_by_team.items():
-            idle = tokens.holding.held_by(Lane(team)) - use_by_team[team]
-            if idle <= 0:
-                tokens.idle_since = None
-                continue
-            if tokens.idle_since is None:
-                tokens.idle_since = now
-            if tokens.recall or (
-                team not in waiting and now - tokens.idle_since >= IDLE_TOKEN_SECONDS
-            ):
-                tokens.holding.give_back(Lane(team), idle)
-                tokens.changed = True
-                tokens.idle_since = None
+            tokens.return_idle(use_by_team[team], team in waiting, now)
 
     def _tokens_wanted(
         self,
@@ -316,19 +280,5 @@
         free_slots: int,
     ) -> int:
         waiting = sum(count for (_, t, _), count in unmet.items() if t == team)
-        idle = self.tokens_by_team[team].holding.held_by(Lane(team)) - in_use
+        idle = self.tokens_by_team[team].held - in_use
         return max(0, min(waiting, free_slots + TOKEN_LOOKAHEAD) - idle)
-
-    def _token_report(
-        self, team: str, tokens: _TeamTokens, wanted: int, now: float
-    ) -> HolderReport:
-        return HolderReport(
-            ledger=team_ledger(team),
-            epoch=tokens.holding.epoch,
-            holder=self.service,
-            holder_epoch=self.home.epoch,
-            sequence=tokens.sequence,
-            lanes=tokens.holding.lane_reports(),
-            demand=(Demand(team, False, wanted),) if wanted else (),
-            complete=self.complete(now),
-        )
--- /dev/null
+++ b/packages/geraniumshore/src/geraniumshore/internal/tokens.py
@@ -0,0 +1,143 @@
+"""The holder's side of a team's limit: tokens that a home of work keeps and uses.
+
+A home of work (a service's, or a pool's for jobs) runs a unit of a team's work only
+with one of that team's tokens. It keeps a :class:`TokenAccount` for each team with
+the team's home, and gives idle tokens back after a moment or on request.
+"""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from geraniumshore.internal.homes import LedgerKey, team_ledger
+from geraniumshore.internal.ledger import Holding, Lane
+from geraniumshore.internal.messages import Demand, GrantNotice, HolderReport
+from geraniumshore.internal.timing import IDLE_TOKEN_SECONDS
+
+__all__ = ["NoWork", "TeamTerms", "TokenAccount", "TokenHolder"]
+
+
+@dataclass(frozen=True, slots=True)
+class TeamTerms:
+    """What a home of work needs to know of a team.
+
+    ``epoch`` is that of the team's home.
+    """
+
+    share: float
+    epoch: int
+
+
+class TokenHolder(ABC):
+    """A home of work, as the homes of teams see it."""
+
+    @abstractmethod
+    def on_tokens(self, team: str, notice: GrantNotice, now: float) -> None:
+        """Take in a notice of a team's home."""
+
+    @abstractmethod
+    def token_reports(self, everyone: bool, now: float) -> Iterator[HolderReport]:
+        """Yield the accounts with the teams' homes, changed ones or all.
+
+        Nothing may be yielded before all of the work that uses tokens is known.
+        """
+
+
+@dataclass(slots=True)
+class TokenAccount:
+    """One holder's account with one team's home."""
+
+    team: str
+    holder: LedgerKey
+    holding: Holding
+    elsewhere: int = 0
+    recall: bool = False
+    changed: bool = True
+    _sequence: int = 0
+    _idle_since: float | None = None
+    _reported_wanted: int = 0
+
+    @classmethod
+    def sealed(
+        cls, team: str, holder: LedgerKey, holder_epoch: int, epoch: int, in_use: int
+    ) -> TokenAccount:
+        """Open an account with the team's home of ``epoch`` that covers work in use."""
+        held = {Lane(team): in_use}
+        return cls(team, holder, Holding.sealed(epoch, held, holder_epoch))
+
+    @property
+    def held(self) -> int:
+        """Tokens in hand, in use or idle."""
+        return self.holding.held_by(Lane(self.team))
+
+    def receive(self, notice: GrantNotice) -> None:
+        """Take in a notice of the team's home; one of another epoch is dropped."""
+        account = (self.holding.epoch, self.holding.holder_epoch)
+        if (notice.epoch, notice.holder_epoch) != account:
+            return
+        if any(True for _ in self.holding.receive(notice)):
+            self.changed = True
+        self.elsewhere = notice.elsewhere
+        self.recall = notice.recall
+
+    def return_idle(self, in_use: int, waiting: bool, now: float) -> None:
+        """Give idle tokens back when asked to, or where no work has come for them."""
+        idle = self.held - in_use
+        if idle <= 0:
+            self._idle_since = None
+            return
+        if self._idle_since is None:
+            self._idle_since = now
+        expired = not waiting and now - self._idle_since >= IDLE_TOKEN_SECONDS
+        if self.recall or expired:
+            self.holding.give_back(Lane(self.team), idle)
+            self.changed = True
+            self._idle_since = None
+
+    def report(self, wanted: int, complete: bool, always: bool) -> HolderReport | None:
+        """Return the account for the team's home, or None where nothing changed.
+
+        ``wanted`` counts tokens wanted beyond those in hand; ``complete`` says that
+        no work of an earlier home of the same ledger can be unknown here.
+        """
+        if not (always or self.changed or wanted != self._reported_wanted):
+            return None
+        self.changed = False
+        self._reported_wanted = wanted
+        self._sequence += 1
+        return HolderReport(
+            ledger=team_ledger(self.team),
+            epoch=self.holding.epoch,
+            holder=self.holder,
+            holder_epoch=self.holding.holder_epoch,
+            sequence=self._sequence,
+            lanes=self.holding.lane_reports(),
+            demand=(Demand(self.team, False, wanted),) if wanted else (),
+            complete=complete,
+        )
+
+
+@dataclass(slots=True)
+class NoWork(TokenHolder):
+    """Stands for a home that has no work: it reports that it holds no token."""
+
+    holder: LedgerKey
+    epoch: int
+    terms_by_team: dict[str, TeamTerms] = field(default_factory=dict)
+
+    def on_tokens(self, team: str, notice: GrantNotice, now: float) -> None:
+        """Ignore a notice: no token was asked for."""
+
+    def token_reports(self, everyone: bool, now: float) -> Iterator[HolderReport]:
+        """Yield an empty account for each team, at each heartbeat."""
+        if not everyone:
+            return
+        for team, terms in self.terms_by_team.items():
+            account = TokenAccount.sealed(
+                team, self.holder, self.epoch, terms.epoch, in_use=0
+            )
+            report = account.report(0, complete=True, always=True)
+            if report is not None:
+                yield report
