Add a fault-injecting TCP proxy that goes on any hop

Cause: tests of faults need real processes whose connections can be delayed, cut, reset, refused or silenced, and the fleet had none. One process carries many hops, so a test stays within few processes. For hops between members, an entry host can advertise the address of a hop in place of its own.

Before: no fault on a connection could be brought about.

--- a/packages/geraniumshore-standins/src/geraniumshore_standins/__main__.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/__main__.py
@@ -8,11 +8,13 @@
 
 from geraniumshore_standins.internal.minion import MinionState
 from geraniumshore_standins.internal.platform import PlatformState
+from geraniumshore_standins.internal.proxy import FaultProxy
 from geraniumshore_standins.internal.wsgi import serve
 
 app = App(name="geraniumshore_standins", help="Stand-ins for tests and the demo.")
 
 THREADS = 64
+CONTROL_THREADS = 4
 
 
 @app.command
@@ -27,6 +29,12 @@
     serve(MinionState(name, slots).handle, port, THREADS)
 
 
+@app.command
+def proxy(*, port: int, seed: int = 0) -> None:
+    """Run the fault proxy on loopback; ``port`` is its control's."""
+    serve(FaultProxy(seed).handle, port, CONTROL_THREADS)
+
+
 if __name__ == "__main__":
     logging.getLogger("waitress").setLevel(logging.CRITICAL)
     app()
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/fleet.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/fleet.py
@@ -19,6 +19,7 @@
 from typing import Any
 
 from geraniumshore import MadeKey, make_key
+from geraniumshore_standins.internal.hop import Hop
 from geraniumshore_standins.internal.operator_client import (
     HttpReply,
     OperatorClient,
@@ -106,6 +107,8 @@
 
     directory: Path = field(default_factory=lambda: Path(tempfile.mkdtemp()))
     platform_address: str = ""
+    proxy_address: str = ""
+    peer_hop_by_entry: dict[str, Hop] = field(default_factory=dict)
     address_by_minion: dict[str, str] = field(default_factory=dict)
     by_name: dict[str, EntryProcess] = field(default_factory=dict)
     processes: list[subprocess.Popen[bytes]] = field(default_factory=list)
@@ -126,6 +129,25 @@
             "platform",
         )
 
+    def start_proxy(self, seed: int = 0) -> None:
+        """Start the fault proxy; :meth:`open_hop` then puts it on any hop."""
+        port = free_port()
+        self._start_module("proxy", "--port", str(port), "--seed", str(seed))
+        self.proxy_address = f"127.0.0.1:{port}"
+        wait_for(
+            lambda: http_call(self.proxy_address, "GET", "/hops").status == 200,
+            "fault proxy",
+        )
+
+    def open_hop(self, target: str) -> Hop:
+        """Open a hop of the fault proxy that leads to ``target``."""
+        port = free_port()
+        body = json.dumps({"port": port, "target": target}).encode()
+        reply = http_call(self.proxy_address, "POST", "/hops", body)
+        if reply.status != 200:
+            raise OSError(f"opening a hop: got status {reply.status}, want 200")
+        return Hop(f"127.0.0.1:{port}", self.proxy_address)
+
     def start_minion(self, name: str, slots: int = 8) -> str:
         """Start a minion's stand-in and return its address."""
         port = free_port()
@@ -147,10 +169,23 @@
         name: str,
         data_centre: str = "dc1",
         platform_address: str | None = None,
+        peer_proxied: bool = False,
         **settings: Any,
     ) -> EntryProcess:
-        """Start an entry host's process; it may not be a member yet."""
+        """Start an entry host's process; it may not be a member yet.
+
+        Where it is ``peer_proxied``, other members reach it through
+        ``peer_hop_by_entry[name]``.
+        """
         http_port, peer_port = free_port(), free_port()
+        if peer_proxied:
+            hop = self.open_hop(f"127.0.0.1:{peer_port}")
+            self.peer_hop_by_entry[name] = hop
+            hop_address, _, hop_port = hop.address.partition(":")
+            settings["peer_advertised"] = {
+                "address": hop_address,
+                "port": int(hop_port),
+            }
         address, _, port = (platform_address or self.platform_address).partition(":")
         document = {
             "host": name,
--- /dev/null
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/proxy.py
@@ -0,0 +1,241 @@
+"""A TCP proxy that brings about the faults of a network, hop by hop.
+
+One process carries many hops. Each listens on a port of its own and forwards to one
+target; a small HTTP control opens hops and switches their faults.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import socket
+import struct
+import threading
+from collections.abc import Coroutine
+from dataclasses import asdict, dataclass, field
+from typing import Any, TypeVar
+
+from geraniumshore_standins.internal.wsgi import Answer, Call
+
+__all__ = ["FaultProxy", "HopFaults"]
+
+CHUNK_BYTES = 65_536
+POLL_SECONDS = 0.02
+CONTROL_SECONDS = 10.0
+# SO_LINGER switched on with a timeout of zero: closing sends RST in place of FIN.
+LINGER_RESET = struct.pack("ii", 1, 0)
+
+T = TypeVar("T")
+
+
+@dataclass(frozen=True, slots=True)
+class HopFaults:
+    """What is wrong on one hop.
+
+    ``delay_ms`` holds back each piece of data, both ways. ``refuse`` ends listening, so
+    that connecting fails. ``silent_to_target`` and ``silent_to_caller`` stop forwarding
+    that way, without FIN or RST. ``cut_after`` and ``reset_after`` end a connection
+    after so many bytes of its answers; 0 loses the reply to a request that arrived.
+    ``fraction`` of the connections are faulty; the others work.
+    """
+
+    delay_ms: int = 0
+    refuse: bool = False
+    silent_to_target: bool = False
+    silent_to_caller: bool = False
+    cut_after: int | None = None
+    reset_after: int | None = None
+    fraction: float = 1.0
+
+
+@dataclass(eq=False, slots=True)
+class _Connection:
+    """One connection through a hop: a side for the caller, a side for the target."""
+
+    draw: float
+    caller: asyncio.StreamWriter
+    target: asyncio.StreamWriter
+    silenced: bool = False
+    answered_bytes: int = 0
+
+    def close(self) -> None:
+        for writer in (self.caller, self.target):
+            writer.close()
+
+    def reset(self) -> None:
+        for writer in (self.caller, self.target):
+            sock = writer.get_extra_info("socket")
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+            writer.transport.abort()
+
+
+@dataclass(slots=True)
+class _Hop:
+    """One listening port and where it leads."""
+
+    port: int
+    target_address: str
+    target_port: int
+    random: random.Random
+    faults: HopFaults = field(default_factory=HopFaults)
+    connections: set[_Connection] = field(default_factory=set)
+    accepted: int = 0
+    server: asyncio.Server | None = None
+
+    async def listen(self) -> None:
+        if self.server is None:
+            self.server = await asyncio.start_server(
+                self._accept, "127.0.0.1", self.port
+            )
+
+    async def set_faults(self, faults: HopFaults) -> None:
+        self.faults = faults
+        if not faults.refuse:
+            await self.listen()
+        elif self.server is not None:
+            self.server.close()
+            self.server = None
+
+    def silence(self) -> None:
+        """Let the connections that are open now go silent for good."""
+        for connection in self.connections:
+            connection.silenced = True
+
+    def reset(self) -> None:
+        """Reset the connections that are open now."""
+        for connection in list(self.connections):
+            connection.reset()
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.accepted += 1
+        try:
+            target_reader, target_writer = await asyncio.open_connection(
+                self.target_address, self.target_port
+            )
+        except OSError:
+            writer.transport.abort()
+            return
+        connection = _Connection(self.random.random(), writer, target_writer)
+        self.connections.add(connection)
+        try:
+            await asyncio.gather(
+                self._forward(connection, reader, target_writer, to_caller=False),
+                self._forward(connection, target_reader, writer, to_caller=True),
+            )
+        except OSError:
+            connection.reset()
+        finally:
+            connection.close()
+            self.connections.discard(connection)
+
+    async def _forward(
+        self,
+        connection: _Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        to_caller: bool,
+    ) -> None:
+        while chunk := await reader.read(CHUNK_BYTES):
+            await self._hold(connection, to_caller)
+            if to_caller and self._ends_connection(connection, chunk, writer):
+                return
+            writer.write(chunk)
+            await writer.drain()
+        await self._hold(connection, to_caller)
+        if writer.can_write_eof():
+            writer.write_eof()
+
+    async def _hold(self, connection: _Connection, to_caller: bool) -> None:
+        """Wait for the delay, and for as long as this direction is silent."""
+        if self._is_faulty(connection) and self.faults.delay_ms:
+            await asyncio.sleep(self.faults.delay_ms / 1000)
+        while self._is_silent(connection, to_caller):
+            await asyncio.sleep(POLL_SECONDS)
+
+    def _is_faulty(self, connection: _Connection) -> bool:
+        return connection.draw < self.faults.fraction
+
+    def _is_silent(self, connection: _Connection, to_caller: bool) -> bool:
+        faults = self.faults
+        silent = faults.silent_to_caller if to_caller else faults.silent_to_target
+        return connection.silenced or (silent and self._is_faulty(connection))
+
+    def _ends_connection(
+        self, connection: _Connection, chunk: bytes, writer: asyncio.StreamWriter
+    ) -> bool:
+        """End the connection where its answers reach the length of a fault."""
+        if not self._is_faulty(connection):
+            return False
+        faults = self.faults
+        for limit, end in (
+            (faults.cut_after, connection.close),
+            (faults.reset_after, connection.reset),
+        ):
+            allowed = None if limit is None else limit - connection.answered_bytes
+            if allowed is not None and len(chunk) > allowed:
+                writer.write(chunk[: max(0, allowed)])
+                end()
+                return True
+        connection.answered_bytes += len(chunk)
+        return False
+
+
+class FaultProxy:
+    """All hops of one process, and the handler of their HTTP control."""
+
+    def __init__(self, seed: int = 0) -> None:
+        self._random = random.Random(seed)
+        self._hop_by_port: dict[int, _Hop] = {}
+        self._loop = asyncio.new_event_loop()
+        thread = threading.Thread(target=self._loop.run_forever, daemon=True)
+        thread.start()
+
+    def handle(self, call: Call) -> Answer:
+        """Answer one call of the control."""
+        match (call.method, call.path):
+            case ("GET", ("hops",)):
+                return Answer.json({"hops": sorted(self._hop_by_port)})
+            case ("POST", ("hops",)):
+                return self._open(call)
+            case (method, ("hops", port, what)) if int(port) in self._hop_by_port:
+                return self._control(self._hop_by_port[int(port)], method, what, call)
+            case _:
+                return Answer.json({"error": "no such path"}, 404)
+
+    def _open(self, call: Call) -> Answer:
+        document = call.document()
+        address, _, port = document["target"].partition(":")
+        seeded = random.Random(self._random.random())
+        hop = _Hop(int(document["port"]), address, int(port), seeded)
+        self._run(hop.listen())
+        self._hop_by_port[hop.port] = hop
+        return Answer.json({"port": hop.port})
+
+    def _control(self, hop: _Hop, method: str, what: str, call: Call) -> Answer:
+        match (method, what):
+            case ("PUT", "faults"):
+                self._run(hop.set_faults(HopFaults(**call.document())))
+            case ("POST", "silence"):
+                self._loop.call_soon_threadsafe(hop.silence)
+            case ("POST", "reset"):
+                self._loop.call_soon_threadsafe(hop.reset)
+            case ("GET", "state"):
+                pass
+            case _:
+                return Answer.json({"error": "no such path"}, 404)
+        return Answer.json(
+            {
+                "faults": asdict(hop.faults),
+                "accepted": hop.accepted,
+                "open": len(hop.connections),
+            }
+        )
+
+    def _run(self, work: Coroutine[Any, Any, T]) -> T:
+        return asyncio.run_coroutine_threadsafe(work, self._loop).result(
+            CONTROL_SECONDS
+        )
--- a/packages/geraniumshored/src/geraniumshored/internal/daemon.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/daemon.py
@@ -35,7 +35,7 @@
             member=member_id,
             host=settings.host,
             data_centre=settings.data_centre,
-            peer_address=str(settings.peer),
+            peer_address=str(settings.peer_advertised or settings.peer),
             http_address=str(settings.http),
         )
         caller = PlatformCaller.from_settings(settings.platform)
--- a/packages/geraniumshored/src/geraniumshored/internal/settings.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/settings.py
@@ -48,14 +48,16 @@
 class Settings(_Part):
     """All that a process learns from its host. The rest comes from the log.
 
-    ``notice_ms`` is how long the balancer may go on sending after ``/readyz`` fails;
-    a graceful shutdown serves on for that time.
+    ``peer_advertised`` is where other members connect to, where that is not ``peer``
+    itself. ``notice_ms`` is how long the balancer may go on sending after ``/readyz``
+    fails; a graceful shutdown serves on for that time.
     """
 
     host: str = Field(min_length=1)
     data_centre: str = Field(min_length=1)
     http: Listen
     peer: Listen
+    peer_advertised: Listen | None = None
     platform: PlatformSettings
     operators: dict[str, Operator] = {}
     threads: Annotated[int, Field(ge=4, le=1_000)] = 96
