--- a/packages/geraniumshore-cli/src/geraniumshore_cli/internal/main.py
+++ b/packages/geraniumshore-cli/src/geraniumshore_cli/internal/main.py
@@ -10,7 +10,11 @@
 from cyclopts import App, Parameter
 
 from geraniumshore import InvalidInputError, UnknownOutcomeError, make_key
-from geraniumshore_cli.internal import member_commands, release_commands
+from geraniumshore_cli.internal import (
+    member_commands,
+    release_commands,
+    report_commands,
+)
 from geraniumshore_cli.internal.client import Client
 from geraniumshore_cli.internal.member_commands import status_of
 from geraniumshore_cli.internal.output import (
@@ -35,6 +39,7 @@
 )
 app.command(release_commands.app)
 app.command(member_commands.app)
+app.command(report_commands.app)
 keys_app = App(name="keys", help="Keys of teams and operators.")
 app.command(keys_app)
 
--- a/packages/geraniumshore/src/geraniumshore/__init__.py
+++ b/packages/geraniumshore/src/geraniumshore/__init__.py
@@ -12,6 +12,12 @@
     UnknownOutcomeError,
 )
 from geraniumshore.internal.agreement import Standing
+from geraniumshore.internal.burn import (
+    Alert,
+    QueueBurn,
+    WindowBurn,
+    burn_by_queue,
+)
 from geraniumshore.internal.configuration import Configuration, apply_release
 from geraniumshore.internal.entry import (
     Decision,
@@ -75,6 +81,12 @@
     parse_release,
     validation_findings,
 )
+from geraniumshore.internal.service_levels import (
+    QueueCounts,
+    ServiceLevelHistory,
+    ServiceLevels,
+    is_good_call,
+)
 from geraniumshore.internal.shares import (
     Candidate,
     FirstComeFirstServed,
@@ -84,6 +96,7 @@
 from geraniumshore.internal.view import predecessor
 
 __all__ = [
+    "Alert",
     "Candidate",
     "Configuration",
     "ControlLog",
@@ -115,6 +128,8 @@
     "PlatformUnavailableError",
     "Pool",
     "Queue",
+    "QueueBurn",
+    "QueueCounts",
     "Ran",
     "RawEntry",
     "Record",
@@ -125,6 +140,8 @@
     "ReleaseNote",
     "ReleaseSummary",
     "Service",
+    "ServiceLevelHistory",
+    "ServiceLevels",
     "SharePolicy",
     "SlotRequest",
     "SnapshotPart",
@@ -137,14 +154,17 @@
     "Verdict",
     "Wave",
     "WeightedShares",
+    "WindowBurn",
     "Withdrawn",
     "apply_release",
+    "burn_by_queue",
     "coalescing_key",
     "decode_message",
     "decode_records",
     "encode_message",
     "encode_records",
     "fold_entry",
+    "is_good_call",
     "load_json",
     "make_key",
     "parse_release",
--- a/packages/geraniumshore/src/geraniumshore/internal/records.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/records.py
@@ -10,6 +10,7 @@
 
 from geraniumshore.errors import Finding
 from geraniumshore.internal.release import ReleaseNote, validation_findings
+from geraniumshore.internal.service_levels import ServiceLevels
 
 __all__ = [
     "Evict",
@@ -116,7 +117,8 @@
 
 
 Record = Annotated[
-    Join | Leave | Evict | Release | SnapshotPart, Field(discriminator="kind")
+    Join | Leave | Evict | Release | ServiceLevels | SnapshotPart,
+    Field(discriminator="kind"),
 ]
 
 
