--- a/packages/geraniumshored/src/geraniumshored/internal/daemon.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/daemon.py
@@ -11,10 +11,15 @@
 from geraniumshored.internal.calls import CallHandler
 from geraniumshored.internal.follower import LogAppender, LogFollower
 from geraniumshored.internal.front import Front
+from geraniumshored.internal.host_watch import HostWatch
 from geraniumshored.internal.metrics import Metrics
 from geraniumshored.internal.operators import OperatorHandler
 from geraniumshored.internal.peers import PeerNetwork, PeerServer
-from geraniumshored.internal.platform_http import HttpControlLog, PlatformCaller
+from geraniumshored.internal.platform_http import (
+    HttpControlLog,
+    HttpHostList,
+    PlatformCaller,
+)
 from geraniumshored.internal.runtime import Runtime
 from geraniumshored.internal.service_levels import ServiceLevelCounter
 from geraniumshored.internal.settings import Settings
@@ -27,6 +32,8 @@
 TICK_SECONDS = 0.05
 LEVELS_SECONDS = 60.0
 LEAVE_SECONDS = 3.0
+# How often the platform's list of hosts is read while a member is silent.
+WATCH_SECONDS = 2.0
 
 
 class ExitStatus(IntEnum):
@@ -51,6 +58,8 @@
         caller = PlatformCaller.from_settings(settings.platform)
         log = HttpControlLog(caller)
         self._runtime = Runtime(Member(info, new_id=lambda: uuid4().hex), Metrics())
+        snapshots = self._runtime.member.agreement.snapshots
+        snapshots.period = float(settings.snapshot_seconds)
         self._appender = LogAppender(log, self._runtime)
         self._follower = LogFollower(log, self._runtime)
         self._network = PeerNetwork(self._runtime)
@@ -62,6 +71,8 @@
         )
         self._front = Front(self._runtime, self._calls, operators)
         self._ticker = Ticker(TICK_SECONDS, self._tick)
+        watch = HostWatch(HttpHostList(caller), self._runtime)
+        self._watch_ticker = Ticker(WATCH_SECONDS, watch.look)
         self._stop_requested = threading.Event()
         self._evicted = False
         self._levels_ticker = Ticker(LEVELS_SECONDS, self._append_levels)
@@ -93,6 +104,7 @@
         self._appender.start()
         self._follower.start()
         self._ticker.start()
+        self._watch_ticker.start()
         self._levels_ticker.start()
         self._front.start(self._settings.http, self._settings.threads)
         logger.info("started", extra={"http": str(self._settings.http)})
@@ -113,6 +125,7 @@
             self._leave()
         self._front.stop()
         self._ticker.stop()
+        self._watch_ticker.stop()
         self._follower.stop()
         self._appender.stop()
         self._network.stop()
--- a/packages/geraniumshored/src/geraniumshored/internal/settings.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/settings.py
@@ -50,7 +50,8 @@
 
     ``peer_advertised`` is where other members connect to, where that is not ``peer``
     itself. ``notice_ms`` is how long the balancer may go on sending after ``/readyz``
-    fails; a graceful shutdown serves on for that time.
+    fails; a graceful shutdown serves on for that time. ``snapshot_seconds`` is how
+    often the folded state goes into the log; want well below the log's retention.
     """
 
     host: str = Field(min_length=1)
@@ -61,6 +62,7 @@
     platform: PlatformSettings
     operators: dict[str, Operator] = {}
     threads: Annotated[int, Field(ge=4, le=1_000)] = 96
+    snapshot_seconds: Annotated[int, Field(ge=1, le=86_400)] = 240
     notice_ms: Annotated[int, Field(ge=0, le=120_000)] = 2_000
 
 
