Go on over a gap in the log that a majority is before

Cause: an append may take effect while its reply is lost and the log goes down, and expire unread. No member could fold on then, for ever. Now a majority that is before the same gap bridges it with the furthest state among them; an accepted note cannot be in the gap, since a majority has folded it. A member that had read the lost records and was away meanwhile ends and joins anew. Each of the three cases has a test.

--- a/packages/geraniumshore/src/geraniumshore/internal/agreement.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/agreement.py
@@ -13,6 +13,7 @@
 from itertools import takewhile
 
 from geraniumshore.internal.authority import Authority
+from geraniumshore.internal.bridge import Bridging, diverges
 from geraniumshore.internal.eviction import Evictions
 from geraniumshore.internal.fold import ControlState
 from geraniumshore.internal.liveness import SILENCE_SECONDS, Liveness
@@ -70,6 +71,7 @@
     lost_membership: bool = False
     membership: Membership = field(init=False)
     evictions: Evictions = field(init=False)
+    bridging: Bridging = field(init=False)
     liveness: Liveness = field(init=False)
     snapshots: SnapshotSchedule = field(init=False)
     folded_by_member: dict[str, int] = field(default_factory=dict)
@@ -83,6 +85,7 @@
     def __post_init__(self) -> None:
         self.membership = Membership(self.info, self.new_id)
         self.evictions = Evictions(self.info.member, self.new_id)
+        self.bridging = Bridging(self.own, self.new_id)
         self.liveness = Liveness(self.info)
         self.snapshots = SnapshotSchedule(self.info.member)
 
@@ -116,7 +119,9 @@
             self._recent.append(entry)
             for record in entry.records:
                 if isinstance(record, SnapshotPart):
-                    self.snapshots.on_part(record, now)
+                    whole = self.snapshots.on_part(record, now)
+                    if whole is not None:
+                        self.lost_membership |= diverges(whole, state)
         self.authority.on_folded(state.position)
         self.lost_membership |= self.membership.follow(state.view)
 
@@ -152,6 +157,7 @@
         """Count an endorsement of what this member has proposed."""
         self.membership.on_endorsement(endorsement)
         self.evictions.on_endorsement(endorsement)
+        self.bridging.on_endorsement(endorsement)
 
     def on_tick(self, state: ControlState, now: float) -> Iterator[tuple[str, Message]]:
         """Yield what to tell and ask others by time alone."""
@@ -160,6 +166,8 @@
             return
         yield from self._presence(state, now)
         yield from self._ask_attestations(state, now)
+        if self.catch_up is not None:
+            yield from self.bridging.requests(state, self.catch_up, now)
         if not self._log_answers(now):
             return
         gone = self.liveness.gone(state.view.members, now)
@@ -174,7 +182,11 @@
 
     def records(self, state: ControlState, now: float) -> Iterator[Record]:
         """Yield what to append now."""
-        if self.log_reset or not self._log_answers(now):
+        if self.log_reset:
+            return
+        if self.catch_up is not None:
+            yield from self.bridging.records(state, self.catch_up, now)
+        if not self._log_answers(now):
             return
         gone = self.liveness.gone(state.view.members, now)
         join = self.membership.join_record(state.view, gone, now)
@@ -216,7 +228,13 @@
     def _endorse(
         self, request: EndorseRequest, state: ControlState, now: float
     ) -> Endorsement | None:
-        if self.lost_membership or not self._log_answers(now):
+        if self.lost_membership:
+            return None
+        if request.change == "bridge":
+            if self.catch_up is None:
+                return None
+            return self.bridging.endorse(request, state)
+        if not self._log_answers(now):
             return None
         if request.change == "join":
             return self.membership.endorse(request, state.view)
--- a/packages/geraniumshore/src/geraniumshore/internal/eviction.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/eviction.py
@@ -69,6 +69,8 @@
 
     def on_endorsement(self, endorsement: Endorsement) -> None:
         """Count a promise."""
+        if endorsement.change != "evict":
+            return
         if (endorsement.member, endorsement.view) == (self._target, self._view):
             self._endorsers.add(endorsement.endorser)
 
--- a/packages/geraniumshore/src/geraniumshore/internal/fold.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/fold.py
@@ -30,7 +30,7 @@
 )
 from geraniumshore.internal.view import View, apply_evict, apply_join, apply_leave
 
-__all__ = ["ControlState", "ReleaseSummary", "Verdict", "fold_entry"]
+__all__ = ["ControlState", "ReleaseSummary", "Verdict", "fold_entry", "reopen_homes"]
 
 # Ids remembered to void a record that was appended twice. At 200 appends a second
 # this covers more than a minute of late duplicates.
@@ -156,6 +156,15 @@
         state.homes_changes += 1
 
 
+def reopen_homes(state: ControlState) -> None:
+    """Begin a new epoch of every home, so that each asks its holders again."""
+    state.homes_changes += 1
+    state.homes = {
+        key: Home(home.member, state.homes_changes, previous=home.member)
+        for key, home in state.homes.items()
+    }
+
+
 def _remember(state: ControlState, record_id: str) -> None:
     state.recent_ids[record_id] = None
     if len(state.recent_ids) > REMEMBERED_IDS:
--- a/packages/geraniumshore/src/geraniumshore/internal/member.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/member.py
@@ -13,6 +13,7 @@
 from result import Err
 
 from geraniumshore.internal.agreement import Agreement
+from geraniumshore.internal.bridge import bridged_state
 from geraniumshore.internal.entry import (
     Decision,
     Entry,
@@ -39,7 +40,7 @@
 from geraniumshore.internal.records import LogEntry, MemberInfo, Record, Release
 from geraniumshore.internal.service_home import ServiceHome
 from geraniumshore.internal.shares import SharePolicy, WeightedShares
-from geraniumshore.internal.snapshot import CatchUp, decode_state
+from geraniumshore.internal.snapshot import CatchUp, WholeSnapshot, decode_state
 from geraniumshore.internal.team_home import TeamHome
 from geraniumshore.internal.timing import HEARTBEAT_SECONDS
 from geraniumshore.internal.tokens import NoWork, TeamTerms, TokenHolder
@@ -130,7 +131,7 @@
         self.agreement.snapshots.on_first(first, now)
         read = list(entries)
         if first > self.state.position:
-            read = self._entries_after_gap(first, read, now)
+            read = self._entries_after_gap(first, tail, read, now)
         else:
             self.agreement.catch_up = None
         if read and read[0].offset > self.state.position:
@@ -204,18 +205,35 @@
         return effects
 
     def _entries_after_gap(
-        self, first: int, entries: list[LogEntry], now: float
+        self, first: int, tail: int, entries: list[LogEntry], now: float
     ) -> list[LogEntry]:
         """Start from the newest whole snapshot, since entries before it are lost."""
         catch_up = self.agreement.catch_up
         if catch_up is None or catch_up.first != first:
             kept = [] if catch_up is None else catch_up.entries
-            catch_up = self.agreement.catch_up = CatchUp(first)
+            stuck_since = None if catch_up is None else catch_up.stuck_since
+            catch_up = CatchUp(first, stuck_since=stuck_since)
             catch_up.add(entry for entry in kept if entry.offset >= first)
+            self.agreement.catch_up = catch_up
         catch_up.add(entries)
-        if catch_up.newest is None or not self._adopt(catch_up.newest.document, now):
+        if catch_up.newest is not None and self._adopt(catch_up.newest.document, now):
+            return catch_up.entries
+        if catch_up.bridge is not None:
+            return self._cross(catch_up, catch_up.bridge, now)
+        if catch_up.stuck_since is None and catch_up.next_offset >= tail:
+            catch_up.stuck_since = now
+        return []
+
+    def _cross(
+        self, catch_up: CatchUp, bridge: WholeSnapshot, now: float
+    ) -> list[LogEntry]:
+        state = bridged_state(bridge, self.state)
+        if state is None:
+            # This member had folded records that a majority has left out since.
+            self.agreement.lost_membership = True
             return []
-        return catch_up.entries
+        self._replace_state(state, now)
+        return [entry for entry in catch_up.entries if entry.offset >= state.position]
 
     def _adopt(self, document: str, now: float) -> bool:
         """Replace the folded state by one that is further on; never go back."""
@@ -226,10 +244,13 @@
         behind = state.position <= self.state.position
         if behind or state.configuration.version < self.state.configuration.version:
             return False
+        self._replace_state(state, now)
+        return True
+
+    def _replace_state(self, state: ControlState, now: float) -> None:
         self.state = state
         self.agreement.on_adopted(state)
         self._follow_state(now)
-        return True
 
     def _handle(self, sender: str, message: Message, now: float) -> None:
         match message:
@@ -238,15 +259,20 @@
             case GrantNotice():
                 self._on_notice(message, now)
             case Relay():
-                if message.entries and message.entries[0].offset <= self.state.position:
-                    self.on_entries(message.entries, now)
+                if self.agreement.bridging.may_fold(self.state):
+                    self._fold_relayed(message, now)
             case StateTransfer():
-                self._adopt(message.document, now)
+                if self.agreement.bridging.may_fold(self.state):
+                    self._adopt(message.document, now)
             case Endorsement():
                 self.agreement.on_endorsement(message)
                 self._effects.appends.extend(self.agreement.records(self.state, now))
         self._send_all(self.agreement.on_message(sender, message, self.state, now))
 
+    def _fold_relayed(self, relay: Relay, now: float) -> None:
+        if relay.entries and relay.entries[0].offset <= self.state.position:
+            self.on_entries(relay.entries, now)
+
     def _on_report(self, report: HolderReport, now: float) -> None:
         kind, _, name = report.ledger.partition("/")
         if kind == "service" and name in self.service_homes:
--- a/packages/geraniumshore/src/geraniumshore/internal/messages.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/messages.py
@@ -126,12 +126,17 @@
 
 @dataclass(frozen=True, slots=True)
 class EndorseRequest:
-    """Asks a member to endorse a change of the view numbered ``view``."""
+    """Asks a member to endorse a change of the view numbered ``view``.
 
-    change: Literal["join", "evict"]
+    ``info`` is the joining member's; ``position`` is how far the member has folded that
+    wants to go on over a gap in the log.
+    """
+
+    change: Literal["join", "evict", "bridge"]
     member: str
     view: int
     info: MemberInfo | None = None
+    position: int = 0
     kind: Literal["endorse-request"] = "endorse-request"
 
 
@@ -139,7 +144,7 @@
 class Endorsement:
     """A member's word that ``view`` is the newest that it has folded."""
 
-    change: Literal["join", "evict"]
+    change: Literal["join", "evict", "bridge"]
     member: str
     view: int
     endorser: str
--- a/packages/geraniumshore/src/geraniumshore/internal/records.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/records.py
@@ -103,7 +103,11 @@
 
 @dataclass(frozen=True, slots=True)
 class SnapshotPart:
-    """One part of the state as folded up to ``position``, in the compressed form."""
+    """One part of the state as folded up to ``position``, in the compressed form.
+
+    Where ``bridges`` is given, the records from ``position`` up to it were trimmed
+    before a majority, ``endorsed_by``, had read them; the state counts for ``bridges``.
+    """
 
     __pydantic_config__: ClassVar[ConfigDict] = STRICT
 
@@ -113,6 +117,8 @@
     part: int
     parts: int
     document: str
+    bridges: int | None = None
+    endorsed_by: tuple[str, ...] = ()
     kind: Literal["snapshot-part"] = "snapshot-part"
 
 
--- a/packages/geraniumshore/src/geraniumshore/internal/snapshot.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/snapshot.py
@@ -58,9 +58,12 @@
 
 
 def snapshot_parts(
-    state: ControlState, new_id: Callable[[], str]
+    state: ControlState,
+    new_id: Callable[[], str],
+    bridges: int | None = None,
+    endorsed_by: tuple[str, ...] = (),
 ) -> tuple[SnapshotPart, ...]:
-    """Return the records that keep ``state``."""
+    """Return the records that keep ``state``, or with it bridge a gap in the log."""
     document = encode_state(state)
     starts = range(0, len(document), PART_CHARACTERS)
     snapshot = new_id()
@@ -72,6 +75,8 @@
             part=number,
             parts=len(starts),
             document=document[start : start + PART_CHARACTERS],
+            bridges=bridges,
+            endorsed_by=endorsed_by,
         )
         for number, start in enumerate(starts)
     )
@@ -83,6 +88,8 @@
 
     position: int
     document: str
+    bridges: int | None = None
+    endorsed_by: tuple[str, ...] = ()
 
 
 @dataclass(slots=True)
@@ -103,7 +110,7 @@
         self._parts_by_snapshot.clear()
         self._position = part.position
         document = "".join(parts[number] for number in sorted(parts))
-        return WholeSnapshot(part.position, document)
+        return WholeSnapshot(part.position, document, part.bridges, part.endorsed_by)
 
 
 @dataclass(slots=True)
@@ -113,6 +120,8 @@
     first: int
     entries: list[LogEntry] = field(default_factory=list)
     newest: WholeSnapshot | None = None
+    bridge: WholeSnapshot | None = None
+    stuck_since: float | None = None
     _collector: SnapshotCollector = field(default_factory=SnapshotCollector)
 
     @property
@@ -127,13 +136,17 @@
                 continue
             self.entries.append(entry)
             for record in entry.records:
-                whole = (
-                    self._collector.add(record)
-                    if isinstance(record, SnapshotPart)
-                    else None
-                )
-                if whole is not None and whole.position >= self.first:
-                    self.newest = whole
+                if isinstance(record, SnapshotPart):
+                    self._add_part(record)
+
+    def _add_part(self, part: SnapshotPart) -> None:
+        whole = self._collector.add(part)
+        if whole is None:
+            return
+        if whole.bridges is None and whole.position >= self.first:
+            self.newest = whole
+        elif whole.bridges is not None and whole.bridges >= self.first:
+            self.bridge = self.bridge or whole
 
 
 @dataclass(slots=True)
@@ -148,13 +161,14 @@
     _next_attempt: float = float("-inf")
     _collector: SnapshotCollector = field(default_factory=SnapshotCollector)
 
-    def on_part(self, part: SnapshotPart, now: float) -> None:
-        """Note a part that was folded."""
+    def on_part(self, part: SnapshotPart, now: float) -> WholeSnapshot | None:
+        """Note a part that was folded; return the snapshot that it makes whole."""
         whole = self._collector.add(part)
-        if whole is not None:
+        if whole is not None and whole.bridges is None:
             self.whole_position = whole.position
             self._whole_at = now
             self._trimmed_at = None
+        return whole
 
     def on_first(self, first: int, now: float) -> None:
         """Note where the log begins now."""
--- a/tests/cover/test_agreement_rules.py
+++ b/tests/cover/test_agreement_rules.py
@@ -184,6 +184,39 @@
     assert world.by_place["d"].member.state.configuration.version == 1
 
 
+@pytest.mark.parametrize(
+    ("reader", "version"), [("nobody", 1), ("present", 2), ("away", 1)]
+)
+def test_an_expired_record_stays_only_if_a_member_that_read_it_is_there(
+    reader, version
+):
+    world = started()
+    world.note("a")
+    world.run(1.0)
+    world.appends_held = True
+    world.relays_lost = True
+    world.note("a")
+    world.run(0.5)
+    world.log_goes_down(appends_take_effect=True)
+    first = world.by_place["a"]
+    if reader != "nobody":
+        first.member.on_entries(world.entries, world.clock(first))
+    world.run(10.0)
+    world.expire_log()
+    world.log_up, world.appends_held = True, False
+    world.relays_lost = False
+    if reader == "away":
+        first.log_reachable = False
+        world.cut = links("ab", "ac")
+    world.run(10.0)
+    first.log_reachable = True
+    world.run(1.0)
+    assert (world.by_place["a"] is None) == (reader == "away")
+    world.heal()
+    world.check_healed()
+    assert world.truth.configuration.version == version
+
+
 def test_a_trimmed_log_without_a_snapshot_is_no_empty_configuration():
     world = started()
     world.note("a")
