--- a/tests/common/agreement.py
+++ b/tests/common/agreement.py
@@ -135,6 +135,11 @@
             self._note_acceptance()
             self.check()
 
+    def majority_lives(self) -> bool:
+        members = self.truth.view.members
+        live = {process.member.id for _, process in self.live()}
+        return 2 * len(live & set(members)) > len(members)
+
     def heal(self) -> None:
         """Undo every fault, start what has ended, and give it time."""
         self.log_up, self.appends_held, self.relays_lost = True, False, False
--- a/tests/common/agreement_machine.py
+++ b/tests/common/agreement_machine.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
+from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
 
 from tests.common.agreement import FAST, SLOW, World
 
@@ -109,6 +109,16 @@
     def log_is_trimmed(self):
         self.world.trim_log()
 
+    @precondition(lambda self: self.world.majority_lives())
+    @rule(appends_take_effect=st.booleans())
+    def log_is_down_for_longer_than_its_retention(self, appends_take_effect):
+        self.world.log_goes_down(appends_take_effect)
+        self.world.run(4.0)
+        if self.world.majority_lives():
+            self.world.expire_log()
+            self.world.heal()
+            self.world.check_healed()
+
     def teardown(self):
         self.world.heal()
         self.world.check_healed()
