--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/scenario/faults.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/scenario/faults.py
@@ -10,6 +10,11 @@
 from geraniumshore_standins.internal.scenario.world import World
 
 __all__ = [
+    "HopCut",
+    "HopMended",
+    "HopMute",
+    "HopSilent",
+    "HopSlow",
     "Kill",
     "Leave",
     "LogHeals",
@@ -153,3 +158,68 @@
         """End a minion's misbehaviour."""
         world.fleet.set_minion_modes(self.name, work_ms=world.work_ms)
         yield from ()
+
+
+@dataclass(frozen=True, slots=True)
+class _OnHop(Step):
+    """``log`` and ``peers`` are hops of an entry host, ``work`` is one of a minion."""
+
+    hop: str
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class HopSilent(_OnHop):
+    """``silence log of e1``."""
+
+    def run(self, world: World) -> Iterator[str]:
+        """Let open connections go silent for good; new ones work."""
+        world.hop(self.hop, self.name).silence()
+        yield from ()
+
+
+@dataclass(frozen=True, slots=True)
+class HopMute(_OnHop):
+    """``mute peers of e1``."""
+
+    def run(self, world: World) -> Iterator[str]:
+        """Forward nothing, on open and on new connections, and close none."""
+        world.hop(self.hop, self.name).set_faults(
+            silent_to_target=True, silent_to_caller=True
+        )
+        yield from ()
+
+
+@dataclass(frozen=True, slots=True)
+class HopCut(_OnHop):
+    """``cut work of m0``."""
+
+    def run(self, world: World) -> Iterator[str]:
+        """Reset open connections and refuse new ones."""
+        hop = world.hop(self.hop, self.name)
+        hop.set_faults(refuse=True)
+        hop.reset()
+        yield from ()
+
+
+@dataclass(frozen=True, slots=True)
+class HopSlow(_OnHop):
+    """``slow peers of e1 by 200 ms``."""
+
+    seconds: float
+
+    def run(self, world: World) -> Iterator[str]:
+        """Hold back everything for a time, both ways."""
+        hop = world.hop(self.hop, self.name)
+        hop.set_faults(delay_ms=int(self.seconds * 1000))
+        yield from ()
+
+
+@dataclass(frozen=True, slots=True)
+class HopMended(_OnHop):
+    """``mend log of e1``."""
+
+    def run(self, world: World) -> Iterator[str]:
+        """End every fault of the hop."""
+        world.hop(self.hop, self.name).set_faults()
+        yield from ()
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/scenario/language.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/scenario/language.py
@@ -23,6 +23,7 @@
     "team": steps.NewTeam,
     "queue": steps.NewQueue,
     "begin": steps.Begin,
+    "begin_behind_proxy": steps.BeginBehindProxy,
     "load": steps.StartLoad,
     "stop_load": steps.StopLoad,
     "call": steps.Call,
@@ -42,6 +43,11 @@
     "log_heals": faults.LogHeals,
     "minion_mode": faults.MinionMode,
     "minion_heals": faults.MinionHeals,
+    "hop_silent": faults.HopSilent,
+    "hop_mute": faults.HopMute,
+    "hop_cut": faults.HopCut,
+    "hop_slow": faults.HopSlow,
+    "hop_mended": faults.HopMended,
     "expect_cut": expectations.ExpectCut,
     "expect_only": expectations.ExpectOnly,
     "expect_good": expectations.ExpectGood,
@@ -63,7 +69,7 @@
 
     INT = int
     NUMBER = float
-    NAME = IDEMPOTENT = URGENT = SILENT = CUT = CROSSED = FAILING = str
+    NAME = IDEMPOTENT = URGENT = SILENT = CUT = CROSSED = FAILING = HOP = str
 
     def start(self, statements: list[Statement]) -> tuple[Statement, ...]:
         return tuple(statements)
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/scenario/steps.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/scenario/steps.py
@@ -14,6 +14,7 @@
 __all__ = [
     "AddEntry",
     "Begin",
+    "BeginBehindProxy",
     "Call",
     "Entries",
     "Limit",
@@ -145,6 +146,16 @@
         yield from ()
 
 
+@dataclass(frozen=True, slots=True)
+class BeginBehindProxy(Step):
+    """``begin behind proxy``: the hops to the log, peers and minions can fail."""
+
+    def run(self, world: World) -> Iterator[str]:
+        """Start every process, each hop through the fault proxy."""
+        world.begin(behind_proxy=True)
+        yield from ()
+
+
 @dataclass(frozen=True, slots=True)
 class StartLoad(Step):
     """``load count as acme by 8 callers``."""
@@ -212,7 +223,7 @@
 
     def run(self, world: World) -> Iterator[str]:
         """Start one more entry host."""
-        world.fleet.start_entry(self.name)
+        world.start_entry(self.name)
         yield from ()
 
 
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/scenario/world.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/scenario/world.py
@@ -18,6 +18,7 @@
 )
 from geraniumshore_standins.internal.balancer import Balancer
 from geraniumshore_standins.internal.fleet import EntryProcess, Fleet, wait_for
+from geraniumshore_standins.internal.hop import Hop
 from geraniumshore_standins.internal.scenario.answers import CallResult, MinionRun
 from geraniumshore_standins.internal.scenario.load import Load
 
@@ -44,14 +45,20 @@
     loads: list[Load] = field(default_factory=list)
     results: list[CallResult] = field(default_factory=list)
     version: int = 0
+    log_hop_by_entry: dict[str, Hop] = field(default_factory=dict)
+    work_hop_by_minion: dict[str, Hop] = field(default_factory=dict)
+    behind_proxy: bool = False
 
-    def begin(self) -> None:
+    def begin(self, behind_proxy: bool = False) -> None:
         """Start the processes and put the first note in force."""
+        self.behind_proxy = behind_proxy
         self.fleet.start_platform()
+        if behind_proxy:
+            self.fleet.start_proxy()
         for number in range(self.minions):
-            self.fleet.start_minion(f"m{number}", self.slots)
+            self.start_minion(f"m{number}")
         for number in range(self.entries):
-            self.fleet.start_entry(f"e{number}")
+            self.start_entry(f"e{number}")
         self.fleet.wait_for_minions()
         self.fleet.wait_until_ready()
         for minion in self.fleet.address_by_minion:
@@ -61,6 +68,30 @@
         self.balancer = Balancer(self.fleet.by_name)
         self.balancer.start()
 
+    def start_entry(self, name: str) -> None:
+        """Start an entry host, behind the proxy where the scenario has one."""
+        if not self.behind_proxy:
+            self.fleet.start_entry(name)
+            return
+        hop = self.fleet.open_hop(self.fleet.platform_address)
+        self.log_hop_by_entry[name] = hop
+        self.fleet.start_entry(name, platform_address=hop.address, peer_proxied=True)
+
+    def start_minion(self, name: str) -> None:
+        """Start a minion, behind the proxy where the scenario has one."""
+        address = self.fleet.start_minion(name, self.slots)
+        if self.behind_proxy:
+            self.work_hop_by_minion[name] = self.fleet.open_hop(address)
+
+    def hop(self, kind: str, name: str) -> Hop:
+        """Return a hop. Raises KeyError for an unknown one."""
+        by_kind = {
+            "log": self.log_hop_by_entry,
+            "peers": self.fleet.peer_hop_by_entry,
+            "work": self.work_hop_by_minion,
+        }
+        return by_kind[kind][name]
+
     def end(self) -> None:
         """Stop loads and the balancer; the fleet ends its processes by itself."""
         self.stop_loads()
@@ -125,12 +156,16 @@
         time.sleep(0.1)
         return False
 
+    def _work_address(self, minion: str) -> str:
+        hop = self.work_hop_by_minion.get(minion)
+        return hop.address if hop else self.fleet.address_by_minion[minion]
+
     def _first_items(self) -> Items:
         return Items(
             services={SERVICE: Service()},
             minions={
-                name: Minion(SERVICE, address, slots=self.slots)
-                for name, address in self.fleet.address_by_minion.items()
+                name: Minion(SERVICE, self._work_address(name), slots=self.slots)
+                for name in self.fleet.address_by_minion
             },
             teams={
                 name: Team(1.0, limit) for name, limit in self.limit_by_team.items()
