--- a/packages/geraniumshore/src/geraniumshore/__init__.py
+++ b/packages/geraniumshore/src/geraniumshore/__init__.py
@@ -11,6 +11,7 @@
     PlatformUnavailableError,
     UnknownOutcomeError,
 )
+from geraniumshore.internal.agreement import Standing
 from geraniumshore.internal.burn import (
     Alert,
     QueueBurn,
@@ -44,7 +45,10 @@
 from geraniumshore.internal.keys import MadeKey, make_key, verify_key
 from geraniumshore.internal.member import Effects, Member
 from geraniumshore.internal.messages import (
+    EndorseRequest,
     Message,
+    Relay,
+    StateTransfer,
     coalescing_key,
     decode_message,
     encode_message,
@@ -65,6 +69,7 @@
     MemberInfo,
     Record,
     Release,
+    SnapshotPart,
     decode_records,
     encode_records,
 )
@@ -88,6 +93,7 @@
     SharePolicy,
     WeightedShares,
 )
+from geraniumshore.internal.view import predecessor
 
 __all__ = [
     "Alert",
@@ -97,6 +103,7 @@
     "ControlState",
     "Decision",
     "Effects",
+    "EndorseRequest",
     "Evict",
     "Finding",
     "FirstComeFirstServed",
@@ -128,6 +135,7 @@
     "Record",
     "Refusal",
     "Refuse",
+    "Relay",
     "Release",
     "ReleaseNote",
     "ReleaseSummary",
@@ -136,7 +144,10 @@
     "ServiceLevels",
     "SharePolicy",
     "SlotRequest",
+    "SnapshotPart",
+    "Standing",
     "Start",
+    "StateTransfer",
     "Team",
     "Unknown",
     "UnknownOutcomeError",
@@ -157,6 +168,7 @@
     "load_json",
     "make_key",
     "parse_release",
+    "predecessor",
     "validation_findings",
     "verify_key",
 ]
