Decide claims, outliers, retry budget and admission in pure modules

Cause: retries of non-idempotent work through another entry host had nothing to find, so they ran twice; failing minions kept their slots; calls could take every thread. Conclusion: claims fold from the log like every record and expire by its clock; suspected minions travel in reports to the service's home, which ejects at most half. Ties between minions go to the least granted, so that a retry gets another one.

--- a/packages/geraniumshore/src/geraniumshore/__init__.py
+++ b/packages/geraniumshore/src/geraniumshore/__init__.py
@@ -11,6 +11,14 @@
     PlatformUnavailableError,
     UnknownOutcomeError,
 )
+from geraniumshore.internal.admission import Admission
+from geraniumshore.internal.claim_records import Answer, Claim, KeptAnswer
+from geraniumshore.internal.claims import (
+    MAX_ANSWER_BYTES,
+    Claims,
+    KeptClaim,
+    claim_key,
+)
 from geraniumshore.internal.configuration import Configuration, apply_release
 from geraniumshore.internal.entry import (
     Decision,
@@ -44,6 +52,7 @@
     encode_message,
 )
 from geraniumshore.internal.outcomes import NotRun, Outcome, Ran, Unknown
+from geraniumshore.internal.outliers import OutlierDetector
 from geraniumshore.internal.platform import (
     ControlLog,
     HostList,
@@ -70,6 +79,12 @@
     parse_release,
     validation_findings,
 )
+from geraniumshore.internal.retries import (
+    RetryBudget,
+    backoff_seconds,
+    is_failure,
+    may_repeat,
+)
 from geraniumshore.internal.shares import (
     Candidate,
     FirstComeFirstServed,
@@ -78,7 +93,11 @@
 )
 
 __all__ = [
+    "Admission",
+    "Answer",
     "Candidate",
+    "Claim",
+    "Claims",
     "Configuration",
     "ControlLog",
     "ControlState",
@@ -93,11 +112,14 @@
     "InvalidInputError",
     "Items",
     "Join",
+    "KeptAnswer",
+    "KeptClaim",
     "Key",
     "Leave",
     "ListedHost",
     "LogEntry",
     "LogRead",
+    "MAX_ANSWER_BYTES",
     "MadeKey",
     "Member",
     "MemberInfo",
@@ -105,6 +127,7 @@
     "Minion",
     "NotRun",
     "Outcome",
+    "OutlierDetector",
     "PlatformUnavailableError",
     "Pool",
     "Queue",
@@ -116,6 +139,7 @@
     "Release",
     "ReleaseNote",
     "ReleaseSummary",
+    "RetryBudget",
     "Service",
     "SharePolicy",
     "SlotRequest",
@@ -128,14 +152,18 @@
     "WeightedShares",
     "Withdrawn",
     "apply_release",
+    "backoff_seconds",
+    "claim_key",
     "coalescing_key",
     "decode_message",
     "decode_records",
     "encode_message",
     "encode_records",
     "fold_entry",
+    "is_failure",
     "load_json",
     "make_key",
+    "may_repeat",
     "parse_release",
     "validation_findings",
     "verify_key",
--- /dev/null
+++ b/packages/geraniumshore/src/geraniumshore/internal/claims.py
@@ -0,0 +1,123 @@
+"""Claims of idempotency keys: which request was begun, and the answer that it got.
+
+A claim is in the log before anything is sent for its key, so that a caller's retry
+through any entry host finds it. Claims expire by the log service's clock, which is
+the same for every reader.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Literal
+
+from geraniumshore.errors import Finding
+from geraniumshore.internal.claim_records import Answer, Claim, KeptAnswer
+
+__all__ = [
+    "CLAIM_WINDOW_MS",
+    "ClaimKey",
+    "Claims",
+    "KeptClaim",
+    "MAX_ANSWER_BYTES",
+    "claim_key",
+    "fold_answer",
+    "fold_claim",
+]
+
+# How long a claim, and with it the answer, is kept.
+CLAIM_WINDOW_MS = 600_000
+# A longer answer is not kept; a retry is told that the request ran.
+MAX_ANSWER_BYTES = 64 * 1024
+# All answers kept together; the oldest are dropped first, their claims stay.
+MAX_KEPT_BYTES = 4 * 1024 * 1024
+# New claims are refused beyond this: dropping one early could let its work run twice.
+MAX_CLAIMS = 20_000
+
+ClaimKey = str
+
+
+@dataclass(slots=True)
+class KeptClaim:
+    """One claim. ``outcome`` is None while the request may still be running."""
+
+    id: str
+    member: str
+    digest: str
+    claimed_at_ms: int
+    outcome: Literal["ran", "unknown"] | None = None
+    answer: KeptAnswer | None = None
+
+
+@dataclass(slots=True)
+class Claims:
+    """All claims that have not expired, oldest first."""
+
+    by_key: dict[ClaimKey, KeptClaim] = field(default_factory=dict)
+    clock_ms: int = 0
+    kept_bytes: int = 0
+
+    def find(self, key: ClaimKey) -> KeptClaim | None:
+        """Return the claim of ``key``, if there is one."""
+        return self.by_key.get(key)
+
+
+def claim_key(team: str, queue: str, idempotency_key: str) -> ClaimKey:
+    """Name what is claimed. Names of teams and queues have no slash in them."""
+    return f"{team}/{queue}/{idempotency_key}"
+
+
+def fold_claim(claims: Claims, record: Claim, at_ms: int) -> tuple[Finding, ...]:
+    """Take in a claim, or say why it is void."""
+    _expire(claims, at_ms)
+    key = claim_key(record.team, record.queue, record.key)
+    if key in claims.by_key:
+        return (Finding("key", "is claimed already"),)
+    if len(claims.by_key) >= MAX_CLAIMS:
+        return (Finding("claims", f"got {MAX_CLAIMS}, which is the most kept"),)
+    claims.by_key[key] = KeptClaim(
+        record.id, record.member, record.digest, claims.clock_ms
+    )
+    return ()
+
+
+def fold_answer(claims: Claims, record: Answer, at_ms: int) -> tuple[Finding, ...]:
+    """Take in what became of a claimed request, or say why that is void."""
+    _expire(claims, at_ms)
+    key = claim_key(record.team, record.queue, record.key)
+    claim = claims.by_key.get(key)
+    if claim is None or claim.id != record.claim:
+        return (Finding("claim", f"{record.claim} is not in force"),)
+    if claim.outcome is not None:
+        return (Finding("outcome", f"got a second one, {claim.outcome} stands"),)
+    if record.outcome == "not-run":
+        del claims.by_key[key]
+        return ()
+    claim.outcome = record.outcome
+    if record.answer is not None and record.answer.length <= MAX_ANSWER_BYTES:
+        claim.answer = record.answer
+        claims.kept_bytes += record.answer.length
+        _drop_oldest_answers(claims)
+    return ()
+
+
+def _expire(claims: Claims, at_ms: int) -> None:
+    claims.clock_ms = max(claims.clock_ms, at_ms)
+    while claims.by_key:
+        key, oldest = next(iter(claims.by_key.items()))
+        if claims.clock_ms - oldest.claimed_at_ms < CLAIM_WINDOW_MS:
+            return
+        _drop_answer(claims, oldest)
+        del claims.by_key[key]
+
+
+def _drop_oldest_answers(claims: Claims) -> None:
+    for claim in claims.by_key.values():
+        if claims.kept_bytes <= MAX_KEPT_BYTES:
+            return
+        _drop_answer(claims, claim)
+
+
+def _drop_answer(claims: Claims, claim: KeptClaim) -> None:
+    if claim.answer is not None:
+        claims.kept_bytes -= claim.answer.length
+        claim.answer = None
--- a/packages/geraniumshore/src/geraniumshore/internal/entry.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/entry.py
@@ -73,6 +73,7 @@
     waiting_by_ticket: dict[str, SlotRequest] = field(default_factory=dict)
     sequence: int = 0
     changed: bool = False
+    suspects: frozenset[str] = frozenset()
 
 
 @dataclass(slots=True)
@@ -98,6 +99,13 @@
         entry.waiting_by_ticket[request.ticket] = request
         entry.changed = True
 
+    def suspect(self, service: str, minions: frozenset[str]) -> None:
+        """Name the minions of a service that fail this host's work."""
+        entry = self.by_service.get(service)
+        if entry is not None and entry.suspects != minions:
+            entry.suspects = minions
+            entry.changed = True
+
     def waiting(self, queue: str) -> int:
         """Count the requests of one queue that wait here."""
         return sum(
@@ -175,6 +183,7 @@
                 Demand(team, urgent, count) for (team, urgent), count in counts.items()
             ),
             handover=handover,
+            suspects=tuple(sorted(entry.suspects)),
         )
 
     @staticmethod
--- a/packages/geraniumshore/src/geraniumshore/internal/fold.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/fold.py
@@ -12,6 +12,8 @@
 from result import Err
 
 from geraniumshore.errors import Finding
+from geraniumshore.internal.claim_records import Answer, Claim
+from geraniumshore.internal.claims import Claims, fold_answer, fold_claim
 from geraniumshore.internal.configuration import Configuration, apply_release
 from geraniumshore.internal.homes import Home, LedgerKey, assign_homes
 from geraniumshore.internal.records import (
@@ -54,6 +56,7 @@
     homes_changes: int = 0
     releases: list[ReleaseSummary] = field(default_factory=list)
     recent_ids: dict[str, None] = field(default_factory=dict)
+    claims: Claims = field(default_factory=Claims)
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,6 +103,10 @@
             state.view, findings = apply_evict(state.view, record)
         case Release():
             findings = _fold_release(state, record, entry)
+        case Claim():
+            return fold_claim(state.claims, record, entry.appended_at_ms)
+        case Answer():
+            return fold_answer(state.claims, record, entry.appended_at_ms)
     if not findings:
         _update_homes(state)
     return findings
--- a/packages/geraniumshore/src/geraniumshore/internal/member.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/member.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from geraniumshore.internal.authority import Authority
+from geraniumshore.internal.claim_records import Answer, Claim
 from geraniumshore.internal.entry import (
     Decision,
     Entry,
@@ -85,7 +86,11 @@
         verdicts = [
             verdict for entry in entries for verdict in fold_entry(self.state, entry)
         ]
-        if any(verdict.accepted for verdict in verdicts):
+        # Claims are frequent, and change nothing that homes or holdings follow.
+        if any(
+            verdict.accepted and not isinstance(verdict.record, Claim | Answer)
+            for verdict in verdicts
+        ):
             self._follow_state(now)
             self._act(now)
         return verdicts
@@ -138,6 +143,13 @@
         self._configure_homes(now)
         self._act(now)
 
+    def suspect_minions(
+        self, service: str, minions: frozenset[str], now: float
+    ) -> None:
+        """Name the minions of a service that fail this host's work, for its home."""
+        self.entry.suspect(service, minions)
+        self._act(now)
+
     def longest_call(self) -> float:
         """Return the longest time, in seconds, that an admitted call may take."""
         limits = (
--- a/packages/geraniumshore/src/geraniumshore/internal/messages.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/messages.py
@@ -87,7 +87,7 @@
 
     ``holder_epoch`` names the holder's own incarnation, where the holder is itself a
     home that may move. ``complete`` is False while the holder may not know all that
-    its predecessor held.
+    its predecessor held. ``suspects`` are minions that fail the holder's work.
     """
 
     ledger: LedgerKey
@@ -99,6 +99,7 @@
     demand: tuple[Demand, ...] = ()
     complete: bool = True
     handover: Handover | None = None
+    suspects: tuple[str, ...] = ()
     kind: Literal["report"] = "report"
 
 
--- a/packages/geraniumshore/src/geraniumshore/internal/outcomes.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/outcomes.py
@@ -9,9 +9,14 @@
 
 @dataclass(frozen=True, slots=True)
 class NotRun:
-    """Certainly not run: no byte was sent, or the minion itself said so."""
+    """Certainly not run: no byte was sent, or the minion itself said so.
+
+    ``minion_failed`` blames the minion, ``retriable`` says that another one may do.
+    """
 
     reason: str
+    minion_failed: bool = False
+    retriable: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,9 +31,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Unknown:
-    """May have run, or may still be running."""
+    """May have run; where not ``ended``, it may still be running."""
 
     reason: str
+    ended: bool = False
 
 
 Outcome = NotRun | Ran | Unknown
--- a/packages/geraniumshore/src/geraniumshore/internal/service_home.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/service_home.py
@@ -19,6 +19,7 @@
     Handover,
     HolderReport,
 )
+from geraniumshore.internal.outliers import ejected_minions
 from geraniumshore.internal.shares import Candidate, SharePolicy
 from geraniumshore.internal.timing import IDLE_TOKEN_SECONDS, quarantine_until
 
@@ -42,11 +43,13 @@
     sequence: int = -1
     waiting: dict[tuple[str, bool], int] = field(default_factory=dict)
     since: dict[tuple[str, bool], float] = field(default_factory=dict)
+    suspects: tuple[str, ...] = ()
 
     def update(self, report: HolderReport, now: float) -> None:
         if report.sequence <= self.sequence:
             return
         self.sequence = report.sequence
+        self.suspects = report.suspects
         self.waiting = {(d.team, d.urgent): d.waiting for d in report.demand}
         self.since = {key: self.since.get(key, now) for key in self.waiting}
 
@@ -80,6 +83,7 @@
     demand_by_holder: dict[str, _HolderDemand] = field(default_factory=dict)
     tokens_by_team: dict[str, _TeamTokens] = field(default_factory=dict)
     changed: set[str] = field(default_factory=set)
+    grants_by_minion: Counter[str] = field(default_factory=Counter)
 
     def __post_init__(self) -> None:
         self.ledger = Ledger(self.home.epoch)
@@ -150,14 +154,16 @@
             return
         use_by_minion, use_by_team = self._tally()
         unmet = self._unmet()
+        ejected = self._ejected()
         while True:
-            minion = self._freest_minion(use_by_minion)
+            minion = self._freest_minion(use_by_minion, ejected)
             candidates = list(self._candidates(unmet, use_by_team))
             if minion is None or not candidates:
                 break
             chosen = self.policy.choose(candidates)
             holder = self._longest_waiting(unmet, chosen.team, chosen.urgent)
             self.ledger.grant(holder, Lane(chosen.team, minion))
+            self.grants_by_minion[minion] += 1
             self.changed.add(holder)
             use_by_minion[minion] += 1
             use_by_team[chosen.team] += 1
@@ -279,13 +285,29 @@
         ]
         return max(holders, key=lambda holder: (unmet[holder, team, urgent], holder))
 
-    def _freest_minion(self, use_by_minion: Counter[str]) -> str | None:
+    def _ejected(self) -> frozenset[str]:
+        return ejected_minions(
+            self.slots_by_minion,
+            {holder: d.suspects for holder, d in self.demand_by_holder.items()},
+        )
+
+    def _freest_minion(
+        self, use_by_minion: Counter[str], ejected: frozenset[str]
+    ) -> str | None:
+        """Return the minion with most free slots; of several, the least granted.
+
+        So a retry that gives a slot back gets one of another minion.
+        """
         free = {
             minion: slots - use_by_minion[minion]
             for minion, slots in self.slots_by_minion.items()
-            if use_by_minion[minion] < slots
+            if use_by_minion[minion] < slots and minion not in ejected
         }
-        return max(free, key=lambda minion: (free[minion], minion), default=None)
+        return max(
+            free,
+            key=lambda minion: (free[minion], -self.grants_by_minion[minion], minion),
+            default=None,
+        )
 
     def _return_idle_tokens(
         self,
--- a/packages/geraniumshored/src/geraniumshored/internal/runtime.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/runtime.py
@@ -10,6 +10,8 @@
 from typing import Protocol, TypeVar
 
 from geraniumshore import (
+    Answer,
+    Claim,
     Decision,
     Effects,
     LogEntry,
@@ -121,7 +123,7 @@
         future = self._verdict_by_record.pop(verdict.record.id, None)
         if future is not None:
             future.set_result(verdict)
-        if verdict.accepted:
+        if verdict.accepted and not isinstance(verdict.record, Claim | Answer):
             logger.info(
                 "record in force",
                 extra={"record": verdict.record.kind, "offset": verdict.offset},
--- /dev/null
+++ b/tests/cover/test_request_policies.py
@@ -0,0 +1,159 @@
+"""Outlier ejection, retry budget and admission, without I/O."""
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from geraniumshore import (
+    Admission,
+    NotRun,
+    OutlierDetector,
+    Ran,
+    RetryBudget,
+    Unknown,
+    backoff_seconds,
+    may_repeat,
+)
+from geraniumshore.internal.outliers import (
+    FIRST_EJECTION_SECONDS,
+    LONGEST_EJECTION_SECONDS,
+    ejected_minions,
+)
+from geraniumshore.internal.retries import (
+    FIRST_RETRIES,
+    LONGEST_BACKOFF_SECONDS,
+    MAX_ATTEMPTS,
+    RETRIES_PER_SUCCESS,
+)
+
+MINIONS = ["m0", "m1", "m2", "m3"]
+
+
+def feed(detector, outcomes, now=0.0, start=0):
+    for number, (minion, good) in enumerate(outcomes, start):
+        detector.on_result(minion, f"work{number}", good, now)
+
+
+def healthy(count):
+    return [(minion, True) for minion in MINIONS for _ in range(count)]
+
+
+def test_a_minion_that_fails_several_good_pieces_is_ejected_and_comes_back_slowly():
+    detector = OutlierDetector()
+    feed(detector, healthy(3) + [("m0", False)] * 3)
+    assert detector.suspects(0.5) == {"m0"}
+    assert detector.suspects(FIRST_EJECTION_SECONDS) == frozenset()
+    detector.on_result("m0", "next", False, FIRST_EJECTION_SECONDS)
+    assert detector.suspects(2.9 * FIRST_EJECTION_SECONDS) == {"m0"}
+
+
+def test_an_ejection_is_never_longer_than_its_bound():
+    detector = OutlierDetector()
+    feed(detector, healthy(3))
+    now = 0.0
+    for number in range(40):
+        detector.on_result("m0", f"again{number}", False, now)
+        while detector.suspects(now):
+            now += 1.0
+    feed(detector, [("m0", False)] * 3, now, start=1000)
+    assert detector.suspects(now) == {"m0"}
+    assert detector.suspects(now + LONGEST_EJECTION_SECONDS) == frozenset()
+
+
+def test_work_that_fails_everywhere_ejects_no_minion():
+    detector = OutlierDetector()
+    feed(detector, healthy(3))
+    for number in range(10):
+        for minion in MINIONS[:2]:
+            detector.on_result(minion, f"bad{number}", False, 1.0)
+    assert detector.suspects(1.0) == frozenset()
+
+
+def test_an_ejection_through_bad_work_is_taken_back():
+    detector = OutlierDetector()
+    feed(detector, healthy(3))
+    for number in range(3):
+        detector.on_result("m0", f"bad{number}", False, 1.0)
+    assert detector.suspects(1.0) == {"m0"}
+    for number in range(3):
+        detector.on_result("m1", f"bad{number}", False, 1.0)
+    assert detector.suspects(1.0) == frozenset()
+
+
+def test_failures_that_all_minions_share_eject_none():
+    detector = OutlierDetector()
+    for number in range(40):
+        for minion in MINIONS:
+            work = f"{minion}-{number}"
+            detector.on_result(minion, work, number % 2 == 0, 1.0)
+    assert detector.suspects(1.0) == frozenset()
+
+
+@settings(derandomize=True)
+@given(
+    st.sets(st.sampled_from("abcdef")),
+    st.dictionaries(st.sampled_from("xyz"), st.sets(st.sampled_from("abcdefgh"))),
+)
+def test_at_most_half_of_the_minions_are_ejected(minions, suspects):
+    ejected = ejected_minions(minions, suspects)
+    assert ejected <= minions
+    assert len(ejected) <= len(minions) / 2
+    assert ejected <= set().union(*suspects.values())
+
+
+@settings(derandomize=True)
+@given(st.lists(st.booleans()))
+def test_retries_stay_a_fraction_of_successes(steps):
+    budget = RetryBudget()
+    successes = retries = 0
+    for success in steps:
+        if success:
+            budget.on_success()
+            successes += 1
+        else:
+            retries += budget.take()
+    assert retries <= FIRST_RETRIES + successes * RETRIES_PER_SUCCESS + 1e-9
+
+
+@pytest.mark.parametrize(
+    ("outcome", "idempotent", "repeats"),
+    [
+        (NotRun("refused"), False, True),
+        (NotRun("key withdrawn", retriable=False), True, False),
+        (Unknown("cut"), False, False),
+        (Unknown("cut"), True, True),
+        (Ran(200, "text/plain", None, b""), True, False),
+        (Ran(500, "text/plain", None, b""), True, True),
+        (Ran(500, "text/plain", None, b""), False, False),
+    ],
+)
+def test_only_what_can_do_no_harm_is_tried_again(outcome, idempotent, repeats):
+    assert may_repeat(outcome, idempotent, 1) is repeats
+    assert not may_repeat(outcome, idempotent, MAX_ATTEMPTS)
+
+
+@settings(derandomize=True)
+@given(st.integers(1, 50), st.floats(0, 1, exclude_max=True))
+def test_the_pause_between_attempts_is_bounded(attempts, draw):
+    assert 0 <= backoff_seconds(attempts, draw) <= LONGEST_BACKOFF_SECONDS
+
+
+@settings(derandomize=True)
+@given(st.lists(st.tuples(st.sampled_from("abc"), st.booleans(), st.booleans())))
+def test_open_calls_stay_within_every_bound(steps):
+    admission = Admission.from_threads(32)
+    calls = []
+    for team, urgent, opens in steps * 3:
+        if opens and admission.enter(team, urgent):
+            calls.append((team, urgent))
+        elif not opens and calls:
+            admission.leave(*calls.pop())
+        assert admission.open == len(calls) <= admission.limit < 32
+        deferrable = sum(not u for _, u in calls)
+        assert admission.open_deferrable == deferrable < admission.limit
+
+
+def test_urgent_calls_find_room_when_deferrable_ones_have_all_that_they_may():
+    admission = Admission.from_threads(96)
+    while admission.enter("bulk", urgent=False):
+        pass
+    assert admission.enter("line", urgent=True)
