Claim keys in the log, retry on other minions, and tell silence from long runs

Cause: a retry of keyed non-idempotent work through another host ran it again; not-run work was given up although another minion was free; a silent connection held its call until the run limit; calls could take every thread, and then nothing answered. Conclusion: work is claimed before it is sent, minions are asked on a new connection what became of a run, and open calls are bounded below the threads.

--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/minion.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/minion.py
@@ -76,12 +76,16 @@
     modes: Modes = field(default_factory=Modes)
     counts: Counts = field(default_factory=Counts)
     lock: threading.Lock = field(default_factory=threading.Lock)
+    state_by_request: dict[str, str] = field(default_factory=dict)
+    started_at: float = field(default_factory=time.monotonic)
 
     def handle(self, call: Call) -> Answer:
         """Answer one call."""
         match (call.method, call.path):
             case ("POST", ("work", queue)):
                 return self._work(call, queue)
+            case ("POST", ("work-state",)):
+                return self._tell_state(call)
             case ("GET", ("test", "counts")):
                 with self.lock:
                     return Answer.json(_COUNTS.dump_python(self.counts, mode="json"))
@@ -103,17 +107,35 @@
         finally:
             with self.lock:
                 self.counts.running_by_team[team] -= 1
+                self.state_by_request[request_id] = "ended"
                 ended = time.monotonic()
                 run = Run(request_id, _beginning(call), team, queue, began, ended)
                 self.counts.runs.append(run)
 
+    def _tell_state(self, call: Call) -> Answer:
+        """Tell what became of a run; one that never began will not begin either."""
+        request_id = call.headers.get("request-id", "")
+        age = int(call.headers.get("age-ms", "0")) / 1000
+        with self.lock:
+            state = self.state_by_request.get(request_id)
+            if state is None and time.monotonic() - self.started_at <= age:
+                state = "lost"
+            elif state is None:
+                state = "never"
+                self.state_by_request[request_id] = state
+        headers = {"Request-Id": request_id, "Run-State": state}
+        return Answer(200, b"", headers)
+
     def _begin(self, request_id: str, team: str) -> bool:
         with self.lock:
+            if self.state_by_request.get(request_id) == "never":
+                return False
             running = self.counts.running_by_team
             if sum(running.values()) >= self.slots:
                 self.counts.refused += 1
                 return False
             running[team] += 1
+            self.state_by_request[request_id] = "running"
             self.counts.runs_by_request[request_id] += 1
             self.counts.runs_by_team[team] += 1
             return True
--- a/packages/geraniumshored/src/geraniumshored/internal/calls.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/calls.py
@@ -1,37 +1,44 @@
-"""Callers' requests: from the HTTP call to the minion's whole answer."""
+"""Callers' requests: from the HTTP call to its true, whole answer."""
 
 from __future__ import annotations
 
+import base64
+import random
+import re
 import threading
 import time
-from concurrent.futures import TimeoutError as FutureTimeoutError
-from dataclasses import dataclass
 from uuid import uuid4
 
 from geraniumshore import (
-    Decision,
+    Admission,
+    KeptClaim,
     NotRun,
     Outcome,
     Queue,
     Ran,
     Refusal,
-    Refuse,
-    SlotRequest,
-    Start,
     Unknown,
     verify_key,
 )
-from geraniumshored.internal.attempt import MinionRequest, attempt
+from geraniumshored.internal.claims_driver import (
+    ClaimRefusal,
+    ClaimsDriver,
+    body_digest,
+)
+from geraniumshored.internal.dispatcher import Dispatcher
 from geraniumshored.internal.http_types import (
     HttpAnswer,
     HttpRequest,
     answer_problem,
 )
 from geraniumshored.internal.runtime import Runtime
+from geraniumshored.internal.work import Work
 
 __all__ = ["CallHandler"]
 
-RETRY_AFTER_SECONDS = 1
+# Callers that are refused together are told to come back apart.
+RETRY_AFTER_SECONDS = (1, 3)
+KEY_PATTERN = re.compile(r"[\x21-\x7e]{1,200}")
 STATUS_BY_REFUSAL = {
     Refusal.EXPIRED: 504,
     Refusal.NO_AUTHORITY: 503,
@@ -48,27 +55,21 @@
 }
 
 
-@dataclass(frozen=True, slots=True)
-class Admitted:
-    """A call that passed every check at the border. Times are monotonic seconds."""
-
-    request_id: str
-    name: str
-    queue: Queue
-    team: str
-    bearer: str | None
-    body: bytes
-    content_type: str
-    content_encoding: str | None
-    deadline: float
-
-
 class CallHandler:
-    """Handles ``POST /queues/NAME``."""
+    """Handles ``/queues/NAME``."""
 
-    def __init__(self, runtime: Runtime) -> None:
+    def __init__(
+        self,
+        runtime: Runtime,
+        dispatcher: Dispatcher,
+        claims: ClaimsDriver,
+        admission: Admission,
+    ) -> None:
         self._runtime = runtime
         self._metrics = runtime.metrics
+        self._dispatcher = dispatcher
+        self._claims = claims
+        self._admission = admission
         self._open = 0
         self._changed = threading.Condition()
 
@@ -96,17 +97,31 @@
             return self._changed.wait_for(lambda: self._open == 0, seconds)
 
     def _call(self, request: HttpRequest, queue_name: str, began: float) -> HttpAnswer:
-        admitted = self._admit(request, queue_name, began)
-        if isinstance(admitted, HttpAnswer):
-            return admitted
-        decision = self._await_slot(admitted)
-        if isinstance(decision, Refuse):
-            return _refused(decision.refusal)
-        return self._answer(self._run(admitted, decision))
-
-    def _admit(
+        if request.method != "POST":
+            return _method_not_allowed(request.method)
+        work = self._check(request, queue_name, began)
+        if isinstance(work, HttpAnswer):
+            return work
+        with self._changed:
+            admitted = self._admission.enter(work.team, work.queue.urgent)
+        if not admitted:
+            return answer_problem(
+                503,
+                "overloaded",
+                "this entry host has as many calls open as it may",
+                retry_after=_retry_after(),
+            )
+        try:
+            if work.key is None or work.queue.idempotent:
+                return _answer(self._dispatcher.run(work))
+            return self._run_claimed(work)
+        finally:
+            with self._changed:
+                self._admission.leave(work.team, work.queue.urgent)
+
+    def _check(
         self, request: HttpRequest, queue_name: str, began: float
-    ) -> Admitted | HttpAnswer:
+    ) -> Work | HttpAnswer:
         """Check the call in the order in which it costs least to refuse."""
         if not self._runtime.has_authority():
             return _refused(Refusal.NO_AUTHORITY)
@@ -126,10 +141,17 @@
                 f"got {request.content_length} bytes, "
                 f"want at most {queue.max_body_bytes}",
             )
+        key = request.headers.get("idempotency-key")
+        if key is not None and not KEY_PATTERN.fullmatch(key):
+            return answer_problem(
+                400,
+                "bad-idempotency-key",
+                f"got {key!r}, want 1 to 200 visible ASCII characters",
+            )
         deadline = _deadline(request, queue, began)
         if isinstance(deadline, HttpAnswer):
             return deadline
-        return Admitted(
+        return Work(
             request_id=uuid4().hex,
             name=queue_name,
             queue=queue,
@@ -141,6 +163,8 @@
             ),
             content_encoding=request.headers.get("content-encoding"),
             deadline=deadline,
+            key=key,
+            abandoned=request.abandoned,
         )
 
     def _team(self, bearer: str | None, queue: Queue) -> str | None:
@@ -149,81 +173,84 @@
             return verify_key(keys, bearer)
         return queue.open_team if queue.open else None
 
-    def _await_slot(self, admitted: Admitted) -> Decision:
-        assert admitted.queue.service is not None
-        slot_request = SlotRequest(
-            ticket=admitted.request_id,
-            queue=admitted.name,
-            service=admitted.queue.service,
-            team=admitted.team,
-            urgent=admitted.queue.urgent,
-            deadline=admitted.deadline,
-            max_waiting=admitted.queue.max_waiting,
-        )
-        future = self._runtime.request_slot(slot_request)
-        try:
-            return future.result(max(0, admitted.deadline - time.monotonic()) + 1)
-        except FutureTimeoutError:
-            return self._withdraw(admitted)
+    def _run_claimed(self, work: Work) -> HttpAnswer:
+        """Run work under its idempotency key, or answer as an earlier call did."""
+        while True:
+            standing = self._claims.find(work)
+            if standing is not None:
+                if standing.digest != body_digest(work):
+                    return answer_problem(
+                        422, "key-reused", "this key came with another body before"
+                    )
+                standing = self._claims.await_outcome(work)
+            if standing is not None:
+                return _replay(standing)
+            claim = self._claims.claim(work)
+            if claim is ClaimRefusal.HELD:
+                continue
+            if isinstance(claim, ClaimRefusal):
+                return _claim_refused(claim)
+            outcome: Outcome | Refusal = Unknown("a fault in the entry host")
+            try:
+                outcome = self._dispatcher.run(work)
+            finally:
+                self._claims.settle(claim, outcome)
+            return _answer(outcome)
 
-    def _withdraw(self, admitted: Admitted) -> Decision:
-        cancelled = self._runtime.perform(
-            lambda member, now: member.cancel(admitted.request_id, now)
-        )
-        if not cancelled:
-            self._runtime.finish(admitted.request_id)
-        return Refuse(admitted.request_id, Refusal.EXPIRED)
 
-    def _run(self, admitted: Admitted, start: Start) -> Outcome:
-        configuration = self._runtime.member.state.configuration
-        minion = configuration.minions.get(start.minion)
-        work = MinionRequest(
-            request_id=admitted.request_id,
-            queue=admitted.name,
-            team=admitted.team,
-            body=admitted.body,
-            content_type=admitted.content_type,
-            content_encoding=admitted.content_encoding,
-            run_limit=admitted.queue.run_limit_ms / 1000,
-        )
-        began = time.monotonic()
-        if minion is None:
-            outcome: Outcome = NotRun("the minion was withdrawn")
-        elif self._team(admitted.bearer, admitted.queue) != admitted.team:
-            outcome = NotRun("the key was withdrawn")
-        elif not self._runtime.has_authority():
-            outcome = NotRun("this entry host cannot act just now")
-        else:
-            outcome = attempt(minion, work)
-        self._metrics.attempts.labels(type(outcome).__name__).inc()
-        self._release(admitted, outcome, began + work.run_limit)
-        return outcome
-
-    def _release(self, admitted: Admitted, outcome: Outcome, run_ends: float) -> None:
-        """Give the slot back, once the run has certainly ended."""
-        remaining = run_ends - time.monotonic()
-        if isinstance(outcome, Unknown) and remaining > 0:
-            timer = threading.Timer(
-                remaining, self._runtime.finish, [admitted.request_id]
+def _answer(outcome: Outcome | Refusal) -> HttpAnswer:
+    match outcome:
+        case Refusal():
+            return _refused(outcome)
+        case Ran():
+            return _whole(
+                outcome.status,
+                outcome.body,
+                outcome.content_type,
+                outcome.content_encoding,
             )
-            timer.daemon = True
-            timer.start()
-        else:
-            self._runtime.finish(admitted.request_id)
-
-    def _answer(self, outcome: Outcome) -> HttpAnswer:
-        match outcome:
-            case Ran():
-                headers = {"Content-Type": outcome.content_type, "Outcome": "ran"}
-                if outcome.content_encoding is not None:
-                    headers["Content-Encoding"] = outcome.content_encoding
-                return HttpAnswer(outcome.status, outcome.body, headers)
-            case NotRun():
-                return answer_problem(
-                    503, "not-run", outcome.reason, retry_after=RETRY_AFTER_SECONDS
-                )
-            case Unknown():
-                return answer_problem(502, "unknown", outcome.reason, outcome="unknown")
+        case NotRun():
+            return answer_problem(
+                503, "not-run", outcome.reason, retry_after=_retry_after()
+            )
+        case Unknown():
+            return answer_problem(502, "unknown", outcome.reason, outcome="unknown")
+
+
+def _replay(claim: KeptClaim) -> HttpAnswer:
+    """Answer a retry from what the log has of the first call."""
+    kept = claim.answer
+    if kept is not None:
+        body = base64.b64decode(kept.body)
+        return _whole(kept.status, body, kept.content_type, kept.content_encoding)
+    if claim.outcome == "ran":
+        return answer_problem(
+            410, "answer-not-kept", "it ran; its answer is not kept", outcome="ran"
+        )
+    if claim.outcome == "unknown":
+        return answer_problem(
+            502, "unknown", "the first call has no known outcome", outcome="unknown"
+        )
+    return answer_problem(
+        504, "still-unknown", "the first call has no outcome yet", outcome="unknown"
+    )
+
+
+def _whole(
+    status: int, body: bytes, content_type: str, content_encoding: str | None
+) -> HttpAnswer:
+    headers = {"Content-Type": content_type, "Outcome": "ran"}
+    if content_encoding is not None:
+        headers["Content-Encoding"] = content_encoding
+    return HttpAnswer(status, body, headers)
+
+
+def _claim_refused(refusal: ClaimRefusal) -> HttpAnswer:
+    detail = {
+        ClaimRefusal.LOG_DOWN: "the log does not take the claim of this key",
+        ClaimRefusal.FULL: "too many keys are claimed",
+    }
+    return answer_problem(503, "no-claim", detail[refusal], retry_after=_retry_after())
 
 
 def _refused(refusal: Refusal) -> HttpAnswer:
@@ -231,10 +258,19 @@
         STATUS_BY_REFUSAL[refusal],
         refusal.value,
         DETAIL_BY_REFUSAL[refusal],
-        retry_after=RETRY_AFTER_SECONDS,
+        retry_after=_retry_after(),
     )
 
 
+def _method_not_allowed(method: str) -> HttpAnswer:
+    answer = answer_problem(405, "method-not-allowed", f"got {method}, want POST")
+    return HttpAnswer(answer.status, answer.body, {**answer.headers, "Allow": "POST"})
+
+
+def _retry_after() -> int:
+    return random.randint(*RETRY_AFTER_SECONDS)
+
+
 def _deadline(request: HttpRequest, queue: Queue, began: float) -> float | HttpAnswer:
     limit = began + queue.wait_limit_ms / 1000
     text = request.headers.get("deadline-ms")
--- a/packages/geraniumshored/src/geraniumshored/internal/daemon.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/daemon.py
@@ -6,14 +6,25 @@
 import threading
 from uuid import uuid4
 
-from geraniumshore import Leave, Member, MemberInfo
+from geraniumshore import Admission, Leave, Member, MemberInfo
+from geraniumshored.internal.attempt import MinionClient
 from geraniumshored.internal.calls import CallHandler
+from geraniumshored.internal.claim_log import ClaimLog
+from geraniumshored.internal.claims_driver import ClaimsDriver
+from geraniumshored.internal.connections import ConnectionPool
+from geraniumshored.internal.dispatcher import Dispatcher
 from geraniumshored.internal.follower import LogAppender, LogFollower
 from geraniumshored.internal.front import Front
+from geraniumshored.internal.host_watch import HostWatch
 from geraniumshored.internal.metrics import Metrics
 from geraniumshored.internal.operators import OperatorHandler
 from geraniumshored.internal.peers import PeerNetwork, PeerServer
-from geraniumshored.internal.platform_http import HttpControlLog, PlatformCaller
+from geraniumshored.internal.platform_http import (
+    HttpControlLog,
+    HttpHostList,
+    PlatformCaller,
+)
+from geraniumshored.internal.run_watch import RunWatch
 from geraniumshored.internal.runtime import Runtime
 from geraniumshored.internal.settings import Settings
 from geraniumshored.internal.ticker import Ticker
@@ -24,6 +35,7 @@
 
 TICK_SECONDS = 0.05
 LEAVE_SECONDS = 3.0
+SEND_SECONDS = 5.0
 
 
 class Daemon:
@@ -45,7 +57,19 @@
         self._follower = LogFollower(log, self._runtime)
         self._network = PeerNetwork(self._runtime)
         self._peer_server = PeerServer(self._runtime, self._network)
-        self._calls = CallHandler(self._runtime)
+        self._claim_log = ClaimLog(log, self._runtime)
+        self._watch = RunWatch()
+        self._pool = ConnectionPool()
+        self._dispatcher = Dispatcher(
+            self._runtime, MinionClient(self._pool, self._watch), self._watch
+        )
+        self._calls = CallHandler(
+            self._runtime,
+            self._dispatcher,
+            ClaimsDriver(self._runtime, self._claim_log),
+            Admission.from_threads(settings.threads),
+        )
+        self._host_watch = HostWatch(HttpHostList(caller), self._runtime)
         operators = OperatorHandler(self._runtime, self._appender, settings.operators)
         self._front = Front(self._runtime, self._calls, operators)
         self._ticker = Ticker(TICK_SECONDS, self._tick)
@@ -71,6 +95,9 @@
         self._peer_server.start(str(self._settings.peer))
         self._appender.start()
         self._follower.start()
+        self._claim_log.start()
+        self._watch.start()
+        self._host_watch.start()
         self._ticker.start()
         self._front.start(self._settings.http, self._settings.threads)
         logger.info("started", extra={"http": str(self._settings.http)})
@@ -85,11 +112,16 @@
         threading.Event().wait(self._settings.notice_ms / 1000)
         longest = self._runtime.perform(lambda member, _: member.longest_call())
         idle = self._calls.wait_until_idle(longest)
+        self._front.wait_until_sent(SEND_SECONDS)
+        self._claim_log.wait_until_settled(LEAVE_SECONDS)
         self._leave()
         self._front.stop()
         self._ticker.stop()
         self._follower.stop()
         self._appender.stop()
+        self._claim_log.stop()
+        self._watch.stop()
+        self._host_watch.stop()
         self._network.stop()
         self._peer_server.stop(grace_seconds=0.5)
         logger.info("stopped", extra={"every_call_ended": idle})
@@ -104,3 +136,5 @@
     def _tick(self) -> None:
         self._runtime.perform(lambda member, now: member.on_tick(now))
         self._network.forget_departed()
+        self._dispatcher.on_tick()
+        self._pool.close_idle()
--- /dev/null
+++ b/packages/geraniumshored/src/geraniumshored/internal/dispatcher.py
@@ -0,0 +1,238 @@
+"""From an admitted call to its outcome: slots, attempts, retries and blame."""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+from collections import defaultdict
+from concurrent.futures import Future, TimeoutError as FutureTimeoutError
+from uuid import uuid4
+
+from geraniumshore import (
+    Decision,
+    Minion,
+    NotRun,
+    Outcome,
+    OutlierDetector,
+    Ran,
+    Refusal,
+    Refuse,
+    RetryBudget,
+    SlotRequest,
+    Start,
+    Unknown,
+    backoff_seconds,
+    is_failure,
+    may_repeat,
+    verify_key,
+)
+from geraniumshored.internal.attempt import MinionClient, MinionRequest
+from geraniumshored.internal.run_watch import RunWatch
+from geraniumshored.internal.runtime import Runtime
+from geraniumshored.internal.work import Work
+
+__all__ = ["Dispatcher"]
+
+# A slot of a minion that failed this call already is swapped so often at most.
+MAX_SWAPS = 3
+SWAP_SECONDS = 0.02
+# While a call waits for a slot, its caller's connection is looked at this often.
+LOOK_SECONDS = 0.25
+DECISION_GRACE_SECONDS = 1.0
+# Answers are bounded like bodies are, but never below this.
+LEAST_ANSWER_BYTES = 1024 * 1024
+
+
+class Dispatcher:
+    """Runs admitted calls on minions. Safe for use by several threads."""
+
+    def __init__(self, runtime: Runtime, client: MinionClient, watch: RunWatch) -> None:
+        self._runtime = runtime
+        self._metrics = runtime.metrics
+        self._client = client
+        self._watch = watch
+        self._random = random.Random()
+        self._lock = threading.Lock()
+        self._budget_by_queue: dict[str, RetryBudget] = defaultdict(RetryBudget)
+        self._outliers_by_service: dict[str, OutlierDetector] = defaultdict(
+            OutlierDetector
+        )
+
+    def run(self, work: Work) -> Outcome | Refusal:
+        """Run the call until it has an outcome that stands."""
+        tried: set[str] = set()
+        # What an earlier attempt may have done; a later "not run" cannot undo it.
+        standing: Outcome | None = None
+        attempts = 0
+        while True:
+            decision = self._await_slot(work, tried)
+            if isinstance(decision, Refuse):
+                return standing or decision.refusal
+            outcome = self._attempt(work, decision)
+            attempts += 1
+            tried.add(decision.minion)
+            if isinstance(outcome, Refusal):
+                return standing or outcome
+            if not isinstance(outcome, NotRun):
+                standing = outcome
+            if not self._try_again(work, outcome, attempts):
+                return standing or outcome
+
+    def on_tick(self) -> None:
+        """Lift the suspicion of minions whose ejection has ended."""
+        minions = self._runtime.member.state.configuration.minions
+        for service, outliers in list(self._outliers_by_service.items()):
+            with self._lock:
+                outliers.keep_only(minions)
+            self._report_suspects(service)
+
+    def _try_again(self, work: Work, outcome: Outcome, attempts: int) -> bool:
+        """Decide on another attempt, and pause before it."""
+        with self._lock:
+            budget = self._budget_by_queue[work.name]
+            if isinstance(outcome, Ran) and not is_failure(outcome):
+                budget.on_success()
+                return False
+            if not may_repeat(outcome, work.queue.idempotent, attempts):
+                return False
+            pause = backoff_seconds(attempts, self._random.random())
+            if time.monotonic() + pause >= work.deadline or not budget.take():
+                return False
+        self._metrics.retries.labels(work.name).inc()
+        time.sleep(pause)
+        return True
+
+    def _await_slot(self, work: Work, tried: set[str]) -> Decision:
+        """Wait for a slot, preferably of a minion that was not tried yet."""
+        for _ in range(MAX_SWAPS):
+            decision = self._request_slot(work)
+            if isinstance(decision, Refuse) or not self._is_worth_a_swap(
+                work, decision.minion, tried
+            ):
+                return decision
+            self._runtime.finish(decision.ticket)
+            time.sleep(self._random.random() * SWAP_SECONDS)
+        return self._request_slot(work)
+
+    def _is_worth_a_swap(self, work: Work, minion: str, tried: set[str]) -> bool:
+        if minion not in tried:
+            return False
+        member = self._runtime.member
+        others = {
+            name
+            for name, other in member.state.configuration.minions.items()
+            if other.service == work.service and name not in member.unusable_minions
+        }
+        return bool(others - tried)
+
+    def _request_slot(self, work: Work) -> Decision:
+        request = SlotRequest(
+            ticket=uuid4().hex,
+            queue=work.name,
+            service=work.service,
+            team=work.team,
+            urgent=work.queue.urgent,
+            deadline=work.deadline,
+            max_waiting=work.queue.max_waiting,
+        )
+        future = self._runtime.request_slot(request)
+        return self._await_decision(work, request.ticket, future)
+
+    def _await_decision(
+        self, work: Work, ticket: str, future: Future[Decision]
+    ) -> Decision:
+        give_up_at = work.deadline + DECISION_GRACE_SECONDS
+        while (remaining := give_up_at - time.monotonic()) > 0:
+            try:
+                return future.result(min(LOOK_SECONDS, remaining))
+            except FutureTimeoutError:
+                if work.abandoned():
+                    break
+        if not self._runtime.perform(lambda member, now: member.cancel(ticket, now)):
+            self._runtime.finish(ticket)
+        return Refuse(ticket, Refusal.EXPIRED)
+
+    def _attempt(self, work: Work, start: Start) -> Outcome | Refusal:
+        """Check once more that the work may be sent, directly before it is."""
+        configuration = self._runtime.member.state.configuration
+        minion = configuration.minions.get(start.minion)
+        refused = self._reason_not_to_send(work, start.minion)
+        if minion is None or refused is not None:
+            self._runtime.finish(start.ticket)
+            return refused or NotRun("the minion was withdrawn")
+        return self._send(work, start, minion)
+
+    def _reason_not_to_send(self, work: Work, minion: str) -> NotRun | Refusal | None:
+        member = self._runtime.member
+        if not self._runtime.has_authority():
+            return Refusal.NO_AUTHORITY
+        if time.monotonic() >= work.deadline or work.abandoned():
+            return Refusal.EXPIRED
+        if work.bearer is not None:
+            keys = member.state.configuration.keys
+            if verify_key(keys, work.bearer) != work.team:
+                return NotRun("the key was withdrawn", retriable=False)
+        if minion in member.unusable_minions:
+            return NotRun("the minion is leaving")
+        return None
+
+    def _send(self, work: Work, start: Start, minion: Minion) -> Outcome:
+        request = MinionRequest(
+            request_id=start.ticket,
+            queue=work.name,
+            team=work.team,
+            body=work.body,
+            content_type=work.content_type,
+            content_encoding=work.content_encoding,
+            run_limit=work.queue.run_limit_ms / 1000,
+            idempotent=work.queue.idempotent,
+            max_answer_bytes=max(work.queue.max_body_bytes, LEAST_ANSWER_BYTES),
+        )
+        sent_at = time.monotonic()
+        members = len(self._runtime.member.state.view.members)
+        outcome: Outcome = Unknown("a fault in the entry host")
+        try:
+            outcome = self._client.attempt(minion, request, members)
+        finally:
+            self._release(minion, request, sent_at, outcome)
+        self._metrics.attempts.labels(type(outcome).__name__).inc()
+        self._blame(work, start.minion, outcome)
+        return outcome
+
+    def _release(
+        self, minion: Minion, request: MinionRequest, sent_at: float, outcome: Outcome
+    ) -> None:
+        """Give the slot back, once the run has certainly ended."""
+
+        def finish() -> None:
+            self._runtime.finish(request.request_id)
+
+        if isinstance(outcome, Unknown) and not outcome.ended:
+            ends_at = sent_at + request.run_limit
+            self._watch.when_ended(
+                minion.address, request.request_id, sent_at, ends_at, finish
+            )
+        else:
+            finish()
+
+    def _blame(self, work: Work, minion: str, outcome: Outcome) -> None:
+        failed = is_failure(outcome)
+        if isinstance(outcome, NotRun) and not failed:
+            return
+        with self._lock:
+            outliers = self._outliers_by_service[work.service]
+            outliers.on_result(minion, work.request_id, not failed, time.monotonic())
+        if failed:
+            self._report_suspects(work.service)
+
+    def _report_suspects(self, service: str) -> None:
+        with self._lock:
+            now = time.monotonic()
+            suspects = self._outliers_by_service[service].suspects(now)
+        entry = self._runtime.member.entry.by_service.get(service)
+        if entry is not None and entry.suspects != suspects:
+            self._runtime.perform(
+                lambda member, now: member.suspect_minions(service, suspects, now)
+            )
+            self._metrics.suspects.labels(service).set(len(suspects))
--- a/packages/geraniumshored/src/geraniumshored/internal/front.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/front.py
@@ -4,9 +4,12 @@
 
 import logging
 import threading
+import time
 from collections.abc import Iterable
 
+from waitress.channel import HTTPChannel
 from waitress.server import BaseWSGIServer, MultiSocketServer, create_server
+from waitress.task import WSGITask
 
 from geraniumshored.internal.calls import CallHandler
 from geraniumshored.internal.http_types import (
@@ -21,12 +24,36 @@
 from geraniumshored.internal.operators import OperatorHandler
 from geraniumshored.internal.runtime import Runtime
 from geraniumshored.internal.settings import Listen
+from geraniumshored.internal.sockets import SOCKET_OPTIONS
 
 __all__ = ["Front"]
 
 logger = logging.getLogger(__name__)
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
+MAX_CONNECTIONS = 2_000
+IDLE_CALLER_SECONDS = 120
+SENT_POLL_SECONDS = 0.02
+
+
+def closing_channel(stopping: threading.Event) -> type[HTTPChannel]:
+    """Return a channel whose answers end the connection once ``stopping`` is set.
+
+    A caller that keeps its connection would otherwise send its next request into the
+    end of the process.
+    """
+
+    class ClosingTask(WSGITask):  # type: ignore[misc]
+        def build_response_header(self) -> bytes:
+            if stopping.is_set():
+                self.set_close_on_finish()
+            header: bytes = super().build_response_header()
+            return header
+
+    class ClosingChannel(HTTPChannel):  # type: ignore[misc]
+        task_class = ClosingTask
+
+    return ClosingChannel
 
 
 class Front:
@@ -49,10 +76,19 @@
             host=listen.address,
             port=listen.port,
             threads=threads,
-            channel_timeout=120,
+            channel_timeout=IDLE_CALLER_SECONDS,
+            connection_limit=MAX_CONNECTIONS,
+            asyncore_use_poll=True,
             max_request_body_size=MAX_BODY_BYTES,
+            inbuf_overflow=MAX_BODY_BYTES,
+            outbuf_overflow=MAX_BODY_BYTES,
             ident="geraniumshore",
         )
+        adjustments = server.adj
+        adjustments.socket_options = SOCKET_OPTIONS
+        # Reading on while a call is open shows whether its caller is still there.
+        adjustments.channel_request_lookahead = 1
+        server.channel_class = closing_channel(self._stopping)
         self._server = server
         self._thread = threading.Thread(target=server.run, name="http", daemon=True)
         self._thread.start()
@@ -61,6 +97,23 @@
         """Let ``/readyz`` fail, so that the balancer sends no more."""
         self._stopping.set()
 
+    def wait_until_sent(self, seconds: float) -> bool:
+        """Wait until every answer has left; tell whether that was reached in time."""
+        deadline = time.monotonic() + seconds
+        while time.monotonic() < deadline:
+            if not self._unsent():
+                return True
+            time.sleep(SENT_POLL_SECONDS)
+        return False
+
+    def _unsent(self) -> bool:
+        if self._server is None:
+            return False
+        channels = list(self._server.active_channels.values())
+        return any(
+            channel.requests or channel.total_outbufs_len for channel in channels
+        )
+
     def stop(self) -> None:
         """Stop listening."""
         if self._server is not None:
@@ -82,7 +135,7 @@
 
     def _route(self, request: HttpRequest) -> HttpAnswer:
         match (request.method, request.path):
-            case ("POST", ("queues", name)):
+            case (_, ("queues", name)):
                 return self._calls.handle(request, name)
             case ("GET", ("healthz",)):
                 return answer_json(200, {"status": "ok"})
--- /dev/null
+++ b/packages/geraniumshored/src/geraniumshored/internal/host_watch.py
@@ -0,0 +1,64 @@
+"""Follows the platform's list of hosts, so that leaving minions get no new work."""
+
+from __future__ import annotations
+
+import logging
+import threading
+
+from geraniumshore import Configuration, HostList, PlatformUnavailableError
+from geraniumshored.internal.runtime import Runtime
+
+__all__ = ["HostWatch", "minions_on"]
+
+logger = logging.getLogger(__name__)
+
+POLL_SECONDS = 0.5
+LEAVING = "leaving"
+
+
+def minions_on(configuration: Configuration, hosts: frozenset[str]) -> frozenset[str]:
+    """Return the minions that run on ``hosts``."""
+    return frozenset(
+        name
+        for name, minion in configuration.minions.items()
+        if minion.host is not None and minion.host in hosts
+    )
+
+
+class HostWatch(threading.Thread):
+    """Reads the list at an interval; while it cannot be read, the last one stands."""
+
+    def __init__(self, hosts: HostList, runtime: Runtime) -> None:
+        super().__init__(name="host-watch", daemon=True)
+        self._hosts = hosts
+        self._runtime = runtime
+        self._leaving: frozenset[str] = frozenset()
+        self._stop_requested = threading.Event()
+
+    def run(self) -> None:
+        """Follow until stopped."""
+        while not self._stop_requested.is_set():
+            try:
+                listed = self._hosts.list_hosts()
+            except PlatformUnavailableError:
+                self._runtime.metrics.host_list_reads.labels("failed").inc()
+            else:
+                self._runtime.metrics.host_list_reads.labels("answered").inc()
+                leaving = (host.host for host in listed if host.state == LEAVING)
+                self._take_in(frozenset(leaving))
+            self._stop_requested.wait(POLL_SECONDS)
+
+    def stop(self) -> None:
+        """Ask the thread to end."""
+        self._stop_requested.set()
+
+    def _take_in(self, leaving: frozenset[str]) -> None:
+        if leaving != self._leaving:
+            logger.info("hosts are leaving", extra={"hosts": sorted(leaving)})
+            self._leaving = leaving
+        member = self._runtime.member
+        unusable = minions_on(member.state.configuration, leaving)
+        if unusable != member.unusable_minions:
+            self._runtime.perform(
+                lambda member, now: member.set_unusable_minions(unusable, now)
+            )
--- a/packages/geraniumshored/src/geraniumshored/internal/http_types.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/http_types.py
@@ -36,6 +36,11 @@
         """The length of the body in bytes."""
         return int(self.environ.get("CONTENT_LENGTH") or 0)
 
+    def abandoned(self) -> bool:
+        """Tell whether the caller's connection has ended, so that no one waits."""
+        disconnected = self.environ.get("waitress.client_disconnected")
+        return disconnected is not None and bool(disconnected())
+
     @property
     def bearer(self) -> str | None:
         """The bearer key, or None without one."""
--- a/packages/geraniumshored/src/geraniumshored/internal/metrics.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/metrics.py
@@ -27,6 +27,16 @@
         self._latency_by_queue: dict[str, HdrHistogram] = {}
         self.requests = self._counter("requests", "Calls by result", "queue", "result")
         self.attempts = self._counter("attempts", "Attempts by outcome", "outcome")
+        self.retries = self._counter("retries", "Attempts made again", "queue")
+        self.host_list_reads = self._counter(
+            "host_list_reads", "Reads of the list of hosts", "result"
+        )
+        self.suspects = Gauge(
+            "geraniumshore_suspect_minions",
+            "Minions that fail this host's work",
+            ("service",),
+            registry=self.registry,
+        )
         self.log_reads = self._counter("log_reads", "Reads of the log", "result")
         self.log_appends = self._counter("log_appends", "Appends", "result")
         self.log_records = self._counter("log_records", "Records folded", "verdict")
--- a/packages/geraniumshored/src/geraniumshored/internal/platform_http.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/platform_http.py
@@ -18,6 +18,7 @@
     UnknownOutcomeError,
 )
 from geraniumshored.internal.settings import PlatformSettings
+from geraniumshored.internal.sockets import harden
 
 __all__ = ["HttpControlLog", "HttpHostList", "PlatformCaller"]
 
@@ -72,6 +73,7 @@
             )
             try:
                 connection.connect()
+                harden(connection.sock)
             except OSError as error:
                 raise PlatformUnavailableError(f"connect: {error!r}") from error
             self._local.connection = connection
