--- a/packages/geraniumshore/src/geraniumshore/__init__.py
+++ b/packages/geraniumshore/src/geraniumshore/__init__.py
@@ -12,6 +12,12 @@
     UnknownOutcomeError,
 )
 from geraniumshore.internal.admission import Admission
+from geraniumshore.internal.burn import (
+    Alert,
+    QueueBurn,
+    WindowBurn,
+    burn_by_queue,
+)
 from geraniumshore.internal.claim_records import Answer, Claim, KeptAnswer
 from geraniumshore.internal.claims import (
     MAX_ANSWER_BYTES,
@@ -85,6 +91,12 @@
     is_failure,
     may_repeat,
 )
+from geraniumshore.internal.service_levels import (
+    QueueCounts,
+    ServiceLevelHistory,
+    ServiceLevels,
+    is_good_call,
+)
 from geraniumshore.internal.shares import (
     Candidate,
     FirstComeFirstServed,
@@ -95,6 +107,7 @@
 __all__ = [
     "Admission",
     "Answer",
+    "Alert",
     "Candidate",
     "Claim",
     "Claims",
@@ -131,6 +144,8 @@
     "PlatformUnavailableError",
     "Pool",
     "Queue",
+    "QueueBurn",
+    "QueueCounts",
     "Ran",
     "RawEntry",
     "Record",
@@ -141,6 +156,8 @@
     "ReleaseSummary",
     "RetryBudget",
     "Service",
+    "ServiceLevelHistory",
+    "ServiceLevels",
     "SharePolicy",
     "SlotRequest",
     "Start",
@@ -150,10 +167,12 @@
     "Verdict",
     "Wave",
     "WeightedShares",
+    "WindowBurn",
     "Withdrawn",
     "apply_release",
     "backoff_seconds",
     "claim_key",
+    "burn_by_queue",
     "coalescing_key",
     "decode_message",
     "decode_records",
@@ -161,6 +180,7 @@
     "encode_records",
     "fold_entry",
     "is_failure",
+    "is_good_call",
     "load_json",
     "make_key",
     "may_repeat",
--- a/packages/geraniumshore/src/geraniumshore/internal/fold.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/fold.py
@@ -24,6 +24,11 @@
     Record,
     Release,
 )
+from geraniumshore.internal.service_levels import (
+    ServiceLevelHistory,
+    ServiceLevels,
+    fold_service_levels,
+)
 from geraniumshore.internal.view import View, apply_evict, apply_join, apply_leave
 
 __all__ = ["ControlState", "ReleaseSummary", "Verdict", "fold_entry"]
@@ -57,6 +62,7 @@
     releases: list[ReleaseSummary] = field(default_factory=list)
     recent_ids: dict[str, None] = field(default_factory=dict)
     claims: Claims = field(default_factory=Claims)
+    service_levels: dict[str, ServiceLevelHistory] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,6 +113,14 @@
             return fold_claim(state.claims, record, entry.appended_at_ms)
         case Answer():
             return fold_answer(state.claims, record, entry.appended_at_ms)
+        case ServiceLevels():
+            findings = ()
+            fold_service_levels(
+                state.service_levels,
+                record,
+                entry.appended_at_ms,
+                state.configuration.queues,
+            )
     if not findings:
         _update_homes(state)
     return findings
@@ -137,6 +151,7 @@
         state.homes,
         state.view.members,
         state.configuration.services,
+        state.configuration.job_pools(),
         state.configuration.teams,
         epoch=state.homes_changes + 1,
     )
--- a/packages/geraniumshore/src/geraniumshore/internal/records.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/records.py
@@ -11,6 +11,7 @@
 from geraniumshore.errors import Finding
 from geraniumshore.internal.claim_records import Answer, Claim
 from geraniumshore.internal.release import ReleaseNote, validation_findings
+from geraniumshore.internal.service_levels import ServiceLevels
 
 __all__ = [
     "Evict",
@@ -91,7 +92,8 @@
 
 
 Record = Annotated[
-    Join | Leave | Evict | Release | Claim | Answer, Field(discriminator="kind")
+    Join | Leave | Evict | Release | ServiceLevels | Claim | Answer,
+    Field(discriminator="kind"),
 ]
 
 
--- a/packages/geraniumshored/src/geraniumshored/internal/calls.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/calls.py
@@ -32,6 +32,7 @@
     answer_problem,
 )
 from geraniumshored.internal.runtime import Runtime
+from geraniumshored.internal.service_levels import ServiceLevelCounter
 from geraniumshored.internal.work import Work
 
 __all__ = ["CallHandler"]
@@ -64,8 +65,10 @@
         dispatcher: Dispatcher,
         claims: ClaimsDriver,
         admission: Admission,
+        levels: ServiceLevelCounter,
     ) -> None:
         self._runtime = runtime
+        self._levels = levels
         self._metrics = runtime.metrics
         self._dispatcher = dispatcher
         self._claims = claims
@@ -88,7 +91,9 @@
         label = queue_name if known else "unknown"
         self._metrics.requests.labels(label, str(answer.status)).inc()
         if known:
-            self._metrics.record_latency(queue_name, time.monotonic() - began)
+            seconds = time.monotonic() - began
+            self._metrics.record_latency(queue_name, seconds)
+            self._levels.count(queue_name, answer.status, seconds)
         return answer
 
     def wait_until_idle(self, seconds: float) -> bool:
--- a/packages/geraniumshored/src/geraniumshored/internal/daemon.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/daemon.py
@@ -26,6 +26,7 @@
 )
 from geraniumshored.internal.run_watch import RunWatch
 from geraniumshored.internal.runtime import Runtime
+from geraniumshored.internal.service_levels import ServiceLevelCounter
 from geraniumshored.internal.settings import Settings
 from geraniumshored.internal.ticker import Ticker
 
@@ -34,6 +35,7 @@
 logger = logging.getLogger(__name__)
 
 TICK_SECONDS = 0.05
+LEVELS_SECONDS = 60.0
 LEAVE_SECONDS = 3.0
 SEND_SECONDS = 5.0
 
@@ -57,6 +59,7 @@
         self._follower = LogFollower(log, self._runtime)
         self._network = PeerNetwork(self._runtime)
         self._peer_server = PeerServer(self._runtime, self._network)
+        self._levels = ServiceLevelCounter(self._runtime)
         self._claim_log = ClaimLog(log, self._runtime)
         self._watch = RunWatch()
         self._pool = ConnectionPool()
@@ -68,11 +71,15 @@
             self._dispatcher,
             ClaimsDriver(self._runtime, self._claim_log),
             Admission.from_threads(settings.threads),
+            self._levels,
         )
         self._host_watch = HostWatch(HttpHostList(caller), self._runtime)
-        operators = OperatorHandler(self._runtime, self._appender, settings.operators)
+        operators = OperatorHandler(
+            self._runtime, self._appender, settings.operators, self._levels
+        )
         self._front = Front(self._runtime, self._calls, operators)
         self._ticker = Ticker(TICK_SECONDS, self._tick)
+        self._levels_ticker = Ticker(LEVELS_SECONDS, self._append_levels)
         self._runtime.connect(self._network, self._appender)
 
     @classmethod
@@ -99,6 +106,7 @@
         self._watch.start()
         self._host_watch.start()
         self._ticker.start()
+        self._levels_ticker.start()
         self._front.start(self._settings.http, self._settings.threads)
         logger.info("started", extra={"http": str(self._settings.http)})
 
@@ -114,6 +122,8 @@
         idle = self._calls.wait_until_idle(longest)
         self._front.wait_until_sent(SEND_SECONDS)
         self._claim_log.wait_until_settled(LEAVE_SECONDS)
+        self._levels_ticker.stop()
+        self._append_levels()
         self._leave()
         self._front.stop()
         self._ticker.stop()
@@ -133,6 +143,9 @@
         except Exception as error:
             logger.warning("leave not confirmed", extra={"error": repr(error)})
 
+    def _append_levels(self) -> None:
+        self._levels.append(self.member_id)
+
     def _tick(self) -> None:
         self._runtime.perform(lambda member, now: member.on_tick(now))
         self._network.forget_departed()
--- a/packages/geraniumshored/src/geraniumshored/internal/front.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/front.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 
 from waitress.channel import HTTPChannel
-from waitress.server import BaseWSGIServer, MultiSocketServer, create_server
+from waitress.server import BaseWSGIServer, create_server
 from waitress.task import WSGITask
 
 from geraniumshored.internal.calls import CallHandler
@@ -43,14 +43,14 @@
     end of the process.
     """
 
-    class ClosingTask(WSGITask):  # type: ignore[misc]
+    class ClosingTask(WSGITask):
         def build_response_header(self) -> bytes:
             if stopping.is_set():
                 self.set_close_on_finish()
             header: bytes = super().build_response_header()
             return header
 
-    class ClosingChannel(HTTPChannel):  # type: ignore[misc]
+    class ClosingChannel(HTTPChannel):
         task_class = ClosingTask
 
     return ClosingChannel
@@ -66,7 +66,7 @@
         self._calls = calls
         self._operators = operators
         self._stopping = threading.Event()
-        self._server: BaseWSGIServer | MultiSocketServer | None = None
+        self._server: BaseWSGIServer | None = None
         self._thread: threading.Thread | None = None
 
     def start(self, listen: Listen, threads: int) -> None:
@@ -84,6 +84,8 @@
             outbuf_overflow=MAX_BODY_BYTES,
             ident="geraniumshore",
         )
+        # One address gives one socket.
+        assert isinstance(server, BaseWSGIServer)
         adjustments = server.adj
         adjustments.socket_options = SOCKET_OPTIONS
         # Reading on while a call is open shows whether its caller is still there.
@@ -109,7 +111,8 @@
     def _unsent(self) -> bool:
         if self._server is None:
             return False
-        channels = list(self._server.active_channels.values())
+        active: dict[int, HTTPChannel] = self._server.active_channels  # type: ignore[assignment]
+        channels = list(active.values())
         return any(
             channel.requests or channel.total_outbufs_len for channel in channels
         )
