--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/fleet.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/fleet.py
@@ -16,7 +16,7 @@
 from dataclasses import dataclass, field
 from itertools import accumulate
 from pathlib import Path
-from typing import Any
+from typing import Any, Self
 
 from geraniumshore import MadeKey, make_key
 from geraniumshore_standins.internal.hop import Hop
@@ -113,7 +113,7 @@
     by_name: dict[str, EntryProcess] = field(default_factory=dict)
     processes: list[subprocess.Popen[bytes]] = field(default_factory=list)
 
-    def __enter__(self) -> Fleet:
+    def __enter__(self) -> Self:
         return self
 
     def __exit__(self, *_: object) -> None:
--- a/packages/geraniumshore/src/geraniumshore/internal/outliers.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/outliers.py
@@ -19,6 +19,7 @@
 # An outlier fails at more than so many times the rate of the others together.
 TIMES_THE_OTHERS = 2
 MINIONS_FOR_BAD_WORK = 2
+AVOID_SECONDS = 0.3
 FIRST_EJECTION_SECONDS = 1.0
 LONGEST_EJECTION_SECONDS = 30.0
 # So many good results after re-entry end the time in which one failure ejects again.
@@ -39,6 +40,7 @@
     ejections: int = 0
     ejected_until: float | None = None
     probation: int = 0
+    avoided_until: float = float("-inf")
 
     @property
     def failures(self) -> int:
@@ -98,9 +100,16 @@
     def suspects(self, now: float) -> frozenset[str]:
         """Return the minions that should get no work now."""
         return frozenset(
-            minion for minion, r in self.by_minion.items() if r.is_ejected(now)
+            minion
+            for minion, record in self.by_minion.items()
+            if record.is_ejected(now) or now < record.avoided_until
         )
 
+    def avoid(self, minion: str, now: float) -> None:
+        """Keep off a minion for a moment, so that a retry goes to another one."""
+        record = self.by_minion.setdefault(minion, _MinionRecord())
+        record.avoided_until = now + AVOID_SECONDS
+
     def keep_only(self, minions: Iterable[str]) -> None:
         """Forget the minions that are in the configuration no longer."""
         for minion in set(self.by_minion) - set(minions):
--- a/packages/geraniumshore/src/geraniumshore/internal/service_home.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/service_home.py
@@ -60,7 +60,8 @@
     demand_by_holder: dict[str, _HolderDemand] = field(default_factory=dict)
     tokens_by_team: dict[str, TokenAccount] = field(default_factory=dict)
     changed: set[str] = field(default_factory=set)
-    grants_by_minion: Counter[str] = field(default_factory=Counter)
+    grants: int = 0
+    last_grant_by_minion: dict[str, int] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.ledger = Ledger(self.home.epoch)
@@ -136,7 +137,8 @@
             chosen = self.policy.choose(candidates)
             holder = self._longest_waiting(unmet, chosen.team, chosen.urgent)
             self.ledger.grant(holder, Lane(chosen.team, minion))
-            self.grants_by_minion[minion] += 1
+            self.grants += 1
+            self.last_grant_by_minion[minion] = self.grants
             self.changed.add(holder)
             use_by_minion[minion] += 1
             use_by_team[chosen.team] += 1
@@ -269,7 +271,7 @@
     def _freest_minion(
         self, use_by_minion: Counter[str], ejected: frozenset[str]
     ) -> str | None:
-        """Return the minion with most free slots; of several, the least granted.
+        """Return the minion with most free slots; of several, the next in turn.
 
         So a retry that gives a slot back gets one of another minion.
         """
@@ -280,7 +282,11 @@
         }
         return max(
             free,
-            key=lambda minion: (free[minion], -self.grants_by_minion[minion], minion),
+            key=lambda minion: (
+                free[minion],
+                -self.last_grant_by_minion.get(minion, 0),
+                minion,
+            ),
             default=None,
         )
 
--- a/packages/geraniumshored/src/geraniumshored/internal/dispatcher.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/dispatcher.py
@@ -34,9 +34,6 @@
 
 __all__ = ["Dispatcher"]
 
-# A slot of a minion that failed this call already is swapped so often at most.
-MAX_SWAPS = 3
-SWAP_SECONDS = 0.02
 # While a call waits for a slot, its caller's connection is looked at this often.
 LOOK_SECONDS = 0.25
 DECISION_GRACE_SECONDS = 1.0
@@ -61,22 +58,20 @@
 
     def run(self, work: Work) -> Outcome | Refusal:
         """Run the call until it has an outcome that stands."""
-        tried: set[str] = set()
         # What an earlier attempt may have done; a later "not run" cannot undo it.
         standing: Outcome | None = None
         attempts = 0
         while True:
-            decision = self._await_slot(work, tried)
+            decision = self._request_slot(work)
             if isinstance(decision, Refuse):
                 return standing or decision.refusal
             outcome = self._attempt(work, decision)
             attempts += 1
-            tried.add(decision.minion)
             if isinstance(outcome, Refusal):
                 return standing or outcome
             if not isinstance(outcome, NotRun):
                 standing = outcome
-            if not self._try_again(work, outcome, attempts):
+            if not self._try_again(work, decision.minion, outcome, attempts):
                 return standing or outcome
 
     def on_tick(self) -> None:
@@ -87,8 +82,10 @@
                 outliers.keep_only(minions)
             self._report_suspects(service)
 
-    def _try_again(self, work: Work, outcome: Outcome, attempts: int) -> bool:
-        """Decide on another attempt, and pause before it."""
+    def _try_again(
+        self, work: Work, minion: str, outcome: Outcome, attempts: int
+    ) -> bool:
+        """Decide on another attempt, on another minion if there is one, and pause."""
         with self._lock:
             budget = self._budget_by_queue[work.name]
             if isinstance(outcome, Ran) and not is_failure(outcome):
@@ -99,33 +96,12 @@
             pause = backoff_seconds(attempts, self._random.random())
             if time.monotonic() + pause >= work.deadline or not budget.take():
                 return False
+            self._outliers_by_service[work.service].avoid(minion, time.monotonic())
+        self._report_suspects(work.service)
         self._metrics.retries.labels(work.name).inc()
         time.sleep(pause)
         return True
 
-    def _await_slot(self, work: Work, tried: set[str]) -> Decision:
-        """Wait for a slot, preferably of a minion that was not tried yet."""
-        for _ in range(MAX_SWAPS):
-            decision = self._request_slot(work)
-            if isinstance(decision, Refuse) or not self._is_worth_a_swap(
-                work, decision.minion, tried
-            ):
-                return decision
-            self._runtime.finish(decision.ticket)
-            time.sleep(self._random.random() * SWAP_SECONDS)
-        return self._request_slot(work)
-
-    def _is_worth_a_swap(self, work: Work, minion: str, tried: set[str]) -> bool:
-        if minion not in tried:
-            return False
-        member = self._runtime.member
-        others = {
-            name
-            for name, other in member.state.configuration.minions.items()
-            if other.service == work.service and name not in member.unusable_minions
-        }
-        return bool(others - tried)
-
     def _request_slot(self, work: Work) -> Decision:
         request = SlotRequest(
             ticket=uuid4().hex,
