--- a/packages/geraniumshore/src/geraniumshore/__init__.py
+++ b/packages/geraniumshore/src/geraniumshore/__init__.py
@@ -12,6 +12,7 @@
     UnknownOutcomeError,
 )
 from geraniumshore.internal.admission import Admission
+from geraniumshore.internal.agreement import Standing
 from geraniumshore.internal.burn import (
     Alert,
     QueueBurn,
@@ -52,7 +53,10 @@
 from geraniumshore.internal.keys import MadeKey, make_key, verify_key
 from geraniumshore.internal.member import Effects, Member
 from geraniumshore.internal.messages import (
+    EndorseRequest,
     Message,
+    Relay,
+    StateTransfer,
     coalescing_key,
     decode_message,
     encode_message,
@@ -74,6 +78,7 @@
     MemberInfo,
     Record,
     Release,
+    SnapshotPart,
     decode_records,
     encode_records,
 )
@@ -103,6 +108,7 @@
     SharePolicy,
     WeightedShares,
 )
+from geraniumshore.internal.view import predecessor
 
 __all__ = [
     "Admission",
@@ -116,6 +122,7 @@
     "ControlState",
     "Decision",
     "Effects",
+    "EndorseRequest",
     "Evict",
     "Finding",
     "FirstComeFirstServed",
@@ -151,6 +158,7 @@
     "Record",
     "Refusal",
     "Refuse",
+    "Relay",
     "Release",
     "ReleaseNote",
     "ReleaseSummary",
@@ -160,7 +168,10 @@
     "ServiceLevels",
     "SharePolicy",
     "SlotRequest",
+    "SnapshotPart",
+    "Standing",
     "Start",
+    "StateTransfer",
     "Team",
     "Unknown",
     "UnknownOutcomeError",
@@ -185,6 +196,7 @@
     "make_key",
     "may_repeat",
     "parse_release",
+    "predecessor",
     "validation_findings",
     "verify_key",
 ]
--- a/packages/geraniumshore/src/geraniumshore/internal/records.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/records.py
@@ -21,6 +21,7 @@
     "MemberInfo",
     "Record",
     "Release",
+    "SnapshotPart",
     "decode_records",
     "encode_records",
 ]
@@ -43,7 +44,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Join:
-    """Adds a member to the view numbered ``view``."""
+    """Adds a member to the view numbered ``view``.
+
+    ``replaces`` names the ended process whose host and peer address the member has;
+    ``gone`` names silent members whose hosts the platform lists no longer.
+    """
 
     __pydantic_config__: ClassVar[ConfigDict] = STRICT
 
@@ -51,6 +56,8 @@
     view: int
     info: MemberInfo
     endorsed_by: tuple[str, ...] = ()
+    replaces: str | None = None
+    gone: tuple[str, ...] = ()
     kind: Literal["join"] = "join"
 
 
@@ -67,7 +74,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Evict:
-    """Takes a silent member out of the view numbered ``view``."""
+    """Takes a silent member out of the view numbered ``view``.
+
+    ``forced_by`` names the operator who took it out by hand.
+    """
 
     __pydantic_config__: ClassVar[ConfigDict] = STRICT
 
@@ -75,6 +85,7 @@
     view: int
     member: str
     endorsed_by: tuple[str, ...] = ()
+    gone: tuple[str, ...] = ()
     forced_by: str | None = None
     kind: Literal["evict"] = "evict"
 
@@ -91,8 +102,23 @@
     kind: Literal["release"] = "release"
 
 
+@dataclass(frozen=True, slots=True)
+class SnapshotPart:
+    """One part of the state as folded up to ``position``, in the compressed form."""
+
+    __pydantic_config__: ClassVar[ConfigDict] = STRICT
+
+    id: str
+    snapshot: str
+    position: int
+    part: int
+    parts: int
+    document: str
+    kind: Literal["snapshot-part"] = "snapshot-part"
+
+
 Record = Annotated[
-    Join | Leave | Evict | Release | ServiceLevels | Claim | Answer,
+    Join | Leave | Evict | Release | ServiceLevels | SnapshotPart | Claim | Answer,
     Field(discriminator="kind"),
 ]
 
--- a/packages/geraniumshored/src/geraniumshored/internal/connections.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/connections.py
@@ -1,4 +1,4 @@
-"""Connections to minions: hardened sockets, reused only where nothing is in doubt."""
+"""Connections to minions: watched sockets, reused only where nothing is in doubt."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from geraniumshore import Minion
-from geraniumshored.internal.sockets import harden, has_input
+from geraniumshored.internal.sockets import has_input, watch_for_silence
 
 __all__ = ["ConnectionPool", "MinionConnection", "connect", "idle_budget"]
 
@@ -40,7 +40,7 @@
     connection = http.client.HTTPConnection(host, int(port), timeout=timeout)
     try:
         connection.connect()
-        harden(connection.sock)
+        watch_for_silence(connection.sock)
     except OSError:
         connection.close()
         raise
--- a/packages/geraniumshored/src/geraniumshored/internal/daemon.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/daemon.py
@@ -4,6 +4,7 @@
 
 import logging
 import threading
+from enum import IntEnum
 from uuid import uuid4
 
 from geraniumshore import Admission, Leave, Member, MemberInfo
@@ -30,7 +31,7 @@
 from geraniumshored.internal.settings import Settings
 from geraniumshored.internal.ticker import Ticker
 
-__all__ = ["Daemon"]
+__all__ = ["Daemon", "ExitStatus"]
 
 logger = logging.getLogger(__name__)
 
@@ -40,6 +41,13 @@
 SEND_SECONDS = 5.0
 
 
+class ExitStatus(IntEnum):
+    """What the end of the process means to its supervisor."""
+
+    DONE = 0
+    EVICTED = 75
+
+
 class Daemon:
     """One entry host's process."""
 
@@ -79,6 +87,8 @@
         )
         self._front = Front(self._runtime, self._calls, operators)
         self._ticker = Ticker(TICK_SECONDS, self._tick)
+        self._stop_requested = threading.Event()
+        self._evicted = False
         self._levels_ticker = Ticker(LEVELS_SECONDS, self._append_levels)
         self._runtime.connect(self._network, self._appender)
 
@@ -92,11 +102,16 @@
         """This process incarnation's id."""
         return self._runtime.member.id
 
-    def run(self, stop_requested: threading.Event) -> None:
-        """Serve until ``stop_requested`` is set, then shut down gracefully."""
+    def run(self, stop_requested: threading.Event) -> ExitStatus:
+        """Serve until ``stop_requested`` is set, or this member has been evicted.
+
+        Either way the calls that are open are answered before it returns.
+        """
+        self._stop_requested = stop_requested
         self._start()
         stop_requested.wait()
         self._shut_down()
+        return ExitStatus.EVICTED if self._evicted else ExitStatus.DONE
 
     def _start(self) -> None:
         self._peer_server.start(str(self._settings.peer))
@@ -123,8 +138,9 @@
         self._front.wait_until_sent(SEND_SECONDS)
         self._claim_log.wait_until_settled(LEAVE_SECONDS)
         self._levels_ticker.stop()
-        self._append_levels()
-        self._leave()
+        if not self._evicted:
+            self._append_levels()
+            self._leave()
         self._front.stop()
         self._ticker.stop()
         self._follower.stop()
@@ -151,3 +167,12 @@
         self._network.forget_departed()
         self._dispatcher.on_tick()
         self._pool.close_idle()
+        if self._runtime.member.agreement.lost_membership:
+            self._on_lost_membership()
+
+    def _on_lost_membership(self) -> None:
+        if self._stop_requested.is_set():
+            return
+        logger.error("evicted: ending, so that a new process can join")
+        self._evicted = True
+        self._stop_requested.set()
--- a/packages/geraniumshored/src/geraniumshored/internal/platform_http.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/platform_http.py
@@ -18,7 +18,7 @@
     UnknownOutcomeError,
 )
 from geraniumshored.internal.settings import PlatformSettings
-from geraniumshored.internal.sockets import harden
+from geraniumshored.internal.sockets import watch_for_silence
 
 __all__ = ["HttpControlLog", "HttpHostList", "PlatformCaller"]
 
@@ -73,9 +73,9 @@
             )
             try:
                 connection.connect()
-                harden(connection.sock)
             except OSError as error:
                 raise PlatformUnavailableError(f"connect: {error!r}") from error
+            watch_for_silence(connection.sock)
             self._local.connection = connection
         if connection.sock is None:
             self._drop()
--- a/packages/geraniumshored/src/geraniumshored/internal/sockets.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/sockets.py
@@ -5,7 +5,7 @@
 import select
 import socket
 
-__all__ = ["SOCKET_OPTIONS", "harden", "has_input"]
+__all__ = ["SOCKET_OPTIONS", "watch_for_silence", "has_input"]
 
 IDLE_SECONDS = 2
 PROBE_SECONDS = 1
@@ -24,8 +24,8 @@
 ]
 
 
-def harden(sock: socket.socket) -> None:
-    """Set the options on a connected socket."""
+def watch_for_silence(sock: socket.socket) -> None:
+    """Let the kernel end a connection whose other end has gone silent."""
     for level, name, value in SOCKET_OPTIONS:
         sock.setsockopt(level, name, value)
 
--- a/tests/cover/test_claims.py
+++ b/tests/cover/test_claims.py
@@ -1,7 +1,7 @@
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from geraniumshore import Answer, Claim, Claims, KeptAnswer
+from geraniumshore import Answer, Claim, Claims, ControlState, KeptAnswer
 from geraniumshore.internal.claims import (
     CLAIM_WINDOW_MS,
     MAX_ANSWER_BYTES,
@@ -11,6 +11,7 @@
     fold_answer,
     fold_claim,
 )
+from geraniumshore.internal.snapshot import decode_state, encode_state
 
 KEYS = st.sampled_from(["a", "b", "c"])
 
@@ -126,3 +127,11 @@
         assert not fold_claim(claims, claim(number, f"k{number}"), 0)
     assert fold_claim(claims, claim(-1, "one-more"), 0)
     assert claims.find(claim_key("acme", "billing", "k0")) is not None
+
+
+def test_a_snapshot_carries_claims_and_their_answers():
+    state = ControlState()
+    made = claim(1)
+    fold_claim(state.claims, made, 5)
+    fold_answer(state.claims, answer(1, made), 6)
+    assert decode_state(encode_state(state)).unwrap().claims == state.claims
