--- a/packages/geraniumshore/src/geraniumshore/__init__.py
+++ b/packages/geraniumshore/src/geraniumshore/__init__.py
@@ -11,6 +11,7 @@
     PlatformUnavailableError,
     UnknownOutcomeError,
 )
+from geraniumshore.internal.admission import Admission
 from geraniumshore.internal.agreement import Standing
 from geraniumshore.internal.burn import (
     Alert,
@@ -18,6 +19,13 @@
     WindowBurn,
     burn_by_queue,
 )
+from geraniumshore.internal.claim_records import Answer, Claim, KeptAnswer
+from geraniumshore.internal.claims import (
+    MAX_ANSWER_BYTES,
+    Claims,
+    KeptClaim,
+    claim_key,
+)
 from geraniumshore.internal.configuration import Configuration, apply_release
 from geraniumshore.internal.entry import (
     Decision,
@@ -54,6 +62,7 @@
     encode_message,
 )
 from geraniumshore.internal.outcomes import NotRun, Outcome, Ran, Unknown
+from geraniumshore.internal.outliers import OutlierDetector
 from geraniumshore.internal.platform import (
     ControlLog,
     HostList,
@@ -81,6 +90,12 @@
     parse_release,
     validation_findings,
 )
+from geraniumshore.internal.retries import (
+    RetryBudget,
+    backoff_seconds,
+    is_failure,
+    may_repeat,
+)
 from geraniumshore.internal.service_levels import (
     QueueCounts,
     ServiceLevelHistory,
@@ -96,8 +111,12 @@
 from geraniumshore.internal.view import predecessor
 
 __all__ = [
+    "Admission",
+    "Answer",
     "Alert",
     "Candidate",
+    "Claim",
+    "Claims",
     "Configuration",
     "ControlLog",
     "ControlState",
@@ -113,11 +132,14 @@
     "InvalidInputError",
     "Items",
     "Join",
+    "KeptAnswer",
+    "KeptClaim",
     "Key",
     "Leave",
     "ListedHost",
     "LogEntry",
     "LogRead",
+    "MAX_ANSWER_BYTES",
     "MadeKey",
     "Member",
     "MemberInfo",
@@ -125,6 +147,7 @@
     "Minion",
     "NotRun",
     "Outcome",
+    "OutlierDetector",
     "PlatformUnavailableError",
     "Pool",
     "Queue",
@@ -139,6 +162,7 @@
     "Release",
     "ReleaseNote",
     "ReleaseSummary",
+    "RetryBudget",
     "Service",
     "ServiceLevelHistory",
     "ServiceLevels",
@@ -157,6 +181,8 @@
     "WindowBurn",
     "Withdrawn",
     "apply_release",
+    "backoff_seconds",
+    "claim_key",
     "burn_by_queue",
     "coalescing_key",
     "decode_message",
@@ -164,9 +190,11 @@
     "encode_message",
     "encode_records",
     "fold_entry",
+    "is_failure",
     "is_good_call",
     "load_json",
     "make_key",
+    "may_repeat",
     "parse_release",
     "predecessor",
     "validation_findings",
--- a/packages/geraniumshore/src/geraniumshore/internal/member.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/member.py
@@ -13,6 +13,7 @@
 from result import Err
 
 from geraniumshore.internal.agreement import Agreement
+from geraniumshore.internal.claim_records import Answer, Claim
 from geraniumshore.internal.entry import (
     Decision,
     Entry,
@@ -99,7 +100,11 @@
         ]
         self._effects.verdicts.extend(verdicts)
         self.agreement.on_folded(new, self.state, now)
-        if any(verdict.accepted for verdict in verdicts):
+        # Claims are frequent, and change nothing that homes or holdings follow.
+        if any(
+            verdict.accepted and not isinstance(verdict.record, Claim | Answer)
+            for verdict in verdicts
+        ):
             self._follow_state(now)
             self._act(now)
         if any(v.accepted and isinstance(v.record, Release) for v in verdicts):
@@ -189,6 +194,13 @@
         self._configure_homes(now)
         self._act(now)
 
+    def suspect_minions(
+        self, service: str, minions: frozenset[str], now: float
+    ) -> None:
+        """Name the minions of a service that fail this host's work, for its home."""
+        self.entry.suspect(service, minions)
+        self._act(now)
+
     def longest_call(self) -> float:
         """Return the longest time, in seconds, that an admitted call may take."""
         limits = (
--- a/packages/geraniumshored/src/geraniumshored/internal/daemon.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/daemon.py
@@ -7,14 +7,25 @@
 from enum import IntEnum
 from uuid import uuid4
 
-from geraniumshore import Leave, Member, MemberInfo
+from geraniumshore import Admission, Leave, Member, MemberInfo
+from geraniumshored.internal.attempt import MinionClient
 from geraniumshored.internal.calls import CallHandler
+from geraniumshored.internal.claim_log import ClaimLog
+from geraniumshored.internal.claims_driver import ClaimsDriver
+from geraniumshored.internal.connections import ConnectionPool
+from geraniumshored.internal.dispatcher import Dispatcher
 from geraniumshored.internal.follower import LogAppender, LogFollower
 from geraniumshored.internal.front import Front
+from geraniumshored.internal.host_watch import HostWatch
 from geraniumshored.internal.metrics import Metrics
 from geraniumshored.internal.operators import OperatorHandler
 from geraniumshored.internal.peers import PeerNetwork, PeerServer
-from geraniumshored.internal.platform_http import HttpControlLog, PlatformCaller
+from geraniumshored.internal.platform_http import (
+    HttpControlLog,
+    HttpHostList,
+    PlatformCaller,
+)
+from geraniumshored.internal.run_watch import RunWatch
 from geraniumshored.internal.runtime import Runtime
 from geraniumshored.internal.service_levels import ServiceLevelCounter
 from geraniumshored.internal.settings import Settings
@@ -27,6 +38,7 @@
 TICK_SECONDS = 0.05
 LEVELS_SECONDS = 60.0
 LEAVE_SECONDS = 3.0
+SEND_SECONDS = 5.0
 
 
 class ExitStatus(IntEnum):
@@ -56,7 +68,20 @@
         self._network = PeerNetwork(self._runtime)
         self._peer_server = PeerServer(self._runtime, self._network)
         self._levels = ServiceLevelCounter(self._runtime)
-        self._calls = CallHandler(self._runtime, self._levels)
+        self._claim_log = ClaimLog(log, self._runtime)
+        self._watch = RunWatch()
+        self._pool = ConnectionPool()
+        self._dispatcher = Dispatcher(
+            self._runtime, MinionClient(self._pool, self._watch), self._watch
+        )
+        self._calls = CallHandler(
+            self._runtime,
+            self._dispatcher,
+            ClaimsDriver(self._runtime, self._claim_log),
+            Admission.from_threads(settings.threads),
+            self._levels,
+        )
+        self._host_watch = HostWatch(HttpHostList(caller), self._runtime)
         operators = OperatorHandler(
             self._runtime, self._appender, settings.operators, self._levels
         )
@@ -92,6 +117,9 @@
         self._peer_server.start(str(self._settings.peer))
         self._appender.start()
         self._follower.start()
+        self._claim_log.start()
+        self._watch.start()
+        self._host_watch.start()
         self._ticker.start()
         self._levels_ticker.start()
         self._front.start(self._settings.http, self._settings.threads)
@@ -107,6 +135,8 @@
         threading.Event().wait(self._settings.notice_ms / 1000)
         longest = self._runtime.perform(lambda member, _: member.longest_call())
         idle = self._calls.wait_until_idle(longest)
+        self._front.wait_until_sent(SEND_SECONDS)
+        self._claim_log.wait_until_settled(LEAVE_SECONDS)
         self._levels_ticker.stop()
         if not self._evicted:
             self._append_levels()
@@ -115,6 +145,9 @@
         self._ticker.stop()
         self._follower.stop()
         self._appender.stop()
+        self._claim_log.stop()
+        self._watch.stop()
+        self._host_watch.stop()
         self._network.stop()
         self._peer_server.stop(grace_seconds=0.5)
         logger.info("stopped", extra={"every_call_ended": idle})
@@ -132,6 +165,8 @@
     def _tick(self) -> None:
         self._runtime.perform(lambda member, now: member.on_tick(now))
         self._network.forget_departed()
+        self._dispatcher.on_tick()
+        self._pool.close_idle()
         if self._runtime.member.agreement.lost_membership:
             self._on_lost_membership()
 
