--- a/packages/geraniumshore/src/geraniumshore/internal/records.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/records.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from geraniumshore.errors import Finding
+from geraniumshore.internal.claim_records import Answer, Claim
 from geraniumshore.internal.release import ReleaseNote, validation_findings
 from geraniumshore.internal.service_levels import ServiceLevels
 
@@ -123,7 +124,7 @@
 
 
 Record = Annotated[
-    Join | Leave | Evict | Release | ServiceLevels | SnapshotPart,
+    Join | Leave | Evict | Release | ServiceLevels | SnapshotPart | Claim | Answer,
     Field(discriminator="kind"),
 ]
 
--- a/packages/geraniumshored/src/geraniumshored/internal/runtime.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/runtime.py
@@ -10,6 +10,8 @@
 from typing import Protocol, TypeVar
 
 from geraniumshore import (
+    Answer,
+    Claim,
     Decision,
     Effects,
     LogEntry,
@@ -30,6 +32,9 @@
 
 T = TypeVar("T")
 
+# Frequent records that change nothing an operator decided are only counted.
+QUIET_RECORDS = Claim | Answer | SnapshotPart
+
 ACCEPTED_POLL_SECONDS = 0.02
 
 
@@ -145,7 +150,7 @@
         future = self._verdict_by_record.pop(verdict.record.id, None)
         if future is not None:
             future.set_result(verdict)
-        if verdict.accepted and not isinstance(verdict.record, SnapshotPart):
+        if verdict.accepted and not isinstance(verdict.record, QUIET_RECORDS):
             logger.info(
                 "record in force",
                 extra={"record": verdict.record.kind, "offset": verdict.offset},
