Fold fleet intents: moves and waves within availability budgets

Cause: pools, hosts and waves of a note had no effect. The fold now voids intents that break a pool's or rack's budget; a pure planner turns the difference between note and fleet into intents, over steady observations of the lagging list.

--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/platform.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/platform.py
@@ -8,6 +8,10 @@
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
+from geraniumshore_standins.internal.platform_hosts import (
+    PlatformHosts,
+    answer_host_call,
+)
 from geraniumshore_standins.internal.wsgi import Answer, Call, application_of
 
 __all__ = ["Faults", "PlatformState", "StoredRecord", "platform_application"]
@@ -93,9 +97,15 @@
     log: LogState = field(default_factory=LogState)
     faults: Faults = field(default_factory=Faults)
     hosts: list[dict[str, Any]] = field(default_factory=list)
+    fleet: PlatformHosts = field(default_factory=PlatformHosts)
+    fleet_lock: threading.Lock = field(default_factory=threading.Lock)
 
     def handle(self, call: Call) -> Answer:
         """Answer one call."""
+        with self.fleet_lock:
+            answer = answer_host_call(self.fleet, call, time.monotonic())
+        if answer is not None:
+            return answer
         if call.path[:1] == ("test",):
             return self._handle_test(call)
         if self.faults.delay_ms:
@@ -108,10 +118,16 @@
             case ("GET", ("log", "records")):
                 return self._read(call)
             case ("GET", ("hosts",)):
-                return Answer.json({"hosts": self.hosts})
+                return Answer.json({"hosts": self._listed()})
             case _:
                 return Answer.json({"error": "no such path"}, 404)
 
+    def _listed(self) -> list[dict[str, Any]]:
+        with self.fleet_lock:
+            now = time.monotonic()
+            self.fleet.advance(now)
+            return [*self.hosts, *self.fleet.listed(now)]
+
     def _append(self, call: Call) -> Answer:
         offset = self.log.append(call.document()["document"])
         if self.faults.lost_replies > 0:
--- a/packages/geraniumshore/src/geraniumshore/__init__.py
+++ b/packages/geraniumshore/src/geraniumshore/__init__.py
@@ -19,12 +19,35 @@
     SlotRequest,
     Start,
 )
+from geraniumshore.internal.fleet_state import (
+    FleetHost,
+    FleetState,
+    Phase,
+    PoolUse,
+    WaveProgress,
+    host_accepts_work,
+    pool_of,
+    pool_uses,
+    services_on_host,
+    unusable_minions,
+    wave_hosts,
+    wave_is_paused,
+)
+from geraniumshore.internal.fleet_view import FleetView
 from geraniumshore.internal.fold import (
     ControlState,
     ReleaseSummary,
     Verdict,
     fold_entry,
 )
+from geraniumshore.internal.homes import choose_member
+from geraniumshore.internal.intents import (
+    HostSeen,
+    HostsObserved,
+    Intent,
+    IntentReport,
+    ServiceQuiet,
+)
 from geraniumshore.internal.items import (
     Host,
     Key,
@@ -34,6 +57,7 @@
     Service,
     Team,
     Wave,
+    Weights,
 )
 from geraniumshore.internal.keys import MadeKey, make_key, verify_key
 from geraniumshore.internal.member import Effects, Member
@@ -44,13 +68,34 @@
     encode_message,
 )
 from geraniumshore.internal.outcomes import NotRun, Outcome, Ran, Unknown
+from geraniumshore.internal.planner import (
+    PLANNER_KEY,
+    LargestBatch,
+    OneAtATime,
+    Planner,
+    PlannerTimes,
+    RollingWave,
+    WaveCandidate,
+    WavePolicy,
+    patience_seconds,
+)
 from geraniumshore.internal.platform import (
+    ActionStatus,
     ControlLog,
+    HostControl,
     HostList,
     ListedHost,
     LogRead,
     RawEntry,
 )
+from geraniumshore.internal.preview import (
+    Preview,
+    PreviewMove,
+    buffer_needed,
+    preview,
+    wave_rounds,
+)
+from geraniumshore.internal.quiet import service_quiets
 from geraniumshore.internal.records import (
     Evict,
     Join,
@@ -78,6 +123,7 @@
 )
 
 __all__ = [
+    "ActionStatus",
     "Candidate",
     "Configuration",
     "ControlLog",
@@ -87,13 +133,22 @@
     "Evict",
     "Finding",
     "FirstComeFirstServed",
+    "FleetHost",
+    "FleetState",
+    "FleetView",
     "GeraniumshoreError",
     "Host",
+    "HostControl",
     "HostList",
+    "HostSeen",
+    "HostsObserved",
+    "Intent",
+    "IntentReport",
     "InvalidInputError",
     "Items",
     "Join",
     "Key",
+    "LargestBatch",
     "Leave",
     "ListedHost",
     "LogEntry",
@@ -104,9 +159,17 @@
     "Message",
     "Minion",
     "NotRun",
+    "OneAtATime",
     "Outcome",
+    "PLANNER_KEY",
+    "Phase",
+    "Planner",
+    "PlannerTimes",
     "PlatformUnavailableError",
     "Pool",
+    "PoolUse",
+    "Preview",
+    "PreviewMove",
     "Queue",
     "Ran",
     "RawEntry",
@@ -116,7 +179,9 @@
     "Release",
     "ReleaseNote",
     "ReleaseSummary",
+    "RollingWave",
     "Service",
+    "ServiceQuiet",
     "SharePolicy",
     "SlotRequest",
     "Start",
@@ -125,18 +190,35 @@
     "UnknownOutcomeError",
     "Verdict",
     "Wave",
+    "WaveCandidate",
+    "WavePolicy",
+    "WaveProgress",
     "WeightedShares",
+    "Weights",
     "Withdrawn",
     "apply_release",
+    "buffer_needed",
+    "choose_member",
     "coalescing_key",
     "decode_message",
     "decode_records",
     "encode_message",
     "encode_records",
     "fold_entry",
+    "host_accepts_work",
     "load_json",
     "make_key",
     "parse_release",
+    "patience_seconds",
+    "pool_of",
+    "pool_uses",
+    "preview",
+    "service_quiets",
+    "services_on_host",
+    "unusable_minions",
     "validation_findings",
     "verify_key",
+    "wave_hosts",
+    "wave_is_paused",
+    "wave_rounds",
 ]
--- a/packages/geraniumshore/src/geraniumshore/internal/configuration.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/configuration.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from geraniumshore.errors import Finding
+from geraniumshore.internal.configuration_checks import check_fleet, check_moves
 from geraniumshore.internal.items import (
     Host,
     Key,
@@ -19,6 +20,7 @@
     Service,
     Team,
     Wave,
+    Weights,
 )
 from geraniumshore.internal.release import Items, ReleaseNote
 
@@ -38,6 +40,7 @@
     keys: dict[str, Key] = field(default_factory=dict)
     queues: dict[str, Queue] = field(default_factory=dict)
     waves: dict[str, Wave] = field(default_factory=dict)
+    weights: dict[str, Weights] = field(default_factory=dict)
 
 
 SECTIONS = tuple(f.name for f in fields(Configuration) if f.name != "version")
@@ -50,23 +53,22 @@
 
     The same note on the same configuration always gives the same result.
     """
+    changed = _merge(configuration, note)
     findings = tuple(
         chain(
             _check_base(configuration, note),
             _check_added(configuration, note),
             _check_known(configuration, note),
             _check_named_once(note),
+            check_configuration(changed),
+            check_moves(configuration, changed),
         )
     )
-    if findings:
-        return Err(findings)
-    changed = _merge(configuration, note)
-    findings = tuple(check_configuration(changed))
     return Err(findings) if findings else Ok(changed)
 
 
 def check_configuration(configuration: Configuration) -> Iterator[Finding]:
-    """Yield every reference in ``configuration`` that leads nowhere."""
+    """Yield every reference that leads nowhere, and what no plan can meet."""
     yield from _references(configuration, "hosts", "pool", "pools")
     yield from _references(configuration, "services", "pool", "pools")
     yield from _references(configuration, "minions", "service", "services")
@@ -77,6 +79,7 @@
     yield from _references(configuration, "queues", "open_team", "teams")
     yield from _check_queues(configuration)
     yield from _check_waves(configuration)
+    yield from check_fleet(configuration)
 
 
 def _merge(configuration: Configuration, note: ReleaseNote) -> Configuration:
--- a/packages/geraniumshore/src/geraniumshore/internal/fold.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/fold.py
@@ -8,11 +8,17 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from itertools import islice
 
 from result import Err
 
 from geraniumshore.errors import Finding
 from geraniumshore.internal.configuration import Configuration, apply_release
+from geraniumshore.internal.fleet_fold import (
+    fold_fleet_record,
+    follow_release,
+)
+from geraniumshore.internal.fleet_state import FleetState
 from geraniumshore.internal.homes import Home, LedgerKey, assign_homes
 from geraniumshore.internal.records import (
     Evict,
@@ -30,6 +36,8 @@
 # this covers more than a minute of late duplicates.
 REMEMBERED_IDS = 16_384
 REMEMBERED_RELEASES = 50
+# Of each note, so many names of what it touched.
+REMEMBERED_CHANGES = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +49,7 @@
     author: str
     note: str
     appended_at_ms: int
+    changes: tuple[str, ...] = ()
 
 
 @dataclass(slots=True)
@@ -52,6 +61,7 @@
     configuration: Configuration = field(default_factory=Configuration)
     homes: dict[LedgerKey, Home] = field(default_factory=dict)
     homes_changes: int = 0
+    fleet: FleetState = field(default_factory=FleetState)
     releases: list[ReleaseSummary] = field(default_factory=list)
     recent_ids: dict[str, None] = field(default_factory=dict)
 
@@ -100,6 +110,8 @@
             state.view, findings = apply_evict(state.view, record)
         case Release():
             findings = _fold_release(state, record, entry)
+        case _:
+            return fold_fleet_record(state, record, entry.appended_at_ms)
     if not findings:
         _update_homes(state)
     return findings
@@ -111,6 +123,7 @@
     applied = apply_release(state.configuration, record.note)
     if isinstance(applied, Err):
         return applied.err_value
+    follow_release(state.fleet, state.configuration, applied.ok_value)
     state.configuration = applied.ok_value
     state.releases.append(
         ReleaseSummary(
@@ -119,6 +132,7 @@
             record.author,
             record.note.note,
             entry.appended_at_ms,
+            tuple(islice(record.note.changes(), REMEMBERED_CHANGES)),
         )
     )
     del state.releases[:-REMEMBERED_RELEASES]
--- a/packages/geraniumshore/src/geraniumshore/internal/items.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/items.py
@@ -19,6 +19,7 @@
     "Service",
     "Team",
     "Wave",
+    "Weights",
 ]
 
 NAME_PATTERN = r"^[a-z0-9][a-z0-9._-]{0,62}$"
@@ -39,11 +40,16 @@
 
     ``max_away`` is the most hosts of the pool that may be away at once, whether
     drained or failed; ``max_away_per_rack`` bounds it within one rack as well.
+    ``size``, ``min_racks`` and ``min_data_centres`` are checked against the hosts that
+    notes put in the pool. Hosts of a ``spare`` pool stand in for failed ones elsewhere.
     """
 
     max_away: Annotated[int, Field(ge=0)] = 1
     max_away_per_rack: Annotated[int, Field(ge=1)] | None = None
     spare: bool = False
+    size: Annotated[int, Field(ge=0)] | None = None
+    min_racks: Annotated[int, Field(ge=1)] | None = None
+    min_data_centres: Annotated[int, Field(ge=1)] | None = None
 
 
 @dataclass(frozen=True, slots=True, config=STRICT)
@@ -81,7 +87,7 @@
 class Team:
     """A customer. ``share`` weighs it when all is busy; ``limit`` is absolute."""
 
-    share: Annotated[float, Field(gt=0)]
+    share: Annotated[float, Field(gt=0, allow_inf_nan=False)]
     limit: Annotated[int, Field(ge=0)]
 
 
@@ -126,7 +132,8 @@
     """Maintenance of hosts, each drained, rebooted and returned once.
 
     ``pools`` and ``hosts`` add up to the hosts that it covers. ``parallel`` bounds
-    how many are away for it at once; ``max_failures`` pauses it by itself.
+    how many are away for it at once. When ``max_failures`` hosts have not come back, it
+    is halted until a note changes or withdraws it.
     """
 
     purpose: str
@@ -135,3 +142,29 @@
     parallel: Annotated[int, Field(ge=1)] = 1
     max_failures: Annotated[int, Field(ge=1)] = 2
     paused: bool = False
+
+
+@dataclass(frozen=True, slots=True, config=STRICT)
+class Weights:
+    """What the planner weighs, as costs; the entry named ``default`` counts.
+
+    ``moves`` is the cost of one move of a host, ``roll_out`` that of an hour in which
+    a pool lacks a host, ``buffer`` that of an hour in which a spare host is used.
+    """
+
+    moves: Annotated[float, Field(ge=0, allow_inf_nan=False)] = 0.5
+    roll_out: Annotated[float, Field(gt=0, allow_inf_nan=False)] = 1.0
+    buffer: Annotated[float, Field(ge=0, allow_inf_nan=False)] = 0.2
+
+    @classmethod
+    def from_preset(cls, preset: Preset) -> Weights:
+        """Return the weights of a named aim."""
+        return _WEIGHTS_BY_PRESET[preset]
+
+
+Preset = Literal["spare-is-cheap", "moves-are-dear"]
+
+_WEIGHTS_BY_PRESET: dict[Preset, Weights] = {
+    "spare-is-cheap": Weights(moves=0.05, roll_out=1.0, buffer=0.05),
+    "moves-are-dear": Weights(moves=1.0, roll_out=4.0, buffer=1.0),
+}
--- a/packages/geraniumshore/src/geraniumshore/internal/member.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/member.py
@@ -17,6 +17,7 @@
     Refuse,
     SlotRequest,
 )
+from geraniumshore.internal.fleet_state import unusable_minions
 from geraniumshore.internal.fold import ControlState, Verdict, fold_entry
 from geraniumshore.internal.homes import LedgerKey, service_ledger, team_ledger
 from geraniumshore.internal.membership import Membership
@@ -294,10 +295,11 @@
         }
 
     def _slots_by_minion(self, service: str) -> dict[str, int]:
+        unusable = self.unusable_minions | unusable_minions(self.state)
         return {
             name: minion.slots
             for name, minion in self.state.configuration.minions.items()
-            if minion.service == service and name not in self.unusable_minions
+            if minion.service == service and name not in unusable
         }
 
     def _run_limit(self) -> float:
--- a/packages/geraniumshore/src/geraniumshore/internal/platform.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/platform.py
@@ -7,8 +7,17 @@
 
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
+from typing import Literal
 
-__all__ = ["ControlLog", "HostList", "ListedHost", "LogRead", "RawEntry"]
+__all__ = [
+    "ActionStatus",
+    "ControlLog",
+    "HostControl",
+    "HostList",
+    "ListedHost",
+    "LogRead",
+    "RawEntry",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,3 +85,34 @@
 
         Raises PlatformUnavailableError where there is no answer.
         """
+
+
+@dataclass(frozen=True, slots=True)
+class ActionStatus:
+    """How the platform gets on with one action on a host.
+
+    ``boot`` is the boot that a reboot ended, ``holding`` names the tasks that a drain
+    waits for, and ``reason`` says why a reboot failed.
+    """
+
+    state: Literal["running", "done", "failed"]
+    boot: str = ""
+    holding: tuple[str, ...] = ()
+    reason: str = ""
+
+
+class HostControl(ABC):
+    """The platform's control of hosts.
+
+    Assumed of it: an action id that was seen before changes nothing, for as long as
+    the action's host is in the configuration.
+    """
+
+    @abstractmethod
+    def ensure(
+        self, action_id: str, host: str, action: str, pool: str | None
+    ) -> ActionStatus:
+        """Begin an action unless it was begun before, and return how it stands.
+
+        Raises PlatformUnavailableError or UnknownOutcomeError; asking again is safe.
+        """
--- a/packages/geraniumshore/src/geraniumshore/internal/records.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/records.py
@@ -9,6 +9,12 @@
 from result import Err, Ok, Result
 
 from geraniumshore.errors import Finding
+from geraniumshore.internal.intents import (
+    HostsObserved,
+    Intent,
+    IntentReport,
+    ServiceQuiet,
+)
 from geraniumshore.internal.release import ReleaseNote, validation_findings
 
 __all__ = [
@@ -89,7 +95,17 @@
     kind: Literal["release"] = "release"
 
 
-Record = Annotated[Join | Leave | Evict | Release, Field(discriminator="kind")]
+Record = Annotated[
+    Join
+    | Leave
+    | Evict
+    | Release
+    | HostsObserved
+    | Intent
+    | IntentReport
+    | ServiceQuiet,
+    Field(discriminator="kind"),
+]
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/geraniumshore/src/geraniumshore/internal/release.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/release.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Iterator
 from typing import Any
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
@@ -19,6 +20,7 @@
     Service,
     Team,
     Wave,
+    Weights,
 )
 
 __all__ = [
@@ -44,6 +46,7 @@
     keys: dict[Name, Key] = {}
     queues: dict[Name, Queue] = {}
     waves: dict[Name, Wave] = {}
+    weights: dict[Name, Weights] = {}
 
 
 class Withdrawn(BaseModel):
@@ -59,6 +62,7 @@
     keys: list[Name] = []
     queues: list[Name] = []
     waves: list[Name] = []
+    weights: list[Name] = []
 
 
 class ReleaseNote(BaseModel):
@@ -72,6 +76,13 @@
     changed: Items = Items()
     withdrawn: Withdrawn = Withdrawn()
 
+    def changes(self) -> Iterator[str]:
+        """Yield the place of every item that is named, as ``changed.pools.a``."""
+        for part in ("added", "changed", "withdrawn"):
+            for section, items in getattr(self, part):
+                for name in items:
+                    yield f"{part}.{section}.{name}"
+
 
 def parse_release(
     text: str, place: str = "note"
--- /dev/null
+++ b/tests/cover/test_fleet_machine.py
@@ -0,0 +1,135 @@
+"""Maintenance under faults: the real fold and planners, hosts that fail."""
+
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from geraniumshore import Items, ListedHost, PlannerTimes, ReleaseNote, Wave, Weights
+from geraniumshore_standins.internal.fleet_simulation import (
+    Deployment,
+    FleetSimulation,
+)
+from geraniumshore_standins.internal.platform_hosts import HostTimes
+
+TIMES = HostTimes(drain=1.0, reboot=4.0, move=1.0, list_lag=2.0)
+DEPLOYMENT = Deployment(pools=3, hosts_per_pool=4, data_centres=2, max_away=2)
+WAVE = Wave("kernel", pools=["p0", "p1"], parallel=3, max_failures=2)
+HOSTS = sorted(DEPLOYMENT.hosts())
+NOTE = DEPLOYMENT.note({"kernel": WAVE})
+IMPATIENT = Weights(moves=0.001, roll_out=1.0, buffer=0.0)
+
+
+class FleetMachine(RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        note = NOTE.model_copy(
+            update={
+                "added": NOTE.added.model_copy(
+                    update={"weights": {"default": IMPATIENT}}
+                )
+            }
+        )
+        self.sim = FleetSimulation(note, TIMES, PlannerTimes(5, 20), planners=2)
+        self.sim.run(5, 0.5)
+        self.boots_at_reboot = {}
+
+    @property
+    def listed(self):
+        return [ListedHost(**e) for e in self.sim.hosts.listed(self.sim.now)]
+
+    @rule(seconds=st.sampled_from([0.5, 2.0, 10.0]))
+    def time_passes(self, seconds):
+        self.sim.run(seconds, 0.5)
+
+    @rule(number=st.integers(0, 1))
+    def a_planner_acts_on_old_knowledge(self, number):
+        self.sim.act_without_reading(self.sim.planners[number], self.listed)
+
+    @rule(number=st.integers(0, 1))
+    def a_planner_pauses_or_wakes(self, number):
+        member = self.sim.planners[number]
+        member.paused = not member.paused
+
+    @rule(number=st.integers(0, 1))
+    def a_planner_is_replaced(self, number):
+        old = self.sim.planners[number]
+        fresh = FleetSimulation(NOTE, TIMES, PlannerTimes(5, 20)).planners[0]
+        fresh.planner.new_id = old.planner.new_id
+        fresh.state = old.state
+        self.sim.planners[number] = fresh
+
+    @rule(host=st.sampled_from(HOSTS), broken=st.booleans())
+    def a_host_fails(self, host, broken):
+        self.sim.hosts.fail(host, self.sim.now, broken)
+
+    @rule(rack=st.sampled_from(sorted({h.rack for h in DEPLOYMENT.hosts().values()})))
+    def a_rack_is_lost(self, rack):
+        for name, host in self.sim.hosts.by_host.items():
+            if host.rack == rack:
+                self.sim.hosts.fail(name, self.sim.now)
+
+    @rule(host=st.sampled_from(HOSTS))
+    def a_host_is_repaired(self, host):
+        self.sim.hosts.repair(host, self.sim.now)
+
+    @rule(count=st.integers(1, 4))
+    def replies_are_lost(self, count):
+        self.sim.lose_replies += count
+
+    @rule()
+    def the_platform_goes_or_comes(self):
+        self.sim.hosts.outage = not self.sim.hosts.outage
+
+    @rule(paused=st.booleans())
+    def operators_change_the_wave(self, paused):
+        wave = Wave("kernel", ["p0", "p1"], [], 3, 2, paused)
+        self.change(waves={"kernel": wave})
+
+    @rule(host=st.sampled_from(HOSTS[:8]), pool=st.sampled_from(["p0", "p1"]))
+    def operators_move_a_host(self, host, pool):
+        item = self.sim.state.configuration.hosts[host]
+        changed = type(item)(pool, item.data_centre, item.rack)
+        self.change(hosts={host: changed})
+
+    def change(self, **items):
+        base = self.sim.state.configuration.version
+        note = ReleaseNote(base=base, changed=Items(**items))
+        assert self.sim.release(note).accepted
+
+    @invariant()
+    def no_budget_is_broken(self):
+        assert self.sim.violations == []
+
+    @invariant()
+    def the_log_and_the_platform_agree_on_pools(self):
+        for name, host in self.sim.state.fleet.by_host.items():
+            actual = self.sim.hosts.by_host[name].pool
+            assert actual == host.pool or actual == host.to_pool
+
+    @invariant()
+    def a_host_serves_only_while_it_is_not_drained(self):
+        for name, host in self.sim.state.fleet.by_host.items():
+            if host.phase.value == "serving":
+                assert not self.sim.hosts.by_host[name].drained
+
+    def teardown(self):
+        """When the faults end, the wave ends and every host is where it belongs."""
+        self.sim.hosts.outage = False
+        self.sim.lose_replies = 0
+        for name in HOSTS:
+            self.sim.hosts.repair(name, self.sim.now)
+        for member in self.sim.planners:
+            member.paused = False
+        self.sim.run(60, 0.5)
+        self.operators_change_the_wave(False)
+        self.sim.run(400, 0.5)
+        assert self.sim.left("kernel") == 0
+        for name, host in self.sim.state.fleet.by_host.items():
+            assert host.serving, (name, host)
+            assert host.pool == self.sim.state.configuration.hosts[name].pool
+        assert self.sim.violations == []
+
+
+FleetMachine.TestCase.settings = settings(
+    max_examples=25, stateful_step_count=25, deadline=None, derandomize=True
+)
+TestFleet = FleetMachine.TestCase
--- /dev/null
+++ b/tests/quality/test_fleet_mutations.py
@@ -0,0 +1,69 @@
+"""The fleet's state machine catches a fold or a planner that lacks one of its rules."""
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import Phase as RunPhase, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from geraniumshore.internal import fleet_fold, planner
+from geraniumshore.internal.fleet_state import Phase, PoolUse
+from tests.cover.test_fleet_machine import FleetMachine
+
+MORE = settings(
+    max_examples=60,
+    stateful_step_count=30,
+    deadline=None,
+    derandomize=True,
+    phases=[RunPhase.generate],
+)
+
+
+def unchecked(*_):
+    return iter(())
+
+
+def no_budget_check(patch):
+    patch.setattr(fleet_fold, "_check_budget", unchecked)
+
+
+def no_rack_budget(patch):
+    room = PoolUse.room
+    patch.setattr(
+        PoolUse, "room", lambda use, most, _, rack: room(use, most, None, rack)
+    )
+
+
+def back_with_any_boot(patch):
+    def come_back(host, at_ms):
+        if host.phase is not Phase.REBOOTING or host.seen != "live":
+            return host
+        return replace(host, phase=Phase.REBOOTED, intent=None, rebooted=True)
+
+    patch.setattr(fleet_fold, "_come_back", come_back)
+
+
+def any_phase_may_begin_any_action(patch):
+    every = frozenset(Phase)
+    before = dict.fromkeys(fleet_fold.PHASES_BEFORE, every)
+    patch.setattr(fleet_fold, "PHASES_BEFORE", before)
+
+
+def failed_hosts_are_forgotten(patch):
+    patch.setattr(planner, "_may_reboot", lambda *_: False)
+
+
+@pytest.mark.parametrize(
+    "mutation",
+    [
+        no_budget_check,
+        no_rack_budget,
+        back_with_any_boot,
+        any_phase_may_begin_any_action,
+        failed_hosts_are_forgotten,
+    ],
+)
+def test_a_missing_rule_is_caught(monkeypatch, mutation):
+    mutation(monkeypatch)
+    with pytest.raises((AssertionError, KeyError, ExceptionGroup)):
+        run_state_machine_as_test(FleetMachine, settings=MORE)
