Drive the planner in the daemon, and resume a halted wave by any note that names it

Cause: nothing acted on intents; and a counterexample of the state machine: a wave that failures had halted stayed so when a note named it with the same content.

--- a/packages/geraniumshore/src/geraniumshore/__init__.py
+++ b/packages/geraniumshore/src/geraniumshore/__init__.py
@@ -11,6 +11,12 @@
     PlatformUnavailableError,
     UnknownOutcomeError,
 )
+from geraniumshore.internal.burn import (
+    Alert,
+    QueueBurn,
+    WindowBurn,
+    burn_by_queue,
+)
 from geraniumshore.internal.configuration import Configuration, apply_release
 from geraniumshore.internal.entry import (
     Decision,
@@ -115,6 +121,12 @@
     parse_release,
     validation_findings,
 )
+from geraniumshore.internal.service_levels import (
+    QueueCounts,
+    ServiceLevelHistory,
+    ServiceLevels,
+    is_good_call,
+)
 from geraniumshore.internal.shares import (
     Candidate,
     FirstComeFirstServed,
@@ -124,6 +136,7 @@
 
 __all__ = [
     "ActionStatus",
+    "Alert",
     "Candidate",
     "Configuration",
     "ControlLog",
@@ -171,6 +184,8 @@
     "Preview",
     "PreviewMove",
     "Queue",
+    "QueueBurn",
+    "QueueCounts",
     "Ran",
     "RawEntry",
     "Record",
@@ -181,6 +196,8 @@
     "ReleaseSummary",
     "RollingWave",
     "Service",
+    "ServiceLevelHistory",
+    "ServiceLevels",
     "ServiceQuiet",
     "SharePolicy",
     "SlotRequest",
@@ -195,9 +212,11 @@
     "WaveProgress",
     "WeightedShares",
     "Weights",
+    "WindowBurn",
     "Withdrawn",
     "apply_release",
     "buffer_needed",
+    "burn_by_queue",
     "choose_member",
     "coalescing_key",
     "decode_message",
@@ -206,6 +225,7 @@
     "encode_records",
     "fold_entry",
     "host_accepts_work",
+    "is_good_call",
     "load_json",
     "make_key",
     "parse_release",
--- a/packages/geraniumshore/src/geraniumshore/internal/fleet_fold.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/fleet_fold.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Container, Iterator
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -70,9 +70,15 @@
 
 
 def follow_release(
-    fleet: FleetState, before: Configuration, after: Configuration
+    fleet: FleetState,
+    before: Configuration,
+    after: Configuration,
+    named_waves: Container[str],
 ) -> None:
-    """Follow a note: hosts come and go; a changed pool is left to the planner."""
+    """Follow a note: hosts come and go; a changed pool is left to the planner.
+
+    A wave that the note names goes on even if it was halted by failures.
+    """
     for name in set(before.hosts) - set(after.hosts):
         del fleet.by_host[name]
     for name, item in after.hosts.items():
@@ -84,9 +90,9 @@
         )
     for name in set(before.waves) - set(after.waves):
         del fleet.by_wave[name]
-    for name, wave in after.waves.items():
+    for name in after.waves:
         progress = fleet.by_wave.setdefault(name, WaveProgress())
-        if before.waves.get(name) != wave:
+        if name in named_waves:
             progress.halted = False
             progress.failed.clear()
 
--- a/packages/geraniumshore/src/geraniumshore/internal/fold.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/fold.py
@@ -28,6 +28,11 @@
     Record,
     Release,
 )
+from geraniumshore.internal.service_levels import (
+    ServiceLevelHistory,
+    ServiceLevels,
+    fold_service_levels,
+)
 from geraniumshore.internal.view import View, apply_evict, apply_join, apply_leave
 
 __all__ = ["ControlState", "ReleaseSummary", "Verdict", "fold_entry"]
@@ -64,6 +69,7 @@
     fleet: FleetState = field(default_factory=FleetState)
     releases: list[ReleaseSummary] = field(default_factory=list)
     recent_ids: dict[str, None] = field(default_factory=dict)
+    service_levels: dict[str, ServiceLevelHistory] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,6 +116,14 @@
             state.view, findings = apply_evict(state.view, record)
         case Release():
             findings = _fold_release(state, record, entry)
+        case ServiceLevels():
+            findings = ()
+            fold_service_levels(
+                state.service_levels,
+                record,
+                entry.appended_at_ms,
+                state.configuration.queues,
+            )
         case _:
             return fold_fleet_record(state, record, entry.appended_at_ms)
     if not findings:
@@ -123,7 +137,12 @@
     applied = apply_release(state.configuration, record.note)
     if isinstance(applied, Err):
         return applied.err_value
-    follow_release(state.fleet, state.configuration, applied.ok_value)
+    follow_release(
+        state.fleet,
+        state.configuration,
+        applied.ok_value,
+        record.note.changed.waves,
+    )
     state.configuration = applied.ok_value
     state.releases.append(
         ReleaseSummary(
@@ -144,6 +163,7 @@
         state.homes,
         state.view.members,
         state.configuration.services,
+        state.configuration.job_pools(),
         state.configuration.teams,
         epoch=state.homes_changes + 1,
     )
--- a/packages/geraniumshore/src/geraniumshore/internal/records.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/records.py
@@ -16,6 +16,7 @@
     ServiceQuiet,
 )
 from geraniumshore.internal.release import ReleaseNote, validation_findings
+from geraniumshore.internal.service_levels import ServiceLevels
 
 __all__ = [
     "Evict",
@@ -100,6 +101,7 @@
     | Leave
     | Evict
     | Release
+    | ServiceLevels
     | HostsObserved
     | Intent
     | IntentReport
--- a/packages/geraniumshored/src/geraniumshored/internal/operators.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/operators.py
@@ -11,7 +11,17 @@
 from pydantic import TypeAdapter
 from result import Err
 
-from geraniumshore import Configuration, Release, UnknownOutcomeError, parse_release
+from geraniumshore import (
+    Configuration,
+    Release,
+    ServiceLevelHistory,
+    UnknownOutcomeError,
+    parse_release,
+)
+from geraniumshored.internal.fleet_report import (
+    fleet_report,
+    release_changes_since,
+)
 from geraniumshored.internal.follower import LogAppender
 from geraniumshored.internal.http_types import (
     HttpAnswer,
@@ -20,12 +30,16 @@
     answer_problem,
 )
 from geraniumshored.internal.runtime import Runtime
+from geraniumshored.internal.service_levels import ServiceLevelCounter
 from geraniumshored.internal.settings import Operator
 
 __all__ = ["OperatorHandler"]
 
 RELEASE_WAIT_SECONDS = 15.0
 MAX_NOTE_BYTES = 8 * 1024 * 1024
+_HISTORY: TypeAdapter[dict[str, ServiceLevelHistory]] = TypeAdapter(
+    dict[str, ServiceLevelHistory]
+)
 _CONFIGURATION: TypeAdapter[Configuration] = TypeAdapter(Configuration)
 
 
@@ -37,7 +51,9 @@
         runtime: Runtime,
         appender: LogAppender,
         operators: dict[str, Operator],
+        levels: ServiceLevelCounter,
     ) -> None:
+        self._levels = levels
         self._runtime = runtime
         self._appender = appender
         self._operators = operators
@@ -50,6 +66,10 @@
         match (request.method, request.path[1:]):
             case ("GET", ("status",)):
                 return answer_json(200, self._status())
+            case ("GET", ("fleet",)):
+                return answer_json(
+                    200, self._runtime.perform(lambda m, _: fleet_report(m.state))
+                )
             case ("GET", ("configuration",)):
                 configuration = self._runtime.member.state.configuration
                 return HttpAnswer(
@@ -57,6 +77,8 @@
                     _CONFIGURATION.dump_json(configuration),
                     {"Content-Type": "application/json"},
                 )
+            case ("GET", ("service-levels",)):
+                return self._service_levels()
             case ("GET", ("releases",)):
                 releases = self._runtime.member.state.releases
                 return answer_json(200, {"releases": [asdict(r) for r in releases]})
@@ -96,11 +118,31 @@
             )
         if not verdict.accepted:
             return answer_problem(
-                409, "refused-note", "the note is void", findings=verdict.findings
+                409,
+                "refused-note",
+                "the note is void",
+                findings=verdict.findings,
+                since=release_changes_since(
+                    self._runtime.member.state, parsed.ok_value.base
+                ),
             )
         version = parsed.ok_value.base + 1
         return answer_json(200, {"version": version, "offset": verdict.offset})
 
+    def _service_levels(self) -> HttpAnswer:
+        """Give the folded history, and what this member alone knows yet."""
+        history = self._runtime.perform(
+            lambda member, _: _HISTORY.dump_python(
+                member.state.service_levels, mode="json"
+            )
+        )
+        document = {
+            "history": history,
+            "pending": [asdict(counts) for counts in self._levels.pending()],
+            "latencies": self._runtime.metrics.encoded_latencies(),
+        }
+        return answer_json(200, document)
+
     def _status(self) -> dict[str, object]:
         return self._runtime.perform(
             lambda member, now: {
--- a/packages/geraniumshored/src/geraniumshored/internal/platform_http.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/platform_http.py
@@ -9,7 +9,9 @@
 from urllib.parse import urlencode
 
 from geraniumshore import (
+    ActionStatus,
     ControlLog,
+    HostControl,
     HostList,
     ListedHost,
     LogRead,
@@ -19,7 +21,7 @@
 )
 from geraniumshored.internal.settings import PlatformSettings
 
-__all__ = ["HttpControlLog", "HttpHostList", "PlatformCaller"]
+__all__ = ["HttpControlLog", "HttpHostControl", "HttpHostList", "PlatformCaller"]
 
 MAX_ENTRIES_PER_READ = 500
 
@@ -140,3 +142,23 @@
             ListedHost(h["host"], h["data_centre"], h["rack"], h["state"], h["boot"])
             for h in answer["hosts"]
         )
+
+
+class HttpHostControl(HostControl):
+    """The control of hosts over HTTP."""
+
+    def __init__(self, caller: PlatformCaller) -> None:
+        self._caller = caller
+
+    def ensure(
+        self, action_id: str, host: str, action: str, pool: str | None
+    ) -> ActionStatus:
+        """Begin an action unless it was begun before, and return how it stands."""
+        document = {"host": host, "action": action, "pool": pool}
+        answer = self._caller.call("PUT", f"/host-actions/{action_id}", document)
+        return ActionStatus(
+            state=answer["state"],
+            boot=str(answer.get("boot", "")),
+            holding=tuple(answer.get("holding", ())),
+            reason=str(answer.get("reason", "")),
+        )
