--- a/packages/geraniumshore/src/geraniumshore/internal/records.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/records.py
@@ -10,6 +10,12 @@
 
 from geraniumshore.errors import Finding
 from geraniumshore.internal.claim_records import Answer, Claim
+from geraniumshore.internal.intents import (
+    HostsObserved,
+    Intent,
+    IntentReport,
+    ServiceQuiet,
+)
 from geraniumshore.internal.release import ReleaseNote, validation_findings
 from geraniumshore.internal.service_levels import ServiceLevels
 
@@ -124,7 +130,18 @@
 
 
 Record = Annotated[
-    Join | Leave | Evict | Release | ServiceLevels | SnapshotPart | Claim | Answer,
+    Join
+    | Leave
+    | Evict
+    | Release
+    | ServiceLevels
+    | SnapshotPart
+    | Claim
+    | Answer
+    | HostsObserved
+    | Intent
+    | IntentReport
+    | ServiceQuiet,
     Field(discriminator="kind"),
 ]
 
--- a/packages/geraniumshored/src/geraniumshored/internal/daemon.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/daemon.py
@@ -20,8 +20,10 @@
 from geraniumshored.internal.metrics import Metrics
 from geraniumshored.internal.operators import OperatorHandler
 from geraniumshored.internal.peers import PeerNetwork, PeerServer
+from geraniumshored.internal.planner_driver import PlannerDriver
 from geraniumshored.internal.platform_http import (
     HttpControlLog,
+    HttpHostControl,
     HttpHostList,
     PlatformCaller,
 )
@@ -88,6 +90,13 @@
             self._runtime, self._appender, settings.operators, self._levels
         )
         self._front = Front(self._runtime, self._calls, operators)
+        self._planner = PlannerDriver(
+            self._runtime,
+            self._appender,
+            HttpHostList(caller),
+            HttpHostControl(caller),
+            settings.planner.times(),
+        )
         self._ticker = Ticker(TICK_SECONDS, self._tick)
         self._stop_requested = threading.Event()
         self._evicted = False
@@ -123,6 +132,7 @@
         self._watch.start()
         self._host_watch.start()
         self._ticker.start()
+        self._planner.start()
         self._levels_ticker.start()
         self._front.start(self._settings.http, self._settings.threads)
         logger.info("started", extra={"http": str(self._settings.http)})
@@ -144,6 +154,7 @@
             self._append_levels()
             self._leave()
         self._front.stop()
+        self._planner.stop()
         self._ticker.stop()
         self._follower.stop()
         self._appender.stop()
--- a/packages/geraniumshored/src/geraniumshored/internal/http_types.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/http_types.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Any
@@ -95,11 +95,13 @@
     outcome: str = "not-run",
     findings: Iterable[Finding] = (),
     retry_after: int | None = None,
+    since: Sequence[dict[str, Any]] = (),
 ) -> HttpAnswer:
     """Answer with an RFC 9457 problem that carries what became of the request.
 
     ``outcome`` is ``not-run`` (true: nothing was started) or ``unknown``;
-    ``retry_after`` is in seconds.
+    ``retry_after`` is in seconds; ``since`` has what
+    changed since the version that the caller built on.
     """
     document: dict[str, Any] = {
         "type": f"urn:geraniumshore:problem:{kind}",
@@ -111,6 +113,8 @@
     listed = [{"place": f.place, "problem": f.problem} for f in findings]
     if listed:
         document["findings"] = listed
+    if since:
+        document["since"] = list(since)
     headers = {"Content-Type": "application/problem+json"}
     if retry_after is not None:
         headers["Retry-After"] = str(retry_after)
--- a/packages/geraniumshored/src/geraniumshored/internal/settings.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/settings.py
@@ -8,7 +8,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from result import Err, Ok, Result
 
-from geraniumshore import Finding, load_json, validation_findings
+from geraniumshore import Finding, PlannerTimes, load_json, validation_findings
 
 __all__ = ["Listen", "Operator", "PlatformSettings", "Settings", "load_settings"]
 
@@ -38,6 +38,17 @@
     timeout_ms: Annotated[int, Field(ge=100, le=60_000)] = 2_000
 
 
+class PlannerSettings(_Part):
+    """How long a drain may take before it is reported, a reboot before it failed."""
+
+    drain_report_ms: Annotated[int, Field(ge=100)] = 60_000
+    reboot_limit_ms: Annotated[int, Field(ge=100)] = 900_000
+
+    def times(self) -> PlannerTimes:
+        """Return the planner's bounds."""
+        return PlannerTimes(self.drain_report_ms / 1000, self.reboot_limit_ms / 1000)
+
+
 class Operator(_Part):
     """An operator's key, as a salted digest; ``geraniumshore keys make`` makes one."""
 
@@ -61,6 +72,7 @@
     peer_advertised: Listen | None = None
     platform: PlatformSettings
     operators: dict[str, Operator] = {}
+    planner: PlannerSettings = PlannerSettings()
     threads: Annotated[int, Field(ge=4, le=1_000)] = 96
     snapshot_seconds: Annotated[int, Field(ge=1, le=86_400)] = 240
     notice_ms: Annotated[int, Field(ge=0, le=120_000)] = 2_000
