Hold teams' limits through withdrawals, lowered limits and double moves

Cause: a state machine over real homes, entries and members found a team of limit 6 with 7 running within 2 s of search, and reading found more. On the code before, the scripted tests of a service withdrawn before the team's home moves (limit exceeded), of a lowered limit (4 running stayed 4 under a limit of 1), and of a service without minions that keeps a token (starvation) fail. Also mended without a test that failed before: a member evicted before it reported; a handover of an older term; holders evicted in the same step as a move; homes forgotten with an empty view; a lowered run limit; a limit raised while units are unaccounted for.

--- a/packages/geraniumshore/src/geraniumshore/internal/entry.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/entry.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -92,6 +92,11 @@
             entry.holding = Holding.sealed(epoch, entry.holding.held())
             entry.changed = True
 
+    def forget_all_but(self, services: Iterable[str]) -> None:
+        """Forget services that have no home any more; their work has ended."""
+        for service in set(self.by_service) - set(services):
+            del self.by_service[service]
+
     def submit(self, request: SlotRequest) -> None:
         """Queue a request; a decision follows. Raises KeyError without a home."""
         entry = self.by_service[request.service]
@@ -128,7 +133,9 @@
         if started is None:
             return
         service, lane = started
-        entry = self.by_service[service]
+        entry = self.by_service.get(service)
+        if entry is None:
+            return
         entry.holding.give_back(lane)
         entry.changed = True
 
--- a/packages/geraniumshore/src/geraniumshore/internal/fold.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/fold.py
@@ -14,6 +14,7 @@
 from geraniumshore.errors import Finding
 from geraniumshore.internal.configuration import Configuration, apply_release
 from geraniumshore.internal.homes import Home, LedgerKey, assign_homes
+from geraniumshore.internal.lingering import Lingering
 from geraniumshore.internal.records import (
     Evict,
     Join,
@@ -52,9 +53,14 @@
     configuration: Configuration = field(default_factory=Configuration)
     homes: dict[LedgerKey, Home] = field(default_factory=dict)
     homes_changes: int = 0
+    lingering: Lingering = field(default_factory=Lingering)
     releases: list[ReleaseSummary] = field(default_factory=list)
     recent_ids: dict[str, None] = field(default_factory=dict)
 
+    def served(self) -> list[str]:
+        """Return the services that have homes, withdrawn ones that linger included."""
+        return [*self.configuration.services, *self.lingering.until_by_service]
+
 
 @dataclass(frozen=True, slots=True)
 class Verdict:
@@ -101,6 +107,7 @@
         case Release():
             findings = _fold_release(state, record, entry)
     if not findings:
+        state.lingering.expire(entry.appended_at_ms)
         _update_homes(state)
     return findings
 
@@ -111,7 +118,8 @@
     applied = apply_release(state.configuration, record.note)
     if isinstance(applied, Err):
         return applied.err_value
-    state.configuration = applied.ok_value
+    before, state.configuration = state.configuration, applied.ok_value
+    state.lingering.update(before, state.configuration, entry.appended_at_ms)
     state.releases.append(
         ReleaseSummary(
             state.configuration.version,
@@ -129,7 +137,7 @@
     homes = assign_homes(
         state.homes,
         state.view.members,
-        state.configuration.services,
+        state.served(),
         state.configuration.job_pools(),
         state.configuration.teams,
         epoch=state.homes_changes + 1,
--- a/packages/geraniumshore/src/geraniumshore/internal/homes.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/homes.py
@@ -32,12 +32,14 @@
 class Home:
     """The member that keeps a ledger, since ``epoch``.
 
-    ``previous`` kept it before, or is None where the ledger is new.
+    ``previous`` kept it before, as its home of ``previous_epoch``; both are None where
+    the ledger is new.
     """
 
     member: str
     epoch: int
     previous: str | None = None
+    previous_epoch: int | None = None
 
 
 def service_ledger(service: str) -> LedgerKey:
@@ -71,10 +73,14 @@
     teams: Iterable[str],
     epoch: int,
 ) -> dict[LedgerKey, Home]:
-    """Return the home of each ledger; one that did not move keeps its epoch."""
+    """Return the home of each ledger; one that did not move keeps its epoch.
+
+    Without members the homes stay as they were: whoever comes next must know that
+    there was a home before, since work that it granted may still run.
+    """
     all_members = frozenset(members)
     if not all_members:
-        return {}
+        return dict(previous)
     chosen = {
         service_ledger(service): choose_member(service_ledger(service), all_members)
         for service in services
@@ -96,7 +102,9 @@
 def _keep_or_move(previous: Home | None, member: str, epoch: int) -> Home:
     if previous is not None and previous.member == member:
         return previous
-    return Home(member, epoch, previous.member if previous is not None else None)
+    if previous is None:
+        return Home(member, epoch)
+    return Home(member, epoch, previous.member, previous.epoch)
 
 
 def _weight(key: str, member: str) -> int:
--- a/packages/geraniumshore/src/geraniumshore/internal/ledger.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/ledger.py
@@ -81,11 +81,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Quarantine:
-    """Units that a departed holder may still use until ``until``."""
+    """Units that a departed holder may still use until ``until``.
+
+    ``source`` names the holder that will know better before, if there is one.
+    """
 
     lane: Lane
     count: int
     until: float
+    source: str = ""
 
 
 @dataclass(slots=True)
@@ -117,10 +121,16 @@
         for lane, counts in account.by_lane.items():
             self.quarantine(lane, counts.held, until)
 
-    def quarantine(self, lane: Lane, count: int, until: float) -> None:
+    def quarantine(
+        self, lane: Lane, count: int, until: float, source: str = ""
+    ) -> None:
         """Count units as in use until ``until``, on nobody's account."""
         if count > 0:
-            self.quarantined.append(Quarantine(lane, count, until))
+            self.quarantined.append(Quarantine(lane, count, until, source))
+
+    def lift(self, source: str) -> None:
+        """Free what was quarantined until ``source`` would know better."""
+        self.quarantined = [q for q in self.quarantined if q.source != source]
 
     def expire(self, now: float) -> bool:
         """Free quarantined units whose time is over; tell whether there were any."""
--- /dev/null
+++ b/packages/geraniumshore/src/geraniumshore/internal/lingering.py
@@ -0,0 +1,72 @@
+"""What release notes took away while work may still run on it.
+
+A service that is withdrawn keeps its home, without minions, until its last work has
+certainly ended: else a team's next home would not count that work. For the same
+reason a run limit that is lowered still bounds what departed members may be running.
+Time here is the log's own, which is the same for every member.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from math import ceil
+from typing import TypeVar
+
+from geraniumshore.internal.configuration import Configuration
+from geraniumshore.internal.timing import quarantine_until
+
+K = TypeVar("K")
+
+__all__ = ["Lingering", "longest_run_ms"]
+
+# Covers the log's clock against that of the members, and members that fold late.
+CLOCK_SLACK_MS = 10_000
+
+
+def longest_run_ms(configuration: Configuration) -> int:
+    """Return the longest run, in milliseconds, that any request queue allows.
+
+    It is 0 where there is no such queue.
+    """
+    limits = (
+        queue.run_limit_ms
+        for queue in configuration.queues.values()
+        if queue.kind == "request"
+    )
+    return max(limits, default=0)
+
+
+@dataclass(slots=True)
+class Lingering:
+    """Withdrawn services and former run limits, each until a time of the log."""
+
+    until_by_service: dict[str, int] = field(default_factory=dict)
+    until_by_run_limit: dict[int, int] = field(default_factory=dict)
+
+    def update(self, before: Configuration, after: Configuration, at_ms: int) -> None:
+        """Take in the change of the configuration by one release note."""
+        former = longest_run_ms(before)
+        longest = max([former, *self.until_by_run_limit])
+        until = (
+            at_ms + CLOCK_SLACK_MS + ceil(quarantine_until(0, longest / 1000) * 1000)
+        )
+        if longest_run_ms(after) < former:
+            self.until_by_run_limit[former] = until
+        for service in before.services:
+            if service not in after.services:
+                self.until_by_service[service] = until
+        for service in after.services:
+            self.until_by_service.pop(service, None)
+
+    def expire(self, at_ms: int) -> None:
+        """Forget what has ended by ``at_ms``."""
+        self.until_by_service = _after(self.until_by_service, at_ms)
+        self.until_by_run_limit = _after(self.until_by_run_limit, at_ms)
+
+    def longest_run_ms(self, configuration: Configuration) -> int:
+        """Return the longest run that may be going on."""
+        return max([longest_run_ms(configuration), *self.until_by_run_limit])
+
+
+def _after(until_by_key: dict[K, int], at_ms: int) -> dict[K, int]:
+    return {key: until for key, until in until_by_key.items() if until > at_ms}
--- a/packages/geraniumshore/src/geraniumshore/internal/member.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/member.py
@@ -43,8 +43,6 @@
 
 __all__ = ["Effects", "Member"]
 
-DEFAULT_RUN_LIMIT_SECONDS = 30.0
-
 
 @dataclass(slots=True)
 class Effects:
@@ -236,6 +234,9 @@
         retired = self._retired.get(service)
         if retired is None or home.previous != self.id:
             return None
+        if retired.home.epoch != home.previous_epoch:
+            # This member folded the term in between in one step and knows none of it.
+            return None
         return retired.handover(now)
 
     def _follow_state(self, now: float) -> None:
@@ -247,22 +248,26 @@
 
     def _follow_services(self, now: float) -> None:
         members = self.state.view.members
-        for service in self.state.configuration.services:
+        for service in self.state.served():
             home = self.state.homes.get(service_ledger(service))
             if home is None:
                 continue
             current = self.service_homes.get(service)
             if current is not None and current.home.epoch != home.epoch:
+                current.on_members(members, now)
                 self._retired[service] = self.service_homes.pop(service)
                 del self.token_holders[service_ledger(service)]
             if home.member == self.id and service not in self.service_homes:
-                opened = ServiceHome(service, home, self._policy, set(members), now)
+                opened = ServiceHome(
+                    service, home, self._policy, set(members), now, self._run_limit()
+                )
                 self.service_homes[service] = opened
                 self.token_holders[service_ledger(service)] = opened
             self.entry.seal(service, home.epoch)
-        for service in set(self.service_homes) - set(self.state.configuration.services):
+        for service in set(self.service_homes) - set(self.state.served()):
             del self.service_homes[service]
             del self.token_holders[service_ledger(service)]
+        self.entry.forget_all_but(self.state.served())
 
     def _follow_pools(self) -> None:
         pools = self.state.configuration.job_pools()
@@ -303,7 +308,7 @@
 
     def _epoch_by_holder(self) -> dict[LedgerKey, int]:
         configuration = self.state.configuration
-        services = map(service_ledger, configuration.services)
+        services = map(service_ledger, self.state.served())
         pools = map(pool_ledger, configuration.job_pools())
         return {
             key: self.state.homes[key].epoch
@@ -313,7 +318,9 @@
 
     def _terms_by_team(self) -> dict[str, TeamTerms]:
         return {
-            name: TeamTerms(team.share, self.state.homes[team_ledger(name)].epoch)
+            name: TeamTerms(
+                team.share, self.state.homes[team_ledger(name)].epoch, team.limit
+            )
             for name, team in self.state.configuration.teams.items()
             if team_ledger(name) in self.state.homes
         }
@@ -326,13 +333,8 @@
         }
 
     def _run_limit(self) -> float:
-        """Return the longest run, in seconds, that any queue allows."""
-        limits = (
-            queue.run_limit_ms / 1000
-            for queue in self.state.configuration.queues.values()
-            if queue.kind == "request"
-        )
-        return max(limits, default=DEFAULT_RUN_LIMIT_SECONDS)
+        """Return the longest run, in seconds, that may be going on."""
+        return self.state.lingering.longest_run_ms(self.state.configuration) / 1000
 
     def _send_to_home(self, ledger: LedgerKey, message: Message) -> None:
         home = self.state.homes.get(ledger)
--- a/packages/geraniumshore/src/geraniumshore/internal/messages.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/messages.py
@@ -106,7 +106,9 @@
 class GrantNotice:
     """All that a home has granted to one holder.
 
-    ``recall`` asks for idle units back; ``elsewhere`` counts what others hold.
+    ``recall`` asks for idle units back; ``elsewhere`` counts what others hold. A team's
+    home also says the ``limit`` that it keeps, and whether it is ``exceeded``: then a
+    unit that becomes idle must go back before another starts.
     """
 
     ledger: LedgerKey
@@ -116,6 +118,8 @@
     lanes: tuple[LaneGrant, ...]
     recall: bool = False
     elsewhere: int = 0
+    limit: int | None = None
+    exceeded: bool = False
     kind: Literal["grant"] = "grant"
 
 
--- a/packages/geraniumshore/src/geraniumshore/internal/service_home.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/service_home.py
@@ -53,7 +53,8 @@
     terms_by_team: dict[str, TeamTerms] = field(default_factory=dict)
     ledger: Ledger = field(init=False)
     unreported: set[str] = field(init=False)
-    handed_over: bool = field(init=False)
+    predecessor_until: float = field(init=False)
+    departed_until: float = float("-inf")
     demand_by_holder: dict[str, _HolderDemand] = field(default_factory=dict)
     tokens_by_team: dict[str, TokenAccount] = field(default_factory=dict)
     changed: set[str] = field(default_factory=set)
@@ -61,7 +62,9 @@
     def __post_init__(self) -> None:
         self.ledger = Ledger(self.home.epoch)
         self.unreported = set(self.members)
-        self.handed_over = self.home.previous is None
+        self.predecessor_until = float("-inf")
+        if self.home.previous is not None:
+            self.predecessor_until = quarantine_until(self.created_at, self.run_limit)
 
     @property
     def ready(self) -> bool:
@@ -70,9 +73,7 @@
 
     def complete(self, now: float) -> bool:
         """Tell whether nothing that a predecessor granted can be unknown here."""
-        if self.handed_over:
-            return True
-        return now >= quarantine_until(self.created_at, self.run_limit)
+        return now >= max(self.predecessor_until, self.departed_until)
 
     def configure(
         self,
@@ -94,7 +95,7 @@
             self.demand_by_holder.pop(member, None)
             if member in self.unreported:
                 self.unreported.discard(member)
-                self.handed_over = False
+                self.departed_until = quarantine_until(now, self.run_limit)
         self.members = current
         self._seal_tokens()
 
@@ -163,8 +164,16 @@
             for minion, slots in self.slots_by_minion.items()
         )
         for team, tokens in self.tokens_by_team.items():
-            wanted = self._tokens_wanted(team, use_by_team[team], unmet, free)
-            report = tokens.report(wanted, self.complete(now), always=everyone)
+            waiting = sum(count for (_, t, _), count in unmet.items() if t == team)
+            idle = tokens.held - use_by_team[team]
+            wanted = max(0, min(waiting, free) - idle)
+            ahead = max(0, min(waiting, free + TOKEN_LOOKAHEAD) - idle) - wanted
+            report = tokens.report(
+                wanted,
+                self.complete(now),
+                always=everyone,
+                ahead=ahead if self.slots_by_minion else 0,
+            )
             if report is not None:
                 yield report
 
@@ -182,7 +191,8 @@
         for units in handover.quarantined:
             lane = Lane(units.team, units.minion)
             self.ledger.quarantine(lane, units.count, now + units.remaining)
-        self.handed_over = self.handed_over or handover.ready
+        if handover.ready:
+            self.predecessor_until = float("-inf")
 
     def _seal_tokens(self) -> None:
         """Open the account with each team's home that is new or has moved."""
@@ -193,7 +203,11 @@
             del self.tokens_by_team[team]
         for team, terms in self.terms_by_team.items():
             tokens = self.tokens_by_team.get(team)
-            if tokens is None or tokens.holding.epoch != terms.epoch:
+            if tokens is not None and tokens.holding.epoch != terms.epoch:
+                self.tokens_by_team[team] = tokens.resealed(
+                    terms.epoch, use_by_team[team]
+                )
+            elif tokens is None:
                 self.tokens_by_team[team] = TokenAccount.sealed(
                     team,
                     service_ledger(self.service),
@@ -234,11 +248,12 @@
             tokens = self.tokens_by_team.get(team)
             if count <= 0 or tokens is None:
                 continue
-            if tokens.held <= use_by_team[team]:
+            terms = self.terms_by_team[team]
+            if not tokens.may_start(use_by_team[team], terms.limit):
                 continue
             yield Candidate(
                 team=team,
-                share=self.terms_by_team[team].share,
+                share=terms.share,
                 in_use=use_by_team[team] + tokens.elsewhere,
                 urgent=urgent,
                 waiting_since=self.demand_by_holder[holder].since[team, urgent],
@@ -271,14 +286,3 @@
         waiting = {team for (_, team, _), count in unmet.items() if count > 0}
         for team, tokens in self.tokens_by_team.items():
             tokens.return_idle(use_by_team[team], team in waiting, now)
-
-    def _tokens_wanted(
-        self,
-        team: str,
-        in_use: int,
-        unmet: Mapping[tuple[str, str, bool], int],
-        free_slots: int,
-    ) -> int:
-        waiting = sum(count for (_, t, _), count in unmet.items() if t == team)
-        idle = self.tokens_by_team[team].held - in_use
-        return max(0, min(waiting, free_slots + TOKEN_LOOKAHEAD) - idle)
--- a/packages/geraniumshore/src/geraniumshore/internal/team_home.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/team_home.py
@@ -17,6 +17,17 @@
 
 __all__ = ["TeamHome"]
 
+# Names the quarantine of all that no holder accounts for.
+UNACCOUNTED = "unaccounted"
+
+
+@dataclass(slots=True)
+class Wanted:
+    """Tokens that a holder asks for: to start work at once, and ahead of need."""
+
+    at_once: int = 0
+    ahead: int = 0
+
 
 @dataclass(slots=True)
 class TeamHome:
@@ -29,9 +40,12 @@
     epoch_by_holder: dict[LedgerKey, int]
     ledger: Ledger = field(init=False)
     unreported: set[str] = field(init=False)
-    incomplete: bool = False
-    wanted_by_holder: dict[str, int] = field(default_factory=dict)
+    incomplete: set[str] = field(default_factory=set)
+    settled: bool = False
+    unaccounted_until: float = float("-inf")
+    wanted_by_holder: dict[str, Wanted] = field(default_factory=dict)
     recalled: set[str] = field(default_factory=set)
+    exceeded: bool = False
     changed: set[str] = field(default_factory=set)
 
     def __post_init__(self) -> None:
@@ -51,7 +65,8 @@
         now: float,
     ) -> None:
         """Take in a changed limit, run limit, or set of holders."""
-        self.limit = limit
+        if limit != self.limit:
+            self._change_limit(limit, now)
         self.run_limit = run_limit
         for holder in set(self.epoch_by_holder) - set(epoch_by_holder):
             self.ledger.close(holder, quarantine_until(now, run_limit))
@@ -70,17 +85,45 @@
         account.update(report.lanes)
         if report.sequence > account.sequence:
             account.sequence = report.sequence
-            wanted = sum(demand.waiting for demand in report.demand)
-            self.wanted_by_holder[holder] = wanted
-        self._note_reported(report, now)
+            self.wanted_by_holder[holder] = Wanted(
+                at_once=sum(d.waiting for d in report.demand if d.urgent),
+                ahead=sum(d.waiting for d in report.demand if not d.urgent),
+            )
+        self._note_complete(report)
 
     def grant(self, now: float) -> None:
-        """Grant free tokens, one at a time to the holder that holds fewest."""
+        """Grant free tokens, one at a time to the holder that holds fewest.
+
+        Work that could start at once comes before tokens asked for ahead of need.
+        """
         self.ledger.expire(now)
         if not self.ready:
             return
+        self._settle(now)
         free = self.limit - self.ledger.total()
-        unmet = {holder: self._unmet(holder) for holder in self.wanted_by_holder}
+        at_once = {name: self._unmet_at_once(name) for name in self.wanted_by_holder}
+        free = self._grant_fewest_first(at_once, free)
+        ahead = {name: self._unmet(name) for name in self.wanted_by_holder}
+        self._grant_fewest_first(ahead, free)
+        self._note_pressure(free, at_once)
+
+    def notices(self, everyone: bool) -> Iterator[GrantNotice]:
+        """Yield what the holders should hear, changed accounts or all."""
+        holders = list(self.ledger.by_holder) if everyone else sorted(self.changed)
+        self.changed.clear()
+        for holder in holders:
+            if holder in self.ledger.by_holder:
+                yield self._notice(holder)
+
+    def _change_limit(self, limit: int, now: float) -> None:
+        if now < self.unaccounted_until:
+            # What is unaccounted for may be as much as the limit, old or new.
+            self._quarantine_unaccounted(limit - self.limit)
+        self.limit = limit
+        self.changed.update(self.ledger.by_holder)
+
+    def _grant_fewest_first(self, unmet: dict[str, int], free: int) -> int:
+        """Grant up to ``free`` tokens for ``unmet`` wants; return how many are left."""
         while free > 0 and any(count > 0 for count in unmet.values()):
             holder = min(
                 (name for name, count in unmet.items() if count > 0),
@@ -90,19 +133,13 @@
             self.changed.add(holder)
             unmet[holder] -= 1
             free -= 1
-        self._update_recalls(free, unmet)
-
-    def notices(self, everyone: bool) -> Iterator[GrantNotice]:
-        """Yield what the holders should hear, changed accounts or all."""
-        holders = list(self.ledger.by_holder) if everyone else sorted(self.changed)
-        self.changed.clear()
-        for holder in holders:
-            yield self._notice(holder)
+        return free
 
     def _account(self, report: HolderReport, now: float) -> HolderAccount | None:
         holder = LedgerKey(report.holder)
         account = self.ledger.by_holder.get(holder)
         if account is None:
+            self.changed.add(holder)
             return self.ledger.open(holder, report.holder_epoch)
         if report.holder_epoch < account.holder_epoch:
             return None
@@ -119,38 +156,60 @@
         know all of its predecessor's grants: then it is quarantined.
         """
         del self.ledger.by_holder[report.holder]
+        self.changed.add(report.holder)
         account = self.ledger.open(report.holder, report.holder_epoch)
         account.update(report.lanes)
         if not report.complete:
             missing = old.held() - account.held()
             until = quarantine_until(now, self.run_limit)
-            self.ledger.quarantine(Lane(self.team), missing, until)
+            self.ledger.quarantine(Lane(self.team), missing, until, report.holder)
         return account
 
-    def _note_reported(self, report: HolderReport, now: float) -> None:
-        if report.holder not in self.unreported:
-            return
+    def _note_complete(self, report: HolderReport) -> None:
         self.unreported.discard(report.holder)
-        self.incomplete = self.incomplete or not report.complete
-        if self.ready and self.incomplete:
-            # A holder's predecessor may have had any part of what is not accounted.
-            missing = self.limit - self.ledger.total()
-            until = quarantine_until(now, self.run_limit)
-            self.ledger.quarantine(Lane(self.team), missing, until)
+        if report.complete:
+            self.incomplete.discard(report.holder)
+            self.ledger.lift(report.holder)
+        elif not self.settled:
+            self.incomplete.add(report.holder)
+        if self.settled and not self.incomplete:
+            self.unaccounted_until = float("-inf")
+            self.ledger.lift(UNACCOUNTED)
+
+    def _settle(self, now: float) -> None:
+        """Set aside, once, what a holder's predecessor may have had unaccounted."""
+        if self.settled:
+            return
+        self.settled = True
+        if self.incomplete:
+            self.unaccounted_until = quarantine_until(now, self.run_limit)
+            self._quarantine_unaccounted(self.limit - self.ledger.total())
+
+    def _quarantine_unaccounted(self, count: int) -> None:
+        lane = Lane(self.team)
+        self.ledger.quarantine(lane, count, self.unaccounted_until, UNACCOUNTED)
 
-    def _update_recalls(self, free: int, unmet: Mapping[str, int]) -> None:
+    def _note_pressure(self, free: int, at_once: Mapping[str, int]) -> None:
         """Ask for idle tokens back wherever another holder lacks some."""
-        lacking = {name for name, count in unmet.items() if count > 0 and free <= 0}
+        lacking = {name for name, count in at_once.items() if count > 0 and free <= 0}
         recalled = {name for name in self.ledger.by_holder if lacking - {name}}
         self.changed |= recalled ^ (self.recalled & set(self.ledger.by_holder))
         self.recalled = recalled
+        exceeded = self.ledger.total() > self.limit
+        if exceeded != self.exceeded:
+            self.exceeded = exceeded
+            self.changed.update(self.ledger.by_holder)
+
+    def _unmet_at_once(self, holder: str) -> int:
+        return self._unmet(holder) - self.wanted_by_holder[holder].ahead
 
     def _unmet(self, holder: str) -> int:
         account = self.ledger.by_holder[holder]
         if account.holder_epoch != self.epoch_by_holder.get(LedgerKey(holder)):
             return 0
         in_flight = sum(counts.in_flight for counts in account.by_lane.values())
-        return self.wanted_by_holder.get(holder, 0) - in_flight
+        wanted = self.wanted_by_holder[holder]
+        return wanted.at_once + wanted.ahead - in_flight
 
     def _notice(self, holder: str) -> GrantNotice:
         account = self.ledger.by_holder[holder]
@@ -162,4 +221,6 @@
             lanes=lane_grants(account),
             recall=holder in self.recalled,
             elsewhere=self.ledger.total() - account.held(),
+            limit=self.limit,
+            exceeded=self.exceeded,
         )
--- a/packages/geraniumshore/src/geraniumshore/internal/tokens.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/tokens.py
@@ -23,11 +23,12 @@
 class TeamTerms:
     """What a home of work needs to know of a team.
 
-    ``epoch`` is that of the team's home.
+    ``epoch`` is that of the team's home, ``limit`` the upper limit now in force.
     """
 
     share: float
     epoch: int
+    limit: int
 
 
 class TokenHolder(ABC):
@@ -54,10 +55,12 @@
     holding: Holding
     elsewhere: int = 0
     recall: bool = False
+    exceeded: bool = False
+    limit_seen: int | None = None
     changed: bool = True
     _sequence: int = 0
     _idle_since: float | None = None
-    _reported_wanted: int = 0
+    _reported_wanted: tuple[int, int] = (0, 0)
 
     @classmethod
     def sealed(
@@ -67,11 +70,28 @@
         held = {Lane(team): in_use}
         return cls(team, holder, Holding.sealed(epoch, held, holder_epoch))
 
+    def resealed(self, epoch: int, in_use: int) -> TokenAccount:
+        """Return the account with the next home of the same team."""
+        holder_epoch = self.holding.holder_epoch
+        account = self.sealed(self.team, self.holder, holder_epoch, epoch, in_use)
+        account.limit_seen = self.limit_seen
+        account.exceeded = self.exceeded
+        return account
+
     @property
     def held(self) -> int:
         """Tokens in hand, in use or idle."""
         return self.holding.held_by(Lane(self.team))
 
+    def may_start(self, in_use: int, limit: int) -> bool:
+        """Tell whether one more unit of work may start, beyond ``in_use``.
+
+        After a limit was lowered that waits until the team's home has counted by it.
+        """
+        if self.exceeded or self.limit_seen is None or self.limit_seen > limit:
+            return False
+        return in_use < self.held
+
     def receive(self, notice: GrantNotice) -> None:
         """Take in a notice of the team's home; one of another epoch is dropped."""
         account = (self.holding.epoch, self.holding.holder_epoch)
@@ -81,6 +101,8 @@
             self.changed = True
         self.elsewhere = notice.elsewhere
         self.recall = notice.recall
+        self.exceeded = notice.exceeded
+        self.limit_seen = notice.limit
 
     def return_idle(self, in_use: int, waiting: bool, now: float) -> None:
         """Give idle tokens back when asked to, or where no work has come for them."""
@@ -91,21 +113,24 @@
         if self._idle_since is None:
             self._idle_since = now
         expired = not waiting and now - self._idle_since >= IDLE_TOKEN_SECONDS
-        if self.recall or expired:
+        if self.recall or self.exceeded or expired:
             self.holding.give_back(Lane(self.team), idle)
             self.changed = True
             self._idle_since = None
 
-    def report(self, wanted: int, complete: bool, always: bool) -> HolderReport | None:
+    def report(
+        self, wanted: int, complete: bool, always: bool, ahead: int = 0
+    ) -> HolderReport | None:
         """Return the account for the team's home, or None where nothing changed.
 
-        ``wanted`` counts tokens wanted beyond those in hand; ``complete`` says that
+        ``wanted`` counts tokens wanted beyond those in hand by work that could start
+        at once, and ``ahead`` more that would save time later. ``complete`` says that
         no work of an earlier home of the same ledger can be unknown here.
         """
-        if not (always or self.changed or wanted != self._reported_wanted):
+        if not (always or self.changed or (wanted, ahead) != self._reported_wanted):
             return None
         self.changed = False
-        self._reported_wanted = wanted
+        self._reported_wanted = (wanted, ahead)
         self._sequence += 1
         return HolderReport(
             ledger=team_ledger(self.team),
@@ -114,7 +139,11 @@
             holder_epoch=self.holding.holder_epoch,
             sequence=self._sequence,
             lanes=self.holding.lane_reports(),
-            demand=(Demand(self.team, False, wanted),) if wanted else (),
+            demand=tuple(
+                Demand(self.team, at_once, count)
+                for at_once, count in ((True, wanted), (False, ahead))
+                if count
+            ),
             complete=complete,
         )
 
--- /dev/null
+++ b/tests/cover/test_ledger_faults.py
@@ -0,0 +1,232 @@
+"""Faults that once broke a limit, or would without one of the rules."""
+
+import dataclasses
+
+import pytest
+
+from geraniumshore import Items, Team, Withdrawn
+from geraniumshore.internal import service_home, team_home
+from geraniumshore.internal.homes import assign_homes, service_ledger, team_ledger
+from geraniumshore.internal.ledger import Holding
+from geraniumshore.internal.messages import GrantNotice
+from tests.common.ledger_world import LIMITS, RUN_LIMIT, SERVICES, LedgerWorld
+
+SORTING = service_ledger("sorting")
+RECOVERED = 2.0
+LONG = 1000.0
+
+
+def fill(world, team="acme", service="sorting", avoid=frozenset()):
+    """Let a team run its whole limit from a member that is no home of the service."""
+    home = world.home_of(service_ledger(service)).member
+    name = next(n for n in world.active() if n != home and n not in avoid)
+    for _ in range(world.limit(team)):
+        world.submit(name, service, team, LONG)
+    world.advance(0.5)
+    assert world.running_of(team) == world.limit(team)
+    return name
+
+
+def ask_everywhere(world, team="acme", service="sorting"):
+    """Ask for more than the limit from every member; the world checks each start."""
+    for name in world.active():
+        world.submit(name, service, team, seconds=1.0)
+    world.advance(0.5)
+
+
+def crash_with_its_home(world, *ledgers):
+    """Evict a member that runs work together with the homes of ``ledgers``."""
+    homes = {world.home_of(ledger).member for ledger in ledgers}
+    name = fill(world, avoid=homes)
+    for gone in (name, *homes):
+        world.crash(gone)
+    world.heal()
+    return name
+
+
+def test_work_of_a_member_that_died_with_the_home_counts_until_it_has_ended():
+    world = LedgerWorld(5)
+    crash_with_its_home(world, SORTING)
+    ask_everywhere(world)
+    world.advance(RUN_LIMIT + 6.0)
+    world.check_work_starts(RECOVERED)
+
+
+def test_work_counts_when_both_homes_died_with_the_member_that_runs_it():
+    world = LedgerWorld(6)
+    crash_with_its_home(world, SORTING, team_ledger("acme"))
+    ask_everywhere(world)
+
+
+def test_a_raised_limit_frees_nothing_that_is_unaccounted_for():
+    world = LedgerWorld(6)
+    world.release(changed=Items(teams={"acme": Team(1.0, 4)}))
+    world.advance(0.5)
+    crash_with_its_home(world, SORTING, team_ledger("acme"))
+    for limit in (2, 4):
+        world.release(changed=Items(teams={"acme": Team(1.0, limit)}))
+        world.advance(0.3)
+    ask_everywhere(world)
+
+
+def test_work_of_a_withdrawn_service_counts_after_the_teams_home_moves():
+    world = LedgerWorld(3)
+    fill(world)
+    world.withdraw_service("sorting")
+    world.advance(0.3)
+    gone = world.home_of(team_ledger("acme")).member
+    runs_there = [t for t, run in world.running.items() if run.member == gone]
+    world.crash(gone)
+    world.heal()
+    assert world.running_of("acme") >= len(runs_there)
+    ask_everywhere(world, service="cutting")
+
+
+def test_work_counts_when_its_team_is_withdrawn_and_added_again():
+    world = LedgerWorld(3)
+    fill(world)
+    world.release(withdrawn=Withdrawn(teams=["acme"]))
+    world.advance(0.3)
+    world.release(added=Items(teams={"acme": Team(1.0, 3)}))
+    world.advance(0.3)
+    ask_everywhere(world)
+    ask_everywhere(world, service="cutting")
+
+
+def test_a_lowered_run_limit_does_not_shorten_what_departed_work_may_take():
+    world = LedgerWorld(4)
+    name = fill(world)
+    queues = {
+        name: dataclasses.replace(queue, run_limit_ms=1)
+        for name, queue in world.members[name].state.configuration.queues.items()
+    }
+    world.release(changed=Items(queues=queues))
+    world.advance(0.3)
+    world.crash(name)
+    world.heal()
+    ask_everywhere(world)
+    world.advance(RUN_LIMIT - 2.0)
+
+
+def test_nothing_starts_above_a_lowered_limit_as_work_ends():
+    world = LedgerWorld(3)
+    world.release(changed=Items(teams={"bolt": Team(1.0, 4)}))
+    world.advance(0.5)
+    for service in ("sorting", "cutting"):
+        for _ in range(4):
+            world.submit(world.active()[0], service, "bolt", LONG)
+    world.advance(0.5)
+    world.release(changed=Items(teams={"bolt": Team(1.0, 1)}))
+    world.advance(0.5)
+    while world.running_of("bolt") > 1:
+        before = world.running_of("bolt")
+        world.end_run(sorted(world.running)[0])
+        world.advance(0.2)
+        assert world.running_of("bolt") < before
+    world.advance(RUN_LIMIT + 0.5)
+    assert world.running_of("bolt") == 1
+
+
+def test_a_service_without_minions_keeps_no_tokens_from_others():
+    world = LedgerWorld(3)
+    world.release(changed=Items(teams={"acme": Team(1.0, 1)}))
+    world.release(withdrawn=Withdrawn(minions=["cutting-0", "cutting-1"]))
+    world.advance(0.5)
+    name = world.active()[0]
+    world.submit(name, "cutting", "acme", LONG)
+    world.advance(1.0)
+    ticket = world.submit(name, "sorting", "acme", LONG)
+    world.advance(1.0)
+    assert ticket in world.started
+
+
+def late_grant_after_a_move():
+    """A home's last grants arrive after its ledger has a new home."""
+    world = LedgerWorld(3)
+    name = fill(world)
+    home = world.home_of(SORTING)
+    old = world.members[home.member].service_homes["sorting"]
+    stale = [n for n in old.notices(everyone=True) if n.holder == name]
+    assert isinstance(stale[0], GrantNotice)
+    for ticket in sorted(world.running):
+        world.end_run(ticket)
+    world.advance(0.5)
+    world.move_home(SORTING)
+    fill(world, avoid={name})
+    for _ in range(3):
+        world.submit(name, "sorting", "acme", LONG)
+    now = world.clock_by_member[name].at(world.now)
+    world.members[name].on_message(home.member, stale[0], now)
+    world._carry_out(name)
+
+
+def home_moves_while_a_holder_is_out_of_its_reach():
+    """The next home has not heard of a member that runs the whole limit."""
+    world = LedgerWorld(7)
+    survivors = set(world.members) - {world.home_of(SORTING).member}
+    homes = assign_homes({}, survivors, SERVICES, [], LIMITS, epoch=1)
+    name = fill(world, avoid={home.member for home in homes.values()})
+    for other in list(world.members):
+        world.faults.cut_pairs.add(frozenset((name, other)))
+    world.crash(world.home_of(SORTING).member)
+    world.faults.without_log = {name}
+    world.evict(
+        next(
+            m for m in world.members[name].state.view.members if m not in world.members
+        ),
+        world.members[name].state.view.number,
+    )
+    world.advance(1.0)
+    others = [other for other in world.active() if other != name]
+    for other in others:
+        world.submit(other, "sorting", "acme", LONG)
+    world.advance(1.0)
+
+
+def member_dies_with_the_home():
+    """What only the dead home knew is quarantined."""
+    world = LedgerWorld(5)
+    crash_with_its_home(world, SORTING)
+    ask_everywhere(world)
+
+
+def test_a_grant_that_arrives_after_its_holder_sealed_is_dropped():
+    late_grant_after_a_move()
+
+
+def test_a_home_grants_nothing_before_every_member_has_reported():
+    home_moves_while_a_holder_is_out_of_its_reach()
+
+
+def receive_any_epoch(holding, notice, receive=Holding.receive):
+    changed = dataclasses.replace(
+        notice, epoch=holding.epoch, holder_epoch=holding.holder_epoch
+    )
+    return receive(holding, changed)
+
+
+class TestOfTheTests:
+    """Each rule is dropped on purpose; the scenario that needs it must fail."""
+
+    def test_sealing_is_needed(self, monkeypatch):
+        monkeypatch.setattr(Holding, "receive", receive_any_epoch)
+        with pytest.raises(AssertionError, match="running, want"):
+            late_grant_after_a_move()
+
+    def test_waiting_for_reports_is_needed(self, monkeypatch):
+        always = property(lambda home: True)
+        monkeypatch.setattr(service_home.ServiceHome, "ready", always)
+        monkeypatch.setattr(service_home.ServiceHome, "complete", lambda *_: True)
+        with pytest.raises(AssertionError, match="running, want"):
+            home_moves_while_a_holder_is_out_of_its_reach()
+
+    def test_completeness_is_needed(self, monkeypatch):
+        monkeypatch.setattr(service_home.ServiceHome, "complete", lambda *_: True)
+        with pytest.raises(AssertionError, match="running, want"):
+            member_dies_with_the_home()
+
+    def test_the_quarantine_is_needed(self, monkeypatch):
+        for module in (service_home, team_home):
+            monkeypatch.setattr(module, "quarantine_until", lambda now, _: now)
+        with pytest.raises(AssertionError, match="running, want"):
+            member_dies_with_the_home()
