--- a/packages/geraniumshore/src/geraniumshore/__init__.py
+++ b/packages/geraniumshore/src/geraniumshore/__init__.py
@@ -11,6 +11,13 @@
     PlatformUnavailableError,
     UnknownOutcomeError,
 )
+from geraniumshore.internal.agreement import Standing
+from geraniumshore.internal.burn import (
+    Alert,
+    QueueBurn,
+    WindowBurn,
+    burn_by_queue,
+)
 from geraniumshore.internal.configuration import Configuration, apply_release
 from geraniumshore.internal.entry import (
     Decision,
@@ -38,7 +45,10 @@
 from geraniumshore.internal.keys import MadeKey, make_key, verify_key
 from geraniumshore.internal.member import Effects, Member
 from geraniumshore.internal.messages import (
+    EndorseRequest,
     Message,
+    Relay,
+    StateTransfer,
     coalescing_key,
     decode_message,
     encode_message,
@@ -59,6 +69,7 @@
     MemberInfo,
     Record,
     Release,
+    SnapshotPart,
     decode_records,
     encode_records,
 )
@@ -70,20 +81,29 @@
     parse_release,
     validation_findings,
 )
+from geraniumshore.internal.service_levels import (
+    QueueCounts,
+    ServiceLevelHistory,
+    ServiceLevels,
+    is_good_call,
+)
 from geraniumshore.internal.shares import (
     Candidate,
     FirstComeFirstServed,
     SharePolicy,
     WeightedShares,
 )
+from geraniumshore.internal.view import predecessor
 
 __all__ = [
+    "Alert",
     "Candidate",
     "Configuration",
     "ControlLog",
     "ControlState",
     "Decision",
     "Effects",
+    "EndorseRequest",
     "Evict",
     "Finding",
     "FirstComeFirstServed",
@@ -108,35 +128,47 @@
     "PlatformUnavailableError",
     "Pool",
     "Queue",
+    "QueueBurn",
+    "QueueCounts",
     "Ran",
     "RawEntry",
     "Record",
     "Refusal",
     "Refuse",
+    "Relay",
     "Release",
     "ReleaseNote",
     "ReleaseSummary",
     "Service",
+    "ServiceLevelHistory",
+    "ServiceLevels",
     "SharePolicy",
     "SlotRequest",
+    "SnapshotPart",
+    "Standing",
     "Start",
+    "StateTransfer",
     "Team",
     "Unknown",
     "UnknownOutcomeError",
     "Verdict",
     "Wave",
     "WeightedShares",
+    "WindowBurn",
     "Withdrawn",
     "apply_release",
+    "burn_by_queue",
     "coalescing_key",
     "decode_message",
     "decode_records",
     "encode_message",
     "encode_records",
     "fold_entry",
+    "is_good_call",
     "load_json",
     "make_key",
     "parse_release",
+    "predecessor",
     "validation_findings",
     "verify_key",
 ]
--- a/packages/geraniumshore/src/geraniumshore/internal/fold.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/fold.py
@@ -22,6 +22,12 @@
     LogEntry,
     Record,
     Release,
+    SnapshotPart,
+)
+from geraniumshore.internal.service_levels import (
+    ServiceLevelHistory,
+    ServiceLevels,
+    fold_service_levels,
 )
 from geraniumshore.internal.view import View, apply_evict, apply_join, apply_leave
 
@@ -56,6 +62,7 @@
     lingering: Lingering = field(default_factory=Lingering)
     releases: list[ReleaseSummary] = field(default_factory=list)
     recent_ids: dict[str, None] = field(default_factory=dict)
+    service_levels: dict[str, ServiceLevelHistory] = field(default_factory=dict)
 
     def served(self) -> list[str]:
         """Return the services that have homes, withdrawn ones that linger included."""
@@ -94,6 +101,8 @@
 def _fold_record(
     state: ControlState, record: Record, entry: LogEntry
 ) -> tuple[Finding, ...]:
+    if isinstance(record, SnapshotPart):
+        return ()
     if record.id in state.recent_ids:
         return (Finding("id", f"{record.id} was appended before"),)
     _remember(state, record.id)
@@ -106,6 +115,14 @@
             state.view, findings = apply_evict(state.view, record)
         case Release():
             findings = _fold_release(state, record, entry)
+        case ServiceLevels():
+            findings = ()
+            fold_service_levels(
+                state.service_levels,
+                record,
+                entry.appended_at_ms,
+                state.configuration.queues,
+            )
     if not findings:
         state.lingering.expire(entry.appended_at_ms)
         _update_homes(state)
--- a/packages/geraniumshored/src/geraniumshored/internal/daemon.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/daemon.py
@@ -4,6 +4,7 @@
 
 import logging
 import threading
+from enum import IntEnum
 from uuid import uuid4
 
 from geraniumshore import Leave, Member, MemberInfo
@@ -15,17 +16,26 @@
 from geraniumshored.internal.peers import PeerNetwork, PeerServer
 from geraniumshored.internal.platform_http import HttpControlLog, PlatformCaller
 from geraniumshored.internal.runtime import Runtime
+from geraniumshored.internal.service_levels import ServiceLevelCounter
 from geraniumshored.internal.settings import Settings
 from geraniumshored.internal.ticker import Ticker
 
-__all__ = ["Daemon"]
+__all__ = ["Daemon", "ExitStatus"]
 
 logger = logging.getLogger(__name__)
 
 TICK_SECONDS = 0.05
+LEVELS_SECONDS = 60.0
 LEAVE_SECONDS = 3.0
 
 
+class ExitStatus(IntEnum):
+    """What the end of the process means to its supervisor."""
+
+    DONE = 0
+    EVICTED = 75
+
+
 class Daemon:
     """One entry host's process."""
 
@@ -35,7 +45,7 @@
             member=member_id,
             host=settings.host,
             data_centre=settings.data_centre,
-            peer_address=str(settings.peer),
+            peer_address=str(settings.peer_advertised or settings.peer),
             http_address=str(settings.http),
         )
         caller = PlatformCaller.from_settings(settings.platform)
@@ -45,10 +55,16 @@
         self._follower = LogFollower(log, self._runtime)
         self._network = PeerNetwork(self._runtime)
         self._peer_server = PeerServer(self._runtime, self._network)
-        self._calls = CallHandler(self._runtime)
-        operators = OperatorHandler(self._runtime, self._appender, settings.operators)
+        self._levels = ServiceLevelCounter(self._runtime)
+        self._calls = CallHandler(self._runtime, self._levels)
+        operators = OperatorHandler(
+            self._runtime, self._appender, settings.operators, self._levels
+        )
         self._front = Front(self._runtime, self._calls, operators)
         self._ticker = Ticker(TICK_SECONDS, self._tick)
+        self._stop_requested = threading.Event()
+        self._evicted = False
+        self._levels_ticker = Ticker(LEVELS_SECONDS, self._append_levels)
         self._runtime.connect(self._network, self._appender)
 
     @classmethod
@@ -61,17 +77,23 @@
         """This process incarnation's id."""
         return self._runtime.member.id
 
-    def run(self, stop_requested: threading.Event) -> None:
-        """Serve until ``stop_requested`` is set, then shut down gracefully."""
+    def run(self, stop_requested: threading.Event) -> ExitStatus:
+        """Serve until ``stop_requested`` is set, or this member has been evicted.
+
+        Either way the calls that are open are answered before it returns.
+        """
+        self._stop_requested = stop_requested
         self._start()
         stop_requested.wait()
         self._shut_down()
+        return ExitStatus.EVICTED if self._evicted else ExitStatus.DONE
 
     def _start(self) -> None:
         self._peer_server.start(str(self._settings.peer))
         self._appender.start()
         self._follower.start()
         self._ticker.start()
+        self._levels_ticker.start()
         self._front.start(self._settings.http, self._settings.threads)
         logger.info("started", extra={"http": str(self._settings.http)})
 
@@ -85,7 +107,10 @@
         threading.Event().wait(self._settings.notice_ms / 1000)
         longest = self._runtime.perform(lambda member, _: member.longest_call())
         idle = self._calls.wait_until_idle(longest)
-        self._leave()
+        self._levels_ticker.stop()
+        if not self._evicted:
+            self._append_levels()
+            self._leave()
         self._front.stop()
         self._ticker.stop()
         self._follower.stop()
@@ -101,6 +126,18 @@
         except Exception as error:
             logger.warning("leave not confirmed", extra={"error": repr(error)})
 
+    def _append_levels(self) -> None:
+        self._levels.append(self.member_id)
+
     def _tick(self) -> None:
         self._runtime.perform(lambda member, now: member.on_tick(now))
         self._network.forget_departed()
+        if self._runtime.member.agreement.lost_membership:
+            self._on_lost_membership()
+
+    def _on_lost_membership(self) -> None:
+        if self._stop_requested.is_set():
+            return
+        logger.error("evicted: ending, so that a new process can join")
+        self._evicted = True
+        self._stop_requested.set()
--- a/packages/geraniumshored/src/geraniumshored/internal/operators.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/operators.py
@@ -11,8 +11,15 @@
 from pydantic import TypeAdapter
 from result import Err
 
-from geraniumshore import Configuration, Release, UnknownOutcomeError, parse_release
+from geraniumshore import (
+    Configuration,
+    Release,
+    ServiceLevelHistory,
+    UnknownOutcomeError,
+    parse_release,
+)
 from geraniumshored.internal.follower import LogAppender
+from geraniumshored.internal.forced_evictions import EvictionHandler
 from geraniumshored.internal.http_types import (
     HttpAnswer,
     HttpRequest,
@@ -20,12 +27,17 @@
     answer_problem,
 )
 from geraniumshored.internal.runtime import Runtime
+from geraniumshored.internal.service_levels import ServiceLevelCounter
 from geraniumshored.internal.settings import Operator
 
 __all__ = ["OperatorHandler"]
 
 RELEASE_WAIT_SECONDS = 15.0
+ACCEPT_SECONDS = 10.0
 MAX_NOTE_BYTES = 8 * 1024 * 1024
+_HISTORY: TypeAdapter[dict[str, ServiceLevelHistory]] = TypeAdapter(
+    dict[str, ServiceLevelHistory]
+)
 _CONFIGURATION: TypeAdapter[Configuration] = TypeAdapter(Configuration)
 
 
@@ -37,10 +49,13 @@
         runtime: Runtime,
         appender: LogAppender,
         operators: dict[str, Operator],
+        levels: ServiceLevelCounter,
     ) -> None:
+        self._levels = levels
         self._runtime = runtime
         self._appender = appender
         self._operators = operators
+        self._evictions = EvictionHandler(runtime, appender)
 
     def handle(self, request: HttpRequest) -> HttpAnswer:
         """Answer one call of an operator."""
@@ -57,11 +72,15 @@
                     _CONFIGURATION.dump_json(configuration),
                     {"Content-Type": "application/json"},
                 )
+            case ("GET", ("service-levels",)):
+                return self._service_levels()
             case ("GET", ("releases",)):
                 releases = self._runtime.member.state.releases
                 return answer_json(200, {"releases": [asdict(r) for r in releases]})
             case ("POST", ("releases",)):
                 return self._release(request, operator)
+            case ("POST", ("evictions",)):
+                return self._evictions.handle(request, operator)
             case _:
                 return answer_problem(404, "unknown-path", "/".join(request.path))
 
@@ -98,9 +117,30 @@
             return answer_problem(
                 409, "refused-note", "the note is void", findings=verdict.findings
             )
+        if not self._runtime.wait_until_accepted(verdict.offset, ACCEPT_SECONDS):
+            return answer_problem(
+                504,
+                "unknown",
+                "the note is in the log, but no majority of members has confirmed it",
+                outcome="unknown",
+            )
         version = parsed.ok_value.base + 1
         return answer_json(200, {"version": version, "offset": verdict.offset})
 
+    def _service_levels(self) -> HttpAnswer:
+        """Give the folded history, and what this member alone knows yet."""
+        history = self._runtime.perform(
+            lambda member, _: _HISTORY.dump_python(
+                member.state.service_levels, mode="json"
+            )
+        )
+        document = {
+            "history": history,
+            "pending": [asdict(counts) for counts in self._levels.pending()],
+            "latencies": self._runtime.metrics.encoded_latencies(),
+        }
+        return answer_json(200, document)
+
     def _status(self) -> dict[str, object]:
         return self._runtime.perform(
             lambda member, now: {
@@ -109,6 +149,7 @@
                 "data_centre": member.info.data_centre,
                 "authority": member.has_authority(now),
                 "version": member.state.configuration.version,
+                "standing": member.agreement.standing(member.state).value,
                 "position": member.state.position,
                 "view": member.state.view.number,
                 "members": [
