Let the ledgers' world end evicted processes, as the daemon does

Cause: since members evict one another, an evicted process that wakes never acts again; the test's world kept it and asked it for work. It now ends it and starts the next incarnation on that host.

--- a/tests/common/ledger_world.py
+++ b/tests/common/ledger_world.py
@@ -220,6 +220,10 @@
             member.on_tail(now, now)
         member.on_tick(now)
         self._carry_out(name)
+        if member.agreement.lost_membership:
+            # The daemon ends such a process; its host starts the next incarnation.
+            self.crash(name)
+            self.spawn()
 
     def _carry_out(self, name: str) -> None:
         effects = self.members[name].drain_effects()
--- a/tests/cover/test_ledgers.py
+++ b/tests/cover/test_ledgers.py
@@ -1,6 +1,6 @@
 """A state machine over the real homes, entries and members."""
 
-from hypothesis import HealthCheck, settings, strategies as st
+from hypothesis import HealthCheck, Phase, settings, strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     initialize,
@@ -23,6 +23,7 @@
 CI_SETTINGS = settings(
     derandomize=True,
     deadline=None,
+    phases=(Phase.explicit, Phase.generate),
     max_examples=50,
     stateful_step_count=40,
     suppress_health_check=list(HealthCheck),
