--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 PROJECTS := packages/geraniumshore packages/geraniumshored packages/geraniumshore-cli packages/geraniumshore-standins
 
-.PHONY: setup test nocover quality demo bench format check proto
+.PHONY: setup test nocover quality demo bench format check proto schema
 
 setup: $(STAMP)
 
@@ -41,3 +41,6 @@
 proto: setup
 	$(BIN)/python -m grpc_tools.protoc -Iproto --python_out=packages/geraniumshored/src/geraniumshored/internal --pyi_out=packages/geraniumshored/src/geraniumshored/internal --grpc_python_out=packages/geraniumshored/src/geraniumshored/internal proto/peer.proto
 	sed -i 's/^import peer_pb2/from geraniumshored.internal import peer_pb2/' packages/geraniumshored/src/geraniumshored/internal/peer_pb2_grpc.py
+
+schema: setup
+	$(BIN)/python -m geraniumshore > schemas/release-note.json
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/platform_hosts.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/platform_hosts.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import asdict, dataclass, field
+from dataclasses import dataclass, field
 from typing import Any
 
 from geraniumshore_standins.internal.wsgi import Answer, Call
@@ -193,7 +193,10 @@
             hosts.advance(now)
             return Answer.json(
                 {
-                    "hosts": [asdict(host) for host in hosts.by_host.values()],
+                    "hosts": [
+                        {"host": h.host, "pool": h.pool, "up": h.up, "boot": h.boot}
+                        for h in hosts.by_host.values()
+                    ],
                     "reboots": hosts.reboots,
                     "moves": hosts.moves,
                 }
--- a/packages/geraniumshore/src/geraniumshore/__init__.py
+++ b/packages/geraniumshore/src/geraniumshore/__init__.py
@@ -11,12 +11,21 @@
     PlatformUnavailableError,
     UnknownOutcomeError,
 )
+from geraniumshore.internal.admission import Admission
+from geraniumshore.internal.agreement import Standing
 from geraniumshore.internal.burn import (
     Alert,
     QueueBurn,
     WindowBurn,
     burn_by_queue,
 )
+from geraniumshore.internal.claim_records import Answer, Claim, KeptAnswer
+from geraniumshore.internal.claims import (
+    MAX_ANSWER_BYTES,
+    Claims,
+    KeptClaim,
+    claim_key,
+)
 from geraniumshore.internal.configuration import Configuration, apply_release
 from geraniumshore.internal.entry import (
     Decision,
@@ -68,12 +77,16 @@
 from geraniumshore.internal.keys import MadeKey, make_key, verify_key
 from geraniumshore.internal.member import Effects, Member
 from geraniumshore.internal.messages import (
+    EndorseRequest,
     Message,
+    Relay,
+    StateTransfer,
     coalescing_key,
     decode_message,
     encode_message,
 )
 from geraniumshore.internal.outcomes import NotRun, Outcome, Ran, Unknown
+from geraniumshore.internal.outliers import OutlierDetector
 from geraniumshore.internal.planner import (
     PLANNER_KEY,
     LargestBatch,
@@ -110,6 +123,7 @@
     MemberInfo,
     Record,
     Release,
+    SnapshotPart,
     decode_records,
     encode_records,
 )
@@ -121,6 +135,12 @@
     parse_release,
     validation_findings,
 )
+from geraniumshore.internal.retries import (
+    RetryBudget,
+    backoff_seconds,
+    is_failure,
+    may_repeat,
+)
 from geraniumshore.internal.service_levels import (
     QueueCounts,
     ServiceLevelHistory,
@@ -133,16 +153,22 @@
     SharePolicy,
     WeightedShares,
 )
+from geraniumshore.internal.view import predecessor
 
 __all__ = [
     "ActionStatus",
+    "Admission",
     "Alert",
+    "Answer",
     "Candidate",
+    "Claim",
+    "Claims",
     "Configuration",
     "ControlLog",
     "ControlState",
     "Decision",
     "Effects",
+    "EndorseRequest",
     "Evict",
     "Finding",
     "FirstComeFirstServed",
@@ -160,12 +186,15 @@
     "InvalidInputError",
     "Items",
     "Join",
+    "KeptAnswer",
+    "KeptClaim",
     "Key",
     "LargestBatch",
     "Leave",
     "ListedHost",
     "LogEntry",
     "LogRead",
+    "MAX_ANSWER_BYTES",
     "MadeKey",
     "Member",
     "MemberInfo",
@@ -174,6 +203,7 @@
     "NotRun",
     "OneAtATime",
     "Outcome",
+    "OutlierDetector",
     "PLANNER_KEY",
     "Phase",
     "Planner",
@@ -191,9 +221,11 @@
     "Record",
     "Refusal",
     "Refuse",
+    "Relay",
     "Release",
     "ReleaseNote",
     "ReleaseSummary",
+    "RetryBudget",
     "RollingWave",
     "Service",
     "ServiceLevelHistory",
@@ -201,7 +233,10 @@
     "ServiceQuiet",
     "SharePolicy",
     "SlotRequest",
+    "SnapshotPart",
+    "Standing",
     "Start",
+    "StateTransfer",
     "Team",
     "Unknown",
     "UnknownOutcomeError",
@@ -215,9 +250,11 @@
     "WindowBurn",
     "Withdrawn",
     "apply_release",
+    "backoff_seconds",
     "buffer_needed",
     "burn_by_queue",
     "choose_member",
+    "claim_key",
     "coalescing_key",
     "decode_message",
     "decode_records",
@@ -225,13 +262,16 @@
     "encode_records",
     "fold_entry",
     "host_accepts_work",
+    "is_failure",
     "is_good_call",
     "load_json",
     "make_key",
+    "may_repeat",
     "parse_release",
     "patience_seconds",
     "pool_of",
     "pool_uses",
+    "predecessor",
     "preview",
     "service_quiets",
     "services_on_host",
--- a/packages/geraniumshore/src/geraniumshore/internal/fold.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/fold.py
@@ -13,6 +13,8 @@
 from result import Err
 
 from geraniumshore.errors import Finding
+from geraniumshore.internal.claim_records import Answer, Claim
+from geraniumshore.internal.claims import Claims, fold_answer, fold_claim
 from geraniumshore.internal.configuration import Configuration, apply_release
 from geraniumshore.internal.fleet_fold import (
     fold_fleet_record,
@@ -27,6 +29,7 @@
     LogEntry,
     Record,
     Release,
+    SnapshotPart,
 )
 from geraniumshore.internal.service_levels import (
     ServiceLevelHistory,
@@ -69,6 +72,7 @@
     fleet: FleetState = field(default_factory=FleetState)
     releases: list[ReleaseSummary] = field(default_factory=list)
     recent_ids: dict[str, None] = field(default_factory=dict)
+    claims: Claims = field(default_factory=Claims)
     service_levels: dict[str, ServiceLevelHistory] = field(default_factory=dict)
 
 
@@ -104,6 +108,8 @@
 def _fold_record(
     state: ControlState, record: Record, entry: LogEntry
 ) -> tuple[Finding, ...]:
+    if isinstance(record, SnapshotPart):
+        return ()
     if record.id in state.recent_ids:
         return (Finding("id", f"{record.id} was appended before"),)
     _remember(state, record.id)
@@ -116,6 +122,10 @@
             state.view, findings = apply_evict(state.view, record)
         case Release():
             findings = _fold_release(state, record, entry)
+        case Claim():
+            return fold_claim(state.claims, record, entry.appended_at_ms)
+        case Answer():
+            return fold_answer(state.claims, record, entry.appended_at_ms)
         case ServiceLevels():
             findings = ()
             fold_service_levels(
--- a/packages/geraniumshore/src/geraniumshore/internal/records.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/records.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from geraniumshore.errors import Finding
+from geraniumshore.internal.claim_records import Answer, Claim
 from geraniumshore.internal.intents import (
     HostsObserved,
     Intent,
@@ -26,6 +27,7 @@
     "MemberInfo",
     "Record",
     "Release",
+    "SnapshotPart",
     "decode_records",
     "encode_records",
 ]
@@ -48,7 +50,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Join:
-    """Adds a member to the view numbered ``view``."""
+    """Adds a member to the view numbered ``view``.
+
+    ``replaces`` names the ended process whose host and peer address the member has;
+    ``gone`` names silent members whose hosts the platform lists no longer.
+    """
 
     __pydantic_config__: ClassVar[ConfigDict] = STRICT
 
@@ -56,6 +62,8 @@
     view: int
     info: MemberInfo
     endorsed_by: tuple[str, ...] = ()
+    replaces: str | None = None
+    gone: tuple[str, ...] = ()
     kind: Literal["join"] = "join"
 
 
@@ -72,7 +80,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Evict:
-    """Takes a silent member out of the view numbered ``view``."""
+    """Takes a silent member out of the view numbered ``view``.
+
+    ``forced_by`` names the operator who took it out by hand.
+    """
 
     __pydantic_config__: ClassVar[ConfigDict] = STRICT
 
@@ -80,6 +91,7 @@
     view: int
     member: str
     endorsed_by: tuple[str, ...] = ()
+    gone: tuple[str, ...] = ()
     forced_by: str | None = None
     kind: Literal["evict"] = "evict"
 
@@ -96,6 +108,21 @@
     kind: Literal["release"] = "release"
 
 
+@dataclass(frozen=True, slots=True)
+class SnapshotPart:
+    """One part of the state as folded up to ``position``, in the compressed form."""
+
+    __pydantic_config__: ClassVar[ConfigDict] = STRICT
+
+    id: str
+    snapshot: str
+    position: int
+    part: int
+    parts: int
+    document: str
+    kind: Literal["snapshot-part"] = "snapshot-part"
+
+
 Record = Annotated[
     Join
     | Leave
@@ -105,7 +132,10 @@
     | HostsObserved
     | Intent
     | IntentReport
-    | ServiceQuiet,
+    | ServiceQuiet
+    | SnapshotPart
+    | Claim
+    | Answer,
     Field(discriminator="kind"),
 ]
 
--- a/packages/geraniumshored/src/geraniumshored/internal/operators.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/operators.py
@@ -23,6 +23,7 @@
     release_changes_since,
 )
 from geraniumshored.internal.follower import LogAppender
+from geraniumshored.internal.forced_evictions import EvictionHandler
 from geraniumshored.internal.http_types import (
     HttpAnswer,
     HttpRequest,
@@ -36,6 +37,7 @@
 __all__ = ["OperatorHandler"]
 
 RELEASE_WAIT_SECONDS = 15.0
+ACCEPT_SECONDS = 10.0
 MAX_NOTE_BYTES = 8 * 1024 * 1024
 _HISTORY: TypeAdapter[dict[str, ServiceLevelHistory]] = TypeAdapter(
     dict[str, ServiceLevelHistory]
@@ -57,6 +59,7 @@
         self._runtime = runtime
         self._appender = appender
         self._operators = operators
+        self._evictions = EvictionHandler(runtime, appender)
 
     def handle(self, request: HttpRequest) -> HttpAnswer:
         """Answer one call of an operator."""
@@ -84,6 +87,8 @@
                 return answer_json(200, {"releases": [asdict(r) for r in releases]})
             case ("POST", ("releases",)):
                 return self._release(request, operator)
+            case ("POST", ("evictions",)):
+                return self._evictions.handle(request, operator)
             case _:
                 return answer_problem(404, "unknown-path", "/".join(request.path))
 
@@ -126,6 +131,13 @@
                     self._runtime.member.state, parsed.ok_value.base
                 ),
             )
+        if not self._runtime.wait_until_accepted(verdict.offset, ACCEPT_SECONDS):
+            return answer_problem(
+                504,
+                "unknown",
+                "the note is in the log, but no majority of members has confirmed it",
+                outcome="unknown",
+            )
         version = parsed.ok_value.base + 1
         return answer_json(200, {"version": version, "offset": verdict.offset})
 
@@ -151,6 +163,7 @@
                 "data_centre": member.info.data_centre,
                 "authority": member.has_authority(now),
                 "version": member.state.configuration.version,
+                "standing": member.agreement.standing(member.state).value,
                 "position": member.state.position,
                 "view": member.state.view.number,
                 "members": [
--- a/tests/cover/test_fleet_machine.py
+++ b/tests/cover/test_fleet_machine.py
@@ -111,6 +111,17 @@
             if host.phase.value == "serving":
                 assert not self.sim.hosts.by_host[name].drained
 
+    @invariant()
+    def a_host_is_back_only_with_another_boot(self):
+        last_reboot = {
+            action.host: action
+            for action in self.sim.hosts.by_action.values()
+            if action.action == "reboot"
+        }
+        for name, host in self.sim.state.fleet.by_host.items():
+            if host.phase.value == "rebooted":
+                assert self.sim.hosts.by_host[name].boot != last_reboot[name].boot
+
     def teardown(self):
         """When the faults end, the wave ends and every host is where it belongs."""
         self.sim.hosts.outage = False
