--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/platform_hosts.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/platform_hosts.py
@@ -26,7 +26,10 @@
 
 @dataclass(slots=True)
 class PlatformHost:
-    """One host. ``boots`` counts its boots; one that is broken does not come up."""
+    """One host. ``boots`` counts its boots; one that is broken does not come up.
+
+    ``drain_seconds`` is its own time to drain, where it is not everyone's.
+    """
 
     host: str
     data_centre: str
@@ -37,6 +40,7 @@
     up_at: float | None = None
     broken: bool = False
     drained: bool = False
+    drain_seconds: float | None = None
     tasks: set[str] = field(default_factory=set)
     listings: list[tuple[float, str, str]] = field(default_factory=list)
 
@@ -135,6 +139,10 @@
             "boot": seen[-1][2],
         }
 
+    def _drain_time(self, host: PlatformHost) -> float:
+        own = host.drain_seconds
+        return self.times.drain if own is None else own
+
     def _begin(self, action: _Action, host: PlatformHost, now: float) -> None:
         match action.action:
             case "drain":
@@ -168,7 +176,7 @@
     ) -> bool:
         match action.action:
             case "drain":
-                return not holding and now >= action.began + self.times.drain
+                return not holding and now >= action.began + self._drain_time(host)
             case "reboot":
                 return host.up and host.boot != action.boot
             case "move":
--- a/packages/geraniumshore/src/geraniumshore/internal/planner.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/planner.py
@@ -244,24 +244,20 @@
 
     def _next_steps(self, state: ControlState) -> Iterator[Intent]:
         """Yield the next step of every host that has ended one."""
-        uses = pool_uses(state.fleet, state.configuration)
+        stand_ins = _stand_ins_wanted(state)
         for name, host in state.fleet.by_host.items():
             if host.intent is not None or host.phase is Phase.SERVING:
                 continue
-            step = self._next_step(state, uses, name, host)
+            target = stand_ins.get(name) or state.configuration.hosts[name].pool
+            step = self._next_step(state, name, host, target)
             if step is not None:
                 yield step
 
     def _next_step(
-        self,
-        state: ControlState,
-        uses: Mapping[str, PoolUse],
-        name: str,
-        host: FleetHost,
+        self, state: ControlState, name: str, host: FleetHost, target: str
     ) -> Intent | None:
         if host.phase is not Phase.ARRIVED and _may_reboot(state, name, host):
             return Intent(self.new_id(), name, "reboot", host.wave)
-        target = _target_pool(state.configuration, uses, name, host)
         may_move = host.phase in {Phase.DRAINED, Phase.REBOOTED}
         if may_move and target != host.pool:
             return Intent(self.new_id(), name, "move", host.wave, target)
@@ -302,39 +298,35 @@
 
         The pool that most lacks hosts gets them first.
         """
-        wanted = [
-            (target, name)
-            for name, host in state.fleet.by_host.items()
-            if host.serving
-            and (target := _target_pool(state.configuration, uses, name, host))
-            != host.pool
-        ]
-        for _, name in sorted(wanted, key=lambda w: (-uses[w[0]].short, w)):
-            # An earlier drain may have made this host needed where it is.
-            host = state.fleet.by_host[name]
-            target = _target_pool(state.configuration, uses, name, host)
-            if target != host.pool:
-                yield Intent(self.new_id(), name, "drain", pool=target)
+        stand_ins = _stand_ins_wanted(state)
+        wanted = []
+        for name, host in state.fleet.by_host.items():
+            target = stand_ins.get(name) or state.configuration.hosts[name].pool
+            if host.serving and host.pool != target:
+                wanted.append((-uses[target].short, target, name))
+        for _, target, name in sorted(wanted):
+            yield Intent(self.new_id(), name, "drain", pool=target)
 
     def _stand_ins(
-        self, state: ControlState, uses: dict[str, PoolUse], now: float
+        self, state: ControlState, uses: Mapping[str, PoolUse], now: float
     ) -> Iterator[Intent]:
         """Yield drains of spare hosts for pools that have lacked hosts for long."""
         patience = patience_seconds(_weights(state.configuration))
-        lacking = _lost_hosts(state.fleet, state.configuration)
-        self._short_since = {name: self._short_since.get(name, now) for name in lacking}
+        lost_by_pool = _lost_by_pool(state)
+        lost = [name for names in lost_by_pool.values() for name in names]
+        self._short_since = {name: self._short_since.get(name, now) for name in lost}
+        placed = Counter(pool for _, pool in _stand_ins_placed(state))
         spares = _spare_hosts(state)
-        for name in sorted(lacking, key=lambda n: (self._short_since[n], n)):
-            if now - self._short_since[name] < patience or not spares:
-                continue
-            lost = state.fleet.by_host[name]
-            use = uses[lost.pool]
-            if use.short - use.coming < 1:
-                continue
-            spare = min(spares, key=lambda s: _distance(state.fleet, s, lost))
-            spares.remove(spare)
-            use.coming += 1
-            yield Intent(self.new_id(), spare, "drain", pool=lost.pool)
+        for pool, names in lost_by_pool.items():
+            waited = [n for n in names if now - self._short_since[n] >= patience]
+            for name in waited[placed[pool] :]:
+                if not spares or uses[pool].short - uses[pool].coming < 1:
+                    break
+                lost_host = state.fleet.by_host[name]
+                spare = min(spares, key=lambda s: _distance(state.fleet, s, lost_host))
+                spares.remove(spare)
+                uses[pool].coming += 1
+                yield Intent(self.new_id(), spare, "drain", pool=pool)
 
     def _wave(
         self,
@@ -370,43 +362,48 @@
     return host.phase in {Phase.DRAINED, Phase.FAILED}
 
 
-def _target_pool(
-    configuration: Configuration,
-    uses: Mapping[str, PoolUse],
-    name: str,
-    host: FleetHost,
-) -> str:
-    """Return the pool where a host belongs now.
-
-    A spare host on its way to a pool goes on, and one that stands in stays, as long
-    as the pool would be short without it.
-    """
-    noted = configuration.hosts[name].pool
-    if not configuration.pools[noted].spare:
-        return noted
-    coming_to = uses.get(host.to_pool or "")
-    if host.to_pool is not None and coming_to is not None and coming_to.short > 0:
-        return host.to_pool
-    use = uses.get(host.pool)
-    if use is not None and host.pool != noted and use.short + host.serving > 0:
-        return host.pool
-    return noted
+def _stand_ins_placed(state: ControlState) -> Iterator[tuple[str, str]]:
+    """Yield each spare host that is in, or on its way to, a pool that is not spare."""
+    pools = state.configuration.pools
+    for name, host in state.fleet.by_host.items():
+        if not pools[state.configuration.hosts[name].pool].spare:
+            continue
+        place = pools.get(host.to_pool or host.pool)
+        if place is not None and not place.spare:
+            yield name, host.to_pool or host.pool
+
+
+def _stand_ins_wanted(state: ControlState) -> dict[str, str]:
+    """Return the stand-ins that their pool still needs; those that are there first."""
+    missing = Counter({p: len(names) for p, names in _lost_by_pool(state).items()})
+    placed = sorted(
+        _stand_ins_placed(state),
+        key=lambda place: (state.fleet.by_host[place[0]].pool != place[1], place),
+    )
+    wanted = {}
+    for name, pool in placed:
+        if missing[pool] > 0:
+            missing[pool] -= 1
+            wanted[name] = pool
+    return wanted
 
 
 def _weights(configuration: Configuration) -> Weights:
     return configuration.weights.get(DEFAULT_WEIGHTS) or Weights()
 
 
-def _lost_hosts(fleet: FleetState, configuration: Configuration) -> list[str]:
-    """Return the hosts that pools lack because they failed."""
-    return [
-        name
-        for name, host in fleet.by_host.items()
-        if host.pool in configuration.pools
-        and not configuration.pools[host.pool].spare
-        and (host.phase is Phase.FAILED or host.seen == "missing")
-        and host.phase is not Phase.REBOOTING
-    ]
+def _lost_by_pool(state: ControlState) -> dict[str, list[str]]:
+    """Return the hosts that pools lack because they failed, by the notes' pool."""
+    lost: dict[str, list[str]] = {}
+    for name, host in state.fleet.by_host.items():
+        pool = state.configuration.hosts[name].pool
+        gone = host.phase is Phase.FAILED or host.seen == "missing"
+        if gone and host.phase is not Phase.REBOOTING:
+            lost.setdefault(pool, []).append(name)
+    pools = state.configuration.pools
+    return {
+        pool: sorted(names) for pool, names in lost.items() if not pools[pool].spare
+    }
 
 
 def _spare_hosts(state: ControlState) -> list[str]:
--- a/tests/cover/test_fleet_fold.py
+++ b/tests/cover/test_fleet_fold.py
@@ -46,14 +46,18 @@
 TIMES = HostTimes(drain=1, reboot=4, move=1, list_lag=1)
 
 
-@pytest.fixture
-def sim():
+def make_sim():
     sim = FleetSimulation(SMALL.note({"w": WAVE}), TIMES, PlannerTimes(5, 20))
     seen = tuple(HostSeen(name, "live", "b1") for name in SMALL.hosts())
     sim.append(HostsObserved("o", 1, seen))
     return sim
 
 
+@pytest.fixture
+def sim():
+    return make_sim()
+
+
 def drain(sim, host, wave="w", **kwargs):
     return sim.append(Intent(sim.new_id(), host, "drain", wave, **kwargs))[0]
 
@@ -91,6 +95,12 @@
     assert sim.state.fleet.by_host["h0000"].phase.value == "rebooted"
 
 
+@pytest.mark.parametrize("action", ["reboot", "move", "return"])
+def test_a_host_that_serves_is_not_rebooted_moved_or_returned(sim, action):
+    record = Intent("x", "h0000", action, "w", "p1")
+    assert [f.place for f in sim.append(record)[0].findings] == ["action"]
+
+
 def test_a_spare_host_stands_in_only_for_a_pool_that_is_short(sim):
     assert not drain(sim, "h0008", None, pool="p0").accepted
     sim.append(HostsObserved("x", 1, (HostSeen("h0003", "missing"),)))
--- a/tests/quality/test_fleet_mutations.py
+++ b/tests/quality/test_fleet_mutations.py
@@ -1,4 +1,4 @@
-"""The fleet's state machine catches a fold or a planner that lacks one of its rules."""
+"""The fleet's tests catch a fold or a planner that lacks one of its rules."""
 
 from dataclasses import replace
 
@@ -8,6 +8,7 @@
 
 from geraniumshore.internal import fleet_fold, planner
 from geraniumshore.internal.fleet_state import Phase, PoolUse
+from tests.cover import test_fleet_fold as rules
 from tests.cover.test_fleet_machine import FleetMachine
 
 MORE = settings(
@@ -53,17 +54,34 @@
     patch.setattr(planner, "_may_reboot", lambda *_: False)
 
 
+def run_machine():
+    run_state_machine_as_test(FleetMachine, settings=MORE)
+
+
+def run_boot_rule():
+    rules.test_a_host_is_back_only_with_a_new_boot_after_the_reboot_ended(
+        rules.make_sim()
+    )
+
+
+def run_phase_rule():
+    rules.test_a_host_that_serves_is_not_rebooted_moved_or_returned(
+        rules.make_sim(), "reboot"
+    )
+
+
 @pytest.mark.parametrize(
-    "mutation",
+    ("mutation", "run"),
     [
-        no_budget_check,
-        no_rack_budget,
-        back_with_any_boot,
-        any_phase_may_begin_any_action,
-        failed_hosts_are_forgotten,
+        (no_budget_check, run_machine),
+        (no_rack_budget, run_machine),
+        (failed_hosts_are_forgotten, run_machine),
+        (back_with_any_boot, run_boot_rule),
+        (any_phase_may_begin_any_action, run_phase_rule),
     ],
 )
-def test_a_missing_rule_is_caught(monkeypatch, mutation):
+def test_a_missing_rule_is_caught(monkeypatch, mutation, run):
+    run()
     mutation(monkeypatch)
     with pytest.raises((AssertionError, KeyError, ExceptionGroup)):
-        run_state_machine_as_test(FleetMachine, settings=MORE)
+        run()
