--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/platform_hosts.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/platform_hosts.py
@@ -68,7 +68,10 @@
 
 @dataclass(slots=True)
 class PlatformHosts:
-    """The hosts and the actions on them, by action id."""
+    """The hosts and the actions on them, by action id.
+
+    The list leaves out the ``unlisted`` hosts, though they are up.
+    """
 
     times: HostTimes = field(default_factory=HostTimes)
     by_host: dict[str, PlatformHost] = field(default_factory=dict)
@@ -77,6 +80,7 @@
     moves: int = 0
     lost_replies: int = 0
     outage: bool = False
+    unlisted: set[str] = field(default_factory=set)
 
     def add(self, hosts: Iterable[PlatformHost], now: float) -> None:
         """Add hosts that are up."""
@@ -129,7 +133,7 @@
 
     def _listed(self, host: PlatformHost, now: float) -> dict[str, str] | None:
         seen = [e for e in host.listings if e[0] <= now - self.times.list_lag]
-        if not seen or seen[-1][1] == "gone":
+        if not seen or seen[-1][1] == "gone" or host.host in self.unlisted:
             return None
         return {
             "host": host.host,
@@ -242,5 +246,6 @@
     for name in document.get("repair", ()):
         hosts.repair(name, now)
     hosts.lost_replies = document.get("lost_replies", hosts.lost_replies)
+    hosts.unlisted = set(document.get("unlisted", hosts.unlisted))
     hosts.outage = document.get("outage", hosts.outage)
     return Answer.json({})
--- a/tests/cover/test_fleet_fold.py
+++ b/tests/cover/test_fleet_fold.py
@@ -127,6 +127,17 @@
     assert sim.left("w") == 0
 
 
+def test_a_drain_that_takes_long_is_reported_with_what_holds_it(sim):
+    sim.hosts.by_host["h0000"].tasks.add("task-7")
+    assert drain(sim, "h0000").accepted
+    sim.run(20, 0.5)
+    host = sim.state.fleet.by_host["h0000"]
+    assert (host.phase.value, host.reason) == ("draining", "held by task-7")
+    sim.hosts.by_host["h0000"].tasks.clear()
+    sim.run(10, 0.5)
+    assert sim.state.fleet.by_host["h0000"].phase.value != "draining"
+
+
 def test_a_missing_host_gets_a_stand_in_of_its_data_centre_which_goes_back(sim):
     weights = {"default": Weights(moves=0.001, roll_out=1, buffer=0)}
     sim.release(
--- a/tests/cover/test_fleet_machine.py
+++ b/tests/cover/test_fleet_machine.py
@@ -75,6 +75,10 @@
     def replies_are_lost(self, count):
         self.sim.lose_replies += count
 
+    @rule(host=st.sampled_from(HOSTS))
+    def the_list_flaps(self, host):
+        self.sim.hosts.unlisted ^= {host}
+
     @rule()
     def the_platform_goes_or_comes(self):
         self.sim.hosts.outage = not self.sim.hosts.outage
@@ -125,6 +129,7 @@
     def teardown(self):
         """When the faults end, the wave ends and every host is where it belongs."""
         self.sim.hosts.outage = False
+        self.sim.hosts.unlisted.clear()
         self.sim.lose_replies = 0
         for name in HOSTS:
             self.sim.hosts.repair(name, self.sim.now)
