--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/platform_hosts.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/platform_hosts.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import asdict, dataclass, field
+from dataclasses import dataclass, field
 from typing import Any
 
 from geraniumshore_standins.internal.wsgi import Answer, Call
@@ -26,7 +26,10 @@
 
 @dataclass(slots=True)
 class PlatformHost:
-    """One host. ``boots`` counts its boots; one that is broken does not come up."""
+    """One host. ``boots`` counts its boots; one that is broken does not come up.
+
+    ``drain_seconds`` is its own time to drain, where it is not everyone's.
+    """
 
     host: str
     data_centre: str
@@ -37,6 +40,7 @@
     up_at: float | None = None
     broken: bool = False
     drained: bool = False
+    drain_seconds: float | None = None
     tasks: set[str] = field(default_factory=set)
     listings: list[tuple[float, str, str]] = field(default_factory=list)
 
@@ -64,7 +68,10 @@
 
 @dataclass(slots=True)
 class PlatformHosts:
-    """The hosts and the actions on them, by action id."""
+    """The hosts and the actions on them, by action id.
+
+    The list leaves out the ``unlisted`` hosts, though they are up.
+    """
 
     times: HostTimes = field(default_factory=HostTimes)
     by_host: dict[str, PlatformHost] = field(default_factory=dict)
@@ -73,6 +80,7 @@
     moves: int = 0
     lost_replies: int = 0
     outage: bool = False
+    unlisted: set[str] = field(default_factory=set)
 
     def add(self, hosts: Iterable[PlatformHost], now: float) -> None:
         """Add hosts that are up."""
@@ -125,7 +133,7 @@
 
     def _listed(self, host: PlatformHost, now: float) -> dict[str, str] | None:
         seen = [e for e in host.listings if e[0] <= now - self.times.list_lag]
-        if not seen or seen[-1][1] == "gone":
+        if not seen or seen[-1][1] == "gone" or host.host in self.unlisted:
             return None
         return {
             "host": host.host,
@@ -135,6 +143,10 @@
             "boot": seen[-1][2],
         }
 
+    def _drain_time(self, host: PlatformHost) -> float:
+        own = host.drain_seconds
+        return self.times.drain if own is None else own
+
     def _begin(self, action: _Action, host: PlatformHost, now: float) -> None:
         match action.action:
             case "drain":
@@ -168,7 +180,7 @@
     ) -> bool:
         match action.action:
             case "drain":
-                return not holding and now >= action.began + self.times.drain
+                return not holding and now >= action.began + self._drain_time(host)
             case "reboot":
                 return host.up and host.boot != action.boot
             case "move":
@@ -193,7 +205,10 @@
             hosts.advance(now)
             return Answer.json(
                 {
-                    "hosts": [asdict(host) for host in hosts.by_host.values()],
+                    "hosts": [
+                        {"host": h.host, "pool": h.pool, "up": h.up, "boot": h.boot}
+                        for h in hosts.by_host.values()
+                    ],
                     "reboots": hosts.reboots,
                     "moves": hosts.moves,
                 }
@@ -231,5 +246,6 @@
     for name in document.get("repair", ()):
         hosts.repair(name, now)
     hosts.lost_replies = document.get("lost_replies", hosts.lost_replies)
+    hosts.unlisted = set(document.get("unlisted", hosts.unlisted))
     hosts.outage = document.get("outage", hosts.outage)
     return Answer.json({})
