--- /dev/null
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: real processes, each policy beside its baseline."""
--- /dev/null
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/faults.py
@@ -0,0 +1,265 @@
+"""Requests while faults come and go on every hop: lost, doubled, cut or crossed ones.
+
+What the callers were told is compared with what the minions counted. Callers of keyed
+work retry through other entry hosts, as the product promises that they may.
+"""
+
+from __future__ import annotations
+
+import http.client
+import itertools
+import json
+import random
+import sys
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+
+from geraniumshore_standins.internal.experiments.faulty_fleet import (
+    TEAM,
+    FaultyFleet,
+    first_note,
+)
+from geraniumshore_standins.internal.fleet import wait_for
+from geraniumshore_standins.internal.operator_client import HttpReply, http_call
+
+__all__ = ["FaultsReport", "run_faults"]
+
+REQUESTS = 20_000
+CALLERS = 32
+ENTRIES = 3
+MINIONS = 4
+FAULT_SECONDS = 1.0
+CALL_TIMEOUT_SECONDS = 20.0
+RETRIES = 6
+RETRY_SECONDS = 0.1
+RUN_LIMIT_MS = 5_000
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """What the caller of one body was told in the end."""
+
+    body: str
+    kind: str
+    outcome: str
+    whole: bool = True
+    crossed: bool = False
+
+
+@dataclass(slots=True)
+class FaultsReport:
+    """What was told and what was not as promised."""
+
+    requests: int = 0
+    seconds: float = 0.0
+    outcomes: Counter[str] = field(default_factory=Counter)
+    faults: Counter[str] = field(default_factory=Counter)
+    lost: list[str] = field(default_factory=list)
+    false_refusals: list[str] = field(default_factory=list)
+    doubled: list[str] = field(default_factory=list)
+    cut: list[str] = field(default_factory=list)
+    crossed: list[str] = field(default_factory=list)
+
+    def take_in(self, told: Told, runs: int) -> None:
+        """Compare what one caller was told with what ran."""
+        self.requests += 1
+        self.outcomes[f"{told.kind} {told.outcome}"] += 1
+        if told.outcome == "ran" and runs == 0:
+            self.lost.append(told.body)
+        if told.outcome == "not-run" and runs > 0:
+            self.false_refusals.append(told.body)
+        if told.kind != "idempotent" and runs > 1:
+            self.doubled.append(told.body)
+        if not told.whole:
+            self.cut.append(told.body)
+        if told.crossed:
+            self.crossed.append(told.body)
+
+    @property
+    def passed(self) -> bool:
+        """Tell whether every promise was kept."""
+        broken = (self.lost, self.false_refusals, self.doubled, self.cut, self.crossed)
+        return not any(broken)
+
+    def lines(self) -> list[str]:
+        """Return the report for a person."""
+        broken = {
+            "lost": self.lost,
+            "false refusals": self.false_refusals,
+            "doubled": self.doubled,
+            "cut": self.cut,
+            "crossed": self.crossed,
+        }
+        return [
+            f"{self.requests} requests in {self.seconds:.0f} s",
+            f"faults: {dict(sorted(self.faults.items()))}",
+            f"told: {dict(sorted(self.outcomes.items()))}",
+            ", ".join(f"{name} {len(bodies)}" for name, bodies in broken.items()),
+            *(f"{name}: {bodies[:5]}" for name, bodies in broken.items() if bodies),
+        ]
+
+
+class FaultSchedule(threading.Thread):
+    """Switches one fault after another, drawn from a seed."""
+
+    def __init__(self, fleet: FaultyFleet, seed: int) -> None:
+        super().__init__(name="faults", daemon=True)
+        self._fleet = fleet
+        self._random = random.Random(seed)
+        self._stop_requested = threading.Event()
+        self.counts: Counter[str] = Counter()
+
+    def run(self) -> None:
+        """Bring about a fault, wait, mend, until stopped."""
+        while not self._stop_requested.is_set():
+            for name, fault in self._random.sample(self._faults(), 2):
+                self.counts[name] += 1
+                fault()
+            self._stop_requested.wait(FAULT_SECONDS)
+            self._fleet.mend()
+
+    def stop(self) -> None:
+        """End, with every fault mended."""
+        self._stop_requested.set()
+        self.join()
+
+    def _faults(self) -> list[tuple[str, Callable[[], object]]]:
+        fleet, draw = self._fleet, self._random
+        minion = draw.choice(list(fleet.hop_by_minion))
+        to_minion = fleet.hop_by_minion[minion]
+        to_entry = draw.choice(list(fleet.hop_by_entry.values()))
+        to_peer = draw.choice(list(fleet.peer_hop_by_entry.values()))
+        to_platform = draw.choice(list(fleet.platform_hop_by_entry.values()))
+        length = draw.randrange(300)
+        return [
+            ("minion cut", lambda: to_minion.set_faults(cut_after=length)),
+            ("minion reset", lambda: to_minion.set_faults(reset_after=length)),
+            ("minion refuse", lambda: to_minion.set_faults(refuse=True)),
+            ("minion silence", to_minion.silence),
+            (
+                "minion mute",
+                lambda: to_minion.set_faults(silent_to_caller=True, fraction=0.3),
+            ),
+            (
+                "minion deaf",
+                lambda: to_minion.set_faults(silent_to_target=True, fraction=0.3),
+            ),
+            ("minion delay", lambda: to_minion.set_faults(delay_ms=50)),
+            ("crossed", lambda: fleet.set_minion_modes(minion, crossed=True)),
+            ("truncated", lambda: fleet.set_minion_modes(minion, cut=True)),
+            ("failing", lambda: fleet.set_minion_modes(minion, fail_status=500)),
+            (
+                "caller cut",
+                lambda: to_entry.set_faults(cut_after=length, fraction=0.3),
+            ),
+            ("caller reset", to_entry.reset),
+            ("caller delay", lambda: to_entry.set_faults(delay_ms=50)),
+            ("peer reset", to_peer.reset),
+            ("peer silence", to_peer.silence),
+            ("peer delay", lambda: to_peer.set_faults(delay_ms=20)),
+            ("platform silence", to_platform.silence),
+            ("platform reset", to_platform.reset),
+            ("log replies lost", lambda: fleet.set_faults(lost_replies=3)),
+            ("log slow", lambda: fleet.set_faults(delay_ms=200)),
+            ("log outage", lambda: fleet.set_faults(outage=True)),
+        ]
+
+
+class Caller:
+    """Calls with unique bodies, and says what it was told of each."""
+
+    def __init__(self, fleet: FaultyFleet, bearer: str) -> None:
+        self._bearer = bearer
+        self._addresses = [hop.address for hop in fleet.hop_by_entry.values()]
+
+    def call(self, number: int) -> Told:
+        """Make the ``number``-th request."""
+        kind = ("idempotent", "keyed", "unkeyed")[number % 3]
+        body = f"{kind}-{number}"
+        told: set[str] = set()
+        for turn in range(RETRIES if kind != "unkeyed" else 1):
+            if turn:
+                time.sleep(RETRY_SECONDS * turn)
+            reply = self._send(number + turn, kind, body)
+            if reply is not None and reply.headers.get("outcome") == "ran":
+                return _judge(kind, body, reply)
+            told.add("no answer" if reply is None else _outcome(reply))
+        # A retry that was not run says nothing of an earlier call without an answer.
+        unsure = told - {"not-run"}
+        return Told(body, kind, "unknown" if unsure else "not-run")
+
+    def _send(self, number: int, kind: str, body: str) -> HttpReply | None:
+        headers = {"Authorization": f"Bearer {self._bearer}"}
+        if kind == "keyed":
+            headers["Idempotency-Key"] = body
+        queue = "count" if kind == "idempotent" else "billing"
+        address = self._addresses[number % len(self._addresses)]
+        path = f"/queues/{queue}"
+        try:
+            return http_call(
+                address, "POST", path, body.encode(), headers, CALL_TIMEOUT_SECONDS
+            )
+        except (OSError, http.client.HTTPException):
+            return None
+
+
+def _outcome(reply: HttpReply) -> str:
+    outcome: str = reply.json()["outcome"]
+    return outcome
+
+
+def _judge(kind: str, body: str, reply: HttpReply) -> Told:
+    try:
+        answered = json.loads(reply.body)["body"]
+    except (ValueError, KeyError):
+        return Told(body, kind, "ran", whole=False)
+    return Told(body, kind, "ran", crossed=answered != body)
+
+
+def run_faults(requests: int = REQUESTS, seed: int = 1) -> FaultsReport:
+    """Run the experiment on processes of its own."""
+    with FaultyFleet() as fleet:
+        fleet.start_all(ENTRIES, MINIONS, seed)
+        key = fleet.make_key(TEAM)
+        addresses = {name: hop.address for name, hop in fleet.hop_by_minion.items()}
+        note = first_note(addresses, key, run_limit_ms=RUN_LIMIT_MS)
+        fleet.by_name["e0"].operator.post("releases", note)
+        wait_for(
+            lambda: all(e.status()["version"] == 1 for e in fleet.by_name.values()),
+            "first note everywhere",
+        )
+        return _load(fleet, key.bearer, requests, seed)
+
+
+def _load(fleet: FaultyFleet, bearer: str, requests: int, seed: int) -> FaultsReport:
+    report = FaultsReport()
+    caller = Caller(fleet, bearer)
+    schedule = FaultSchedule(fleet, seed)
+    fleet.mend()
+    schedule.start()
+    began = time.monotonic()
+    with ThreadPoolExecutor(CALLERS) as pool:
+        told = list(pool.map(caller.call, range(requests)))
+    report.seconds = time.monotonic() - began
+    schedule.stop()
+    report.faults = schedule.counts
+    time.sleep(RUN_LIMIT_MS / 1000)
+    runs = Counter(
+        itertools.chain.from_iterable(
+            (run["body"] for run in fleet.minion_counts(minion)["runs"])
+            for minion in fleet.address_by_minion
+        )
+    )
+    for each in told:
+        report.take_in(each, runs[each.body])
+    return report
+
+
+if __name__ == "__main__":
+    result = run_faults(*(int(argument) for argument in sys.argv[1:]))
+    print("\n".join(result.lines()))
+    sys.exit(0 if result.passed else 1)
--- /dev/null
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/faulty_fleet.py
@@ -0,0 +1,99 @@
+"""A fleet whose every hop goes through the fault proxy."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from geraniumshore import MadeKey
+from geraniumshore_standins.internal.fleet import Fleet
+from geraniumshore_standins.internal.hop import Hop
+
+__all__ = ["FaultyFleet", "first_note"]
+
+SERVICE = "sorting"
+TEAM = "acme"
+
+
+def first_note(
+    addresses: dict[str, str],
+    key: MadeKey,
+    slots: int = 8,
+    limit: int = 1_000,
+    **queue: Any,
+) -> dict[str, Any]:
+    """Return a note with one service, one team, and two queues.
+
+    ``count`` is idempotent and ``billing`` is not; ``queue`` has fields of both.
+    """
+    return {
+        "base": 0,
+        "note": "experiment",
+        "added": {
+            "services": {SERVICE: {}},
+            "minions": {
+                name: {"service": SERVICE, "address": address, "slots": slots}
+                for name, address in addresses.items()
+            },
+            "teams": {TEAM: {"share": 1, "limit": limit}},
+            "keys": {
+                key.key_id: {
+                    "team": TEAM,
+                    "salt": key.key.salt,
+                    "digest": key.key.digest,
+                }
+            },
+            "queues": {
+                "count": {"service": SERVICE, "idempotent": True, **queue},
+                "billing": {"service": SERVICE, **queue},
+            },
+        },
+    }
+
+
+@dataclass(slots=True)
+class FaultyFleet(Fleet):
+    """Callers, minions, the platform and members are each reached through a hop."""
+
+    hop_by_minion: dict[str, Hop] = field(default_factory=dict)
+    hop_by_entry: dict[str, Hop] = field(default_factory=dict)
+    platform_hop_by_entry: dict[str, Hop] = field(default_factory=dict)
+
+    def start_all(self, entries: int, minions: int, seed: int) -> None:
+        """Start every process, with a working hop before each."""
+        self.start_platform()
+        self.start_proxy(seed)
+        for number in range(minions):
+            name = f"m{number}"
+            self.hop_by_minion[name] = self.open_hop(self.start_minion(name))
+        for number in range(entries):
+            name = f"e{number}"
+            hop = self.open_hop(self.platform_address)
+            self.platform_hop_by_entry[name] = hop
+            entry = self.start_entry(
+                name, platform_address=hop.address, peer_proxied=True
+            )
+            self.hop_by_entry[name] = self.open_hop(entry.address)
+        self.wait_for_minions()
+        self.wait_until_ready()
+
+    def all_hops(self) -> list[Hop]:
+        """Return every hop."""
+        return [
+            hop
+            for hops in (
+                self.hop_by_minion,
+                self.hop_by_entry,
+                self.platform_hop_by_entry,
+                self.peer_hop_by_entry,
+            )
+            for hop in hops.values()
+        ]
+
+    def mend(self) -> None:
+        """Switch every fault off."""
+        for hop in self.all_hops():
+            hop.set_faults()
+        for name in self.address_by_minion:
+            self.set_minion_modes(name, work_ms=5)
+        self.set_faults()
--- a/packages/geraniumshore/src/geraniumshore/__init__.py
+++ b/packages/geraniumshore/src/geraniumshore/__init__.py
@@ -109,6 +109,7 @@
     WeightedShares,
 )
 from geraniumshore.internal.view import predecessor
+from geraniumshore.internal.wait_estimate import Flow, WaitEstimator
 
 __all__ = [
     "Admission",
@@ -125,6 +126,7 @@
     "EndorseRequest",
     "Evict",
     "Finding",
+    "Flow",
     "FirstComeFirstServed",
     "GeraniumshoreError",
     "Host",
@@ -176,6 +178,7 @@
     "Unknown",
     "UnknownOutcomeError",
     "Verdict",
+    "WaitEstimator",
     "Wave",
     "WeightedShares",
     "WindowBurn",
--- a/packages/geraniumshored/src/geraniumshored/internal/dispatcher.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/dispatcher.py
@@ -11,6 +11,7 @@
 
 from geraniumshore import (
     Decision,
+    Flow,
     Minion,
     NotRun,
     Outcome,
@@ -22,6 +23,7 @@
     SlotRequest,
     Start,
     Unknown,
+    WaitEstimator,
     backoff_seconds,
     is_failure,
     may_repeat,
@@ -51,6 +53,7 @@
         self._watch = watch
         self._random = random.Random()
         self._lock = threading.Lock()
+        self._waits = WaitEstimator()
         self._budget_by_queue: dict[str, RetryBudget] = defaultdict(RetryBudget)
         self._outliers_by_service: dict[str, OutlierDetector] = defaultdict(
             OutlierDetector
@@ -62,7 +65,7 @@
         standing: Outcome | None = None
         attempts = 0
         while True:
-            decision = self._request_slot(work)
+            decision = self._await_slot(work)
             if isinstance(decision, Refuse):
                 return standing or decision.refusal
             outcome = self._attempt(work, decision)
@@ -102,6 +105,21 @@
         time.sleep(pause)
         return True
 
+    def _await_slot(self, work: Work) -> Decision:
+        """Wait for a slot, unless that would certainly take too long."""
+        flow = Flow(work.name, work.team)
+        with self._lock:
+            if not self._waits.enter(flow, time.monotonic(), work.deadline):
+                return Refuse(work.request_id, Refusal.QUEUE_FULL)
+        started = False
+        try:
+            decision = self._request_slot(work)
+            started = isinstance(decision, Start)
+        finally:
+            with self._lock:
+                self._waits.leave(flow, time.monotonic(), started)
+        return decision
+
     def _request_slot(self, work: Work) -> Decision:
         request = SlotRequest(
             ticket=uuid4().hex,
--- a/tests/cover/test_request_policies.py
+++ b/tests/cover/test_request_policies.py
@@ -5,11 +5,13 @@
 
 from geraniumshore import (
     Admission,
+    Flow,
     NotRun,
     OutlierDetector,
     Ran,
     RetryBudget,
     Unknown,
+    WaitEstimator,
     backoff_seconds,
     may_repeat,
 )
@@ -157,3 +159,25 @@
     while admission.enter("bulk", urgent=False):
         pass
     assert admission.enter("line", urgent=True)
+
+
+def test_work_that_would_expire_while_it_waits_is_refused_at_once():
+    waits, flow = WaitEstimator(), Flow("count", "acme")
+    for number in range(10):
+        assert waits.enter(flow, number * 0.1, deadline=100.0)
+        waits.leave(flow, number * 0.1, started=True)
+    admitted = 0
+    while waits.enter(flow, 1.0, deadline=2.0):
+        admitted += 1
+    assert 9 <= admitted <= 11
+    assert waits.enter(flow, 1.0, deadline=10.0)
+    assert waits.enter(Flow("count", "bolt"), 1.0, deadline=1.1)
+
+
+def test_a_flow_that_stood_still_is_tried_again():
+    waits, flow = WaitEstimator(), Flow("count", "acme")
+    for number in range(10):
+        waits.enter(flow, 0.0, deadline=100.0)
+        waits.leave(flow, number * 0.1, started=True)
+    assert waits.enter(flow, 60.0, deadline=60.1)
+    assert waits.enter(flow, 60.0, deadline=60.1)
