--- a/packages/geraniumshore-cli/src/geraniumshore_cli/internal/main.py
+++ b/packages/geraniumshore-cli/src/geraniumshore_cli/internal/main.py
@@ -4,7 +4,6 @@
 
 import os
 import sys
-from pathlib import Path
 from typing import Annotated
 
 from cyclopts import App, Parameter
@@ -15,11 +14,11 @@
     release_commands,
     report_commands,
 )
+from geraniumshore_cli.internal.call_command import call
 from geraniumshore_cli.internal.client import Client
 from geraniumshore_cli.internal.member_commands import status_of
 from geraniumshore_cli.internal.output import (
     ExitCode,
-    report_refusal,
     show,
     show_table,
 )
@@ -38,6 +37,7 @@
     """,
 )
 app.command(release_commands.app)
+app.command(call)
 app.command(member_commands.app)
 app.command(report_commands.app)
 keys_app = App(name="keys", help="Keys of teams and operators.")
@@ -100,30 +100,6 @@
     return ExitCode.DONE
 
 
-@app.command
-def call(
-    queue: str,
-    body: str = "",
-    *,
-    file: Path | None = None,
-    deadline_ms: int | None = None,
-    idempotency_key: str | None = None,
-) -> int:
-    """Send a request to a queue as a caller, and print the answer's body."""
-    payload = file.read_bytes() if file is not None else body.encode()
-    headers = {}
-    if deadline_ms is not None:
-        headers["Deadline-Ms"] = str(deadline_ms)
-    if idempotency_key is not None:
-        headers["Idempotency-Key"] = idempotency_key
-    client = Client.from_environment()
-    reply = client.call("POST", f"/queues/{queue}", payload, headers)
-    if not reply.ok:
-        return report_refusal(reply)
-    sys.stdout.buffer.write(reply.body + b"\n")
-    return ExitCode.DONE
-
-
 def main() -> None:
     """Run the command line."""
     try:
--- a/packages/geraniumshored/src/geraniumshored/internal/run_watch.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/run_watch.py
@@ -31,7 +31,7 @@
 # Between the end of a run and the arrival of its answer.
 ANSWER_SECONDS = 1.0
 TICK_SECONDS = 0.1
-PROBE_THREADS = 8
+PROBE_THREADS = 32
 # A minion that does not know the path is not asked again for this time.
 UNSUPPORTED_SECONDS = 60.0
 
@@ -183,6 +183,9 @@
         if now >= flight.give_up_at:
             self._end(flight, RunState.LOST)
             return
+        if flight.ended_seen_at is not None:
+            self._await_answer(flight, flight.ended_seen_at, now)
+            return
         quiet_since = max(flight.heard_at, flight.asked_at)
         if flight.asking or now - quiet_since < QUIET_SECONDS:
             return
@@ -191,6 +194,13 @@
         flight.asking = True
         self._probers.submit(self._probe, flight)
 
+    def _await_answer(self, flight: Flight, ended_seen_at: float, now: float) -> None:
+        """Give the answer of a run that has ended a moment to arrive."""
+        if flight.heard_at >= ended_seen_at:
+            flight.ended_seen_at = None
+        elif now - ended_seen_at >= ANSWER_SECONDS:
+            self._end(flight, RunState.ENDED)
+
     def _probe(self, flight: Flight) -> None:
         asked_at = time.monotonic()
         try:
@@ -210,9 +220,7 @@
             case RunState.NEVER | RunState.LOST:
                 self._end(flight, state)
             case RunState.ENDED:
-                self._stop_requested.wait(ANSWER_SECONDS)
-                if flight.heard_at < asked_at:
-                    self._end(flight, state)
+                flight.ended_seen_at = time.monotonic()
             case RunState.SILENT if flight.address in self._answered:
                 if flight.misses >= MISSES_FOR_LOST:
                     self._end(flight, state)
