Send no body in answer to HEAD

Cause: the body stayed on the connection and was read as the beginning of the next answer (BadStatusLine in the test, which failed first). Before: the next call on the connection was lost; after: its own answer comes.

--- a/packages/geraniumshored/src/geraniumshored/internal/front.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/front.py
@@ -134,7 +134,9 @@
             answer = answer_problem(
                 500, "internal-error", "see this host's log", outcome="unknown"
             )
-        return answer.send(start_response)
+        body = answer.send(start_response)
+        # A body after the answer to HEAD would be taken for the next answer.
+        return [] if request.method == "HEAD" else body
 
     def _route(self, request: HttpRequest) -> HttpAnswer:
         match (request.method, request.path):
--- a/tests/cover/test_overload_and_leaving.py
+++ b/tests/cover/test_overload_and_leaving.py
@@ -83,6 +83,17 @@
     assert sum(runs_by_minion(fleet).values()) == 0
 
 
+def test_an_answer_to_head_leaves_nothing_for_the_next_answer(fleet):
+    connection = http.client.HTTPConnection(fleet.by_name["e0"].address)
+    headers = {"Authorization": f"Bearer {bearer('acme')}"}
+    connection.request("HEAD", "/queues/count", None, headers)
+    assert connection.getresponse().read() == b""
+    connection.request("POST", "/queues/count", b"after-head", headers)
+    answer = connection.getresponse()
+    assert json.loads(answer.read())["body"] == "after-head"
+    connection.close()
+
+
 def test_a_leaving_minion_gets_no_new_work(fleet):
     address = fleet.address_by_minion["m1"]
     hosts = {"h1": {"pool": "p", "data_centre": "dc1", "rack": "r1"}}
