Estimate waits only from starts while work waited

Cause: the pauses between few calls were taken for slow service, so a burst after them was refused with 429: test_work_of_a_caller_that_went_away_while_it_waited_is_not_run failed now and then since the estimate came in (16 calls at once never all ran). Now the record of starts is dropped when nothing waits any more.

--- a/packages/geraniumshore/src/geraniumshore/internal/wait_estimate.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/wait_estimate.py
@@ -48,7 +48,10 @@
         """Count a request that waits no longer."""
         record = self.by_flow[flow]
         record.waiting -= 1
-        if started:
+        if not record.waiting:
+            # The pause to the next start is then the callers', not the minions'.
+            record.starts.clear()
+        elif started:
             record.starts.append(now)
 
     @staticmethod
