--- a/packages/geraniumshore-cli/src/geraniumshore_cli/internal/output.py
+++ b/packages/geraniumshore-cli/src/geraniumshore_cli/internal/output.py
@@ -48,6 +48,12 @@
     print(f"{problem.get('title')}: {detail}", file=sys.stderr)
     for finding in problem.get("findings", ()):
         print(f"{finding['place']}: {finding['problem']}", file=sys.stderr)
+    for release in problem.get("since", ()):
+        changes = ", ".join(release["changes"])
+        print(
+            f"version {release['version']} by {release['author']}: {changes}",
+            file=sys.stderr,
+        )
     if problem.get("outcome") == "unknown":
         return ExitCode.UNKNOWN
     return ExitCode.BAD_INPUT if reply.status in {400, 413} else ExitCode.REFUSED
--- a/packages/geraniumshore-cli/src/geraniumshore_cli/internal/release_commands.py
+++ b/packages/geraniumshore-cli/src/geraniumshore_cli/internal/release_commands.py
@@ -13,6 +13,7 @@
 
 from geraniumshore import Configuration, ReleaseNote, apply_release, parse_release
 from geraniumshore_cli.internal.client import Client
+from geraniumshore_cli.internal.fleet_commands import preview_of, show_preview
 from geraniumshore_cli.internal.output import (
     ExitCode,
     report_refusal,
@@ -56,12 +57,17 @@
     note: NotePath,
     *,
     wait: Annotated[bool, Parameter(negative="")] = False,
+    dry_run: Annotated[bool, Parameter(negative="")] = False,
     as_json: AsJson = False,
 ) -> int:
     """Put a note in force; of two notes on the same base, one wins.
 
-    With ``--wait``, return only when every member has it in force.
+    With ``--wait``, return only when every member has it in force. With ``--dry-run``,
+    print what the note would lead to, and apply nothing.
     """
+    if dry_run:
+        client = Client.from_environment()
+        return show_preview(preview_of(client, note), as_json)
     parsed = _read(note)
     if isinstance(parsed, ExitCode):
         return parsed
