--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/faults.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/faults.py
@@ -23,7 +23,7 @@
     FaultyFleet,
     first_note,
 )
-from geraniumshore_standins.internal.fleet import wait_for
+from geraniumshore_standins.internal.fleet import EntryProcess, wait_for
 from geraniumshore_standins.internal.operator_client import HttpReply, http_call
 
 __all__ = ["FaultsReport", "run_faults"]
@@ -134,6 +134,7 @@
         to_entry = draw.choice(list(fleet.hop_by_entry.values()))
         to_peer = draw.choice(list(fleet.peer_hop_by_entry.values()))
         to_platform = draw.choice(list(fleet.platform_hop_by_entry.values()))
+        entry = draw.choice(list(fleet.by_name.values()))
         length = draw.randrange(300)
         return [
             ("minion cut", lambda: to_minion.set_faults(cut_after=length)),
@@ -166,8 +167,15 @@
             ("log replies lost", lambda: fleet.set_faults(lost_replies=3)),
             ("log slow", lambda: fleet.set_faults(delay_ms=200)),
             ("log outage", lambda: fleet.set_faults(outage=True)),
+            ("entry host killed", lambda: self._replace_entry(entry)),
         ]
 
+    def _replace_entry(self, entry: EntryProcess) -> None:
+        """Kill an entry host and start it again, unless one is away already."""
+        if all(each.ready() for each in self._fleet.by_name.values()):
+            entry.kill()
+            self._fleet.restart_entry(entry.name)
+
 
 class Caller:
     """Calls with unique bodies, and says what it was told of each."""
