--- a/packages/geraniumshore/src/geraniumshore/__init__.py
+++ b/packages/geraniumshore/src/geraniumshore/__init__.py
@@ -154,6 +154,7 @@
     WeightedShares,
 )
 from geraniumshore.internal.view import predecessor
+from geraniumshore.internal.wait_estimate import Flow, WaitEstimator
 
 __all__ = [
     "ActionStatus",
@@ -171,6 +172,7 @@
     "EndorseRequest",
     "Evict",
     "Finding",
+    "Flow",
     "FirstComeFirstServed",
     "FleetHost",
     "FleetState",
@@ -241,6 +243,7 @@
     "Unknown",
     "UnknownOutcomeError",
     "Verdict",
+    "WaitEstimator",
     "Wave",
     "WaveCandidate",
     "WavePolicy",
