--- a/packages/geraniumshore/src/geraniumshore/internal/fleet_state.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/fleet_state.py
@@ -24,6 +24,7 @@
     "pool_of",
     "pool_uses",
     "services_on_host",
+    "unusable_hosts",
     "unusable_minions",
     "wave_hosts",
     "wave_is_paused",
@@ -192,13 +193,18 @@
     return known.pool if known is not None else None
 
 
-def unusable_minions(state: ControlState) -> frozenset[str]:
-    """Return the minions on hosts that are drained, moved or rebooted just now."""
-    busy = {
+def unusable_hosts(state: ControlState) -> frozenset[str]:
+    """Return the hosts that are drained, moved or rebooted just now."""
+    return frozenset(
         name
         for name, host in state.fleet.by_host.items()
         if host.phase is not Phase.SERVING
-    }
+    )
+
+
+def unusable_minions(state: ControlState) -> frozenset[str]:
+    """Return the minions on hosts that are drained, moved or rebooted just now."""
+    busy = unusable_hosts(state)
     if not busy:
         return frozenset()
     return frozenset(
--- a/packages/geraniumshored/src/geraniumshored/internal/planner_driver.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/planner_driver.py
@@ -39,6 +39,8 @@
 logger = logging.getLogger(__name__)
 
 PLAN_SECONDS = 0.4
+# Planning for a large fleet is spaced so that it takes at most this part of a core.
+MOST_CORE_SHARE = 0.02
 CALLS_AT_ONCE = 4
 # A record that was appended is waited for before the same is decided again.
 SETTLE_SECONDS = 2.0
@@ -85,12 +87,16 @@
 
     def run(self) -> None:
         """Plan until stopped."""
-        while not self._stop_requested.wait(PLAN_SECONDS):
+        pause = PLAN_SECONDS
+        while not self._stop_requested.wait(pause):
+            began = time.thread_time()
             try:
                 self._step()
             except Exception:
                 # One bad step must not end maintenance for good.
                 logger.exception("planner step failed")
+            spent = time.thread_time() - began
+            pause = max(PLAN_SECONDS, spent / MOST_CORE_SHARE)
         self._pool.shutdown(wait=False, cancel_futures=True)
 
     def stop(self) -> None:
