--- a/packages/geraniumshore-cli/src/geraniumshore_cli/internal/main.py
+++ b/packages/geraniumshore-cli/src/geraniumshore_cli/internal/main.py
@@ -39,8 +39,8 @@
     """,
 )
 app.command(release_commands.app)
-app.command(fleet_commands.app)
 app.command(member_commands.app)
+app.command(fleet_commands.app)
 app.command(report_commands.app)
 keys_app = App(name="keys", help="Keys of teams and operators.")
 app.command(keys_app)
--- a/packages/geraniumshore/src/geraniumshore/internal/fold.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/fold.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from itertools import islice
 
@@ -38,7 +38,14 @@
 )
 from geraniumshore.internal.view import View, apply_evict, apply_join, apply_leave
 
-__all__ = ["ControlState", "ReleaseSummary", "Verdict", "fold_entry"]
+__all__ = [
+    "ControlState",
+    "ReleaseSummary",
+    "Verdict",
+    "fold_entry",
+    "following",
+    "reopen_homes",
+]
 
 # Ids remembered to void a record that was appended twice. At 200 appends a second
 # this covers more than a minute of late duplicates.
@@ -105,6 +112,16 @@
         yield Verdict(record, entry.offset, _fold_record(state, record, entry))
 
 
+def following(entries: Iterable[LogEntry], position: int) -> Iterator[LogEntry]:
+    """Yield the entries that follow on ``position``, up to the first gap."""
+    for entry in entries:
+        if entry.offset > position:
+            return
+        if entry.offset == position:
+            position += 1
+            yield entry
+
+
 def _fold_record(
     state: ControlState, record: Record, entry: LogEntry
 ) -> tuple[Finding, ...]:
@@ -182,6 +199,15 @@
         state.homes_changes += 1
 
 
+def reopen_homes(state: ControlState) -> None:
+    """Begin a new epoch of every home, so that each asks its holders again."""
+    state.homes_changes += 1
+    state.homes = {
+        key: Home(home.member, state.homes_changes, previous=home.member)
+        for key, home in state.homes.items()
+    }
+
+
 def _remember(state: ControlState, record_id: str) -> None:
     state.recent_ids[record_id] = None
     if len(state.recent_ids) > REMEMBERED_IDS:
--- a/packages/geraniumshore/src/geraniumshore/internal/records.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/records.py
@@ -110,7 +110,11 @@
 
 @dataclass(frozen=True, slots=True)
 class SnapshotPart:
-    """One part of the state as folded up to ``position``, in the compressed form."""
+    """One part of the state as folded up to ``position``, in the compressed form.
+
+    Where ``bridges`` is given, the records from ``position`` up to it were trimmed
+    before a majority, ``endorsed_by``, had read them; the state counts for ``bridges``.
+    """
 
     __pydantic_config__: ClassVar[ConfigDict] = STRICT
 
@@ -120,6 +124,8 @@
     part: int
     parts: int
     document: str
+    bridges: int | None = None
+    endorsed_by: tuple[str, ...] = ()
     kind: Literal["snapshot-part"] = "snapshot-part"
 
 
@@ -129,13 +135,13 @@
     | Evict
     | Release
     | ServiceLevels
+    | SnapshotPart
+    | Claim
+    | Answer
     | HostsObserved
     | Intent
     | IntentReport
-    | ServiceQuiet
-    | SnapshotPart
-    | Claim
-    | Answer,
+    | ServiceQuiet,
     Field(discriminator="kind"),
 ]
 
--- a/packages/geraniumshored/src/geraniumshored/internal/daemon.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/daemon.py
@@ -65,6 +65,8 @@
         caller = PlatformCaller.from_settings(settings.platform)
         log = HttpControlLog(caller)
         self._runtime = Runtime(Member(info, new_id=lambda: uuid4().hex), Metrics())
+        snapshots = self._runtime.member.agreement.snapshots
+        snapshots.period = float(settings.snapshot_seconds)
         self._appender = LogAppender(log, self._runtime)
         self._follower = LogFollower(log, self._runtime)
         self._network = PeerNetwork(self._runtime)
--- a/packages/geraniumshored/src/geraniumshored/internal/host_watch.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/host_watch.py
@@ -46,12 +46,21 @@
                 self._runtime.metrics.host_list_reads.labels("answered").inc()
                 leaving = (host.host for host in listed if host.state == LEAVING)
                 self._take_in(frozenset(leaving))
+                self._note_listed([host.host for host in listed])
             self._stop_requested.wait(POLL_SECONDS)
 
     def stop(self) -> None:
         """Ask the thread to end."""
         self._stop_requested.set()
 
+    def _note_listed(self, names: list[str]) -> None:
+        """Let the member know which hosts of members are off the list."""
+        self._runtime.perform(
+            lambda member, now: member.agreement.liveness.on_hosts(
+                names, member.state.view.members, now
+            )
+        )
+
     def _take_in(self, leaving: frozenset[str]) -> None:
         if leaving != self._leaving:
             logger.info("hosts are leaving", extra={"hosts": sorted(leaving)})
