Keep withdrawn hosts' steps, end withdrawn waves, show waves' time limits

Cause: two counterexamples of the state machine, once operators in it withdraw hosts and add them again: a host withdrawn while drained came back as serving, with the platform's drain still on; a stand-in that was withdrawn came back in the notes' pool. A withdrawn wave's hosts no longer count for a later wave of its name.

--- a/packages/geraniumshore-cli/src/geraniumshore_cli/internal/fleet_commands.py
+++ b/packages/geraniumshore-cli/src/geraniumshore_cli/internal/fleet_commands.py
@@ -51,7 +51,20 @@
     if as_json:
         show(listed)
         return ExitCode.DONE
-    _table(("wave", "purpose", "state", "done", "hosts", "under_way", "failed"), listed)
+    _table(
+        (
+            "wave",
+            "purpose",
+            "state",
+            "done",
+            "hosts",
+            "by",
+            "late",
+            "under_way",
+            "failed",
+        ),
+        listed,
+    )
     return ExitCode.DONE
 
 
--- a/packages/geraniumshore/src/geraniumshore/internal/fleet_fold.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/fleet_fold.py
@@ -30,6 +30,7 @@
     IntentReport,
     ServiceQuiet,
 )
+from geraniumshore.internal.items import Host
 
 if TYPE_CHECKING:
     from geraniumshore.internal.fold import ControlState
@@ -79,17 +80,9 @@
 
     A wave that the note names goes on even if it was halted by failures.
     """
-    for name in set(before.hosts) - set(after.hosts):
-        del fleet.by_host[name]
-    for name, item in after.hosts.items():
-        known = fleet.by_host.get(name)
-        if known is None:
-            known = FleetHost(item.pool, item.rack, item.data_centre)
-        fleet.by_host[name] = replace(
-            known, rack=item.rack, data_centre=item.data_centre
-        )
+    _follow_hosts(fleet, before, after)
     for name in set(before.waves) - set(after.waves):
-        del fleet.by_wave[name]
+        _forget_wave(fleet, name)
     for name in after.waves:
         progress = fleet.by_wave.setdefault(name, WaveProgress())
         if name in named_waves:
@@ -97,6 +90,41 @@
             progress.failed.clear()
 
 
+def _follow_hosts(
+    fleet: FleetState, before: Configuration, after: Configuration
+) -> None:
+    for name in sorted(set(before.hosts) - set(after.hosts)):
+        gone = fleet.by_host.pop(name)
+        in_place = gone.pool == before.hosts[name].pool
+        if gone.phase is not Phase.SERVING or not in_place:
+            fleet.departed[name] = gone
+    for name, item in after.hosts.items():
+        known = fleet.by_host.get(name) or _admit(fleet, name, item)
+        fleet.by_host[name] = replace(
+            known, rack=item.rack, data_centre=item.data_centre
+        )
+
+
+def _admit(fleet: FleetState, name: str, item: Host) -> FleetHost:
+    """Return an added host; one that was withdrawn in a step goes on with that step.
+
+    The platform may still have it drained, or in another pool than the notes'.
+    """
+    departed = fleet.departed.pop(name, None)
+    if departed is None:
+        return FleetHost(item.pool, item.rack, item.data_centre)
+    return replace(departed, seen="unseen")
+
+
+def _forget_wave(fleet: FleetState, wave: str) -> None:
+    """End a withdrawn wave; a later one of the same name starts afresh."""
+    del fleet.by_wave[wave]
+    for hosts in (fleet.by_host, fleet.departed):
+        for name, host in hosts.items():
+            if host.wave == wave:
+                hosts[name] = replace(host, wave=None)
+
+
 def _fold_observed(state: ControlState, record: HostsObserved, at_ms: int) -> Findings:
     if record.view != state.view.number:
         wanted = state.view.number
--- a/packages/geraniumshore/src/geraniumshore/internal/fleet_state.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/fleet_state.py
@@ -94,9 +94,14 @@
 
 @dataclass(slots=True)
 class FleetState:
-    """The fleet's part of the folded state."""
+    """The fleet's part of the folded state.
+
+    ``departed`` has the hosts that were withdrawn while something was done to them, or
+    while they stood in elsewhere: added again, they go on from there.
+    """
 
     by_host: dict[str, FleetHost] = field(default_factory=dict)
+    departed: dict[str, FleetHost] = field(default_factory=dict)
     by_wave: dict[str, WaveProgress] = field(default_factory=dict)
 
 
--- a/packages/geraniumshore/src/geraniumshore/internal/items.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/items.py
@@ -5,7 +5,7 @@
 from dataclasses import field
 from typing import Annotated, Literal
 
-from pydantic import ConfigDict, Field, StringConstraints
+from pydantic import AwareDatetime, ConfigDict, Field, StringConstraints
 from pydantic.dataclasses import dataclass
 
 __all__ = [
@@ -133,7 +133,7 @@
 
     ``pools`` and ``hosts`` add up to the hosts that it covers. ``parallel`` bounds
     how many are away for it at once. When ``max_failures`` hosts have not come back, it
-    is halted until a note changes or withdraws it.
+    is halted until a note names or withdraws it. ``by`` is when it should have ended.
     """
 
     purpose: str
@@ -142,6 +142,7 @@
     parallel: Annotated[int, Field(ge=1)] = 1
     max_failures: Annotated[int, Field(ge=1)] = 2
     paused: bool = False
+    by: AwareDatetime | None = None
 
 
 @dataclass(frozen=True, slots=True, config=STRICT)
--- a/packages/geraniumshored/src/geraniumshored/internal/fleet_report.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/fleet_report.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from datetime import UTC, datetime
 from typing import Any
 
 from geraniumshore import (
@@ -25,7 +26,7 @@
         "planner": choose_member(PLANNER_KEY, members) if members else None,
         "hosts": [_host(state, name, h) for name, h in state.fleet.by_host.items()],
         "pools": list(_pools(state)),
-        "waves": list(_waves(state)),
+        "waves": list(_waves(state, datetime.now(UTC))),
     }
 
 
@@ -80,7 +81,7 @@
         }
 
 
-def _waves(state: ControlState) -> Iterator[dict[str, Any]]:
+def _waves(state: ControlState, now: datetime) -> Iterator[dict[str, Any]]:
     for name, wave in state.configuration.waves.items():
         progress = state.fleet.by_wave[name]
         covered = set(wave_hosts(state.configuration, wave))
@@ -88,6 +89,8 @@
         yield {
             "wave": name,
             "purpose": wave.purpose,
+            "by": wave.by.isoformat() if wave.by is not None else None,
+            "late": wave.by is not None and done < len(covered) and now > wave.by,
             "state": _wave_state(wave.paused, progress.halted, done == len(covered)),
             "done": done,
             "hosts": len(covered),
--- a/tests/cover/test_fleet_machine.py
+++ b/tests/cover/test_fleet_machine.py
@@ -3,7 +3,15 @@
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from geraniumshore import Items, ListedHost, PlannerTimes, ReleaseNote, Wave, Weights
+from geraniumshore import (
+    Items,
+    ListedHost,
+    PlannerTimes,
+    ReleaseNote,
+    Wave,
+    Weights,
+    Withdrawn,
+)
 from geraniumshore_standins.internal.fleet_simulation import (
     Deployment,
     FleetSimulation,
@@ -94,6 +102,25 @@
         changed = type(item)(pool, item.data_centre, item.rack)
         self.change(hosts={host: changed})
 
+    @rule(host=st.sampled_from(HOSTS))
+    def operators_withdraw_a_host_and_add_it_again(self, host):
+        item = self.sim.state.configuration.hosts[host]
+        base = self.sim.state.configuration.version
+        withdrawn = ReleaseNote(base=base, withdrawn=Withdrawn(hosts=[host]))
+        assert self.sim.release(withdrawn).accepted
+        self.sim.run(1, 0.5)
+        again = ReleaseNote(base=base + 1, added=Items(hosts={host: item}))
+        assert self.sim.release(again).accepted
+
+    @rule()
+    def operators_withdraw_the_wave_and_add_it_again(self):
+        base = self.sim.state.configuration.version
+        withdrawn = ReleaseNote(base=base, withdrawn=Withdrawn(waves=["kernel"]))
+        assert self.sim.release(withdrawn).accepted
+        self.sim.run(3, 0.5)
+        again = ReleaseNote(base=base + 1, added=Items(waves={"kernel": WAVE}))
+        assert self.sim.release(again).accepted
+
     def change(self, **items):
         base = self.sim.state.configuration.version
         note = ReleaseNote(base=base, changed=Items(**items))
--- a/tests/cover/test_wave_processes.py
+++ b/tests/cover/test_wave_processes.py
@@ -1,8 +1,14 @@
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+
 import pytest
 
 from geraniumshore import Items, ReleaseNote, Wave
 from geraniumshore_standins import Fleet
-from geraniumshore_standins.internal.fleet import wait_for
+from geraniumshore_standins.internal.fleet import OPERATOR, wait_for
 from geraniumshore_standins.internal.fleet_of_hosts import (
     platform_hosts,
     set_host_faults,
@@ -55,3 +61,38 @@
     since = reply.json()["since"]
     assert "added.pools.p0" in since[0]["changes"]
     assert [release["version"] for release in since][0] == 1
+
+
+def run_cli(fleet, *arguments):
+    environment = {
+        **os.environ,
+        "GERANIUMSHORE_ENTRIES": " ".join(e.address for e in fleet.by_name.values()),
+        "GERANIUMSHORE_KEY": OPERATOR.bearer,
+    }
+    binary = Path(sys.executable).parent / "geraniumshore"
+    return subprocess.run(
+        [binary, *arguments], env=environment, capture_output=True, text=True
+    )
+
+
+@pytest.mark.parametrize("command", ["status", "waves", "plan", "history"])
+def test_the_fleet_commands_show_tables_and_json(fleet, command):
+    table = run_cli(fleet, "fleet", command)
+    assert table.returncode == 0, table.stderr
+    assert ("pool" if command == "status" else "w") in table.stdout
+    assert json.loads(run_cli(fleet, "fleet", command, "--json").stdout)
+
+
+def test_a_dry_run_prints_the_plan_and_applies_nothing(fleet, tmp_path):
+    version = fleet.by_name["e0"].status()["version"]
+    note = ReleaseNote(base=version, added=Items(waves={"again": WAVE}))
+    path = tmp_path / "note.json"
+    path.write_text(note.model_dump_json())
+    done = run_cli(fleet, "release", "apply", str(path), "--dry-run", "--json")
+    assert done.returncode == 0, done.stderr
+    assert len(json.loads(done.stdout)["drains"]) >= 4
+    assert fleet.by_name["e0"].status()["version"] == version
+    path.write_text(note.model_copy(update={"base": 0}).model_dump_json())
+    lost = run_cli(fleet, "release", "apply", str(path))
+    assert lost.returncode != 0
+    assert "version 1 by ops: added.pools.p0" in lost.stderr
