--- a/packages/geraniumshore/src/geraniumshore/internal/fold.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/fold.py
@@ -6,8 +6,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
+from itertools import islice
 
 from result import Err
 
@@ -15,6 +16,11 @@
 from geraniumshore.internal.claim_records import Answer, Claim
 from geraniumshore.internal.claims import Claims, fold_answer, fold_claim
 from geraniumshore.internal.configuration import Configuration, apply_release
+from geraniumshore.internal.fleet_fold import (
+    fold_fleet_record,
+    follow_release,
+)
+from geraniumshore.internal.fleet_state import FleetState
 from geraniumshore.internal.homes import Home, LedgerKey, assign_homes
 from geraniumshore.internal.records import (
     Evict,
@@ -32,12 +38,21 @@
 )
 from geraniumshore.internal.view import View, apply_evict, apply_join, apply_leave
 
-__all__ = ["ControlState", "ReleaseSummary", "Verdict", "fold_entry", "reopen_homes"]
+__all__ = [
+    "ControlState",
+    "ReleaseSummary",
+    "Verdict",
+    "fold_entry",
+    "following",
+    "reopen_homes",
+]
 
 # Ids remembered to void a record that was appended twice. At 200 appends a second
 # this covers more than a minute of late duplicates.
 REMEMBERED_IDS = 16_384
 REMEMBERED_RELEASES = 50
+# Of each note, so many names of what it touched.
+REMEMBERED_CHANGES = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +64,7 @@
     author: str
     note: str
     appended_at_ms: int
+    changes: tuple[str, ...] = ()
 
 
 @dataclass(slots=True)
@@ -60,6 +76,7 @@
     configuration: Configuration = field(default_factory=Configuration)
     homes: dict[LedgerKey, Home] = field(default_factory=dict)
     homes_changes: int = 0
+    fleet: FleetState = field(default_factory=FleetState)
     releases: list[ReleaseSummary] = field(default_factory=list)
     recent_ids: dict[str, None] = field(default_factory=dict)
     claims: Claims = field(default_factory=Claims)
@@ -95,6 +112,16 @@
         yield Verdict(record, entry.offset, _fold_record(state, record, entry))
 
 
+def following(entries: Iterable[LogEntry], position: int) -> Iterator[LogEntry]:
+    """Yield the entries that follow on ``position``, up to the first gap."""
+    for entry in entries:
+        if entry.offset > position:
+            return
+        if entry.offset == position:
+            position += 1
+            yield entry
+
+
 def _fold_record(
     state: ControlState, record: Record, entry: LogEntry
 ) -> tuple[Finding, ...]:
@@ -124,6 +151,8 @@
                 entry.appended_at_ms,
                 state.configuration.queues,
             )
+        case _:
+            return fold_fleet_record(state, record, entry.appended_at_ms)
     if not findings:
         _update_homes(state)
     return findings
@@ -135,6 +164,12 @@
     applied = apply_release(state.configuration, record.note)
     if isinstance(applied, Err):
         return applied.err_value
+    follow_release(
+        state.fleet,
+        state.configuration,
+        applied.ok_value,
+        record.note.changed.waves,
+    )
     state.configuration = applied.ok_value
     state.releases.append(
         ReleaseSummary(
@@ -143,6 +178,7 @@
             record.author,
             record.note.note,
             entry.appended_at_ms,
+            tuple(islice(record.note.changes(), REMEMBERED_CHANGES)),
         )
     )
     del state.releases[:-REMEMBERED_RELEASES]
--- a/packages/geraniumshore/src/geraniumshore/internal/member.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/member.py
@@ -22,7 +22,8 @@
     Refuse,
     SlotRequest,
 )
-from geraniumshore.internal.fold import ControlState, Verdict, fold_entry
+from geraniumshore.internal.fleet_state import unusable_minions
+from geraniumshore.internal.fold import ControlState, Verdict, fold_entry, following
 from geraniumshore.internal.homes import (
     LedgerKey,
     pool_ledger,
@@ -94,8 +95,11 @@
         return self.agreement.holds_authority(self.state, now)
 
     def on_entries(self, entries: Iterable[LogEntry], now: float) -> list[Verdict]:
-        """Fold log entries, in order; return the verdicts on their records."""
-        new = [entry for entry in entries if entry.offset >= self.state.position]
+        """Fold log entries, in order; return the verdicts on their records.
+
+        Entries that were folded before, or that come after a gap, are left out.
+        """
+        new = list(following(entries, self.state.position))
         verdicts = [
             verdict for entry in new for verdict in fold_entry(self.state, entry)
         ]
@@ -428,10 +432,11 @@
         }
 
     def _slots_by_minion(self, service: str) -> dict[str, int]:
+        unusable = self.unusable_minions | unusable_minions(self.state)
         return {
             name: minion.slots
             for name, minion in self.state.configuration.minions.items()
-            if minion.service == service and name not in self.unusable_minions
+            if minion.service == service and name not in unusable
         }
 
     def _run_limit(self) -> float:
