--- a/packages/geraniumshore/src/geraniumshore/internal/agreement.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/agreement.py
@@ -39,7 +39,7 @@
 
 __all__ = ["Agreement", "Standing"]
 
-PRESENCE_SECONDS = 0.5
+PRESENCE_SECONDS = 1.0
 # While the authority from the log has less than this left, peers are asked as well. A
 # log that answers every long poll never lets it sink so low.
 ATTEST_BELOW_SECONDS = 1.2
