--- /dev/null
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/__init__.py
@@ -0,0 +1,25 @@
+"""Experiments: each policy beside its baselines in one run, by name."""
+
+from geraniumshore_standins.internal.experiments.base import (
+    EXPERIMENT_BY_NAME,
+    Experiment,
+    Measurement,
+    Report,
+    register,
+)
+from geraniumshore_standins.internal.experiments.bursts import BurstsExperiment
+from geraniumshore_standins.internal.experiments.control import ControlExperiment
+from geraniumshore_standins.internal.experiments.failover import FailoverExperiment
+from geraniumshore_standins.internal.experiments.shares import SharesExperiment
+
+__all__ = [
+    "EXPERIMENT_BY_NAME",
+    "BurstsExperiment",
+    "ControlExperiment",
+    "Experiment",
+    "FailoverExperiment",
+    "Measurement",
+    "Report",
+    "SharesExperiment",
+    "register",
+]
--- /dev/null
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/failover.py
@@ -0,0 +1,75 @@
+"""How long a service gets no grants after its home was killed."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from typing import ClassVar
+
+from geraniumshore import MadeKey
+from geraniumshore.internal.homes import service_ledger
+from geraniumshore_standins.internal.experiments.base import (
+    Experiment,
+    Measurement,
+    register,
+)
+from geraniumshore_standins.internal.experiments.processes import (
+    FleetSize,
+    start_fleet,
+)
+from geraniumshore_standins.internal.fleet import EntryProcess, Fleet, wait_for
+
+__all__ = ["FailoverExperiment"]
+
+SIZE = FleetSize(entries=5, services=1, minions=6, slots=8)
+ROUNDS = 3
+GIVE_UP_SECONDS = 60.0
+
+
+@register
+class FailoverExperiment(Experiment):
+    """Kills the home of a service, several times, and calls the others."""
+
+    name: ClassVar[str] = "failover"
+    purpose: ClassVar[str] = "time from a killed home to the next grant"
+
+    def run(self, seed: int) -> Iterator[Measurement]:
+        """Yield the time that each round took."""
+        with Fleet() as fleet:
+            keys = start_fleet(fleet, SIZE)
+            for number in range(ROUNDS):
+                seconds = self._round(fleet, keys)
+                yield Measurement("killed home", f"round {number + 1}", seconds, "s")
+
+    def _round(self, fleet: Fleet, keys: dict[str, MadeKey]) -> float:
+        home = _home(fleet)
+        others = [entry for entry in fleet.by_name.values() if entry is not home]
+        home.kill()
+        killed = time.monotonic()
+        bearer = keys["a"].bearer
+        for entry in others:
+            wait_for(
+                lambda e=entry: _answered(e, bearer),  # type: ignore[misc]
+                f"grant through {entry.name}",
+                GIVE_UP_SECONDS,
+            )
+        took = time.monotonic() - killed
+        fleet.restart_entry(home.name)
+        fleet.wait_until_ready()
+        entries = list(fleet.by_name.values())
+        wait_for(
+            lambda: all(len(e.status()["members"]) == SIZE.entries for e in entries),
+            "every entry host in the view",
+        )
+        return took
+
+
+def _home(fleet: Fleet) -> EntryProcess:
+    status = next(iter(fleet.by_name.values())).status()
+    member = status["homes"][service_ledger("s0")]
+    return fleet.by_name[member.rpartition("-")[0]]
+
+
+def _answered(entry: EntryProcess, bearer: str) -> bool:
+    headers = {"Deadline-Ms": "500"}
+    return entry.call("s0", bearer, headers=headers).status == 200
--- a/packages/geraniumshore/src/geraniumshore/internal/entry.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/entry.py
@@ -10,6 +10,7 @@
 from geraniumshore.internal.homes import LedgerKey
 from geraniumshore.internal.ledger import Holding, Lane
 from geraniumshore.internal.messages import Demand, GrantNotice, Handover, HolderReport
+from geraniumshore.internal.shares import SHARE_TURN
 
 __all__ = [
     "Decision",
@@ -35,7 +36,8 @@
 class SlotRequest:
     """A request that needs one slot of a service, for one team, before a deadline.
 
-    It is refused at once where ``max_waiting`` requests of its queue wait already.
+    It is refused at once where its queue's waiting room, which holds ``max_waiting``,
+    has no place for its team.
     """
 
     ticket: str
@@ -66,6 +68,10 @@
 
 Decision = Start | Refuse
 
+# A team may have so many times as many requests waiting as places are still free. So
+# one team alone fills four fifths of a waiting room, and a newcomer finds a place.
+WAITING_PER_FREE_PLACE = 4
+
 
 @dataclass(slots=True)
 class _ServiceEntry:
@@ -73,6 +79,7 @@
     waiting_by_ticket: dict[str, SlotRequest] = field(default_factory=dict)
     sequence: int = 0
     changed: bool = False
+    starts_by_team: Counter[str] = field(default_factory=Counter)
 
 
 @dataclass(slots=True)
@@ -82,6 +89,8 @@
     member: str
     by_service: dict[str, _ServiceEntry] = field(default_factory=dict)
     lane_by_ticket: dict[str, tuple[str, Lane]] = field(default_factory=dict)
+    _waiting: Counter[str] = field(default_factory=Counter)
+    _waiting_of_team: Counter[tuple[str, str]] = field(default_factory=Counter)
 
     def seal(self, service: str, epoch: int) -> None:
         """Turn to a new home: keep what is held, drop what the old one still sends."""
@@ -95,21 +104,22 @@
     def forget_all_but(self, services: Iterable[str]) -> None:
         """Forget services that have no home any more; their work has ended."""
         for service in set(self.by_service) - set(services):
-            del self.by_service[service]
+            if not self.by_service[service].waiting_by_ticket:
+                del self.by_service[service]
 
     def submit(self, request: SlotRequest) -> None:
         """Queue a request; a decision follows. Raises KeyError without a home."""
         entry = self.by_service[request.service]
         entry.waiting_by_ticket[request.ticket] = request
+        self._waiting[request.queue] += 1
+        self._waiting_of_team[request.queue, request.team] += 1
         entry.changed = True
 
-    def waiting(self, queue: str) -> int:
-        """Count the requests of one queue that wait here."""
-        return sum(
-            request.queue == queue
-            for entry in self.by_service.values()
-            for request in entry.waiting_by_ticket.values()
-        )
+    def has_room(self, request: SlotRequest) -> bool:
+        """Tell whether the queue's waiting room has a place for the request's team."""
+        free = request.max_waiting - self._waiting[request.queue]
+        of_team = self._waiting_of_team[request.queue, request.team]
+        return of_team < WAITING_PER_FREE_PLACE * free
 
     def on_notice(
         self, service: str, notice: GrantNotice, may_start: bool
@@ -123,7 +133,8 @@
                 if request is None:
                     entry.holding.give_back(lane)
                     continue
-                del entry.waiting_by_ticket[request.ticket]
+                self._drop(entry, request)
+                entry.starts_by_team[request.team] += 1
                 self.lane_by_ticket[request.ticket] = (service, lane)
                 yield Start(request.ticket, lane.minion)
 
@@ -142,8 +153,9 @@
     def cancel(self, ticket: str) -> bool:
         """Drop a request that still waits; tell whether it did."""
         for entry in self.by_service.values():
-            if entry.waiting_by_ticket.pop(ticket, None) is not None:
-                entry.changed = True
+            request = entry.waiting_by_ticket.get(ticket)
+            if request is not None:
+                self._drop(entry, request)
                 return True
         return False
 
@@ -156,8 +168,7 @@
                 if request.deadline <= now
             ]
             for request in expired:
-                del entry.waiting_by_ticket[request.ticket]
-                entry.changed = True
+                self._drop(entry, request)
                 yield Refuse(request.ticket, Refusal.EXPIRED)
 
     def report(
@@ -191,4 +202,13 @@
             for request in entry.waiting_by_ticket.values()
             if request.team == lane.team and lane.minion not in request.avoid
         )
+        if entry.starts_by_team[lane.team] % SHARE_TURN == SHARE_TURN - 1:
+            return next(fitting, None)
         return min(fitting, key=lambda request: not request.urgent, default=None)
+
+    def _drop(self, entry: _ServiceEntry, request: SlotRequest) -> None:
+        """Take a request out of its waiting room."""
+        del entry.waiting_by_ticket[request.ticket]
+        entry.changed = True
+        self._waiting[request.queue] -= 1
+        self._waiting_of_team[request.queue, request.team] -= 1
--- a/packages/geraniumshore/src/geraniumshore/internal/member.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/member.py
@@ -162,7 +162,7 @@
             refusal = Refusal.NO_AUTHORITY
         elif request.service not in self.entry.by_service:
             refusal = Refusal.NO_SERVICE
-        elif self.entry.waiting(request.queue) >= request.max_waiting:
+        elif not self.entry.has_room(request):
             refusal = Refusal.QUEUE_FULL
         else:
             self.entry.submit(request)
--- a/packages/geraniumshore/src/geraniumshore/internal/messages.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/messages.py
@@ -104,6 +104,7 @@
     demand: tuple[Demand, ...] = ()
     complete: bool = True
     handover: Handover | None = None
+    in_use: int = 0
     kind: Literal["report"] = "report"
 
 
@@ -111,7 +112,7 @@
 class GrantNotice:
     """All that a home has granted to one holder.
 
-    ``recall`` asks for idle units back; ``elsewhere`` counts what others hold. A team's
+    ``recall`` asks for idle units back; ``elsewhere`` counts what others use. A team's
     home also says the ``limit`` that it keeps, and whether it is ``exceeded``: then a
     unit that becomes idle must go back before another starts.
     """
--- a/packages/geraniumshore/src/geraniumshore/internal/service_home.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/service_home.py
@@ -14,7 +14,7 @@
 from geraniumshore.internal.homes import Home, service_ledger
 from geraniumshore.internal.ledger import Lane, Ledger, lane_grants
 from geraniumshore.internal.messages import GrantNotice, Handover, HolderReport
-from geraniumshore.internal.shares import Candidate, SharePolicy
+from geraniumshore.internal.shares import Candidate, RecentUse, SharePolicy
 from geraniumshore.internal.timing import quarantine_until
 from geraniumshore.internal.tokens import TeamTerms, TokenAccount, TokenHolder
 
@@ -58,6 +58,8 @@
     demand_by_holder: dict[str, _HolderDemand] = field(default_factory=dict)
     tokens_by_team: dict[str, TokenAccount] = field(default_factory=dict)
     changed: set[str] = field(default_factory=set)
+    recent_use: RecentUse = field(default_factory=RecentUse)
+    grants: int = 0
 
     def __post_init__(self) -> None:
         self.ledger = Ledger(self.home.epoch)
@@ -124,19 +126,21 @@
             return
         use_by_minion, use_by_team = self._tally()
         unmet = self._unmet()
+        self._remember_use(use_by_team, now)
         while True:
             minion = self._freest_minion(use_by_minion)
             candidates = list(self._candidates(unmet, use_by_team))
             if minion is None or not candidates:
                 break
-            chosen = self.policy.choose(candidates)
+            chosen = self.policy.choose(candidates, self.grants)
+            self.grants += 1
             holder = self._longest_waiting(unmet, chosen.team, chosen.urgent)
             self.ledger.grant(holder, Lane(chosen.team, minion))
             self.changed.add(holder)
             use_by_minion[minion] += 1
             use_by_team[chosen.team] += 1
             unmet[holder, chosen.team, chosen.urgent] -= 1
-        self._return_idle_tokens(use_by_team, unmet, now)
+        self._return_idle_tokens(use_by_minion, use_by_team, unmet, now)
 
     def notices(self, everyone: bool) -> Iterator[GrantNotice]:
         """Yield what entry members should hear, changed accounts or all."""
@@ -158,21 +162,18 @@
         if not self.ready:
             return
         use_by_minion, use_by_team = self._tally()
-        unmet = self._unmet()
-        free = sum(
-            max(0, slots - use_by_minion[minion])
-            for minion, slots in self.slots_by_minion.items()
-        )
+        waiting_by_team = _by_team(self._unmet())
+        free = self._free_slots(use_by_minion)
         for team, tokens in self.tokens_by_team.items():
-            waiting = sum(count for (_, t, _), count in unmet.items() if t == team)
+            waiting = waiting_by_team[team]
             idle = tokens.held - use_by_team[team]
             wanted = max(0, min(waiting, free) - idle)
-            ahead = max(0, min(waiting, free + TOKEN_LOOKAHEAD) - idle) - wanted
             report = tokens.report(
                 wanted,
                 self.complete(now),
                 always=everyone,
-                ahead=ahead if self.slots_by_minion else 0,
+                ahead=max(0, self._kept_idle(waiting, free) - idle) - wanted,
+                in_use=use_by_team[team],
             )
             if report is not None:
                 yield report
@@ -185,6 +186,13 @@
             quarantined=self.ledger.quarantined_units(now),
         )
 
+    def _remember_use(self, use_by_team: Mapping[str, int], now: float) -> None:
+        use = {
+            team: use_by_team.get(team, 0) + tokens.elsewhere
+            for team, tokens in self.tokens_by_team.items()
+        }
+        self.recent_use.update(use, now)
+
     def _take_over(self, handover: Handover | None, now: float) -> None:
         if handover is None:
             return
@@ -257,6 +265,7 @@
                 in_use=use_by_team[team] + tokens.elsewhere,
                 urgent=urgent,
                 waiting_since=self.demand_by_holder[holder].since[team, urgent],
+                recent=self.recent_use.by_team.get(team, 0.0),
             )
 
     def _longest_waiting(
@@ -279,10 +288,31 @@
 
     def _return_idle_tokens(
         self,
+        use_by_minion: Counter[str],
         use_by_team: Counter[str],
         unmet: Mapping[tuple[str, str, bool], int],
         now: float,
     ) -> None:
-        waiting = {team for (_, team, _), count in unmet.items() if count > 0}
+        waiting = _by_team(unmet)
+        free = self._free_slots(use_by_minion)
         for team, tokens in self.tokens_by_team.items():
-            tokens.return_idle(use_by_team[team], team in waiting, now)
+            keep = self._kept_idle(waiting[team], free)
+            tokens.return_idle(use_by_team[team], keep, now)
+
+    def _kept_idle(self, waiting: int, free: int) -> int:
+        """Return how many idle tokens of a team are worth having."""
+        return min(waiting, free + TOKEN_LOOKAHEAD) if self.slots_by_minion else 0
+
+    def _free_slots(self, use_by_minion: Counter[str]) -> int:
+        return sum(
+            max(0, slots - use_by_minion[minion])
+            for minion, slots in self.slots_by_minion.items()
+        )
+
+
+def _by_team(unmet: Mapping[tuple[str, str, bool], int]) -> Counter[str]:
+    """Return the waiting work by team alone."""
+    waiting: Counter[str] = Counter()
+    for (_, team, _), count in unmet.items():
+        waiting[team] += max(0, count)
+    return waiting
--- a/packages/geraniumshore/src/geraniumshore/internal/team_home.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/team_home.py
@@ -44,6 +44,7 @@
     settled: bool = False
     unaccounted_until: float = float("-inf")
     wanted_by_holder: dict[str, Wanted] = field(default_factory=dict)
+    use_by_holder: dict[str, int] = field(default_factory=dict)
     recalled: set[str] = field(default_factory=set)
     exceeded: bool = False
     changed: set[str] = field(default_factory=set)
@@ -71,6 +72,7 @@
         for holder in set(self.epoch_by_holder) - set(epoch_by_holder):
             self.ledger.close(holder, quarantine_until(now, run_limit))
             self.wanted_by_holder.pop(holder, None)
+            self.use_by_holder.pop(holder, None)
             self.unreported.discard(holder)
         self.epoch_by_holder = dict(epoch_by_holder)
 
@@ -85,6 +87,7 @@
         account.update(report.lanes)
         if report.sequence > account.sequence:
             account.sequence = report.sequence
+            self.use_by_holder[holder] = report.in_use
             self.wanted_by_holder[holder] = Wanted(
                 at_once=sum(d.waiting for d in report.demand if d.urgent),
                 ahead=sum(d.waiting for d in report.demand if not d.urgent),
@@ -220,7 +223,7 @@
             holder_epoch=account.holder_epoch,
             lanes=lane_grants(account),
             recall=holder in self.recalled,
-            elsewhere=self.ledger.total() - account.held(),
+            elsewhere=sum(self.use_by_holder.values()) - self.use_by_holder[holder],
             limit=self.limit,
             exceeded=self.exceeded,
         )
--- a/packages/geraniumshore/src/geraniumshore/internal/tokens.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/tokens.py
@@ -104,28 +104,39 @@
         self.exceeded = notice.exceeded
         self.limit_seen = notice.limit
 
-    def return_idle(self, in_use: int, waiting: bool, now: float) -> None:
-        """Give idle tokens back when asked to, or where no work has come for them."""
-        idle = self.held - in_use
-        if idle <= 0:
+    def return_idle(self, in_use: int, keep: int, now: float) -> None:
+        """Give idle tokens back: all when asked to, else those beyond ``keep``.
+
+        The latter only after a moment, in which other work may come for them.
+        """
+        if self.recall or self.exceeded:
+            keep = 0
+        surplus = self.held - in_use - keep
+        if surplus <= 0:
             self._idle_since = None
             return
         if self._idle_since is None:
             self._idle_since = now
-        expired = not waiting and now - self._idle_since >= IDLE_TOKEN_SECONDS
+        expired = now - self._idle_since >= IDLE_TOKEN_SECONDS
         if self.recall or self.exceeded or expired:
-            self.holding.give_back(Lane(self.team), idle)
+            self.holding.give_back(Lane(self.team), surplus)
             self.changed = True
             self._idle_since = None
 
     def report(
-        self, wanted: int, complete: bool, always: bool, ahead: int = 0
+        self,
+        wanted: int,
+        complete: bool,
+        always: bool,
+        ahead: int = 0,
+        in_use: int = 0,
     ) -> HolderReport | None:
         """Return the account for the team's home, or None where nothing changed.
 
         ``wanted`` counts tokens wanted beyond those in hand by work that could start
-        at once, and ``ahead`` more that would save time later. ``complete`` says that
-        no work of an earlier home of the same ledger can be unknown here.
+        at once, and ``ahead`` more that would save time later; ``in_use`` counts work
+        that runs. ``complete`` says that no work of an earlier home of the same ledger
+        can be unknown here.
         """
         if not (always or self.changed or (wanted, ahead) != self._reported_wanted):
             return None
@@ -145,6 +156,7 @@
                 if count
             ),
             complete=complete,
+            in_use=in_use,
         )
 
 
