--- /dev/null
+++ b/packages/geraniumshore-cli/src/geraniumshore_cli/internal/fleet_commands.py
@@ -0,0 +1,127 @@
+"""``geraniumshore fleet ...``: hosts, pools and maintenance waves."""
+
+from __future__ import annotations
+
+from dataclasses import asdict
+from pathlib import Path
+from typing import Annotated, Any
+
+from cyclopts import App, Parameter
+from pydantic import TypeAdapter
+from result import Err
+
+from geraniumshore import (
+    Configuration,
+    InvalidInputError,
+    Preview,
+    ReleaseNote,
+    apply_release,
+    parse_release,
+    preview,
+)
+from geraniumshore_cli.internal.client import Client
+from geraniumshore_cli.internal.output import ExitCode, show, show_table
+
+__all__ = ["app", "preview_of", "show_preview"]
+
+app = App(name="fleet", help="Hosts, pools and maintenance waves.")
+
+AsJson = Annotated[bool, Parameter(name="--json", negative="", help="Print JSON.")]
+_CONFIGURATION: TypeAdapter[Configuration] = TypeAdapter(Configuration)
+
+
+@app.command
+def status(*, as_json: AsJson = False) -> int:
+    """List the pools, and the hosts that do not simply serve, with the reason."""
+    fleet = Client.from_environment().get("/operator/fleet")
+    if as_json:
+        show(fleet)
+        return ExitCode.DONE
+    _table(("pool", "hosts", "serving", "away", "max_away", "spare"), fleet["pools"])
+    odd = [h for h in fleet["hosts"] if h["phase"] != "serving" or h["seen"] != "live"]
+    if odd:
+        _table(("host", "pool", "rack", "phase", "seen", "reason"), odd)
+    return ExitCode.DONE
+
+
+@app.command
+def waves(*, as_json: AsJson = False) -> int:
+    """List the maintenance waves with their progress."""
+    listed = Client.from_environment().get("/operator/fleet")["waves"]
+    if as_json:
+        show(listed)
+        return ExitCode.DONE
+    _table(("wave", "purpose", "state", "done", "hosts", "under_way", "failed"), listed)
+    return ExitCode.DONE
+
+
+@app.command
+def plan(note: Path | None = None, *, as_json: AsJson = False) -> int:
+    """Show what is still to move, or what a note would lead to."""
+    client = Client.from_environment()
+    if note is not None:
+        return show_preview(preview_of(client, note), as_json)
+    fleet = client.get("/operator/fleet")
+    moving = [h for h in fleet["hosts"] if h["pool"] != h["noted_pool"]]
+    if as_json:
+        show({"moves": moving, "waves": fleet["waves"]})
+        return ExitCode.DONE
+    _table(("host", "pool", "noted_pool", "phase", "reason"), moving)
+    _table(("wave", "state", "done", "hosts"), fleet["waves"])
+    return ExitCode.DONE
+
+
+@app.command
+def history(*, as_json: AsJson = False) -> int:
+    """List the notes with what each of them touched, oldest first."""
+    releases = Client.from_environment().get("/operator/releases")["releases"]
+    if as_json:
+        show(releases)
+        return ExitCode.DONE
+    show_table(
+        ("version", "author", "note", "changes"),
+        [
+            (r["version"], r["author"], r["note"], ", ".join(r["changes"]))
+            for r in releases
+        ],
+    )
+    return ExitCode.DONE
+
+
+def preview_of(client: Client, note: Path) -> Preview:
+    """Return what a note would do. Raises InvalidInputError with every finding."""
+    parsed = parse_release(note.read_text(), note.name)
+    if isinstance(parsed, Err):
+        raise InvalidInputError(parsed.err_value)
+    before = _CONFIGURATION.validate_python(client.get("/operator/configuration"))
+    return _preview(before, parsed.ok_value)
+
+
+def _preview(before: Configuration, note: ReleaseNote) -> Preview:
+    applied = apply_release(before, note)
+    if isinstance(applied, Err):
+        raise InvalidInputError(applied.err_value)
+    return preview(before, applied.ok_value)
+
+
+def show_preview(found: Preview, as_json: bool) -> ExitCode:
+    """Print what a note would do."""
+    if as_json:
+        show(asdict(found))
+        return ExitCode.DONE
+    minutes = found.roll_out_seconds / 60
+    print(f"version {found.version}, not applied")
+    for move in found.moves:
+        print(f"move {move.host} from {move.from_pool} to {move.to_pool}")
+    print(f"drains: {len(found.drains)}")
+    print(f"roll-out: at least {minutes:.0f} min")
+    print(f"spare hosts to keep budgets when a rack fails: {found.buffer_hosts}")
+    return ExitCode.DONE
+
+
+def _table(columns: tuple[str, ...], rows: list[dict[str, Any]]) -> None:
+    show_table(columns, [[_cell(row[c]) for c in columns] for row in rows])
+
+
+def _cell(value: object) -> object:
+    return " ".join(value) if isinstance(value, list) else value
--- a/packages/geraniumshore/src/geraniumshore/__init__.py
+++ b/packages/geraniumshore/src/geraniumshore/__init__.py
@@ -11,6 +11,7 @@
     PlatformUnavailableError,
     UnknownOutcomeError,
 )
+from geraniumshore.internal.admission import Admission
 from geraniumshore.internal.agreement import Standing
 from geraniumshore.internal.burn import (
     Alert,
@@ -18,6 +19,13 @@
     WindowBurn,
     burn_by_queue,
 )
+from geraniumshore.internal.claim_records import Answer, Claim, KeptAnswer
+from geraniumshore.internal.claims import (
+    MAX_ANSWER_BYTES,
+    Claims,
+    KeptClaim,
+    claim_key,
+)
 from geraniumshore.internal.configuration import Configuration, apply_release
 from geraniumshore.internal.entry import (
     Decision,
@@ -26,12 +34,35 @@
     SlotRequest,
     Start,
 )
+from geraniumshore.internal.fleet_state import (
+    FleetHost,
+    FleetState,
+    Phase,
+    PoolUse,
+    WaveProgress,
+    host_accepts_work,
+    pool_of,
+    pool_uses,
+    services_on_host,
+    unusable_minions,
+    wave_hosts,
+    wave_is_paused,
+)
+from geraniumshore.internal.fleet_view import FleetView
 from geraniumshore.internal.fold import (
     ControlState,
     ReleaseSummary,
     Verdict,
     fold_entry,
 )
+from geraniumshore.internal.homes import choose_member
+from geraniumshore.internal.intents import (
+    HostSeen,
+    HostsObserved,
+    Intent,
+    IntentReport,
+    ServiceQuiet,
+)
 from geraniumshore.internal.items import (
     Host,
     Key,
@@ -41,6 +72,7 @@
     Service,
     Team,
     Wave,
+    Weights,
 )
 from geraniumshore.internal.keys import MadeKey, make_key, verify_key
 from geraniumshore.internal.member import Effects, Member
@@ -54,13 +86,35 @@
     encode_message,
 )
 from geraniumshore.internal.outcomes import NotRun, Outcome, Ran, Unknown
+from geraniumshore.internal.outliers import OutlierDetector
+from geraniumshore.internal.planner import (
+    PLANNER_KEY,
+    LargestBatch,
+    OneAtATime,
+    Planner,
+    PlannerTimes,
+    RollingWave,
+    WaveCandidate,
+    WavePolicy,
+    patience_seconds,
+)
 from geraniumshore.internal.platform import (
+    ActionStatus,
     ControlLog,
+    HostControl,
     HostList,
     ListedHost,
     LogRead,
     RawEntry,
 )
+from geraniumshore.internal.preview import (
+    Preview,
+    PreviewMove,
+    buffer_needed,
+    preview,
+    wave_rounds,
+)
+from geraniumshore.internal.quiet import service_quiets
 from geraniumshore.internal.records import (
     Evict,
     Join,
@@ -81,6 +135,12 @@
     parse_release,
     validation_findings,
 )
+from geraniumshore.internal.retries import (
+    RetryBudget,
+    backoff_seconds,
+    is_failure,
+    may_repeat,
+)
 from geraniumshore.internal.service_levels import (
     QueueCounts,
     ServiceLevelHistory,
@@ -96,8 +156,13 @@
 from geraniumshore.internal.view import predecessor
 
 __all__ = [
+    "ActionStatus",
+    "Admission",
     "Alert",
+    "Answer",
     "Candidate",
+    "Claim",
+    "Claims",
     "Configuration",
     "ControlLog",
     "ControlState",
@@ -107,26 +172,47 @@
     "Evict",
     "Finding",
     "FirstComeFirstServed",
+    "FleetHost",
+    "FleetState",
+    "FleetView",
     "GeraniumshoreError",
     "Host",
+    "HostControl",
     "HostList",
+    "HostSeen",
+    "HostsObserved",
+    "Intent",
+    "IntentReport",
     "InvalidInputError",
     "Items",
     "Join",
+    "KeptAnswer",
+    "KeptClaim",
     "Key",
+    "LargestBatch",
     "Leave",
     "ListedHost",
     "LogEntry",
     "LogRead",
+    "MAX_ANSWER_BYTES",
     "MadeKey",
     "Member",
     "MemberInfo",
     "Message",
     "Minion",
     "NotRun",
+    "OneAtATime",
     "Outcome",
+    "OutlierDetector",
+    "PLANNER_KEY",
+    "Phase",
+    "Planner",
+    "PlannerTimes",
     "PlatformUnavailableError",
     "Pool",
+    "PoolUse",
+    "Preview",
+    "PreviewMove",
     "Queue",
     "QueueBurn",
     "QueueCounts",
@@ -139,9 +225,12 @@
     "Release",
     "ReleaseNote",
     "ReleaseSummary",
+    "RetryBudget",
+    "RollingWave",
     "Service",
     "ServiceLevelHistory",
     "ServiceLevels",
+    "ServiceQuiet",
     "SharePolicy",
     "SlotRequest",
     "SnapshotPart",
@@ -153,22 +242,43 @@
     "UnknownOutcomeError",
     "Verdict",
     "Wave",
+    "WaveCandidate",
+    "WavePolicy",
+    "WaveProgress",
     "WeightedShares",
+    "Weights",
     "WindowBurn",
     "Withdrawn",
     "apply_release",
+    "backoff_seconds",
+    "buffer_needed",
     "burn_by_queue",
+    "choose_member",
+    "claim_key",
     "coalescing_key",
     "decode_message",
     "decode_records",
     "encode_message",
     "encode_records",
     "fold_entry",
+    "host_accepts_work",
+    "is_failure",
     "is_good_call",
     "load_json",
     "make_key",
+    "may_repeat",
     "parse_release",
+    "patience_seconds",
+    "pool_of",
+    "pool_uses",
     "predecessor",
+    "preview",
+    "service_quiets",
+    "services_on_host",
+    "unusable_minions",
     "validation_findings",
     "verify_key",
+    "wave_hosts",
+    "wave_is_paused",
+    "wave_rounds",
 ]
--- a/packages/geraniumshore/src/geraniumshore/internal/entry.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/entry.py
@@ -80,6 +80,7 @@
     sequence: int = 0
     changed: bool = False
     starts_by_team: Counter[str] = field(default_factory=Counter)
+    suspects: frozenset[str] = frozenset()
 
 
 @dataclass(slots=True)
@@ -121,6 +122,13 @@
         of_team = self._waiting_of_team[request.queue, request.team]
         return of_team < WAITING_PER_FREE_PLACE * free
 
+    def suspect(self, service: str, minions: frozenset[str]) -> None:
+        """Name the minions of a service that fail this host's work."""
+        entry = self.by_service.get(service)
+        if entry is not None and entry.suspects != minions:
+            entry.suspects = minions
+            entry.changed = True
+
     def on_notice(
         self, service: str, notice: GrantNotice, may_start: bool
     ) -> Iterator[Decision]:
@@ -193,6 +201,7 @@
                 Demand(team, urgent, count) for (team, urgent), count in counts.items()
             ),
             handover=handover,
+            suspects=tuple(sorted(entry.suspects)),
         )
 
     @staticmethod
--- a/packages/geraniumshore/src/geraniumshore/internal/fold.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/fold.py
@@ -6,13 +6,21 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
+from itertools import islice
 
 from result import Err
 
 from geraniumshore.errors import Finding
+from geraniumshore.internal.claim_records import Answer, Claim
+from geraniumshore.internal.claims import Claims, fold_answer, fold_claim
 from geraniumshore.internal.configuration import Configuration, apply_release
+from geraniumshore.internal.fleet_fold import (
+    fold_fleet_record,
+    follow_release,
+)
+from geraniumshore.internal.fleet_state import FleetState
 from geraniumshore.internal.homes import Home, LedgerKey, assign_homes
 from geraniumshore.internal.lingering import Lingering
 from geraniumshore.internal.records import (
@@ -31,12 +39,21 @@
 )
 from geraniumshore.internal.view import View, apply_evict, apply_join, apply_leave
 
-__all__ = ["ControlState", "ReleaseSummary", "Verdict", "fold_entry"]
+__all__ = [
+    "ControlState",
+    "ReleaseSummary",
+    "Verdict",
+    "fold_entry",
+    "following",
+    "reopen_homes",
+]
 
 # Ids remembered to void a record that was appended twice. At 200 appends a second
 # this covers more than a minute of late duplicates.
 REMEMBERED_IDS = 16_384
 REMEMBERED_RELEASES = 50
+# Of each note, so many names of what it touched.
+REMEMBERED_CHANGES = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +65,7 @@
     author: str
     note: str
     appended_at_ms: int
+    changes: tuple[str, ...] = ()
 
 
 @dataclass(slots=True)
@@ -60,8 +78,10 @@
     homes: dict[LedgerKey, Home] = field(default_factory=dict)
     homes_changes: int = 0
     lingering: Lingering = field(default_factory=Lingering)
+    fleet: FleetState = field(default_factory=FleetState)
     releases: list[ReleaseSummary] = field(default_factory=list)
     recent_ids: dict[str, None] = field(default_factory=dict)
+    claims: Claims = field(default_factory=Claims)
     service_levels: dict[str, ServiceLevelHistory] = field(default_factory=dict)
 
     def served(self) -> list[str]:
@@ -98,6 +118,16 @@
         yield Verdict(record, entry.offset, _fold_record(state, record, entry))
 
 
+def following(entries: Iterable[LogEntry], position: int) -> Iterator[LogEntry]:
+    """Yield the entries that follow on ``position``, up to the first gap."""
+    for entry in entries:
+        if entry.offset > position:
+            return
+        if entry.offset == position:
+            position += 1
+            yield entry
+
+
 def _fold_record(
     state: ControlState, record: Record, entry: LogEntry
 ) -> tuple[Finding, ...]:
@@ -115,6 +145,10 @@
             state.view, findings = apply_evict(state.view, record)
         case Release():
             findings = _fold_release(state, record, entry)
+        case Claim():
+            return fold_claim(state.claims, record, entry.appended_at_ms)
+        case Answer():
+            return fold_answer(state.claims, record, entry.appended_at_ms)
         case ServiceLevels():
             findings = ()
             fold_service_levels(
@@ -123,6 +157,8 @@
                 entry.appended_at_ms,
                 state.configuration.queues,
             )
+        case _:
+            return fold_fleet_record(state, record, entry.appended_at_ms)
     if not findings:
         state.lingering.expire(entry.appended_at_ms)
         _update_homes(state)
@@ -135,8 +171,14 @@
     applied = apply_release(state.configuration, record.note)
     if isinstance(applied, Err):
         return applied.err_value
-    before, state.configuration = state.configuration, applied.ok_value
-    state.lingering.update(before, state.configuration, entry.appended_at_ms)
+    state.lingering.update(state.configuration, applied.ok_value, entry.appended_at_ms)
+    follow_release(
+        state.fleet,
+        state.configuration,
+        applied.ok_value,
+        record.note.changed.waves,
+    )
+    state.configuration = applied.ok_value
     state.releases.append(
         ReleaseSummary(
             state.configuration.version,
@@ -144,6 +186,7 @@
             record.author,
             record.note.note,
             entry.appended_at_ms,
+            tuple(islice(record.note.changes(), REMEMBERED_CHANGES)),
         )
     )
     del state.releases[:-REMEMBERED_RELEASES]
@@ -164,6 +207,15 @@
         state.homes_changes += 1
 
 
+def reopen_homes(state: ControlState) -> None:
+    """Begin a new epoch of every home, so that each asks its holders again."""
+    state.homes_changes += 1
+    state.homes = {
+        key: Home(home.member, state.homes_changes, previous=home.member)
+        for key, home in state.homes.items()
+    }
+
+
 def _remember(state: ControlState, record_id: str) -> None:
     state.recent_ids[record_id] = None
     if len(state.recent_ids) > REMEMBERED_IDS:
--- a/packages/geraniumshore/src/geraniumshore/internal/messages.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/messages.py
@@ -92,7 +92,7 @@
 
     ``holder_epoch`` names the holder's own incarnation, where the holder is itself a
     home that may move. ``complete`` is False while the holder may not know all that
-    its predecessor held.
+    its predecessor held. ``suspects`` are minions that fail the holder's work.
     """
 
     ledger: LedgerKey
@@ -105,6 +105,7 @@
     complete: bool = True
     handover: Handover | None = None
     in_use: int = 0
+    suspects: tuple[str, ...] = ()
     kind: Literal["report"] = "report"
 
 
@@ -131,12 +132,17 @@
 
 @dataclass(frozen=True, slots=True)
 class EndorseRequest:
-    """Asks a member to endorse a change of the view numbered ``view``."""
+    """Asks a member to endorse a change of the view numbered ``view``.
 
-    change: Literal["join", "evict"]
+    ``info`` is the joining member's; ``position`` is how far the member has folded that
+    wants to go on over a gap in the log.
+    """
+
+    change: Literal["join", "evict", "bridge"]
     member: str
     view: int
     info: MemberInfo | None = None
+    position: int = 0
     kind: Literal["endorse-request"] = "endorse-request"
 
 
@@ -144,7 +150,7 @@
 class Endorsement:
     """A member's word that ``view`` is the newest that it has folded."""
 
-    change: Literal["join", "evict"]
+    change: Literal["join", "evict", "bridge"]
     member: str
     view: int
     endorser: str
--- a/packages/geraniumshore/src/geraniumshore/internal/records.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/records.py
@@ -9,6 +9,13 @@
 from result import Err, Ok, Result
 
 from geraniumshore.errors import Finding
+from geraniumshore.internal.claim_records import Answer, Claim
+from geraniumshore.internal.intents import (
+    HostsObserved,
+    Intent,
+    IntentReport,
+    ServiceQuiet,
+)
 from geraniumshore.internal.release import ReleaseNote, validation_findings
 from geraniumshore.internal.service_levels import ServiceLevels
 
@@ -103,7 +110,11 @@
 
 @dataclass(frozen=True, slots=True)
 class SnapshotPart:
-    """One part of the state as folded up to ``position``, in the compressed form."""
+    """One part of the state as folded up to ``position``, in the compressed form.
+
+    Where ``bridges`` is given, the records from ``position`` up to it were trimmed
+    before a majority, ``endorsed_by``, had read them; the state counts for ``bridges``.
+    """
 
     __pydantic_config__: ClassVar[ConfigDict] = STRICT
 
@@ -113,11 +124,24 @@
     part: int
     parts: int
     document: str
+    bridges: int | None = None
+    endorsed_by: tuple[str, ...] = ()
     kind: Literal["snapshot-part"] = "snapshot-part"
 
 
 Record = Annotated[
-    Join | Leave | Evict | Release | ServiceLevels | SnapshotPart,
+    Join
+    | Leave
+    | Evict
+    | Release
+    | ServiceLevels
+    | SnapshotPart
+    | Claim
+    | Answer
+    | HostsObserved
+    | Intent
+    | IntentReport
+    | ServiceQuiet,
     Field(discriminator="kind"),
 ]
 
--- a/packages/geraniumshore/src/geraniumshore/internal/service_home.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/service_home.py
@@ -14,6 +14,7 @@
 from geraniumshore.internal.homes import Home, service_ledger
 from geraniumshore.internal.ledger import Lane, Ledger, lane_grants
 from geraniumshore.internal.messages import GrantNotice, Handover, HolderReport
+from geraniumshore.internal.outliers import ejected_minions
 from geraniumshore.internal.shares import Candidate, RecentUse, SharePolicy
 from geraniumshore.internal.timing import quarantine_until
 from geraniumshore.internal.tokens import TeamTerms, TokenAccount, TokenHolder
@@ -30,11 +31,13 @@
     sequence: int = -1
     waiting: dict[tuple[str, bool], int] = field(default_factory=dict)
     since: dict[tuple[str, bool], float] = field(default_factory=dict)
+    suspects: tuple[str, ...] = ()
 
     def update(self, report: HolderReport, now: float) -> None:
         if report.sequence <= self.sequence:
             return
         self.sequence = report.sequence
+        self.suspects = report.suspects
         self.waiting = {(d.team, d.urgent): d.waiting for d in report.demand}
         self.since = {key: self.since.get(key, now) for key in self.waiting}
 
@@ -60,6 +63,7 @@
     changed: set[str] = field(default_factory=set)
     recent_use: RecentUse = field(default_factory=RecentUse)
     grants: int = 0
+    last_grant_by_minion: dict[str, int] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.ledger = Ledger(self.home.epoch)
@@ -127,15 +131,17 @@
         use_by_minion, use_by_team = self._tally()
         unmet = self._unmet()
         self._remember_use(use_by_team, now)
+        ejected = self._ejected()
         while True:
-            minion = self._freest_minion(use_by_minion)
+            minion = self._freest_minion(use_by_minion, ejected)
             candidates = list(self._candidates(unmet, use_by_team))
             if minion is None or not candidates:
                 break
             chosen = self.policy.choose(candidates, self.grants)
-            self.grants += 1
             holder = self._longest_waiting(unmet, chosen.team, chosen.urgent)
             self.ledger.grant(holder, Lane(chosen.team, minion))
+            self.grants += 1
+            self.last_grant_by_minion[minion] = self.grants
             self.changed.add(holder)
             use_by_minion[minion] += 1
             use_by_team[chosen.team] += 1
@@ -278,13 +284,33 @@
         ]
         return max(holders, key=lambda holder: (unmet[holder, team, urgent], holder))
 
-    def _freest_minion(self, use_by_minion: Counter[str]) -> str | None:
+    def _ejected(self) -> frozenset[str]:
+        return ejected_minions(
+            self.slots_by_minion,
+            {holder: d.suspects for holder, d in self.demand_by_holder.items()},
+        )
+
+    def _freest_minion(
+        self, use_by_minion: Counter[str], ejected: frozenset[str]
+    ) -> str | None:
+        """Return the minion with most free slots; of several, the next in turn.
+
+        So a retry that gives a slot back gets one of another minion.
+        """
         free = {
             minion: slots - use_by_minion[minion]
             for minion, slots in self.slots_by_minion.items()
-            if use_by_minion[minion] < slots
+            if use_by_minion[minion] < slots and minion not in ejected
         }
-        return max(free, key=lambda minion: (free[minion], minion), default=None)
+        return max(
+            free,
+            key=lambda minion: (
+                free[minion],
+                -self.last_grant_by_minion.get(minion, 0),
+                minion,
+            ),
+            default=None,
+        )
 
     def _return_idle_tokens(
         self,
--- a/packages/geraniumshored/src/geraniumshored/internal/operators.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/operators.py
@@ -18,6 +18,10 @@
     UnknownOutcomeError,
     parse_release,
 )
+from geraniumshored.internal.fleet_report import (
+    fleet_report,
+    release_changes_since,
+)
 from geraniumshored.internal.follower import LogAppender
 from geraniumshored.internal.forced_evictions import EvictionHandler
 from geraniumshored.internal.http_types import (
@@ -65,6 +69,10 @@
         match (request.method, request.path[1:]):
             case ("GET", ("status",)):
                 return answer_json(200, self._status())
+            case ("GET", ("fleet",)):
+                return answer_json(
+                    200, self._runtime.perform(lambda m, _: fleet_report(m.state))
+                )
             case ("GET", ("configuration",)):
                 configuration = self._runtime.member.state.configuration
                 return HttpAnswer(
@@ -115,7 +123,13 @@
             )
         if not verdict.accepted:
             return answer_problem(
-                409, "refused-note", "the note is void", findings=verdict.findings
+                409,
+                "refused-note",
+                "the note is void",
+                findings=verdict.findings,
+                since=release_changes_since(
+                    self._runtime.member.state, parsed.ok_value.base
+                ),
             )
         if not self._runtime.wait_until_accepted(verdict.offset, ACCEPT_SECONDS):
             return answer_problem(
