--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/__init__.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/__init__.py
@@ -8,6 +8,7 @@
     register,
 )
 from geraniumshore_standins.internal.experiments.bursts import BurstsExperiment
+from geraniumshore_standins.internal.experiments.capacity import CapacityExperiment
 from geraniumshore_standins.internal.experiments.control import ControlExperiment
 from geraniumshore_standins.internal.experiments.failover import FailoverExperiment
 from geraniumshore_standins.internal.experiments.shares import SharesExperiment
@@ -15,6 +16,7 @@
 __all__ = [
     "EXPERIMENT_BY_NAME",
     "BurstsExperiment",
+    "CapacityExperiment",
     "ControlExperiment",
     "Experiment",
     "FailoverExperiment",
