Take no overtaken reply of the log for a reset

Cause: a slow read's reply names the tail of when it was served. Where peers' records had brought the member past it meanwhile, it looked as if the tail had fallen, and the member stopped for good. The offset that the read asked for is compared now. A test holds a reply back while peers relay, and failed before.

--- a/packages/geraniumshore/src/geraniumshore/internal/member.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/member.py
@@ -124,17 +124,19 @@
 
     def on_read(
         self,
+        asked: int,
         first: int,
         tail: int,
         entries: Iterable[LogEntry],
         sent_at: float,
         now: float,
     ) -> list[Verdict]:
-        """Take in a log read that was sent at ``sent_at``.
+        """Take in a read from offset ``asked`` on that was sent at ``sent_at``.
 
         The log keeps offsets from ``first`` on and gives out ``tail`` next.
         """
-        if tail < self.state.position:
+        # Peers' records may have overtaken the read, so its own offset counts.
+        if tail < asked:
             self.agreement.log_reset = True
             return []
         self.agreement.snapshots.on_first(first, now)
--- a/packages/geraniumshored/src/geraniumshored/internal/follower.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/follower.py
@@ -56,9 +56,10 @@
         # The first read, and the first one after a failure, asks for an answer at once.
         wait_seconds = 0.0
         while not self._stop_requested.is_set():
+            asked = self._runtime.member.next_offset()
             sent_at = time.monotonic()
             try:
-                read = self._log.read(self._runtime.member.next_offset(), wait_seconds)
+                read = self._log.read(asked, wait_seconds)
             except PlatformUnavailableError:
                 self._runtime.metrics.log_reads.labels("failed").inc()
                 self._stop_requested.wait(RETRY_SECONDS)
@@ -66,15 +67,15 @@
                 continue
             wait_seconds = POLL_SECONDS
             self._runtime.metrics.log_reads.labels("answered").inc()
-            self._take_in(read, sent_at)
+            self._take_in(asked, read, sent_at)
 
     def stop(self) -> None:
         """Ask the thread to end after its present read."""
         self._stop_requested.set()
 
-    def _take_in(self, read: LogRead, sent_at: float) -> None:
+    def _take_in(self, asked: int, read: LogRead, sent_at: float) -> None:
         entries = list(decode_entries(read.entries))
-        self._runtime.on_read(read, entries, sent_at)
+        self._runtime.on_read(asked, read, entries, sent_at)
 
 
 def decode_entries(raw_entries: tuple[RawEntry, ...]) -> Iterator[LogEntry]:
--- a/packages/geraniumshored/src/geraniumshored/internal/runtime.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/runtime.py
@@ -93,11 +93,13 @@
         """Tell whether this member may act at this very moment."""
         return self.member.has_authority(time.monotonic())
 
-    def on_read(self, read: LogRead, entries: list[LogEntry], sent_at: float) -> None:
-        """Take in what a log read, sent at ``sent_at``, gave."""
+    def on_read(
+        self, asked: int, read: LogRead, entries: list[LogEntry], sent_at: float
+    ) -> None:
+        """Take in what a read from ``asked`` on, sent at ``sent_at``, gave."""
         self.perform(
             lambda member, now: member.on_read(
-                read.first, read.tail, entries, sent_at, now
+                asked, read.first, read.tail, entries, sent_at, now
             )
         )
 
--- a/tests/common/agreement.py
+++ b/tests/common/agreement.py
@@ -47,7 +47,7 @@
     log_reachable: bool = True
     reads_held: bool = False
     sent_at: float | None = None
-    reply: tuple[int, int, list[LogEntry]] | None = None
+    reply: tuple[int, int, int, list[LogEntry]] | None = None
     version: int = 0
 
 
@@ -175,8 +175,9 @@
         if process.sent_at is None:
             process.sent_at = now
         if process.reply is None and self.log_up and process.log_reachable:
-            start = max(member.next_offset(), self.first)
-            process.reply = (self.first, len(self.entries), self.entries[start:])
+            asked = member.next_offset()
+            entries = self.entries[max(asked, self.first) :]
+            process.reply = (asked, self.first, len(self.entries), entries)
         if process.reply is not None and not process.reads_held:
             sent_at, process.sent_at = process.sent_at, None
             reply, process.reply = process.reply, None
--- a/tests/cover/test_agreement_rules.py
+++ b/tests/cover/test_agreement_rules.py
@@ -234,7 +234,8 @@
 def test_a_log_whose_tail_is_below_the_position_ends_authority():
     world = started()
     process = world.by_place["a"]
-    process.member.on_read(0, 0, [], world.clock(process), world.clock(process))
+    asked = process.member.next_offset()
+    process.member.on_read(asked, 0, 0, [], world.clock(process), world.clock(process))
     assert process.member.agreement.standing(process.member.state) == "log-reset"
     assert not process.member.has_authority(world.clock(process))
 
@@ -247,3 +248,16 @@
     state = world.by_place["a"].member.state
     assert decode_state(encode_state(state)).unwrap() == state
     assert state.configuration.version == 3
+
+
+def test_a_reply_of_the_log_that_peers_records_have_overtaken_is_no_reset():
+    world = started()
+    process = world.by_place["a"]
+    process.reads_held = True
+    world.run(0.5)
+    world.note("b")
+    world.run(3.0)
+    assert process.member.state.configuration.version == 1
+    process.reads_held = False
+    world.run(1.0)
+    assert process.member.agreement.standing(process.member.state) == "member"
