--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/__init__.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/__init__.py
@@ -1,1 +1,1 @@
-"""Experiments: real processes, each policy beside its baseline."""
+"""Experiments, each a policy beside its baseline."""
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/fleet_simulation.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/fleet_simulation.py
@@ -43,6 +43,8 @@
 __all__ = ["Deployment", "FleetSimulation", "SimulatedPlanner"]
 
 HOSTS_PER_RACK = 4
+# Phases in which nothing runs on a host and nothing is being done to it.
+OUT_OF_WORK = {"drained", "rebooted", "failed"}
 
 
 @dataclass(frozen=True, slots=True)
@@ -224,6 +226,9 @@
         if record.kind != "intent":
             return
         host = after[record.host]
+        phase = before[record.host].phase.value
+        if record.action in {"reboot", "move"} and phase not in OUT_OF_WORK:
+            yield f"{record.host}: {record.action} while {phase}"
         pool = self.state.configuration.pools.get(host.pool)
         was_up = before[record.host].seen == "live"
         if record.action != "drain" or pool is None or not was_up:
--- a/packages/geraniumshore/src/geraniumshore/internal/fold.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/fold.py
@@ -22,6 +22,7 @@
 )
 from geraniumshore.internal.fleet_state import FleetState
 from geraniumshore.internal.homes import Home, LedgerKey, assign_homes
+from geraniumshore.internal.lingering import Lingering
 from geraniumshore.internal.records import (
     Evict,
     Join,
@@ -77,11 +78,16 @@
     homes: dict[LedgerKey, Home] = field(default_factory=dict)
     homes_changes: int = 0
     fleet: FleetState = field(default_factory=FleetState)
+    lingering: Lingering = field(default_factory=Lingering)
     releases: list[ReleaseSummary] = field(default_factory=list)
     recent_ids: dict[str, None] = field(default_factory=dict)
     claims: Claims = field(default_factory=Claims)
     service_levels: dict[str, ServiceLevelHistory] = field(default_factory=dict)
 
+    def served(self) -> list[str]:
+        """Return the services that have homes, withdrawn ones that linger included."""
+        return [*self.configuration.services, *self.lingering.until_by_service]
+
 
 @dataclass(frozen=True, slots=True)
 class Verdict:
@@ -154,6 +160,7 @@
         case _:
             return fold_fleet_record(state, record, entry.appended_at_ms)
     if not findings:
+        state.lingering.expire(entry.appended_at_ms)
         _update_homes(state)
     return findings
 
@@ -164,13 +171,9 @@
     applied = apply_release(state.configuration, record.note)
     if isinstance(applied, Err):
         return applied.err_value
-    follow_release(
-        state.fleet,
-        state.configuration,
-        applied.ok_value,
-        record.note.changed.waves,
-    )
-    state.configuration = applied.ok_value
+    before, state.configuration = state.configuration, applied.ok_value
+    follow_release(state.fleet, before, state.configuration, record.note.changed.waves)
+    state.lingering.update(before, state.configuration, entry.appended_at_ms)
     state.releases.append(
         ReleaseSummary(
             state.configuration.version,
@@ -189,7 +192,7 @@
     homes = assign_homes(
         state.homes,
         state.view.members,
-        state.configuration.services,
+        state.served(),
         state.configuration.job_pools(),
         state.configuration.teams,
         epoch=state.homes_changes + 1,
--- a/tests/cover/test_fleet_machine.py
+++ b/tests/cover/test_fleet_machine.py
@@ -75,6 +75,10 @@
     def replies_are_lost(self, count):
         self.sim.lose_replies += count
 
+    @rule(host=st.sampled_from(HOSTS))
+    def the_list_flaps(self, host):
+        self.sim.hosts.unlisted ^= {host}
+
     @rule()
     def the_platform_goes_or_comes(self):
         self.sim.hosts.outage = not self.sim.hosts.outage
@@ -111,9 +115,21 @@
             if host.phase.value == "serving":
                 assert not self.sim.hosts.by_host[name].drained
 
+    @invariant()
+    def a_host_is_back_only_with_another_boot(self):
+        last_reboot = {
+            action.host: action
+            for action in self.sim.hosts.by_action.values()
+            if action.action == "reboot"
+        }
+        for name, host in self.sim.state.fleet.by_host.items():
+            if host.phase.value == "rebooted":
+                assert self.sim.hosts.by_host[name].boot != last_reboot[name].boot
+
     def teardown(self):
         """When the faults end, the wave ends and every host is where it belongs."""
         self.sim.hosts.outage = False
+        self.sim.hosts.unlisted.clear()
         self.sim.lose_replies = 0
         for name in HOSTS:
             self.sim.hosts.repair(name, self.sim.now)
--- /dev/null
+++ b/tests/cover/test_wave_processes.py
@@ -0,0 +1,57 @@
+import pytest
+
+from geraniumshore import Items, ReleaseNote, Wave
+from geraniumshore_standins import Fleet
+from geraniumshore_standins.internal.fleet import wait_for
+from geraniumshore_standins.internal.fleet_of_hosts import (
+    platform_hosts,
+    set_host_faults,
+)
+from geraniumshore_standins.internal.fleet_simulation import Deployment
+from tests.common.waves import load, start_deployment, wave_of
+
+SMALL = Deployment(pools=3, hosts_per_pool=2, data_centres=2)
+WAVE = Wave("kernel", pools=["p0", "p1"], parallel=4)
+# Two rounds of drain, reboot, lagging list and steady observation, on a busy machine.
+WAVE_SECONDS = 60
+
+
+@pytest.fixture(scope="module")
+def fleet():
+    with Fleet() as fleet:
+        start_deployment(fleet, SMALL, WAVE, entries=3, minions=2)
+        yield fleet
+
+
+def test_a_wave_with_lost_replies_reboots_each_host_once_and_cuts_no_request(fleet):
+    set_host_faults(fleet.platform_address, lost_replies=3)
+    entry = fleet.by_name["e0"]
+    with load(list(fleet.by_name.values())) as running:
+        wait_for(lambda: wave_of(entry)["state"] == "done", "wave", WAVE_SECONDS)
+    assert set(running.statuses) == {200}
+    assert running.statuses[200] > 50
+    assert platform_hosts(fleet.platform_address)["reboots"] == 4
+
+
+def test_a_moved_host_goes_to_its_new_pool_by_intents(fleet):
+    entry = fleet.by_name["e1"]
+    host = SMALL.hosts()["h0004"]
+    moved = type(host)("p0", host.data_centre, host.rack)
+    note = ReleaseNote(base=1, changed=Items(hosts={"h0004": moved}))
+    assert entry.operator.post("releases", note.model_dump(mode="json")).status == 200
+
+    def pool() -> object:
+        hosts = platform_hosts(fleet.platform_address)["hosts"]
+        return next(h["pool"] for h in hosts if h["host"] == "h0004")
+
+    wait_for(lambda: pool() == "p0", "move", WAVE_SECONDS)
+    assert platform_hosts(fleet.platform_address)["moves"] == 1
+
+
+def test_the_operator_who_loses_a_race_is_shown_what_changed(fleet):
+    note = ReleaseNote(base=0, note="late")
+    reply = fleet.by_name["e2"].operator.post("releases", note.model_dump(mode="json"))
+    assert reply.status == 409
+    since = reply.json()["since"]
+    assert "added.pools.p0" in since[0]["changes"]
+    assert [release["version"] for release in since][0] == 1
