--- a/packages/geraniumshore/src/geraniumshore/internal/outliers.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/outliers.py
@@ -159,6 +159,8 @@
     Never more than ``MAX_EJECTED_FRACTION`` of ``minions``, so that a fault of the
     whole service, or of the work, does not take the service away.
     """
+    if not suspects_by_holder:
+        return frozenset()
     known = set(minions)
     accusers = {
         minion: sum(minion in suspects for suspects in suspects_by_holder.values())
--- a/packages/geraniumshore/src/geraniumshore/internal/service_home.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/service_home.py
@@ -285,10 +285,12 @@
         return max(holders, key=lambda holder: (unmet[holder, team, urgent], holder))
 
     def _ejected(self) -> frozenset[str]:
-        return ejected_minions(
-            self.slots_by_minion,
-            {holder: d.suspects for holder, d in self.demand_by_holder.items()},
-        )
+        suspects = {
+            holder: demand.suspects
+            for holder, demand in self.demand_by_holder.items()
+            if demand.suspects
+        }
+        return ejected_minions(self.slots_by_minion, suspects)
 
     def _freest_minion(
         self, use_by_minion: Counter[str], ejected: frozenset[str]
