Let the machine see a log reset that never was

The machine had missed the overtaken reply: the stopped member was evicted and replaced, which passed for healed.

--- a/tests/common/agreement.py
+++ b/tests/common/agreement.py
@@ -290,6 +290,7 @@
 
     def _check_state(self, process: Process) -> None:
         state = process.member.state
+        assert not process.member.agreement.log_reset, "the log was never reset"
         assert state.configuration.version >= process.version, "the version went back"
         process.version = state.configuration.version
         own = (state.view.members, state.configuration.version)
