--- a/packages/geraniumshored/src/geraniumshored/internal/follower.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/follower.py
@@ -14,6 +14,8 @@
 
 from geraniumshore import (
     ControlLog,
+    Evict,
+    Join,
     LogEntry,
     LogRead,
     PlatformUnavailableError,
@@ -40,6 +42,9 @@
 MAX_PART_CHARACTERS = 32 * 1024
 # A record whose append never succeeds is given up after this time.
 APPEND_PATIENCE_SECONDS = 10.0
+# A change of the view is proposed anew by then, if it is still wanted: a member that
+# was silent before an outage of the log must not be evicted for it afterwards.
+VIEW_PATIENCE_SECONDS = 2.0
 
 
 class LogFollower(threading.Thread):
@@ -142,7 +147,9 @@
             self._append(batch)
 
     def _enqueue(self, record: Record, verdict: Future[Verdict]) -> Future[Verdict]:
-        give_up_at = time.monotonic() + APPEND_PATIENCE_SECONDS
+        view_change = isinstance(record, Evict | Join)
+        patience = VIEW_PATIENCE_SECONDS if view_change else APPEND_PATIENCE_SECONDS
+        give_up_at = time.monotonic() + patience
         self._queue.put(_Pending(record, give_up_at, verdict))
         return verdict
 
