--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/platform_hosts.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/platform_hosts.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -70,7 +70,8 @@
 class PlatformHosts:
     """The hosts and the actions on them, by action id.
 
-    The list leaves out the ``unlisted`` hosts, though they are up.
+    The list leaves out the ``unlisted`` hosts, though they are up. ``tasks_on`` gives
+    the tasks that run on a host, and ``on_down`` is told of one that goes down.
     """
 
     times: HostTimes = field(default_factory=HostTimes)
@@ -81,6 +82,8 @@
     lost_replies: int = 0
     outage: bool = False
     unlisted: set[str] = field(default_factory=set)
+    tasks_on: Callable[[str], Iterable[str]] = lambda _: ()
+    on_down: Callable[[str], None] = lambda _: None
 
     def add(self, hosts: Iterable[PlatformHost], now: float) -> None:
         """Add hosts that are up."""
@@ -107,6 +110,7 @@
         target = self.by_host[host]
         target.up, target.up_at, target.broken = False, None, broken
         target.tasks.clear()
+        self.on_down(host)
         if not broken:
             target.up_at = now + self.times.reboot
         target.note_change(now)
@@ -143,6 +147,9 @@
             "boot": seen[-1][2],
         }
 
+    def _tasks(self, host: PlatformHost) -> list[str]:
+        return sorted({*host.tasks, *self.tasks_on(host.host)})
+
     def _drain_time(self, host: PlatformHost) -> float:
         own = host.drain_seconds
         return self.times.drain if own is None else own
@@ -155,6 +162,7 @@
                 self.reboots += 1
                 host.up, host.up_at = False, now + self.times.reboot
                 host.tasks.clear()
+                self.on_down(host.host)
                 host.note_change(now)
             case "move":
                 self.moves += 1
@@ -163,7 +171,7 @@
 
     def _status(self, action: _Action, now: float) -> dict[str, Any]:
         host = self.by_host[action.host]
-        holding = sorted(host.tasks) if action.action == "drain" else []
+        holding = self._tasks(host) if action.action == "drain" else []
         if not action.done and self._has_ended(action, host, now, holding):
             action.done = True
             if action.action == "move" and action.pool is not None:
--- a/packages/geraniumshore/src/geraniumshore/internal/fleet_state.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/fleet_state.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from collections.abc import Iterator
+from copy import copy
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -15,6 +16,7 @@
     from geraniumshore.internal.fold import ControlState
 
 __all__ = [
+    "copy_fleet",
     "FleetHost",
     "FleetState",
     "Phase",
@@ -162,6 +164,26 @@
     return uses
 
 
+def copy_fleet(state: ControlState) -> ControlState:
+    """Return a state to plan on, of which the fleet's part is a copy.
+
+    Planning for a large fleet takes long enough to hold up whatever waits for the
+    state; a plan on a copy does not, and the fold voids what has become wrong.
+    """
+    copied = copy(state)
+    copied.fleet = FleetState(
+        by_host=dict(state.fleet.by_host),
+        departed=dict(state.fleet.departed),
+        by_wave={
+            name: WaveProgress(
+                dict(progress.done), dict(progress.failed), progress.halted
+            )
+            for name, progress in state.fleet.by_wave.items()
+        },
+    )
+    return copied
+
+
 def wave_hosts(configuration: Configuration, wave: Wave) -> Iterator[str]:
     """Yield the hosts that a wave covers, each once."""
     pools, hosts = set(wave.pools), set(wave.hosts)
--- a/packages/geraniumshored/src/geraniumshored/internal/planner_driver.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/planner_driver.py
@@ -17,6 +17,7 @@
 from geraniumshore import (
     PLANNER_KEY,
     ActionStatus,
+    ControlState,
     FleetHost,
     HostControl,
     HostList,
@@ -29,6 +30,7 @@
     Record,
     UnknownOutcomeError,
     choose_member,
+    copy_fleet,
     service_quiets,
 )
 from geraniumshored.internal.follower import LogAppender
@@ -113,17 +115,13 @@
 
     def _plan(self) -> list[Record]:
         listed = self._read_list()
-        actions = self._runtime.perform(lambda member, _: list(_open_actions(member)))
-        statuses = dict(self._statuses(actions))
-
-        def plan(member: Member, now: float) -> list[Record]:
-            if listed is not None:
-                self._planner.on_list(member.state, listed, now)
-            if not _plans(member, now):
-                return []
-            return list(self._planner.plan(member.state, statuses, now))
-
-        return self._runtime.perform(plan)
+        state = self._runtime.perform(lambda member, _: copy_fleet(member.state))
+        statuses = dict(self._statuses(list(_open_actions(state))))
+        now = time.monotonic()
+        if listed is not None:
+            self._planner.on_list(state, listed, now)
+        records: list[Record] = list(self._planner.plan(state, statuses, now))
+        return records if self._runtime.perform(_plans) else []
 
     def _read_list(self) -> tuple[ListedHost, ...] | None:
         try:
@@ -177,8 +175,8 @@
     return choose_member(PLANNER_KEY, members) == member.id
 
 
-def _open_actions(member: Member) -> Iterator[_OpenAction]:
-    for name, host in member.state.fleet.by_host.items():
+def _open_actions(state: ControlState) -> Iterator[_OpenAction]:
+    for name, host in state.fleet.by_host.items():
         if host.intent is not None:
             yield _open_action(name, host, host.intent)
 
