--- a/packages/geraniumshore/src/geraniumshore/__init__.py
+++ b/packages/geraniumshore/src/geraniumshore/__init__.py
@@ -156,6 +156,7 @@
     WeightedShares,
 )
 from geraniumshore.internal.view import predecessor
+from geraniumshore.internal.wait_estimate import Flow, WaitEstimator
 
 __all__ = [
     "ActionStatus",
@@ -173,6 +174,7 @@
     "EndorseRequest",
     "Evict",
     "Finding",
+    "Flow",
     "FirstComeFirstServed",
     "FleetHost",
     "FleetState",
@@ -243,6 +245,7 @@
     "Unknown",
     "UnknownOutcomeError",
     "Verdict",
+    "WaitEstimator",
     "Wave",
     "WaveCandidate",
     "WavePolicy",
