--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/planner_scale.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/planner_scale.py
@@ -18,6 +18,11 @@
     encode_records,
     fold_entry,
 )
+from geraniumshore_standins.internal.experiments.base import (
+    Experiment,
+    Measurement,
+    register,
+)
 from geraniumshore_standins.internal.fleet_simulation import (
     Deployment,
     FleetSimulation,
@@ -104,6 +109,24 @@
     return time.perf_counter() - began
 
 
+@register
+class PlannerScale(Experiment):
+    """One plan at 100, 1,000 and 3,900 hosts."""
+
+    name = "planner_scale"
+    purpose = "time and memory of a plan by the number of hosts"
+
+    def run(self, seed: int) -> Iterator[Measurement]:
+        """Yield the figures of every size; the seed changes nothing."""
+        for figures in plan_figures():
+            subject = f"{figures.hosts} hosts"
+            yield Measurement(subject, "first plan", figures.first_plan_ms, "ms")
+            yield Measurement(subject, "idle plan", figures.idle_plan_ms, "ms")
+            yield Measurement(subject, "fold of its drains", figures.fold_ms, "ms")
+            yield Measurement(subject, "state", figures.state_mib, "MiB")
+            yield Measurement(subject, "peak of a plan", figures.plan_peak_mib, "MiB")
+
+
 if __name__ == "__main__":
-    for figures in plan_figures():
-        print(json.dumps(asdict(figures)))
+    for plan_result in plan_figures():
+        print(json.dumps(asdict(plan_result)))
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/wave.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/wave.py
@@ -22,13 +22,25 @@
     WavePolicy,
     Weights,
 )
+from geraniumshore_standins.internal.experiments.base import (
+    Experiment,
+    Measurement,
+    register,
+)
 from geraniumshore_standins.internal.fleet_simulation import (
     Deployment,
     FleetSimulation,
 )
 from geraniumshore_standins.internal.platform_hosts import HostTimes
 
-__all__ = ["MoveFigures", "WaveFigures", "move_figures", "run_wave", "wave_figures"]
+__all__ = [
+    "MoveFigures",
+    "WaveExperiment",
+    "WaveFigures",
+    "move_figures",
+    "run_wave",
+    "wave_figures",
+]
 
 TIMES = HostTimes(drain=30, reboot=240, move=10, list_lag=5)
 PLANNER_TIMES = PlannerTimes(drain_report=120, reboot_limit=900)
@@ -80,16 +92,18 @@
     capacity_lost: float
 
 
-def wave_figures() -> Iterator[WaveFigures]:
+def wave_figures(seed: int) -> Iterator[WaveFigures]:
     """Yield the figures of every size, policy, preset and kind of day."""
     for size in SIZES:
         for faults in (False, True):
             for policy in POLICIES:
-                yield run_wave(size, policy, "moves-are-dear", faults)
-            yield run_wave(size, "rolling", "spare-is-cheap", faults)
+                yield run_wave(size, policy, "moves-are-dear", faults, seed)
+            yield run_wave(size, "rolling", "spare-is-cheap", faults, seed)
 
 
-def run_wave(size: str, policy: str, preset: str, faults: bool) -> WaveFigures:
+def run_wave(
+    size: str, policy: str, preset: str, faults: bool, seed: int = SEED
+) -> WaveFigures:
     """Run one wave over all hosts, with or without failures, to its end."""
     deployment = SIZES[size]
     pools = [f"p{number}" for number in range(deployment.pools)]
@@ -98,7 +112,7 @@
     update = {"weights": {"default": PRESETS[preset]}}
     note = note.model_copy(update={"added": note.added.model_copy(update=update)})
     sim = FleetSimulation(note, TIMES, PLANNER_TIMES, POLICIES[policy]())
-    random = Random(SEED)
+    random = Random(seed)
     for host in sim.hosts.by_host.values():
         host.drain_seconds = random.uniform(
             SHORTEST_DRAIN_SECONDS, LONGEST_DRAIN_SECONDS
@@ -255,8 +269,34 @@
     )
 
 
+@register
+class WaveExperiment(Experiment):
+    """One wave over all hosts by each policy, and a note that swaps hosts."""
+
+    name = "wave"
+    purpose = "roll-out, moves and buffer of maintenance, beside plain baselines"
+
+    def run(self, seed: int) -> Iterator[Measurement]:
+        """Yield the figures of every size, policy, preset and kind of day."""
+        for wave in wave_figures(seed):
+            day = "faults" if wave.faults else "no faults"
+            subject = f"{wave.size}, {day}, {wave.policy}, {wave.preset}"
+            yield Measurement(subject, "roll-out", wave.minutes, "min")
+            yield Measurement(subject, "least roll-out", wave.bound_minutes, "min")
+            yield Measurement(subject, "moves", wave.moves, "hosts")
+            yield Measurement(subject, "spare use", wave.spare_host_hours, "host h")
+            yield Measurement(subject, "budget breaks", wave.budget_breaks, "")
+            yield Measurement(subject, "capacity lost", wave.capacity_lost, "of 1")
+        for swap in move_figures():
+            subject = f"{swap.size}, swap of hosts"
+            yield Measurement(subject, "roll-out", swap.minutes, "min")
+            yield Measurement(subject, "least moves", swap.least_moves, "hosts")
+            yield Measurement(subject, "moves", swap.moves, "hosts")
+            yield Measurement(subject, "budget breaks", swap.budget_breaks, "")
+
+
 if __name__ == "__main__":
-    for wave_result in wave_figures():
+    for wave_result in wave_figures(SEED):
         print(json.dumps(asdict(wave_result)))
     for move_result in move_figures():
         print(json.dumps(asdict(move_result)))
