--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/__init__.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/__init__.py
@@ -11,7 +11,9 @@
 from geraniumshore_standins.internal.experiments.capacity import CapacityExperiment
 from geraniumshore_standins.internal.experiments.control import ControlExperiment
 from geraniumshore_standins.internal.experiments.failover import FailoverExperiment
+from geraniumshore_standins.internal.experiments.planner_scale import PlannerScale
 from geraniumshore_standins.internal.experiments.shares import SharesExperiment
+from geraniumshore_standins.internal.experiments.wave import WaveExperiment
 
 __all__ = [
     "EXPERIMENT_BY_NAME",
@@ -21,7 +23,9 @@
     "Experiment",
     "FailoverExperiment",
     "Measurement",
+    "PlannerScale",
     "Report",
     "SharesExperiment",
+    "WaveExperiment",
     "register",
 ]
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/planner_scale.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/planner_scale.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import json
 import time
 import tracemalloc
 from collections.abc import Iterator
-from dataclasses import asdict, dataclass
+from dataclasses import dataclass
 
 from geraniumshore import (
     HostSeen,
@@ -125,8 +124,3 @@
             yield Measurement(subject, "fold of its drains", figures.fold_ms, "ms")
             yield Measurement(subject, "state", figures.state_mib, "MiB")
             yield Measurement(subject, "peak of a plan", figures.plan_peak_mib, "MiB")
-
-
-if __name__ == "__main__":
-    for plan_result in plan_figures():
-        print(json.dumps(asdict(plan_result)))
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/wave.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/wave.py
@@ -6,9 +6,8 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Callable, Iterator
-from dataclasses import asdict, dataclass, replace
+from dataclasses import dataclass, replace
 from random import Random
 
 from geraniumshore import (
@@ -293,10 +292,3 @@
             yield Measurement(subject, "least moves", swap.least_moves, "hosts")
             yield Measurement(subject, "moves", swap.moves, "hosts")
             yield Measurement(subject, "budget breaks", swap.budget_breaks, "")
-
-
-if __name__ == "__main__":
-    for wave_result in wave_figures(SEED):
-        print(json.dumps(asdict(wave_result)))
-    for move_result in move_figures():
-        print(json.dumps(asdict(move_result)))
