--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/faults.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/faults.py
@@ -10,7 +10,6 @@
 import itertools
 import json
 import random
-import sys
 import threading
 import time
 from collections import Counter
@@ -265,9 +264,3 @@
     for each in told:
         report.take_in(each, runs[each.body])
     return report
-
-
-if __name__ == "__main__":
-    result = run_faults(*(int(argument) for argument in sys.argv[1:]))
-    print("\n".join(result.lines()))
-    sys.exit(0 if result.passed else 1)
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/overload.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/overload.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import http.client
-import sys
 import time
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
@@ -248,8 +247,3 @@
         return 0.0
     index = min(len(ordered) - 1, int(len(ordered) * fraction))
     return ordered[index] * MILLISECONDS
-
-
-if __name__ == "__main__":
-    print("\n".join(run_overload().lines()))
-    sys.exit(0)
