--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/__init__.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/__init__.py
@@ -12,17 +12,23 @@
 from geraniumshore_standins.internal.experiments.control import ControlExperiment
 from geraniumshore_standins.internal.experiments.failover import FailoverExperiment
 from geraniumshore_standins.internal.experiments.planner_scale import PlannerScale
+from geraniumshore_standins.internal.experiments.requests import (
+    FaultsExperiment,
+    OverloadExperiment,
+)
 from geraniumshore_standins.internal.experiments.shares import SharesExperiment
 from geraniumshore_standins.internal.experiments.wave import WaveExperiment
 
 __all__ = [
-    "EXPERIMENT_BY_NAME",
     "BurstsExperiment",
     "CapacityExperiment",
     "ControlExperiment",
+    "EXPERIMENT_BY_NAME",
     "Experiment",
     "FailoverExperiment",
+    "FaultsExperiment",
     "Measurement",
+    "OverloadExperiment",
     "PlannerScale",
     "Report",
     "SharesExperiment",
