--- a/packages/geraniumshore-cli/src/geraniumshore_cli/internal/main.py
+++ b/packages/geraniumshore-cli/src/geraniumshore_cli/internal/main.py
@@ -10,7 +10,7 @@
 from cyclopts import App, Parameter
 
 from geraniumshore import InvalidInputError, UnknownOutcomeError, make_key
-from geraniumshore_cli.internal import release_commands
+from geraniumshore_cli.internal import jobs_commands, release_commands
 from geraniumshore_cli.internal.client import Client
 from geraniumshore_cli.internal.output import (
     ExitCode,
@@ -33,6 +33,7 @@
     """,
 )
 app.command(release_commands.app)
+app.command(jobs_commands.app)
 keys_app = App(name="keys", help="Keys of teams and operators.")
 app.command(keys_app)
 
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/platform.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/platform.py
@@ -8,6 +8,11 @@
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
+from geraniumshore_standins.internal.platform_tasks import (
+    TaskBoard,
+    TaskHost,
+    handle_tasks,
+)
 from geraniumshore_standins.internal.wsgi import Answer, Call, application_of
 
 __all__ = ["Faults", "PlatformState", "StoredRecord", "platform_application"]
@@ -19,12 +24,14 @@
 class Faults:
     """What is wrong with the log service just now.
 
-    ``lost_replies`` counts appends still to come that take effect and get no answer.
+    ``lost_replies`` counts appends still to come that take effect and get no answer,
+    and ``lost_task_replies`` the calls about tasks.
     """
 
     outage: bool = False
     delay_ms: int = 0
     lost_replies: int = 0
+    lost_task_replies: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,6 +100,8 @@
     log: LogState = field(default_factory=LogState)
     faults: Faults = field(default_factory=Faults)
     hosts: list[dict[str, Any]] = field(default_factory=list)
+    board: TaskBoard = field(default_factory=TaskBoard)
+    tasks_lock: threading.Lock = field(default_factory=threading.Lock)
 
     def handle(self, call: Call) -> Answer:
         """Answer one call."""
@@ -109,6 +118,8 @@
                 return self._read(call)
             case ("GET", ("hosts",)):
                 return Answer.json({"hosts": self.hosts})
+            case ("POST", ("tasks", action)):
+                return self._tasks(action, call)
             case _:
                 return Answer.json({"error": "no such path"}, 404)
 
@@ -119,6 +130,27 @@
             return Answer(200, b"{ }", cut=True)
         return Answer.json({"offset": offset})
 
+    def _tasks(self, action: str, call: Call) -> Answer:
+        with self.tasks_lock:
+            now_ms = int(time.time() * 1000)
+            document = handle_tasks(self.board, now_ms, action, call.document())
+            if self.faults.lost_task_replies > 0:
+                self.faults.lost_task_replies -= 1
+                return Answer(200, b"{ }", cut=True)
+        return Answer.json(document)
+
+    def _handle_tasks_test(self, call: Call) -> Answer:
+        """Set up the hosts that run tasks, and show what truly ran."""
+        with self.tasks_lock:
+            self.board.advance(int(time.time() * 1000))
+            match (call.method, call.path[2:]):
+                case ("PUT", ("hosts",)):
+                    hosts = call.document()
+                    self.board.hosts = {n: TaskHost(**h) for n, h in hosts.items()}
+                case ("POST", ("hosts", name, "kill")):
+                    self.board.kill_host(name)
+            return Answer.json(self.board.counts())
+
     def _read(self, call: Call) -> Answer:
         most = min(int(call.query.get("max", "100")), MAX_RECORDS_PER_READ)
         wait_seconds = int(call.query.get("wait_ms", "0")) / 1000
@@ -130,6 +162,8 @@
     def _handle_test(self, call: Call) -> Answer:
         """Switch faults and show counts; for tests only."""
         match (call.method, call.path[1:]):
+            case (_, ("tasks", *_)):
+                return self._handle_tasks_test(call)
             case ("PUT", ("faults",)):
                 self.faults = Faults(**call.document())
                 return Answer.json(asdict(self.faults))
--- /dev/null
+++ b/packages/geraniumshored/src/geraniumshored/internal/job_driver.py
@@ -0,0 +1,89 @@
+"""Carries out what the homes of pools ask of the platform."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
+
+from geraniumshore import (
+    LEASE_MS,
+    PlatformUnavailableError,
+    TaskReports,
+    TaskService,
+    TaskWork,
+    UnknownOutcomeError,
+)
+from geraniumshored.internal.runtime import Runtime
+from geraniumshored.internal.ticker import Ticker
+
+__all__ = ["JobDriver"]
+
+logger = logging.getLogger(__name__)
+
+DRIVE_SECONDS = 0.1
+MAX_TASKS_PER_CALL = 1_000
+Call = Callable[[], TaskReports]
+
+
+class JobDriver:
+    """Makes the calls about tasks, and tells the homes what came of them.
+
+    Renewals have a thread of their own, so that slow starts let no lease lapse.
+    """
+
+    def __init__(self, tasks: TaskService, runtime: Runtime) -> None:
+        self._tasks = tasks
+        self._runtime = runtime
+        self._ticker = Ticker(DRIVE_SECONDS, self.drive)
+        self._renewer = ThreadPoolExecutor(1, thread_name_prefix="task-renewals")
+
+    def start(self) -> None:
+        """Begin to drive."""
+        self._ticker.start()
+
+    def stop(self) -> None:
+        """Make no more calls."""
+        self._ticker.stop()
+        self._renewer.shutdown(wait=False, cancel_futures=True)
+
+    def drive(self) -> None:
+        """Make the calls that are due."""
+        for work in self._runtime.perform(lambda member, now: member.job_work(now)):
+            if work.renewals:
+                self._renewer.submit(self._renew, work)
+            for name, call in self._calls(work):
+                self._make(work.pool, name, call)
+
+    def _calls(self, work: TaskWork) -> Iterator[tuple[str, Call]]:
+        if work.stops:
+            yield "stop", lambda: self._tasks.stop(work.stops)
+        if work.checkpoints:
+            yield "checkpoint", lambda: self._tasks.checkpoint(work.checkpoints)
+        if work.starts:
+            yield "start", lambda: self._tasks.start(work.starts, LEASE_MS)
+
+    def _renew(self, work: TaskWork) -> None:
+        for begin in range(0, len(work.renewals), MAX_TASKS_PER_CALL):
+            chunk = work.renewals[begin : begin + MAX_TASKS_PER_CALL]
+            self._make(
+                work.pool, "renew", lambda c=chunk: self._tasks.renew(c, LEASE_MS)
+            )
+
+    def _make(self, pool: str, name: str, call: Call) -> None:
+        """Make one call, if this member may act at this very moment."""
+        if not self._runtime.has_authority():
+            return
+        counter = self._runtime.metrics.task_calls
+        try:
+            reports = call()
+        except PlatformUnavailableError:
+            counter.labels(name, "failed").inc()
+            return
+        except UnknownOutcomeError:
+            counter.labels(name, "unknown").inc()
+            return
+        counter.labels(name, "answered").inc()
+        self._runtime.perform(
+            lambda member, now: member.on_task_reports(pool, reports, now)
+        )
--- a/tests/common/job_world.py
+++ b/tests/common/job_world.py
@@ -5,6 +5,7 @@
 import base64
 import hashlib
 import json
+from dataclasses import replace
 
 from geraniumshore import (
     Evict,
@@ -82,6 +83,8 @@
         self.platform_down = False
         self.lost_replies = 0
         self.held: list[Record] | None = None
+        self.starts_delayed = False
+        self.delayed: list[TaskWork] = []
         self.deaf: set[str] = set()
         super().__init__(*names)
         self.board.hosts = {
@@ -168,6 +171,9 @@
     def call_platform(self, member, work: TaskWork) -> None:
         if self.platform_down:
             return
+        if self.starts_delayed and work.starts:
+            self.delayed.append(work)
+            work = replace(work, starts=())
         calls = (
             (work.starts, lambda: self.board.start(work.starts, LEASE_MS)),
             (work.stops, lambda: self.board.stop(work.stops)),
@@ -178,6 +184,13 @@
             if items:
                 self.reply(member, work.pool, call())
 
+    def deliver_delayed(self) -> None:
+        """Let calls that were under way for long arrive; nobody waits for answers."""
+        self.starts_delayed = False
+        for work in self.delayed:
+            self.board.start(work.starts, LEASE_MS)
+        self.delayed.clear()
+
     def reply(self, member, pool: str, reports: TaskReports) -> None:
         if self.lost_replies > 0:
             self.lost_replies -= 1
--- a/tests/cover/test_jobs_under_faults.py
+++ b/tests/cover/test_jobs_under_faults.py
@@ -61,6 +61,13 @@
     def switch_platform(self, down):
         self.world.platform_down = down
 
+    @rule(delayed=st.booleans())
+    def delay_starts(self, delayed):
+        """Starts are under way for long, and arrive when nobody expects them."""
+        self.world.starts_delayed = True
+        if not delayed:
+            self.world.deliver_delayed()
+
     @rule()
     def hold_appends(self):
         if self.world.held is None:
@@ -152,6 +159,7 @@
             return
         world = self.world
         world.let_go(1)
+        world.deliver_delayed()
         world.platform_down = False
         world.lost_replies = 0
         for name in list(world.board.hosts):
