--- a/packages/geraniumshore/src/geraniumshore/__init__.py
+++ b/packages/geraniumshore/src/geraniumshore/__init__.py
@@ -11,6 +11,21 @@
     PlatformUnavailableError,
     UnknownOutcomeError,
 )
+from geraniumshore.internal.admission import Admission
+from geraniumshore.internal.agreement import Standing
+from geraniumshore.internal.burn import (
+    Alert,
+    QueueBurn,
+    WindowBurn,
+    burn_by_queue,
+)
+from geraniumshore.internal.claim_records import Answer, Claim, KeptAnswer
+from geraniumshore.internal.claims import (
+    MAX_ANSWER_BYTES,
+    Claims,
+    KeptClaim,
+    claim_key,
+)
 from geraniumshore.internal.configuration import Configuration, apply_release
 from geraniumshore.internal.entry import (
     Decision,
@@ -37,6 +52,7 @@
 )
 from geraniumshore.internal.job_records import (
     JobEnd,
+    JobRecord,
     JobsCancelled,
     JobsEnded,
     JobSettled,
@@ -56,12 +72,16 @@
 from geraniumshore.internal.keys import MadeKey, make_key, verify_key
 from geraniumshore.internal.member import Effects, Member
 from geraniumshore.internal.messages import (
+    EndorseRequest,
     Message,
+    Relay,
+    StateTransfer,
     coalescing_key,
     decode_message,
     encode_message,
 )
 from geraniumshore.internal.outcomes import NotRun, Outcome, Ran, Unknown
+from geraniumshore.internal.outliers import OutlierDetector
 from geraniumshore.internal.placement import BestFit, FirstFit, Placement
 from geraniumshore.internal.platform import (
     ControlLog,
@@ -86,6 +106,7 @@
     MemberInfo,
     Record,
     Release,
+    SnapshotPart,
     decode_records,
     encode_records,
 )
@@ -97,23 +118,42 @@
     parse_release,
     validation_findings,
 )
+from geraniumshore.internal.retries import (
+    RetryBudget,
+    backoff_seconds,
+    is_failure,
+    may_repeat,
+)
+from geraniumshore.internal.service_levels import (
+    QueueCounts,
+    ServiceLevelHistory,
+    ServiceLevels,
+    is_good_call,
+)
 from geraniumshore.internal.shares import (
     Candidate,
     FirstComeFirstServed,
     SharePolicy,
     WeightedShares,
 )
-from geraniumshore.internal.task_watch import TaskWork
+from geraniumshore.internal.task_watch import LEASE_MS, TaskWork
 from geraniumshore.internal.tokens import TeamTerms
+from geraniumshore.internal.view import predecessor
 
 __all__ = [
+    "Admission",
+    "Alert",
+    "Answer",
     "BestFit",
     "Candidate",
+    "Claim",
+    "Claims",
     "Configuration",
     "ControlLog",
     "ControlState",
     "Decision",
     "Effects",
+    "EndorseRequest",
     "Evict",
     "Finding",
     "FirstComeFirstServed",
@@ -126,6 +166,7 @@
     "Job",
     "JobEnd",
     "JobPhase",
+    "JobRecord",
     "JobSettled",
     "JobStart",
     "JobSubmitted",
@@ -134,11 +175,15 @@
     "JobsEnded",
     "JobsStarted",
     "Join",
+    "KeptAnswer",
+    "KeptClaim",
     "Key",
+    "LEASE_MS",
     "Leave",
     "ListedHost",
     "LogEntry",
     "LogRead",
+    "MAX_ANSWER_BYTES",
     "MAX_JOB_BODY_BYTES",
     "MadeKey",
     "Member",
@@ -147,25 +192,35 @@
     "Minion",
     "NotRun",
     "Outcome",
+    "OutlierDetector",
     "Placement",
     "PlatformUnavailableError",
     "Pool",
     "PoolHome",
     "PoolTerms",
     "Queue",
+    "QueueBurn",
+    "QueueCounts",
     "Ran",
     "RawEntry",
     "Record",
     "Refusal",
     "Refuse",
+    "Relay",
     "Release",
     "ReleaseNote",
     "ReleaseSummary",
+    "RetryBudget",
     "Service",
+    "ServiceLevelHistory",
+    "ServiceLevels",
     "SharePolicy",
     "Sizes",
     "SlotRequest",
+    "SnapshotPart",
+    "Standing",
     "Start",
+    "StateTransfer",
     "TaskReport",
     "TaskReports",
     "TaskResult",
@@ -181,17 +236,25 @@
     "WaitingLane",
     "Wave",
     "WeightedShares",
+    "WindowBurn",
     "Withdrawn",
     "apply_release",
+    "backoff_seconds",
+    "burn_by_queue",
+    "claim_key",
     "coalescing_key",
     "decode_message",
     "decode_records",
     "encode_message",
     "encode_records",
     "fold_entry",
+    "is_failure",
+    "is_good_call",
     "load_json",
     "make_key",
+    "may_repeat",
     "parse_release",
+    "predecessor",
     "validation_findings",
     "verify_key",
 ]
--- a/packages/geraniumshore/src/geraniumshore/internal/fold.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/fold.py
@@ -12,6 +12,8 @@
 from result import Err
 
 from geraniumshore.errors import Finding
+from geraniumshore.internal.claim_records import Answer, Claim
+from geraniumshore.internal.claims import Claims, fold_answer, fold_claim
 from geraniumshore.internal.configuration import Configuration, apply_release
 from geraniumshore.internal.homes import Home, LedgerKey, assign_homes
 from geraniumshore.internal.job_records import (
@@ -23,6 +25,7 @@
 )
 from geraniumshore.internal.jobs import (
     JobTable,
+    KeptJobTable,
     check_job_queues,
     fold_job_record,
     set_orphans_aside,
@@ -34,6 +37,12 @@
     LogEntry,
     Record,
     Release,
+    SnapshotPart,
+)
+from geraniumshore.internal.service_levels import (
+    ServiceLevelHistory,
+    ServiceLevels,
+    fold_service_levels,
 )
 from geraniumshore.internal.view import View, apply_evict, apply_join, apply_leave
 
@@ -67,7 +76,9 @@
     homes_changes: int = 0
     releases: list[ReleaseSummary] = field(default_factory=list)
     recent_ids: dict[str, None] = field(default_factory=dict)
-    jobs: JobTable = field(default_factory=JobTable)
+    jobs: KeptJobTable = field(default_factory=JobTable)
+    claims: Claims = field(default_factory=Claims)
+    service_levels: dict[str, ServiceLevelHistory] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,6 +113,8 @@
 def _fold_record(
     state: ControlState, record: Record, entry: LogEntry
 ) -> tuple[Finding, ...]:
+    if isinstance(record, SnapshotPart):
+        return ()
     if record.id in state.recent_ids:
         return (Finding("id", f"{record.id} was appended before"),)
     _remember(state, record.id)
@@ -128,6 +141,18 @@
                 record,
                 entry.appended_at_ms,
             )
+        case Claim():
+            return fold_claim(state.claims, record, entry.appended_at_ms)
+        case Answer():
+            return fold_answer(state.claims, record, entry.appended_at_ms)
+        case ServiceLevels():
+            findings = ()
+            fold_service_levels(
+                state.service_levels,
+                record,
+                entry.appended_at_ms,
+                state.configuration.queues,
+            )
     if not findings:
         _update_homes(state)
     return findings
--- a/packages/geraniumshore/src/geraniumshore/internal/jobs.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/jobs.py
@@ -8,11 +8,13 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
 from itertools import islice
-from typing import NamedTuple
+from typing import Annotated, Any, NamedTuple
+
+from pydantic import PlainSerializer, PlainValidator, TypeAdapter
 
 from geraniumshore.errors import Finding
 from geraniumshore.internal.configuration import Configuration
@@ -37,6 +39,7 @@
     "Job",
     "JobPhase",
     "JobTable",
+    "KeptJobTable",
     "StartSequence",
     "WaitingLane",
     "check_job_queues",
@@ -46,7 +49,7 @@
 
 MAX_JOB_BODY_BYTES = 64 * 1024
 # Bodies of live jobs are kept by every member; together they stay below this.
-MAX_BODIES_BYTES = 16 * 1024 * 1024
+MAX_BODIES_BYTES = 8 * 1024 * 1024
 # Ended jobs can be looked up, and their idempotency keys are known, for this time.
 ENDED_JOB_RETENTION_MS = 3_600_000
 MAX_ENDED_JOBS = 20_000
@@ -121,13 +124,22 @@
     sequence: int = -1
 
 
+@dataclass(frozen=True, slots=True)
+class JobSnapshot:
+    """What a snapshot of the folded state keeps of the jobs."""
+
+    jobs: tuple[Job, ...]
+    sequence_by_pool: dict[str, StartSequence]
+    usage_by_kind: dict[str, UsageHistory]
+
+
 @dataclass(slots=True)
 class JobTable:
     """Every job that is live or ended lately, with its indexes."""
 
     by_id: dict[str, Job] = field(default_factory=dict)
     sequence_by_pool: dict[str, StartSequence] = field(default_factory=dict)
-    usage_by_kind: dict[tuple[str, str], UsageHistory] = field(default_factory=dict)
+    usage_by_kind: dict[str, UsageHistory] = field(default_factory=dict)
     waiting_by_pool: dict[str, dict[WaitingLane, dict[str, None]]] = field(
         default_factory=dict
     )
@@ -139,22 +151,22 @@
     changes: int = 0
 
     @classmethod
-    def from_jobs(
-        cls,
-        jobs: Iterable[Job],
-        sequence_by_pool: Mapping[str, StartSequence],
-        usage_by_kind: Mapping[tuple[str, str], UsageHistory],
-    ) -> JobTable:
+    def from_snapshot(cls, snapshot: JobSnapshot) -> JobTable:
         """Rebuild a table and its indexes from what a snapshot keeps."""
         table = cls(
-            sequence_by_pool=dict(sequence_by_pool), usage_by_kind=dict(usage_by_kind)
+            sequence_by_pool=dict(snapshot.sequence_by_pool),
+            usage_by_kind=dict(snapshot.usage_by_kind),
         )
-        for job in jobs:
-            table.by_id[job.id] = job
-            table.bodies_bytes += len(job.body)
-            table._index(job)
+        for job in snapshot.jobs:
+            table.add(job)
         return table
 
+    def snapshot(self) -> JobSnapshot:
+        """Return what the indexes can be rebuilt from; ended jobs by their end."""
+        live = [job for job in self.by_id.values() if job.id not in self.ended]
+        ended = [self.by_id[job] for job in self.ended]
+        return JobSnapshot((*live, *ended), self.sequence_by_pool, self.usage_by_kind)
+
     def waiting_lanes(self, pool: str) -> Iterator[WaitingLane]:
         """Yield the teams and urgencies of which jobs wait for a pool."""
         yield from self.waiting_by_pool.get(pool, {})
@@ -173,7 +185,7 @@
 
         What the team's jobs of the queue have used goes before what is declared.
         """
-        history = self.usage_by_kind.get((job.queue, job.team))
+        history = self.usage_by_kind.get(_kind(job))
         expected = history.expected(job.sizes) if history is not None else job.sizes
         memory_mb = max(expected.memory_mb, job.too_little_memory_mb + 1)
         return Sizes(expected.processors, memory_mb, job.sizes.accelerators)
@@ -243,6 +255,25 @@
                 self.running_by_team[job.team] -= 1
 
 
+_SNAPSHOT: TypeAdapter[JobSnapshot] = TypeAdapter(JobSnapshot)
+
+
+def _dump_table(table: JobTable) -> Any:
+    return _SNAPSHOT.dump_python(table.snapshot(), mode="json")
+
+
+def _load_table(value: Any) -> JobTable:
+    if isinstance(value, JobTable):
+        return value
+    return JobTable.from_snapshot(_SNAPSHOT.validate_python(value))
+
+
+# The form in which a folded state that goes into a snapshot holds its jobs.
+KeptJobTable = Annotated[
+    JobTable, PlainSerializer(_dump_table), PlainValidator(_load_table)
+]
+
+
 def fold_job_record(
     table: JobTable,
     configuration: Configuration,
@@ -410,11 +441,14 @@
 def _learn(table: JobTable, job: Job, end: JobEnd) -> None:
     if end.usage is None or end.ending not in {"succeeded", "out-of-memory"}:
         return
-    kind = (job.queue, job.team)
-    history = table.usage_by_kind.setdefault(kind, UsageHistory())
+    history = table.usage_by_kind.setdefault(_kind(job), UsageHistory())
     history.record(end.usage)
 
 
+def _kind(job: Job) -> str:
+    return f"{job.queue}/{job.team}"
+
+
 def _note_ending(job: Job, end: JobEnd) -> None:
     match end.ending:
         case "succeeded":
--- a/packages/geraniumshore/src/geraniumshore/internal/records.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/records.py
@@ -9,8 +9,10 @@
 from result import Err, Ok, Result
 
 from geraniumshore.errors import Finding
+from geraniumshore.internal.claim_records import Answer, Claim
 from geraniumshore.internal.job_records import JobRecord
 from geraniumshore.internal.release import ReleaseNote, validation_findings
+from geraniumshore.internal.service_levels import ServiceLevels
 
 __all__ = [
     "Evict",
@@ -20,6 +22,7 @@
     "MemberInfo",
     "Record",
     "Release",
+    "SnapshotPart",
     "decode_records",
     "encode_records",
 ]
@@ -42,7 +45,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Join:
-    """Adds a member to the view numbered ``view``."""
+    """Adds a member to the view numbered ``view``.
+
+    ``replaces`` names the ended process whose host and peer address the member has;
+    ``gone`` names silent members whose hosts the platform lists no longer.
+    """
 
     __pydantic_config__: ClassVar[ConfigDict] = STRICT
 
@@ -50,6 +57,8 @@
     view: int
     info: MemberInfo
     endorsed_by: tuple[str, ...] = ()
+    replaces: str | None = None
+    gone: tuple[str, ...] = ()
     kind: Literal["join"] = "join"
 
 
@@ -66,7 +75,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Evict:
-    """Takes a silent member out of the view numbered ``view``."""
+    """Takes a silent member out of the view numbered ``view``.
+
+    ``forced_by`` names the operator who took it out by hand.
+    """
 
     __pydantic_config__: ClassVar[ConfigDict] = STRICT
 
@@ -74,6 +86,7 @@
     view: int
     member: str
     endorsed_by: tuple[str, ...] = ()
+    gone: tuple[str, ...] = ()
     forced_by: str | None = None
     kind: Literal["evict"] = "evict"
 
@@ -90,8 +103,32 @@
     kind: Literal["release"] = "release"
 
 
+@dataclass(frozen=True, slots=True)
+class SnapshotPart:
+    """One part of the state as folded up to ``position``, in the compressed form."""
+
+    __pydantic_config__: ClassVar[ConfigDict] = STRICT
+
+    id: str
+    snapshot: str
+    position: int
+    part: int
+    parts: int
+    document: str
+    kind: Literal["snapshot-part"] = "snapshot-part"
+
+
 Record = Annotated[
-    Join | Leave | Evict | Release | JobRecord, Field(discriminator="kind")
+    Join
+    | Leave
+    | Evict
+    | Release
+    | ServiceLevels
+    | SnapshotPart
+    | Claim
+    | Answer
+    | JobRecord,
+    Field(discriminator="kind"),
 ]
 
 
--- a/packages/geraniumshored/src/geraniumshored/internal/front.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/front.py
@@ -4,9 +4,12 @@
 
 import logging
 import threading
+import time
 from collections.abc import Iterable
 
-from waitress.server import BaseWSGIServer, MultiSocketServer, create_server
+from waitress.channel import HTTPChannel
+from waitress.server import BaseWSGIServer, create_server
+from waitress.task import WSGITask
 
 from geraniumshored.internal.calls import CallHandler
 from geraniumshored.internal.http_types import (
@@ -18,28 +21,58 @@
     answer_problem,
     read_request,
 )
+from geraniumshored.internal.job_calls import JobHandler
 from geraniumshored.internal.operators import OperatorHandler
 from geraniumshored.internal.runtime import Runtime
 from geraniumshored.internal.settings import Listen
+from geraniumshored.internal.sockets import SOCKET_OPTIONS
 
 __all__ = ["Front"]
 
 logger = logging.getLogger(__name__)
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
+MAX_CONNECTIONS = 2_000
+IDLE_CALLER_SECONDS = 120
+SENT_POLL_SECONDS = 0.02
+
+
+def closing_channel(stopping: threading.Event) -> type[HTTPChannel]:
+    """Return a channel whose answers end the connection once ``stopping`` is set.
+
+    A caller that keeps its connection would otherwise send its next request into the
+    end of the process.
+    """
+
+    class ClosingTask(WSGITask):
+        def build_response_header(self) -> bytes:
+            if stopping.is_set():
+                self.set_close_on_finish()
+            header: bytes = super().build_response_header()
+            return header
+
+    class ClosingChannel(HTTPChannel):
+        task_class = ClosingTask
+
+    return ClosingChannel
 
 
 class Front:
     """Serves HTTP with a bounded number of threads."""
 
     def __init__(
-        self, runtime: Runtime, calls: CallHandler, operators: OperatorHandler
+        self,
+        runtime: Runtime,
+        calls: CallHandler,
+        jobs: JobHandler,
+        operators: OperatorHandler,
     ) -> None:
         self._runtime = runtime
         self._calls = calls
+        self._jobs = jobs
         self._operators = operators
         self._stopping = threading.Event()
-        self._server: BaseWSGIServer | MultiSocketServer | None = None
+        self._server: BaseWSGIServer | None = None
         self._thread: threading.Thread | None = None
 
     def start(self, listen: Listen, threads: int) -> None:
@@ -49,10 +82,21 @@
             host=listen.address,
             port=listen.port,
             threads=threads,
-            channel_timeout=120,
+            channel_timeout=IDLE_CALLER_SECONDS,
+            connection_limit=MAX_CONNECTIONS,
+            asyncore_use_poll=True,
             max_request_body_size=MAX_BODY_BYTES,
+            inbuf_overflow=MAX_BODY_BYTES,
+            outbuf_overflow=MAX_BODY_BYTES,
             ident="geraniumshore",
         )
+        # One address gives one socket.
+        assert isinstance(server, BaseWSGIServer)
+        adjustments = server.adj
+        adjustments.socket_options = SOCKET_OPTIONS
+        # Reading on while a call is open shows whether its caller is still there.
+        adjustments.channel_request_lookahead = 1
+        server.channel_class = closing_channel(self._stopping)
         self._server = server
         self._thread = threading.Thread(target=server.run, name="http", daemon=True)
         self._thread.start()
@@ -61,6 +105,24 @@
         """Let ``/readyz`` fail, so that the balancer sends no more."""
         self._stopping.set()
 
+    def wait_until_sent(self, seconds: float) -> bool:
+        """Wait until every answer has left; tell whether that was reached in time."""
+        deadline = time.monotonic() + seconds
+        while time.monotonic() < deadline:
+            if not self._unsent():
+                return True
+            time.sleep(SENT_POLL_SECONDS)
+        return False
+
+    def _unsent(self) -> bool:
+        if self._server is None:
+            return False
+        active: dict[int, HTTPChannel] = self._server.active_channels  # type: ignore[assignment]
+        channels = list(active.values())
+        return any(
+            channel.requests or channel.total_outbufs_len for channel in channels
+        )
+
     def stop(self) -> None:
         """Stop listening."""
         if self._server is not None:
@@ -82,7 +144,7 @@
 
     def _route(self, request: HttpRequest) -> HttpAnswer:
         match (request.method, request.path):
-            case ("POST", ("queues", name)):
+            case (_, ("queues", name)):
                 return self._calls.handle(request, name)
             case ("GET", ("healthz",)):
                 return answer_json(200, {"status": "ok"})
--- a/packages/geraniumshored/src/geraniumshored/internal/job_calls.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/job_calls.py
@@ -4,7 +4,8 @@
 
 import base64
 import hashlib
-from collections.abc import Iterable
+import threading
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import TypeVar
 from urllib.parse import parse_qs
@@ -45,6 +46,7 @@
 
 RETRY_AFTER_SECONDS = 2
 MAX_LISTED_JOBS = 1_000
+MAX_OPEN_CALLS = 24
 MAX_COMMAND_BYTES = 4 * 1024 * 1024
 SIZE_HEADERS = {
     "processors": "job-processors",
@@ -101,6 +103,7 @@
         self._appender = appender
         self._tasks = tasks
         self._operators = operators
+        self._open = threading.BoundedSemaphore(MAX_OPEN_CALLS)
 
     def takes(self, queue_name: str) -> bool:
         """Tell whether a queue takes jobs."""
@@ -109,12 +112,24 @@
 
     def submit(self, request: HttpRequest, queue_name: str) -> HttpAnswer:
         """Accept a job: the answer is 202 only once the job is in the log."""
-        answer = self._submit(request, queue_name)
+        answer = self._bounded(lambda: self._submit(request, queue_name))
         self._runtime.metrics.requests.labels(queue_name, str(answer.status)).inc()
         return answer
 
     def handle(self, request: HttpRequest) -> HttpAnswer:
         """Answer one call below ``/jobs``."""
+        return self._bounded(lambda: self._handle(request))
+
+    def _bounded(self, answer: Callable[[], HttpAnswer]) -> HttpAnswer:
+        """Answer a call unless so many are open that others would lack threads."""
+        if not self._open.acquire(blocking=False):
+            return _refused(429, "busy", "too many calls about jobs are open here")
+        try:
+            return answer()
+        finally:
+            self._open.release()
+
+    def _handle(self, request: HttpRequest) -> HttpAnswer:
         caller = self._caller(request.bearer)
         if caller is None:
             return answer_problem(401, "unknown-key", "no such key is in force")
@@ -245,9 +260,7 @@
         )
         return self._command(record, "the cancellation")
 
-    def _settle(
-        self, request: HttpRequest, job_id: str, caller: Caller
-    ) -> HttpAnswer:
+    def _settle(self, request: HttpRequest, job_id: str, caller: Caller) -> HttpAnswer:
         command = _read(_SETTLE, request)
         if isinstance(command, Err):
             return answer_problem(
--- a/packages/geraniumshored/src/geraniumshored/internal/job_driver.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/job_driver.py
@@ -5,6 +5,7 @@
 import logging
 from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 
 from geraniumshore import (
     LEASE_MS,
@@ -57,18 +58,17 @@
 
     def _calls(self, work: TaskWork) -> Iterator[tuple[str, Call]]:
         if work.stops:
-            yield "stop", lambda: self._tasks.stop(work.stops)
+            yield "stop", partial(self._tasks.stop, work.stops)
         if work.checkpoints:
-            yield "checkpoint", lambda: self._tasks.checkpoint(work.checkpoints)
+            yield "checkpoint", partial(self._tasks.checkpoint, work.checkpoints)
         if work.starts:
-            yield "start", lambda: self._tasks.start(work.starts, LEASE_MS)
+            yield "start", partial(self._tasks.start, work.starts, LEASE_MS)
 
     def _renew(self, work: TaskWork) -> None:
         for begin in range(0, len(work.renewals), MAX_TASKS_PER_CALL):
             chunk = work.renewals[begin : begin + MAX_TASKS_PER_CALL]
-            self._make(
-                work.pool, "renew", lambda c=chunk: self._tasks.renew(c, LEASE_MS)
-            )
+            renew = partial(self._tasks.renew, chunk, LEASE_MS)
+            self._make(work.pool, "renew", renew)
 
     def _make(self, pool: str, name: str, call: Call) -> None:
         """Make one call, if this member may act at this very moment."""
--- a/packages/geraniumshored/src/geraniumshored/internal/metrics.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/metrics.py
@@ -27,12 +27,23 @@
         self._latency_by_queue: dict[str, HdrHistogram] = {}
         self.requests = self._counter("requests", "Calls by result", "queue", "result")
         self.attempts = self._counter("attempts", "Attempts by outcome", "outcome")
+        self.retries = self._counter("retries", "Attempts made again", "queue")
+        self.host_list_reads = self._counter(
+            "host_list_reads", "Reads of the list of hosts", "result"
+        )
+        self.suspects = Gauge(
+            "geraniumshore_suspect_minions",
+            "Minions that fail this host's work",
+            ("service",),
+            registry=self.registry,
+        )
         self.log_reads = self._counter("log_reads", "Reads of the log", "result")
         self.log_appends = self._counter("log_appends", "Appends", "result")
         self.log_records = self._counter("log_records", "Records folded", "verdict")
         self.peer_batches = self._counter("peer_batches", "Batches sent", "result")
         self.peer_messages = self._counter("peer_messages", "Messages sent", "kind")
         self.peer_bytes = self._counter("peer_bytes", "Bytes sent to peers", "kind")
+        self.task_calls = self._counter("task_calls", "Task calls", "call", "result")
         self.authority = Gauge(
             "geraniumshore_authority",
             "1 while this member may act",
--- a/packages/geraniumshored/src/geraniumshored/internal/runtime.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/runtime.py
@@ -10,13 +10,18 @@
 from typing import Protocol, TypeVar
 
 from geraniumshore import (
+    Answer,
+    Claim,
     Decision,
     Effects,
     LogEntry,
+    LogRead,
     Member,
     Message,
     Record,
     SlotRequest,
+    SnapshotPart,
+    Standing,
     Verdict,
 )
 from geraniumshored.internal.metrics import Metrics
@@ -27,6 +32,11 @@
 
 T = TypeVar("T")
 
+# Frequent records that change nothing an operator decided are only counted.
+QUIET_RECORDS = Claim | Answer | SnapshotPart
+
+ACCEPTED_POLL_SECONDS = 0.02
+
 
 class Messenger(Protocol):
     """Whatever carries messages to other members."""
@@ -39,7 +49,10 @@
     """Whatever appends records to the log."""
 
     def submit(self, record: Record) -> Future[Verdict]:
-        """Append a record without waiting."""
+        """Append a record nobody waits for."""
+
+    def append(self, record: Record) -> Future[Verdict]:
+        """Append a record; the future gives its verdict."""
 
 
 class Runtime:
@@ -59,6 +72,7 @@
         self._messenger: Messenger | None = None
         self._appends: Appends | None = None
         self._had_authority = False
+        self._standing = Standing.JOINING
 
     def connect(self, messenger: Messenger, appends: Appends) -> None:
         """Name what carries the effects; call it once, before the first input."""
@@ -72,22 +86,32 @@
             result = action(self.member, now)
             self._carry_out(self.member.drain_effects())
             self._note_authority(now)
+            self._note_standing()
             return result
 
     def has_authority(self) -> bool:
         """Tell whether this member may act at this very moment."""
         return self.member.has_authority(time.monotonic())
 
-    def on_log(self, entries: list[LogEntry], sent_at: float, at_tail: bool) -> None:
-        """Take in what a log read gave."""
-
-        def fold(member: Member, now: float) -> None:
-            for verdict in member.on_entries(entries, now):
-                self._on_verdict(verdict)
-            if at_tail:
-                member.on_tail(sent_at, now)
-
-        self.perform(fold)
+    def on_read(self, read: LogRead, entries: list[LogEntry], sent_at: float) -> None:
+        """Take in what a log read, sent at ``sent_at``, gave."""
+        self.perform(
+            lambda member, now: member.on_read(
+                read.first, read.tail, entries, sent_at, now
+            )
+        )
+
+    def wait_until_accepted(self, offset: int, seconds: float) -> bool:
+        """Wait until a majority has folded ``offset``; tell whether it has in time."""
+        deadline = time.monotonic() + seconds
+        while True:
+            with self._lock:
+                agreement, state = self.member.agreement, self.member.state
+                if agreement.folded_by_majority(offset, state):
+                    return True
+            if time.monotonic() >= deadline:
+                return False
+            time.sleep(ACCEPTED_POLL_SECONDS)
 
     def deliver(self, sender: str, message: Message) -> None:
         """Take in a message of another member."""
@@ -108,6 +132,11 @@
         """Give a slot back."""
         self.perform(lambda member, now: member.finish(ticket, now))
 
+    def append(self, record: Record) -> Future[Verdict]:
+        """Append a record; the future gives its verdict once it is folded here."""
+        assert self._appends is not None
+        return self._appends.append(record)
+
     def await_verdict(self, record: Record) -> Future[Verdict]:
         """Return a future of the verdict on a record that is about to be appended."""
         future: Future[Verdict] = Future()
@@ -115,13 +144,18 @@
             self._verdict_by_record[record.id] = future
         return future
 
+    def forget_verdict(self, record: Record) -> None:
+        """Wait no longer for the verdict on a record that was not appended."""
+        with self._lock:
+            self._verdict_by_record.pop(record.id, None)
+
     def _on_verdict(self, verdict: Verdict) -> None:
         label = "accepted" if verdict.accepted else "void"
         self.metrics.log_records.labels(label).inc()
         future = self._verdict_by_record.pop(verdict.record.id, None)
         if future is not None:
             future.set_result(verdict)
-        if verdict.accepted:
+        if verdict.accepted and not isinstance(verdict.record, QUIET_RECORDS):
             logger.info(
                 "record in force",
                 extra={"record": verdict.record.kind, "offset": verdict.offset},
@@ -134,11 +168,19 @@
             self._messenger.send(member, messages)
         for record in effects.appends:
             self._appends.submit(record)
+        for verdict in effects.verdicts:
+            self._on_verdict(verdict)
         for decision in effects.decisions:
             future = self._decision_by_ticket.pop(decision.ticket, None)
             if future is not None:
                 future.set_result(decision)
 
+    def _note_standing(self) -> None:
+        standing = self.member.agreement.standing(self.member.state)
+        if standing != self._standing:
+            self._standing = standing
+            logger.warning("standing", extra={"standing": standing.value})
+
     def _note_authority(self, now: float) -> None:
         has_authority = self.member.has_authority(now)
         if has_authority == self._had_authority:
--- a/tests/common/job_world.py
+++ b/tests/common/job_world.py
@@ -17,10 +17,13 @@
     JobSettled,
     JobsStarted,
     JobSubmitted,
+    Member,
+    Minion,
     Pool,
     Queue,
     Record,
     ReleaseNote,
+    Service,
     Sizes,
     TaskReports,
     TaskWork,
@@ -44,6 +47,8 @@
         base=0,
         added=Items(
             pools={"roasting": Pool()},
+            services={"sorting": Service()},
+            minions={"m0": Minion("sorting", "127.0.0.1:1", slots=4)},
             hosts={
                 f"h{n}": Host("roasting", "dc1", f"r{n}", processors, memory_mb)
                 for n in range(hosts)
@@ -53,6 +58,7 @@
             queues={
                 "reports": Queue(pool="roasting", kind="job", idempotent=True),
                 "batches": Queue(pool="roasting", kind="job"),
+                "count": Queue(service="sorting", run_limit_ms=2_000),
             },
         ),
     )
@@ -96,7 +102,7 @@
     def job(self, job_id: str) -> Job:
         return self.reader().state.jobs.by_id[job_id]
 
-    def reader(self):
+    def reader(self) -> Member:
         silent = self.cut | self.deaf
         live = [m for m in self.by_id.values() if m.id not in silent]
         return max(live, key=lambda member: member.state.position)
--- a/tests/cover/test_jobs_under_faults.py
+++ b/tests/cover/test_jobs_under_faults.py
@@ -1,6 +1,7 @@
 """A state machine: members, log and platform with faults, against true counts."""
 
 from collections import Counter
+from dataclasses import replace
 
 from hypothesis import Phase, settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
@@ -116,7 +117,26 @@
     @rule(data=st.data())
     def append_a_submission_again(self, data):
         if self.submitted:
-            self.world.append(data.draw(st.sampled_from(self.submitted)))
+            record = data.draw(st.sampled_from(self.submitted))
+            self.world.append(replace(record, id=self.world.new_id()))
+
+    @rule(team=st.sampled_from(sorted(LIMITS)))
+    def send_requests(self, team):
+        """Requests take tokens of the same limits; each runs for a moment."""
+        world = self.world
+        silent = world.cut | world.deaf
+        member = min(name for name in world.by_id if name not in silent)
+        tickets = [world.new_id() for _ in range(3)]
+        for ticket in tickets:
+            world.submit(member, ticket, team)
+        world.run(0.5)
+        started = [ticket for ticket in tickets if ticket in world.starts]
+        assert world.board.running(team) + len(started) <= LIMITS[team]
+        for ticket in started:
+            world.finish(member, ticket)
+        for ticket in set(tickets) - set(started):
+            world.by_id[member].cancel(ticket, world.now)
+        world.settle()
 
     @invariant()
     def jobs_that_are_not_idempotent_begin_at_most_once(self):
