--- a/packages/geraniumshored/src/geraniumshored/internal/front.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/front.py
@@ -144,6 +144,10 @@
 
     def _route(self, request: HttpRequest) -> HttpAnswer:
         match (request.method, request.path):
+            case ("POST", ("queues", name)) if self._jobs.takes(name):
+                return self._jobs.submit(request, name)
+            case (_, ("jobs", *_)):
+                return self._jobs.handle(request)
             case (_, ("queues", name)):
                 return self._calls.handle(request, name)
             case ("GET", ("healthz",)):
--- a/packages/geraniumshored/src/geraniumshored/internal/runtime.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/runtime.py
@@ -14,6 +14,7 @@
     Claim,
     Decision,
     Effects,
+    JobRecord,
     LogEntry,
     LogRead,
     Member,
@@ -33,7 +34,7 @@
 T = TypeVar("T")
 
 # Frequent records that change nothing an operator decided are only counted.
-QUIET_RECORDS = Claim | Answer | SnapshotPart
+QUIET_RECORDS = Claim | Answer | SnapshotPart | JobRecord
 
 ACCEPTED_POLL_SECONDS = 0.02
 
--- /dev/null
+++ b/tests/nocover/test_jobs_processes.py
@@ -0,0 +1,165 @@
+"""Jobs over real processes: what is accepted is what ends."""
+
+import json
+import threading
+import time
+from http.client import HTTPException
+
+import pytest
+
+from geraniumshore_standins import Fleet
+from geraniumshore_standins.internal.fleet import wait_for
+from geraniumshore_standins.internal.operator_client import http_call
+from tests.common.job_world import job_note
+from tests.common.notes import bearer
+from tests.common.processes import apply_note
+
+ENTRIES = 3
+HOSTS = {
+    f"h{n}": {"processors": 64.0, "memory_mb": 64_000, "accelerators": 0}
+    for n in range(3)
+}
+
+
+@pytest.fixture
+def fleet():
+    with Fleet() as fleet:
+        fleet.start_platform()
+        for number in range(ENTRIES):
+            fleet.start_entry(f"e{number}")
+        fleet.wait_until_ready()
+        note = job_note({"acme": 20}, memory_mb=64_000, processors=64.0)
+        apply_note(fleet, note)
+        put_task_hosts(fleet)
+        yield fleet
+
+
+def put_task_hosts(fleet):
+    body = json.dumps(HOSTS).encode()
+    http_call(fleet.platform_address, "PUT", "/test/tasks/hosts", body)
+
+
+def truth(fleet):
+    return http_call(fleet.platform_address, "GET", "/test/tasks/counts").json()
+
+
+def submit(entry, queue, key, run_ms=200):
+    body = json.dumps({"run_ms": run_ms, "memory_mb": 100}).encode()
+    headers = {"Idempotency-Key": key, "Job-Memory-Mb": "200"}
+    return entry.call(queue, bearer("acme"), body, headers)
+
+
+def jobs_on(entry):
+    headers = {"Authorization": f"Bearer {bearer('acme')}"}
+    return http_call(entry.address, "GET", "/jobs", headers=headers).json()
+
+
+class Submitter(threading.Thread):
+    """Submits jobs until stopped, each as often as it takes, with one key each."""
+
+    def __init__(self, fleet, name):
+        super().__init__(daemon=True)
+        self.fleet = fleet
+        self.name = name
+        self.accepted = {}
+        self.stopped = threading.Event()
+
+    def run(self):
+        number = 0
+        while not self.stopped.is_set():
+            number += 1
+            queue = ("reports", "batches")[number % 2]
+            self.submit_until_accepted(queue, f"{self.name}-{number}")
+
+    def submit_until_accepted(self, queue, key):
+        turn = 0
+        while not self.stopped.is_set():
+            entry = self.fleet.by_name[f"e{turn % ENTRIES}"]
+            turn += 1
+            try:
+                reply = submit(entry, queue, key)
+            except (OSError, HTTPException):
+                time.sleep(0.05)
+                continue
+            if reply.status == 202:
+                job = reply.json()["job"]
+                assert self.accepted.setdefault(key, job) == job
+                return
+            time.sleep(0.1)
+
+
+def check_all_ended(fleet, submitters):
+    accepted = {job for s in submitters for job in s.accepted.values()}
+    assert accepted
+    entry = next(e for e in fleet.by_name.values() if e.process.poll() is None)
+
+    def ended():
+        counts = jobs_on(entry)["counts"]
+        return not {"waiting", "running"} & set(counts)
+
+    wait_for(ended, "end of every job", 60.0)
+    listed = jobs_on(entry)
+    phases = {job["job"]: job for job in listed["jobs"]}
+    assert accepted <= set(phases)
+    assert {job["phase"] for job in phases.values()} == {"succeeded"}, listed["counts"]
+    starts = truth(fleet)["starts_by_job"]
+    batches = [j for j, shown in phases.items() if shown["queue"] == "batches"]
+    assert all(starts[job] == 1 for job in batches)
+    assert truth(fleet)["most_running_by_team"]["acme"] <= 20
+    return len(accepted)
+
+
+def run_under(fleet, disturb):
+    submitters = [Submitter(fleet, f"s{n}") for n in range(3)]
+    for submitter in submitters:
+        submitter.start()
+    time.sleep(1.0)
+    disturb()
+    time.sleep(1.0)
+    for submitter in submitters:
+        submitter.stopped.set()
+        submitter.join(30.0)
+    print("accepted", check_all_ended(fleet, submitters))
+
+
+def kill_and_restart(fleet, name):
+    fleet.by_name[name].kill()
+    fleet.restart_entry(name)
+
+
+def test_accepted_jobs_end_when_each_entry_host_is_killed_in_turn(fleet):
+    def disturb():
+        for name in fleet.by_name:
+            kill_and_restart(fleet, name)
+            wait_for(fleet.by_name[name].ready, f"ready {name}", 30.0)
+
+    run_under(fleet, disturb)
+
+
+def test_accepted_jobs_end_when_all_entry_hosts_are_killed_at_once(fleet):
+    def disturb():
+        for entry in fleet.by_name.values():
+            entry.kill()
+        for name in fleet.by_name:
+            fleet.restart_entry(name)
+        fleet.wait_until_ready()
+
+    run_under(fleet, disturb)
+
+
+def test_accepted_jobs_end_after_an_outage_of_the_platform(fleet):
+    def disturb():
+        fleet.set_faults(outage=True)
+        began = time.monotonic()
+        reply = submit(fleet.by_name["e0"], "batches", "in-the-outage")
+        assert time.monotonic() - began < 5.0
+        assert reply.status in {503, 504}
+        time.sleep(10.0)
+        fleet.set_faults()
+        fleet.wait_until_ready()
+
+    run_under(fleet, disturb)
+
+
+def test_lost_replies_of_starts_double_nothing(fleet):
+    run_under(fleet, lambda: fleet.set_faults(lost_task_replies=30, lost_replies=5))
