--- /dev/null
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments, each a policy beside its baseline."""
--- /dev/null
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/jobs.py
@@ -0,0 +1,298 @@
+"""Placement of jobs against baselines, and the cost of a cancellation wave.
+
+One member decides, over a log in memory and the task board with its own clock, so the
+figures do not depend on the machine; only the processor time of the wave does.
+"""
+
+from __future__ import annotations
+
+import base64
+import itertools
+import json
+import random
+import time
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from geraniumshore import (
+    LEASE_MS,
+    BestFit,
+    DeclaredSizes,
+    FirstFit,
+    Host,
+    Items,
+    JobPhase,
+    JobsCancelled,
+    JobSubmitted,
+    LearnedSizes,
+    LogEntry,
+    Member,
+    MemberInfo,
+    Placement,
+    Pool,
+    PoolHome,
+    Queue,
+    Record,
+    Release,
+    ReleaseNote,
+    Sizes,
+    Sizing,
+    TaskWork,
+    Team,
+)
+from geraniumshore_standins.internal.platform_tasks import TaskBoard, TaskHost
+
+__all__ = ["CancellationReport", "PlacementReport", "compare_placements", "run_wave"]
+
+POOL = "roasting"
+HOSTS = 12
+HOST_PROCESSORS = 16.0
+HOST_MEMORY_MB = 32_768
+TEAM_LIMIT = 500
+STEP_SECONDS = 0.1
+LOAD_SECONDS = 120.0
+JOBS = 4_000
+WAVE_JOBS = 10_000
+WAVE_RUNNING = 200
+
+
+@dataclass(frozen=True, slots=True)
+class JobShape:
+    """A kind of job: declared sizes, and how far off the true ones are."""
+
+    team: str
+    declared: Sizes
+    true_processors: float
+    true_memory_mb: int
+    run_ms: int
+
+
+# Declared sizes are off by factors from a quarter to four.
+SHAPES = (
+    JobShape("bakery", Sizes(2.0, 1_024), 2.0, 4_096, 4_000),
+    JobShape("cafe", Sizes(1.0, 8_192), 1.0, 2_048, 2_000),
+    JobShape("dairy", Sizes(4.0, 4_096), 1.0, 4_096, 3_000),
+    JobShape("farm", Sizes(1.0, 2_048), 2.0, 6_144, 6_000),
+    JobShape("glass", Sizes(2.0, 2_048), 2.0, 1_024, 1_000),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementReport:
+    """What one way of placing gave."""
+
+    placement: str
+    sizing: str
+    finished_per_second: float
+    kills: int
+    attempts_per_finished: float
+
+    def line(self) -> str:
+        """Return it as a line of a table."""
+        return (
+            f"{self.placement:10}{self.sizing:15}{self.finished_per_second:8.1f}"
+            f"{self.kills:7d}{self.attempts_per_finished:8.2f}"
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class CancellationReport:
+    """What a wave of cancellations cost."""
+
+    jobs: int
+    appends: int
+    stop_calls: int
+    processor_ms: float
+
+
+@dataclass(slots=True)
+class OneMember:
+    """A member with a log in memory and a task board."""
+
+    seed: int
+    now: float = 100.0
+    entries: list[LogEntry] = field(default_factory=list)
+    board: TaskBoard = field(default_factory=TaskBoard)
+    ids: Iterator[int] = field(default_factory=itertools.count)
+    member: Member = field(init=False)
+
+    def __post_init__(self) -> None:
+        info = MemberInfo("m", "m", "dc1", "127.0.0.1:1", "127.0.0.1:2")
+        self.member = Member(info, self.new_id)
+        self.run(2.0)
+        names = [f"h{number}" for number in range(HOSTS)]
+        self.board.hosts = {
+            name: TaskHost(HOST_PROCESSORS, HOST_MEMORY_MB) for name in names
+        }
+        self.append(Release(self.new_id(), _note(names)))
+        self.run(1.0)
+
+    @property
+    def home(self) -> PoolHome:
+        """The home of the pool."""
+        return self.member.job_homes.by_pool[POOL]
+
+    def new_id(self) -> str:
+        """Return the next id."""
+        return f"id{next(self.ids)}"
+
+    def append(self, record: Record) -> None:
+        """Append a record of its own."""
+        now_ms = int(self.now * 1000)
+        self.entries.append(LogEntry(len(self.entries), now_ms, (record,)))
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += STEP_SECONDS
+            self._step()
+
+    def _step(self) -> None:
+        self.board.advance(int(self.now * 1000))
+        position = self.member.state.position
+        self.member.on_entries(self.entries[position:], self.now)
+        self.member.on_tail(self.now, self.now)
+        self.member.on_tick(self.now)
+        for work in self.member.job_work(self.now):
+            self._call(work)
+        for record in self.member.drain_effects().appends:
+            self.append(record)
+
+    def _call(self, work: TaskWork) -> None:
+        for reports in (
+            self.board.start(work.starts, LEASE_MS) if work.starts else None,
+            self.board.stop(work.stops) if work.stops else None,
+            self.board.checkpoint(work.checkpoints) if work.checkpoints else None,
+            self.board.renew(work.renewals, LEASE_MS) if work.renewals else None,
+        ):
+            if reports is not None:
+                self.member.on_task_reports(work.pool, reports, self.now)
+
+
+def compare_placements(seed: int = 1) -> Iterator[PlacementReport]:
+    """Run the same jobs under each way of placing them."""
+    ways: tuple[tuple[Placement, Sizing], ...] = (
+        (FirstFit(), DeclaredSizes()),
+        (BestFit(), DeclaredSizes()),
+        (FirstFit(), LearnedSizes()),
+        (BestFit(), LearnedSizes()),
+    )
+    for placement, sizing in ways:
+        yield _measure_placement(placement, sizing, seed)
+
+
+def run_wave(seed: int = 1) -> CancellationReport:
+    """Cancel ten thousand jobs, some of them running, in one go."""
+    world = OneMember(seed)
+    for number in range(WAVE_JOBS):
+        world.append(_submission(world, number, SHAPES[4], run_ms=600_000))
+    world.run(5.0)
+    appends, stops = len(world.entries), world.board.calls["stop"]
+    began = time.process_time()
+    world.append(JobsCancelled(world.new_id(), queue="work", by="operator"))
+    while set(_phases(world)) != {JobPhase.CANCELLED}:
+        world.run(STEP_SECONDS)
+    return CancellationReport(
+        jobs=WAVE_JOBS,
+        appends=len(world.entries) - appends,
+        stop_calls=world.board.calls["stop"] - stops,
+        processor_ms=(time.process_time() - began) * 1000,
+    )
+
+
+def _measure_placement(
+    placement: Placement, sizing: Sizing, seed: int
+) -> PlacementReport:
+    world = OneMember(seed)
+    world.home.placement = placement
+    world.home.sizing = sizing
+    chance = random.Random(seed)
+    for number in range(JOBS):
+        shape = chance.choice(SHAPES)
+        run_ms = int(shape.run_ms * chance.uniform(0.5, 1.5))
+        world.append(_submission(world, number, shape, run_ms))
+    world.run(LOAD_SECONDS)
+    finished = _phases(world)[JobPhase.SUCCEEDED]
+    attempts = sum(job.attempt for job in world.member.state.jobs.by_id.values())
+    return PlacementReport(
+        placement=type(placement).__name__,
+        sizing=type(sizing).__name__,
+        finished_per_second=finished / LOAD_SECONDS,
+        kills=world.board.kills,
+        attempts_per_finished=attempts / max(1, finished),
+    )
+
+
+def _phases(world: OneMember) -> Counter[JobPhase]:
+    return Counter(job.phase for job in world.member.state.jobs.by_id.values())
+
+
+def _note(hosts: list[str]) -> ReleaseNote:
+    return ReleaseNote(
+        base=0,
+        added=Items(
+            pools={POOL: Pool()},
+            hosts={
+                name: Host(POOL, "dc1", "r1", HOST_PROCESSORS, HOST_MEMORY_MB)
+                for name in hosts
+            },
+            teams={shape.team: Team(1.0, TEAM_LIMIT) for shape in SHAPES},
+            queues={
+                "work": Queue(
+                    pool=POOL,
+                    kind="job",
+                    idempotent=True,
+                    open=True,
+                    open_team=SHAPES[4].team,
+                    max_waiting=WAVE_JOBS,
+                ),
+                **{
+                    shape.team: Queue(
+                        pool=POOL,
+                        kind="job",
+                        idempotent=True,
+                        open=True,
+                        open_team=shape.team,
+                        max_waiting=JOBS,
+                    )
+                    for shape in SHAPES
+                },
+            },
+        ),
+    )
+
+
+def _submission(
+    world: OneMember, number: int, shape: JobShape, run_ms: int
+) -> JobSubmitted:
+    behaviour = {
+        "run_ms": run_ms,
+        "processors": shape.true_processors,
+        "memory_mb": shape.true_memory_mb,
+    }
+    body = base64.b64encode(json.dumps(behaviour).encode()).decode()
+    return JobSubmitted(
+        id=world.new_id(),
+        job=f"j{number}",
+        queue="work" if run_ms == 600_000 else shape.team,
+        team=shape.team,
+        key_id=None,
+        sizes=shape.declared,
+        body=body,
+        body_digest="",
+        content_type="application/json",
+    )
+
+
+def main() -> None:
+    """Print both measurements."""
+    print("placement sizing          per s  kills  tries")
+    for report in compare_placements():
+        print(report.line())
+    print(run_wave())
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/geraniumshore/src/geraniumshore/__init__.py
+++ b/packages/geraniumshore/src/geraniumshore/__init__.py
@@ -136,6 +136,7 @@
     SharePolicy,
     WeightedShares,
 )
+from geraniumshore.internal.sizing import DeclaredSizes, LearnedSizes, Sizing
 from geraniumshore.internal.task_watch import LEASE_MS, TaskWork
 from geraniumshore.internal.tokens import TeamTerms
 from geraniumshore.internal.view import predecessor
@@ -152,6 +153,7 @@
     "ControlLog",
     "ControlState",
     "Decision",
+    "DeclaredSizes",
     "Effects",
     "EndorseRequest",
     "Evict",
@@ -179,6 +181,7 @@
     "KeptClaim",
     "Key",
     "LEASE_MS",
+    "LearnedSizes",
     "Leave",
     "ListedHost",
     "LogEntry",
@@ -216,6 +219,7 @@
     "ServiceLevels",
     "SharePolicy",
     "Sizes",
+    "Sizing",
     "SlotRequest",
     "SnapshotPart",
     "Standing",
--- a/packages/geraniumshore/src/geraniumshore/internal/jobs.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/jobs.py
@@ -145,6 +145,7 @@
     )
     running_by_pool: dict[str, dict[str, None]] = field(default_factory=dict)
     running_by_team: Counter[str] = field(default_factory=Counter)
+    running_by_host: Counter[str] = field(default_factory=Counter)
     waiting_by_queue: Counter[str] = field(default_factory=Counter)
     ended: dict[str, None] = field(default_factory=dict)
     bodies_bytes: int = 0
@@ -236,6 +237,7 @@
             case JobPhase.RUNNING:
                 self.running_by_pool.setdefault(job.pool, {})[job.id] = None
                 self.running_by_team[job.team] += 1
+                self.running_by_host[job.host] += 1
             case JobPhase.UNKNOWN:
                 pass
             case _:
@@ -253,6 +255,7 @@
             case JobPhase.RUNNING:
                 del self.running_by_pool[job.pool][job.id]
                 self.running_by_team[job.team] -= 1
+                self.running_by_host[job.host] -= 1
 
 
 _SNAPSHOT: TypeAdapter[JobSnapshot] = TypeAdapter(JobSnapshot)
--- a/packages/geraniumshore/src/geraniumshore/internal/pool_home.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/pool_home.py
@@ -26,6 +26,7 @@
 from geraniumshore.internal.placement import BestFit, HostRoom, Placement, oversized
 from geraniumshore.internal.platform_tasks import TaskReports
 from geraniumshore.internal.shares import Candidate, SharePolicy, WeightedShares
+from geraniumshore.internal.sizing import LearnedSizes, Sizing
 from geraniumshore.internal.task_watch import TaskWatch, TaskWork
 from geraniumshore.internal.tokens import TeamTerms, TokenAccount, TokenHolder
 
@@ -65,6 +66,7 @@
     terms: PoolTerms
     policy: SharePolicy = field(default_factory=WeightedShares)
     placement: Placement = field(default_factory=BestFit)
+    sizing: Sizing = field(default_factory=LearnedSizes)
     starts: StartBatches = field(init=False)
     watch: TaskWatch = field(init=False)
     ends: EndBatches = field(default_factory=EndBatches)
@@ -188,7 +190,7 @@
     ) -> JobStart | None:
         """Start the first job of a lane that has room somewhere."""
         for job in jobs:
-            sizes = self.terms.table.estimate(job, most_mb)
+            sizes = self.sizing.grant(self.terms.table, job, most_mb)
             fresh = [room for room in rooms if room.host not in job.failed_on]
             room = self.placement.choose(sizes, fresh or rooms)
             if room is not None:
