--- a/packages/geraniumshore/src/geraniumshore/internal/pool_home.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/pool_home.py
@@ -8,7 +8,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterator, Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from geraniumshore.internal.configuration import Configuration
 from geraniumshore.internal.homes import pool_ledger
@@ -19,11 +19,11 @@
     JobsEnded,
     JobsStarted,
     JobStart,
-    Sizes,
 )
 from geraniumshore.internal.jobs import Job, JobTable, WaitingLane
 from geraniumshore.internal.messages import GrantNotice, HolderReport
-from geraniumshore.internal.placement import BestFit, HostRoom, Placement, oversized
+from geraniumshore.internal.placement import BestFit, HostRoom, Placement
+from geraniumshore.internal.placement_round import PlacementRound
 from geraniumshore.internal.platform_tasks import TaskReports
 from geraniumshore.internal.shares import Candidate, SharePolicy, WeightedShares
 from geraniumshore.internal.sizing import LearnedSizes, Sizing
@@ -36,7 +36,6 @@
 MAX_STARTS_PER_BATCH = 100
 # Jobs of one team and urgency that one decision looks at.
 LOOKAHEAD = 32
-MAX_TOKENS_WANTED = 32
 FIRST_BACKOFF_SECONDS = 0.5
 LONGEST_BACKOFF_SECONDS = 30.0
 
@@ -149,11 +148,9 @@
 
     def _place(self, now: float) -> list[JobStart]:
         """Choose hosts for waiting jobs, as the share policy orders their teams."""
-        hosts = self.terms.hosts(self.pool)
-        rooms = list(self._rooms(hosts, now))
-        most_mb = max((host.memory_mb for host in hosts.values()), default=0)
+        placing = self._placement_round(now)
         in_use = self._in_use_by_team()
-        lanes = self._waiting_by_lane(hosts, now)
+        lanes = self._waiting_by_lane(placing, now)
         starts: list[JobStart] = []
         while len(starts) < MAX_STARTS_PER_BATCH:
             candidates = list(self._candidates(lanes, in_use))
@@ -161,15 +158,26 @@
                 break
             chosen = self.policy.choose(candidates)
             lane = WaitingLane(chosen.team, chosen.urgent)
-            start = self._place_first(lanes[lane], rooms, most_mb)
+            start = placing.place_first(lanes[lane])
             if start is None:
                 del lanes[lane]
                 continue
             starts.append(start)
             in_use[chosen.team] += 1
-        self.wanted_by_team = self._placeable(lanes, rooms, most_mb)
+        self.wanted_by_team = placing.placeable(lanes)
         return starts
 
+    def _placement_round(self, now: float) -> PlacementRound:
+        hosts = self.terms.hosts(self.pool)
+        return PlacementRound(
+            table=self.terms.table,
+            sizing=self.sizing,
+            placement=self.placement,
+            hosts=list(hosts.values()),
+            rooms=list(self._rooms(hosts, now)),
+            new_id=self.new_id,
+        )
+
     def _candidates(
         self, lanes: Mapping[WaitingLane, list[Job]], in_use: Counter[str]
     ) -> Iterator[Candidate]:
@@ -185,60 +193,22 @@
                 waiting_since=jobs[0].accepted_at_ms / 1000,
             )
 
-    def _place_first(
-        self, jobs: list[Job], rooms: list[HostRoom], most_mb: int
-    ) -> JobStart | None:
-        """Start the first job of a lane that has room somewhere."""
-        for job in jobs:
-            sizes = self.sizing.grant(self.terms.table, job, most_mb)
-            fresh = [room for room in rooms if room.host not in job.failed_on]
-            room = self.placement.choose(sizes, fresh or rooms)
-            if room is not None:
-                room.take(sizes)
-                jobs.remove(job)
-                return self._start(job, room.host, sizes)
-        return None
-
-    def _placeable(
-        self,
-        lanes: Mapping[WaitingLane, list[Job]],
-        rooms: list[HostRoom],
-        most_mb: int,
-    ) -> Counter[str]:
-        """Count by team the jobs that lack nothing but a token."""
-        placeable: Counter[str] = Counter()
-        for lane, jobs in lanes.items():
-            free = [replace(room) for room in rooms]
-            remaining = list(jobs)
-            while placeable[lane.team] < MAX_TOKENS_WANTED:
-                if self._place_first(remaining, free, most_mb) is None:
-                    break
-                placeable[lane.team] += 1
-        return placeable
-
-    def _start(self, job: Job, host: str, sizes: Sizes) -> JobStart:
-        attempt = job.attempt + 1
-        task = f"{job.id}.{attempt}.{self.new_id()}"
-        return JobStart(job.id, attempt, host, task, sizes)
-
     def _waiting_by_lane(
-        self, hosts: Mapping[str, Host], now: float
+        self, placing: PlacementRound, now: float
     ) -> dict[WaitingLane, list[Job]]:
         """Return the first waiting jobs of each lane; set aside what can never run."""
         table = self.terms.table
-        lanes: dict[WaitingLane, list[Job]] = {}
         most = LOOKAHEAD + len(self.starts.by_job) + len(self.retry_at_by_job)
-        fault_by_sizes = _SizesFaults(list(hosts.values()))
+        lanes: dict[WaitingLane, list[Job]] = {}
         for lane in table.waiting_lanes(self.pool):
             jobs = table.waiting(self.pool, lane, most)
-            lanes[lane] = [j for j in jobs if self._may_start(j, fault_by_sizes, now)]
+            lanes[lane] = [job for job in jobs if self._may_start(job, placing, now)]
         return lanes
 
-    def _may_start(self, job: Job, fault_by_sizes: _SizesFaults, now: float) -> bool:
+    def _may_start(self, job: Job, placing: PlacementRound, now: float) -> bool:
         if job.id in self.starts.by_job or self.retry_at_by_job.get(job.id, now) > now:
             return False
-        needed = self.terms.table.needed(job)
-        reason = fault_by_sizes.of(needed) or self._orphaned(job)
+        reason = placing.fault(job) or self._orphaned(job)
         if reason is not None:
             self.ends.add(JobEnd(job.id, job.attempt, "impossible", reason))
         return reason is None
@@ -286,16 +256,3 @@
             if job is not None and job.attempt < start.attempt:
                 in_use[job.team] += 1
         return in_use
-
-
-@dataclass(slots=True)
-class _SizesFaults:
-    """Remembers within one decision which sizes fit no host, and why."""
-
-    hosts: list[Host]
-    by_sizes: dict[Sizes, str | None] = field(default_factory=dict)
-
-    def of(self, sizes: Sizes) -> str | None:
-        if sizes not in self.by_sizes:
-            self.by_sizes[sizes] = oversized(sizes, self.hosts)
-        return self.by_sizes[sizes]
--- a/tests/cover/test_jobs.py
+++ b/tests/cover/test_jobs.py
@@ -54,7 +54,9 @@
     assert world.board.starts_by_job()["j"] == 1
 
 
-def test_a_job_larger_than_every_host_is_set_aside_with_the_reason(world):
+def test_a_job_larger_than_every_host_is_set_aside_however_many_wait(world):
+    for number in range(200):
+        world.submit_job(f"before{number}", run_ms=60_000)
     world.submit_job("j", sizes=Sizes(memory_mb=9_000, accelerators=1))
     world.run(0.2)
     assert world.job("j").phase is JobPhase.SET_ASIDE
@@ -104,6 +106,8 @@
 
 
 def test_a_start_in_flight_keeps_its_token_and_its_room(world):
+    world.submit_job("first")
+    world.run(3.0)
     world.held = []
     for number in range(8):
         world.submit_job(f"j{number}", sizes=Sizes(memory_mb=7_000))
