--- a/packages/geraniumshore/src/geraniumshore/internal/task_watch.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/task_watch.py
@@ -76,7 +76,7 @@
             self.pool,
             starts=tuple(_task_start(job) for job in starts)[:MAX_STARTS_PER_CALL],
             renewals=self._due_renewals(running, now),
-            stops=tuple(job.task for job in seen if job.cancel_requested),
+            stops=tuple(job.task for job in running if job.cancel_requested),
             checkpoints=tuple(self._due_moves(seen, hosts, unusable)),
         )
 
