--- a/packages/geraniumshore-cli/src/geraniumshore_cli/internal/main.py
+++ b/packages/geraniumshore-cli/src/geraniumshore_cli/internal/main.py
@@ -11,6 +11,7 @@
 
 from geraniumshore import InvalidInputError, UnknownOutcomeError, make_key
 from geraniumshore_cli.internal import (
+    fleet_commands,
     jobs_commands,
     member_commands,
     release_commands,
@@ -41,6 +42,7 @@
 app.command(release_commands.app)
 app.command(jobs_commands.app)
 app.command(member_commands.app)
+app.command(fleet_commands.app)
 app.command(report_commands.app)
 keys_app = App(name="keys", help="Keys of teams and operators.")
 app.command(keys_app)
--- a/packages/geraniumshore/src/geraniumshore/__init__.py
+++ b/packages/geraniumshore/src/geraniumshore/__init__.py
@@ -34,12 +34,35 @@
     SlotRequest,
     Start,
 )
+from geraniumshore.internal.fleet_state import (
+    FleetHost,
+    FleetState,
+    Phase,
+    PoolUse,
+    WaveProgress,
+    host_accepts_work,
+    pool_of,
+    pool_uses,
+    services_on_host,
+    unusable_minions,
+    wave_hosts,
+    wave_is_paused,
+)
+from geraniumshore.internal.fleet_view import FleetView
 from geraniumshore.internal.fold import (
     ControlState,
     ReleaseSummary,
     Verdict,
     fold_entry,
 )
+from geraniumshore.internal.homes import choose_member
+from geraniumshore.internal.intents import (
+    HostSeen,
+    HostsObserved,
+    Intent,
+    IntentReport,
+    ServiceQuiet,
+)
 from geraniumshore.internal.items import (
     Host,
     Key,
@@ -49,6 +72,7 @@
     Service,
     Team,
     Wave,
+    Weights,
 )
 from geraniumshore.internal.job_records import (
     JobEnd,
@@ -83,8 +107,21 @@
 from geraniumshore.internal.outcomes import NotRun, Outcome, Ran, Unknown
 from geraniumshore.internal.outliers import OutlierDetector
 from geraniumshore.internal.placement import BestFit, FirstFit, Placement
+from geraniumshore.internal.planner import (
+    PLANNER_KEY,
+    LargestBatch,
+    OneAtATime,
+    Planner,
+    PlannerTimes,
+    RollingWave,
+    WaveCandidate,
+    WavePolicy,
+    patience_seconds,
+)
 from geraniumshore.internal.platform import (
+    ActionStatus,
     ControlLog,
+    HostControl,
     HostList,
     ListedHost,
     LogRead,
@@ -98,6 +135,14 @@
     TaskState,
 )
 from geraniumshore.internal.pool_home import PoolHome, PoolTerms
+from geraniumshore.internal.preview import (
+    Preview,
+    PreviewMove,
+    buffer_needed,
+    preview,
+    wave_rounds,
+)
+from geraniumshore.internal.quiet import service_quiets
 from geraniumshore.internal.records import (
     Evict,
     Join,
@@ -142,6 +187,7 @@
 from geraniumshore.internal.view import predecessor
 
 __all__ = [
+    "ActionStatus",
     "Admission",
     "Alert",
     "Answer",
@@ -160,9 +206,17 @@
     "Finding",
     "FirstComeFirstServed",
     "FirstFit",
+    "FleetHost",
+    "FleetState",
+    "FleetView",
     "GeraniumshoreError",
     "Host",
+    "HostControl",
     "HostList",
+    "HostSeen",
+    "HostsObserved",
+    "Intent",
+    "IntentReport",
     "InvalidInputError",
     "Items",
     "Job",
@@ -181,6 +235,7 @@
     "KeptClaim",
     "Key",
     "LEASE_MS",
+    "LargestBatch",
     "LearnedSizes",
     "Leave",
     "ListedHost",
@@ -194,13 +249,21 @@
     "Message",
     "Minion",
     "NotRun",
+    "OneAtATime",
     "Outcome",
     "OutlierDetector",
+    "PLANNER_KEY",
+    "Phase",
     "Placement",
+    "Planner",
+    "PlannerTimes",
     "PlatformUnavailableError",
     "Pool",
     "PoolHome",
     "PoolTerms",
+    "PoolUse",
+    "Preview",
+    "PreviewMove",
     "Queue",
     "QueueBurn",
     "QueueCounts",
@@ -214,9 +277,11 @@
     "ReleaseNote",
     "ReleaseSummary",
     "RetryBudget",
+    "RollingWave",
     "Service",
     "ServiceLevelHistory",
     "ServiceLevels",
+    "ServiceQuiet",
     "SharePolicy",
     "Sizes",
     "Sizing",
@@ -239,12 +304,18 @@
     "Verdict",
     "WaitingLane",
     "Wave",
+    "WaveCandidate",
+    "WavePolicy",
+    "WaveProgress",
     "WeightedShares",
+    "Weights",
     "WindowBurn",
     "Withdrawn",
     "apply_release",
     "backoff_seconds",
+    "buffer_needed",
     "burn_by_queue",
+    "choose_member",
     "claim_key",
     "coalescing_key",
     "decode_message",
@@ -252,13 +323,24 @@
     "encode_message",
     "encode_records",
     "fold_entry",
+    "host_accepts_work",
     "is_failure",
     "is_good_call",
     "load_json",
     "make_key",
     "may_repeat",
     "parse_release",
+    "patience_seconds",
+    "pool_of",
+    "pool_uses",
     "predecessor",
+    "preview",
+    "service_quiets",
+    "services_on_host",
+    "unusable_minions",
     "validation_findings",
     "verify_key",
+    "wave_hosts",
+    "wave_is_paused",
+    "wave_rounds",
 ]
--- a/packages/geraniumshore/src/geraniumshore/internal/fold.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/fold.py
@@ -6,8 +6,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
+from itertools import islice
 
 from result import Err
 
@@ -15,6 +16,11 @@
 from geraniumshore.internal.claim_records import Answer, Claim
 from geraniumshore.internal.claims import Claims, fold_answer, fold_claim
 from geraniumshore.internal.configuration import Configuration, apply_release
+from geraniumshore.internal.fleet_fold import (
+    fold_fleet_record,
+    follow_release,
+)
+from geraniumshore.internal.fleet_state import FleetState
 from geraniumshore.internal.homes import Home, LedgerKey, assign_homes
 from geraniumshore.internal.job_records import (
     JobsCancelled,
@@ -46,12 +52,21 @@
 )
 from geraniumshore.internal.view import View, apply_evict, apply_join, apply_leave
 
-__all__ = ["ControlState", "ReleaseSummary", "Verdict", "fold_entry"]
+__all__ = [
+    "ControlState",
+    "ReleaseSummary",
+    "Verdict",
+    "fold_entry",
+    "following",
+    "reopen_homes",
+]
 
 # Ids remembered to void a record that was appended twice. At 200 appends a second
 # this covers more than a minute of late duplicates.
 REMEMBERED_IDS = 16_384
 REMEMBERED_RELEASES = 50
+# Of each note, so many names of what it touched.
+REMEMBERED_CHANGES = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +78,7 @@
     author: str
     note: str
     appended_at_ms: int
+    changes: tuple[str, ...] = ()
 
 
 @dataclass(slots=True)
@@ -74,6 +90,7 @@
     configuration: Configuration = field(default_factory=Configuration)
     homes: dict[LedgerKey, Home] = field(default_factory=dict)
     homes_changes: int = 0
+    fleet: FleetState = field(default_factory=FleetState)
     releases: list[ReleaseSummary] = field(default_factory=list)
     recent_ids: dict[str, None] = field(default_factory=dict)
     jobs: KeptJobTable = field(default_factory=JobTable)
@@ -110,6 +127,16 @@
         yield Verdict(record, entry.offset, _fold_record(state, record, entry))
 
 
+def following(entries: Iterable[LogEntry], position: int) -> Iterator[LogEntry]:
+    """Yield the entries that follow on ``position``, up to the first gap."""
+    for entry in entries:
+        if entry.offset > position:
+            return
+        if entry.offset == position:
+            position += 1
+            yield entry
+
+
 def _fold_record(
     state: ControlState, record: Record, entry: LogEntry
 ) -> tuple[Finding, ...]:
@@ -137,6 +164,7 @@
             return fold_job_record(
                 state.jobs,
                 state.configuration,
+                state.fleet,
                 state.homes,
                 record,
                 entry.appended_at_ms,
@@ -153,6 +181,8 @@
                 entry.appended_at_ms,
                 state.configuration.queues,
             )
+        case _:
+            return fold_fleet_record(state, record, entry.appended_at_ms)
     if not findings:
         _update_homes(state)
     return findings
@@ -167,6 +197,12 @@
     findings = tuple(check_job_queues(state.jobs, applied.ok_value))
     if findings:
         return findings
+    follow_release(
+        state.fleet,
+        state.configuration,
+        applied.ok_value,
+        record.note.changed.waves,
+    )
     state.configuration = applied.ok_value
     set_orphans_aside(state.jobs, state.configuration, entry.appended_at_ms)
     state.releases.append(
@@ -176,6 +212,7 @@
             record.author,
             record.note.note,
             entry.appended_at_ms,
+            tuple(islice(record.note.changes(), REMEMBERED_CHANGES)),
         )
     )
     del state.releases[:-REMEMBERED_RELEASES]
@@ -196,6 +233,15 @@
         state.homes_changes += 1
 
 
+def reopen_homes(state: ControlState) -> None:
+    """Begin a new epoch of every home, so that each asks its holders again."""
+    state.homes_changes += 1
+    state.homes = {
+        key: Home(home.member, state.homes_changes, previous=home.member)
+        for key, home in state.homes.items()
+    }
+
+
 def _remember(state: ControlState, record_id: str) -> None:
     state.recent_ids[record_id] = None
     if len(state.recent_ids) > REMEMBERED_IDS:
--- a/packages/geraniumshore/src/geraniumshore/internal/job_homes.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/job_homes.py
@@ -10,6 +10,7 @@
 from geraniumshore.internal.job_records import JobsEnded, JobsStarted
 from geraniumshore.internal.platform_tasks import TaskReports
 from geraniumshore.internal.pool_home import PoolHome, PoolTerms
+from geraniumshore.internal.pool_hosts import hosts_without_jobs
 from geraniumshore.internal.shares import SharePolicy
 from geraniumshore.internal.task_watch import TaskWork
 from geraniumshore.internal.tokens import TeamTerms
@@ -34,7 +35,11 @@
     ) -> None:
         """Take in the folded state."""
         terms = PoolTerms(
-            state.jobs, state.configuration, dict(terms_by_team), unusable_hosts
+            table=state.jobs,
+            configuration=state.configuration,
+            fleet=state.fleet,
+            terms_by_team=dict(terms_by_team),
+            unusable=unusable_hosts.union(hosts_without_jobs(state.fleet)),
         )
         pools = state.configuration.job_pools()
         homes = {pool: state.homes.get(pool_ledger(pool)) for pool in pools}
--- a/packages/geraniumshore/src/geraniumshore/internal/jobs.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/jobs.py
@@ -18,6 +18,7 @@
 
 from geraniumshore.errors import Finding
 from geraniumshore.internal.configuration import Configuration
+from geraniumshore.internal.fleet_state import FleetState
 from geraniumshore.internal.homes import Home, LedgerKey, pool_ledger
 from geraniumshore.internal.items import Queue
 from geraniumshore.internal.job_records import (
@@ -33,6 +34,7 @@
     TaskResult,
 )
 from geraniumshore.internal.placement import MEMORY_MARGIN, UsageHistory, oversized
+from geraniumshore.internal.pool_hosts import host_takes_jobs, hosts_of_pool
 
 __all__ = [
     "MAX_JOB_BODY_BYTES",
@@ -280,6 +282,7 @@
 def fold_job_record(
     table: JobTable,
     configuration: Configuration,
+    fleet: FleetState,
     homes: Mapping[LedgerKey, Home],
     record: JobRecord,
     at_ms: int,
@@ -292,9 +295,9 @@
     table.forget_ended(at_ms)
     match record:
         case JobSubmitted():
-            return _fold_submitted(table, configuration, record, at_ms)
+            return _fold_submitted(table, configuration, fleet, record, at_ms)
         case JobsStarted():
-            return _fold_started(table, configuration, homes, record, at_ms)
+            return _fold_started(table, configuration, fleet, homes, record, at_ms)
         case JobsEnded():
             ended = [_fold_end(table, end, at_ms) for end in record.ends]
             return () if any(ended) else (Finding("ends", "none is of a live attempt"),)
@@ -329,7 +332,11 @@
 
 
 def _fold_submitted(
-    table: JobTable, configuration: Configuration, record: JobSubmitted, at_ms: int
+    table: JobTable,
+    configuration: Configuration,
+    fleet: FleetState,
+    record: JobSubmitted,
+    at_ms: int,
 ) -> tuple[Finding, ...]:
     findings = tuple(_check_submitted(table, configuration, record))
     if findings:
@@ -350,8 +357,8 @@
         accepted_at_ms=at_ms,
     )
     table.add(job)
-    hosts = (h for h in configuration.hosts.values() if h.pool == job.pool)
-    reason = oversized(table.needed(job), hosts)
+    hosts = hosts_of_pool(configuration, fleet, job.pool)
+    reason = oversized(table.needed(job), hosts.values())
     if reason is not None:
         table.move(job, JobPhase.SET_ASIDE, reason, at_ms)
     return ()
@@ -386,6 +393,7 @@
 def _fold_started(
     table: JobTable,
     configuration: Configuration,
+    fleet: FleetState,
     homes: Mapping[LedgerKey, Home],
     record: JobsStarted,
     at_ms: int,
@@ -398,7 +406,8 @@
         return (Finding("sequence", "a later batch was folded before"),)
     newest.epoch, newest.sequence = record.epoch, record.sequence
     for start in record.starts:
-        _fold_start(table, configuration, record.pool, start, at_ms)
+        if host_takes_jobs(fleet, start.host, record.pool):
+            _fold_start(table, configuration, record.pool, start, at_ms)
     return ()
 
 
@@ -413,8 +422,7 @@
     if job is None or job.phase is not JobPhase.WAITING or job.pool != pool:
         return
     team = configuration.teams.get(job.team)
-    host = configuration.hosts.get(start.host)
-    if start.attempt != job.attempt + 1 or host is None or host.pool != pool:
+    if start.attempt != job.attempt + 1:
         return
     if team is None or table.running_by_team[job.team] >= team.limit:
         return
--- a/packages/geraniumshore/src/geraniumshore/internal/pool_home.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/pool_home.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from geraniumshore.internal.configuration import Configuration
+from geraniumshore.internal.fleet_state import FleetState
 from geraniumshore.internal.homes import pool_ledger
 from geraniumshore.internal.items import Host
 from geraniumshore.internal.job_batches import EndBatches, StartBatches
@@ -25,6 +26,7 @@
 from geraniumshore.internal.placement import BestFit, HostRoom, Placement
 from geraniumshore.internal.placement_round import PlacementRound
 from geraniumshore.internal.platform_tasks import TaskReports
+from geraniumshore.internal.pool_hosts import hosts_of_pool
 from geraniumshore.internal.shares import Candidate, SharePolicy, WeightedShares
 from geraniumshore.internal.sizing import LearnedSizes, Sizing
 from geraniumshore.internal.task_watch import TaskWatch, TaskWork
@@ -46,13 +48,13 @@
 
     table: JobTable
     configuration: Configuration
+    fleet: FleetState
     terms_by_team: dict[str, TeamTerms]
     unusable: frozenset[str] = frozenset()
 
     def hosts(self, pool: str) -> dict[str, Host]:
         """Return the pool's hosts, drained ones too."""
-        hosts = self.configuration.hosts.items()
-        return {name: host for name, host in hosts if host.pool == pool}
+        return hosts_of_pool(self.configuration, self.fleet, pool)
 
 
 @dataclass(slots=True)
--- a/packages/geraniumshore/src/geraniumshore/internal/records.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/records.py
@@ -10,6 +10,12 @@
 
 from geraniumshore.errors import Finding
 from geraniumshore.internal.claim_records import Answer, Claim
+from geraniumshore.internal.intents import (
+    HostsObserved,
+    Intent,
+    IntentReport,
+    ServiceQuiet,
+)
 from geraniumshore.internal.job_records import JobRecord
 from geraniumshore.internal.release import ReleaseNote, validation_findings
 from geraniumshore.internal.service_levels import ServiceLevels
@@ -105,7 +111,11 @@
 
 @dataclass(frozen=True, slots=True)
 class SnapshotPart:
-    """One part of the state as folded up to ``position``, in the compressed form."""
+    """One part of the state as folded up to ``position``, in the compressed form.
+
+    Where ``bridges`` is given, the records from ``position`` up to it were trimmed
+    before a majority, ``endorsed_by``, had read them; the state counts for ``bridges``.
+    """
 
     __pydantic_config__: ClassVar[ConfigDict] = STRICT
 
@@ -115,6 +125,8 @@
     part: int
     parts: int
     document: str
+    bridges: int | None = None
+    endorsed_by: tuple[str, ...] = ()
     kind: Literal["snapshot-part"] = "snapshot-part"
 
 
@@ -127,7 +139,11 @@
     | SnapshotPart
     | Claim
     | Answer
-    | JobRecord,
+    | JobRecord
+    | HostsObserved
+    | Intent
+    | IntentReport
+    | ServiceQuiet,
     Field(discriminator="kind"),
 ]
 
--- a/packages/geraniumshored/src/geraniumshored/internal/daemon.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/daemon.py
@@ -23,8 +23,10 @@
 from geraniumshored.internal.metrics import Metrics
 from geraniumshored.internal.operators import OperatorHandler
 from geraniumshored.internal.peers import PeerNetwork, PeerServer
+from geraniumshored.internal.planner_driver import PlannerDriver
 from geraniumshored.internal.platform_http import (
     HttpControlLog,
+    HttpHostControl,
     HttpHostList,
     PlatformCaller,
 )
@@ -67,6 +69,8 @@
         caller = PlatformCaller.from_settings(settings.platform)
         log = HttpControlLog(caller)
         self._runtime = Runtime(Member(info, new_id=lambda: uuid4().hex), Metrics())
+        snapshots = self._runtime.member.agreement.snapshots
+        snapshots.period = float(settings.snapshot_seconds)
         self._appender = LogAppender(log, self._runtime)
         self._follower = LogFollower(log, self._runtime)
         self._network = PeerNetwork(self._runtime)
@@ -94,6 +98,13 @@
         self._job_appender = JobAppender(log, self._runtime)
         jobs = JobHandler(self._runtime, self._job_appender, tasks, operators)
         self._front = Front(self._runtime, self._calls, jobs, operators)
+        self._planner = PlannerDriver(
+            self._runtime,
+            self._appender,
+            HttpHostList(caller),
+            HttpHostControl(caller),
+            settings.planner.times(),
+        )
         self._ticker = Ticker(TICK_SECONDS, self._tick)
         self._stop_requested = threading.Event()
         self._evicted = False
@@ -131,6 +142,7 @@
         self._job_appender.start()
         self._job_driver.start()
         self._ticker.start()
+        self._planner.start()
         self._levels_ticker.start()
         self._front.start(self._settings.http, self._settings.threads)
         logger.info("started", extra={"http": str(self._settings.http)})
@@ -152,6 +164,7 @@
             self._append_levels()
             self._leave()
         self._front.stop()
+        self._planner.stop()
         self._ticker.stop()
         self._follower.stop()
         self._appender.stop()
--- a/tests/cover/test_jobs.py
+++ b/tests/cover/test_jobs.py
@@ -5,14 +5,20 @@
 import pytest
 
 from geraniumshore import (
+    HostSeen,
+    HostsObserved,
+    Intent,
+    IntentReport,
     Items,
     JobPhase,
     JobsStarted,
     JobStart,
+    Phase,
     Pool,
     Queue,
     ReleaseNote,
     Sizes,
+    Wave,
     Withdrawn,
 )
 from geraniumshore.internal.blame import HostHealth, JobKind
@@ -296,6 +302,29 @@
     assert world.board.starts_by_job()["j"] == 1
 
 
+def test_a_host_is_drained_only_when_no_job_runs_there(world):
+    world.submit_job("j", queue="batches", run_ms=30_000)
+    world.run(2.0)
+    host = world.job("j").host
+    state = world.reader().state
+    seen = tuple(HostSeen(name, "live", "boot1") for name in state.fleet.by_host)
+    world.append(HostsObserved(world.new_id(), state.view.number, seen))
+    world.release(
+        ReleaseNote(base=1, added=Items(waves={"w": Wave("fix", ["roasting"])}))
+    )
+    world.platform_down = True
+    world.append(Intent("drain-1", host, "drain", wave="w"))
+    world.append(IntentReport(world.new_id(), "drain-1", host, "done"))
+    world.run(0.5)
+    assert world.reader().state.fleet.by_host[host].phase is Phase.DRAINING
+    world.platform_down = False
+    world.run(3.0)
+    world.append(IntentReport(world.new_id(), "drain-1", host, "done"))
+    world.run(0.5)
+    assert world.reader().state.fleet.by_host[host].phase is Phase.DRAINED
+    assert world.job("j").host != host
+
+
 def test_a_pool_with_running_jobs_keeps_its_queues(world):
     world.submit_job("j", run_ms=60_000)
     world.run(2.0)
