--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/platform_tasks.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/platform_tasks.py
@@ -275,7 +275,11 @@
         if task is None:
             return TaskReport(task_id, TaskState.ABSENT)
         report = TaskReport(
-            task_id, task.state, task.reason, usage=self._lagging_usage(task)
+            task_id,
+            task.state,
+            task.reason,
+            usage=self._lagging_usage(task),
+            throttle=task.throttle,
         )
         if task.state is TaskState.SUCCEEDED:
             result = _result_of(task)
--- a/packages/geraniumshore/src/geraniumshore/internal/platform_tasks.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/platform_tasks.py
@@ -32,13 +32,17 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskReport:
-    """One task; ``usage`` is the most seen so far, and lags behind."""
+    """One task; ``usage`` is the most seen so far, and lags behind.
+
+    ``throttle`` is the fraction of its processors that it is bound to.
+    """
 
     task: str
     state: TaskState
     reason: str = ""
     usage: Sizes | None = None
     result: TaskResult | None = None
+    throttle: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/geraniumshore/src/geraniumshore/internal/task_watch.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/task_watch.py
@@ -15,6 +15,7 @@
     TaskStart,
     TaskState,
 )
+from geraniumshore.internal.throttling import TaskThrottle, throttles_due
 
 __all__ = ["LEASE_MS", "TaskWatch", "TaskWork"]
 
@@ -49,6 +50,7 @@
     renewals: tuple[str, ...] = ()
     stops: tuple[str, ...] = ()
     checkpoints: tuple[str, ...] = ()
+    throttles: tuple[TaskThrottle, ...] = ()
 
 
 @dataclass(slots=True)
@@ -78,6 +80,7 @@
             renewals=self._due_renewals(running, now),
             stops=tuple(job.task for job in running if job.cancel_requested),
             checkpoints=tuple(self._due_moves(seen, hosts, unusable)),
+            throttles=tuple(throttles_due(seen, self.report_by_task, hosts)),
         )
 
     def on_reports(
--- a/packages/geraniumshored/src/geraniumshored/internal/job_driver.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/job_driver.py
@@ -61,9 +61,15 @@
             yield "stop", partial(self._tasks.stop, work.stops)
         if work.checkpoints:
             yield "checkpoint", partial(self._tasks.checkpoint, work.checkpoints)
+        yield from self._throttles(work)
         if work.starts:
             yield "start", partial(self._tasks.start, work.starts, LEASE_MS)
 
+    def _throttles(self, work: TaskWork) -> Iterator[tuple[str, Call]]:
+        for fraction in {throttle.fraction for throttle in work.throttles}:
+            tasks = tuple(t.task for t in work.throttles if t.fraction == fraction)
+            yield "throttle", partial(self._tasks.throttle, tasks, fraction)
+
     def _renew(self, work: TaskWork) -> None:
         for begin in range(0, len(work.renewals), MAX_TASKS_PER_CALL):
             chunk = work.renewals[begin : begin + MAX_TASKS_PER_CALL]
--- a/tests/common/job_world.py
+++ b/tests/common/job_world.py
@@ -58,6 +58,7 @@
             queues={
                 "reports": Queue(pool="roasting", kind="job", idempotent=True),
                 "batches": Queue(pool="roasting", kind="job"),
+                "urgent": Queue(pool="roasting", kind="job", urgent=True),
                 "count": Queue(service="sorting", run_limit_ms=2_000),
             },
         ),
@@ -186,6 +187,9 @@
             (work.checkpoints, lambda: self.board.checkpoint(work.checkpoints)),
             (work.renewals, lambda: self.board.renew(work.renewals, LEASE_MS)),
         )
+        for throttle in work.throttles:
+            reports = self.board.throttle((throttle.task,), throttle.fraction)
+            self.reply(member, work.pool, reports)
         for items, call in calls:
             if items:
                 self.reply(member, work.pool, call())
--- a/tests/cover/test_jobs.py
+++ b/tests/cover/test_jobs.py
@@ -290,6 +290,20 @@
     assert health.accepts("bad", 8, 16.0)
 
 
+def test_deferrable_jobs_are_throttled_while_urgent_ones_lack_processors():
+    world = JobWorld("a", note=job_note({"bolt": 50}, hosts=1))
+    for number in range(7):
+        world.submit_job(f"j{number}", "bolt", processors=2.0, run_ms=20_000)
+    world.submit_job("u", "bolt", "urgent", processors=4.0, run_ms=5_000)
+    world.run(3.0)
+    task = world.board.tasks[world.job("j0").task]
+    assert world.job("u").phase is JobPhase.RUNNING
+    assert task.throttle < 1.0
+    world.run(20.0)
+    assert world.job("u").phase is JobPhase.SUCCEEDED
+    assert task.throttle == 1.0
+
+
 def test_a_draining_host_gives_its_jobs_to_others_by_checkpoint(world):
     world.submit_job("j", queue="batches", run_ms=6_000)
     world.run(3.0)
@@ -329,7 +343,9 @@
     world.submit_job("j", run_ms=60_000)
     world.run(2.0)
     world.release(
-        ReleaseNote(base=1, withdrawn=Withdrawn(queues=["reports", "batches"]))
+        ReleaseNote(
+            base=1, withdrawn=Withdrawn(queues=["reports", "batches", "urgent"])
+        )
     )
     assert world.reader().state.configuration.version == 1
 
