Tie tasks of the stand-in to its hosts; a maintenance wave ends no job

Hosts that the platform does not list take no jobs, so jobs stayed waiting in the whole-path test once the fleet was merged: its hosts were on no list. The stand-in now loses the tasks of hosts that go down, and its drains see tasks.

--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/platform.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/platform.py
@@ -16,6 +16,7 @@
     TaskBoard,
     TaskHost,
     handle_tasks,
+    tie_tasks_to_hosts,
 )
 from geraniumshore_standins.internal.wsgi import Answer, Call, application_of
 
@@ -111,6 +112,8 @@
 
     def handle(self, call: Call) -> Answer:
         """Answer one call."""
+        if call.path[:1] in {("tasks",), ("host-actions",)}:
+            self._tie_tasks_to_hosts()
         with self.fleet_lock:
             answer = answer_host_call(self.fleet, call, time.monotonic())
         if answer is not None:
@@ -146,6 +149,12 @@
             return Answer(200, b"{ }", cut=True)
         return Answer.json({"offset": offset})
 
+    def _tie_tasks_to_hosts(self) -> None:
+        with self.tasks_lock, self.fleet_lock:
+            self.fleet.advance(time.monotonic())
+            self.board.advance(int(time.time() * 1000))
+            tie_tasks_to_hosts(self.board, self.fleet)
+
     def _tasks(self, action: str, call: Call) -> Answer:
         with self.tasks_lock:
             now_ms = int(time.time() * 1000)
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/platform_hosts.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/platform_hosts.py
@@ -193,7 +193,10 @@
             hosts.advance(now)
             return Answer.json(
                 {
-                    "hosts": [asdict(host) for host in hosts.by_host.values()],
+                    "hosts": [
+                        {**asdict(host), "tasks": sorted(host.tasks)}
+                        for host in hosts.by_host.values()
+                    ],
                     "reboots": hosts.reboots,
                     "moves": hosts.moves,
                 }
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/platform_tasks.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/platform_tasks.py
@@ -23,8 +23,15 @@
     TaskStart,
     TaskState,
 )
+from geraniumshore_standins.internal.platform_hosts import PlatformHosts
 
-__all__ = ["TaskBehaviour", "TaskBoard", "TaskHost", "handle_tasks"]
+__all__ = [
+    "TaskBehaviour",
+    "TaskBoard",
+    "TaskHost",
+    "handle_tasks",
+    "tie_tasks_to_hosts",
+]
 
 USAGE_LAG_MS = 500
 BROKEN_HOST_MS = 20
@@ -297,6 +304,21 @@
         return Sizes(task.behaviour.processors, memory_mb, accelerators)
 
 
+def tie_tasks_to_hosts(board: TaskBoard, hosts: PlatformHosts) -> None:
+    """Let hosts that are down lose their tasks, and drains see what still runs."""
+    for name, host in hosts.by_host.items():
+        task_host = board.hosts.get(name)
+        if task_host is None:
+            continue
+        if task_host.alive and not host.up:
+            board.kill_host(name)
+        task_host.alive = host.up
+        host.tasks.clear()
+    for task in board.running_tasks.values():
+        if task.start.host in hosts.by_host:
+            hosts.by_host[task.start.host].tasks.add(task.start.task)
+
+
 def _task_start(document: dict[str, Any]) -> TaskStart:
     return TaskStart(**{**document, "sizes": Sizes(**document["sizes"])})
 
--- a/tests/common/job_processes.py
+++ b/tests/common/job_processes.py
@@ -16,6 +16,10 @@
     f"h{n}": {"processors": 64.0, "memory_mb": 64_000, "accelerators": 0}
     for n in range(3)
 }
+LISTED_HOSTS = [
+    {"host": name, "data_centre": "dc1", "rack": f"r{name}", "pool": "roasting"}
+    for name in HOSTS
+]
 
 
 def start_job_fleet(fleet: Fleet, entries: int, limits: dict[str, int]) -> None:
@@ -23,9 +27,14 @@
     for number in range(entries):
         fleet.start_entry(f"e{number}")
     fleet.wait_until_ready()
+    put(fleet, "/test/tasks/hosts", HOSTS)
+    put(fleet, "/test/platform-hosts", {"hosts": LISTED_HOSTS})
     apply_note(fleet, job_note(limits, memory_mb=64_000, processors=64.0))
-    body = json.dumps(HOSTS).encode()
-    http_call(fleet.platform_address, "PUT", "/test/tasks/hosts", body)
+
+
+def put(fleet: Fleet, path: str, document: object) -> None:
+    """Set the platform's stand-in up."""
+    http_call(fleet.platform_address, "PUT", path, json.dumps(document).encode())
 
 
 def truth(fleet: Fleet) -> dict[str, Any]:
--- a/tests/cover/test_jobs_whole_path.py
+++ b/tests/cover/test_jobs_whole_path.py
@@ -7,11 +7,13 @@
 
 import pytest
 
+from geraniumshore import Items, ReleaseNote, Wave
 from geraniumshore_standins import Fleet
 from geraniumshore_standins.internal.fleet import wait_for
 from geraniumshore_standins.internal.operator_client import http_call
-from tests.common.job_processes import jobs_call, start_job_fleet, submit, truth
+from tests.common.job_processes import jobs_call, put, start_job_fleet, submit, truth
 from tests.common.notes import bearer
+from tests.common.processes import apply_note
 
 CLI = Path(sys.executable).parent / "geraniumshore"
 
@@ -105,6 +107,23 @@
     assert reply.status == 409
 
 
+def test_a_maintenance_wave_ends_no_job(fleet, entry):
+    jobs = [job_of(submit(entry, "batches", f"w{n}", run_ms=4_000)) for n in range(4)]
+    version = entry.status()["version"]
+    wave = Wave("new kernel", ["roasting"], parallel=1)
+    note = ReleaseNote(base=version, added=Items(waves={"kernel": wave}))
+    apply_note(fleet, note)
+    path = "/test/platform-hosts"
+    wait_for(
+        lambda: http_call(fleet.platform_address, "GET", path).json()["reboots"] == 3,
+        "reboot of every host",
+        40.0,
+    )
+    for job in jobs:
+        wait_for_phase(entry, job, "succeeded")
+        assert truth(fleet)["starts_by_job"][job] == 1
+
+
 def test_a_running_job_is_stopped_when_it_is_cancelled(fleet, entry):
     job = job_of(submit(entry, "reports", "long", run_ms=60_000))
     wait_for(lambda: truth(fleet)["starts_by_job"].get(job) == 1, "its start", 10.0)
@@ -139,14 +158,9 @@
     wait_for_phase(entry, job, "running")
     wait_for(lambda: truth(fleet)["starts_by_job"].get(job) == 1, "its start", 10.0)
     host = jobs_call(entry, "GET", f"/{job}").json()["host"]
-    kill_host(fleet, host)
+    put(fleet, "/test/host-faults", {"fail": [host]})
     wait_for_phase(entry, job, "unknown")
     assert run_cli(fleet, "status", job).returncode == 3
     assert run_cli(fleet, "settle", job, "ran").returncode == 0
     wait_for_phase(entry, job, "succeeded")
     assert run_cli(fleet, "settle", job, "ran").returncode == 1
-
-
-def kill_host(fleet, host):
-    path = f"/test/tasks/hosts/{host}/kill"
-    http_call(fleet.platform_address, "POST", path, b"{}")
