--- a/packages/geraniumshore/src/geraniumshore/internal/fold.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/fold.py
@@ -36,6 +36,7 @@
     fold_job_record,
     set_orphans_aside,
 )
+from geraniumshore.internal.lingering import Lingering
 from geraniumshore.internal.records import (
     Evict,
     Join,
@@ -91,12 +92,17 @@
     homes: dict[LedgerKey, Home] = field(default_factory=dict)
     homes_changes: int = 0
     fleet: FleetState = field(default_factory=FleetState)
+    lingering: Lingering = field(default_factory=Lingering)
     releases: list[ReleaseSummary] = field(default_factory=list)
     recent_ids: dict[str, None] = field(default_factory=dict)
     jobs: KeptJobTable = field(default_factory=JobTable)
     claims: Claims = field(default_factory=Claims)
     service_levels: dict[str, ServiceLevelHistory] = field(default_factory=dict)
 
+    def served(self) -> list[str]:
+        """Return the services that have homes, withdrawn ones that linger included."""
+        return [*self.configuration.services, *self.lingering.until_by_service]
+
 
 @dataclass(frozen=True, slots=True)
 class Verdict:
@@ -184,6 +190,7 @@
         case _:
             return fold_fleet_record(state, record, entry.appended_at_ms)
     if not findings:
+        state.lingering.expire(entry.appended_at_ms)
         _update_homes(state)
     return findings
 
@@ -197,14 +204,10 @@
     findings = tuple(check_job_queues(state.jobs, applied.ok_value))
     if findings:
         return findings
-    follow_release(
-        state.fleet,
-        state.configuration,
-        applied.ok_value,
-        record.note.changed.waves,
-    )
-    state.configuration = applied.ok_value
+    before, state.configuration = state.configuration, applied.ok_value
     set_orphans_aside(state.jobs, state.configuration, entry.appended_at_ms)
+    follow_release(state.fleet, before, state.configuration, record.note.changed.waves)
+    state.lingering.update(before, state.configuration, entry.appended_at_ms)
     state.releases.append(
         ReleaseSummary(
             state.configuration.version,
@@ -223,7 +226,7 @@
     homes = assign_homes(
         state.homes,
         state.view.members,
-        state.configuration.services,
+        state.served(),
         state.configuration.job_pools(),
         state.configuration.teams,
         epoch=state.homes_changes + 1,
