--- a/packages/geraniumshore/src/geraniumshore/__init__.py
+++ b/packages/geraniumshore/src/geraniumshore/__init__.py
@@ -74,6 +74,7 @@
     Wave,
     Weights,
 )
+from geraniumshore.internal.job_fold import MAX_JOB_BODY_BYTES
 from geraniumshore.internal.job_records import (
     JobEnd,
     JobRecord,
@@ -87,7 +88,6 @@
     TaskResult,
 )
 from geraniumshore.internal.jobs import (
-    MAX_JOB_BODY_BYTES,
     Job,
     JobPhase,
     JobTable,
--- a/packages/geraniumshore/src/geraniumshore/internal/fold.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/fold.py
@@ -22,6 +22,11 @@
 )
 from geraniumshore.internal.fleet_state import FleetState
 from geraniumshore.internal.homes import Home, LedgerKey, assign_homes
+from geraniumshore.internal.job_fold import (
+    check_job_queues,
+    fold_job_record,
+    set_orphans_aside,
+)
 from geraniumshore.internal.job_records import (
     JobsCancelled,
     JobsEnded,
@@ -29,13 +34,7 @@
     JobsStarted,
     JobSubmitted,
 )
-from geraniumshore.internal.jobs import (
-    JobTable,
-    KeptJobTable,
-    check_job_queues,
-    fold_job_record,
-    set_orphans_aside,
-)
+from geraniumshore.internal.jobs import JobTable, KeptJobTable
 from geraniumshore.internal.lingering import Lingering
 from geraniumshore.internal.records import (
     Evict,
