--- a/packages/geraniumshore/src/geraniumshore/__init__.py
+++ b/packages/geraniumshore/src/geraniumshore/__init__.py
@@ -44,6 +44,7 @@
     pool_of,
     pool_uses,
     services_on_host,
+    unusable_hosts,
     unusable_minions,
     wave_hosts,
     wave_is_paused,
@@ -185,6 +186,7 @@
 from geraniumshore.internal.task_watch import LEASE_MS, TaskWork
 from geraniumshore.internal.tokens import TeamTerms
 from geraniumshore.internal.view import predecessor
+from geraniumshore.internal.wait_estimate import Flow, WaitEstimator
 
 __all__ = [
     "ActionStatus",
@@ -209,6 +211,7 @@
     "FleetHost",
     "FleetState",
     "FleetView",
+    "Flow",
     "GeraniumshoreError",
     "Host",
     "HostControl",
@@ -302,6 +305,7 @@
     "Unknown",
     "UnknownOutcomeError",
     "Verdict",
+    "WaitEstimator",
     "WaitingLane",
     "Wave",
     "WaveCandidate",
@@ -337,6 +341,7 @@
     "preview",
     "service_quiets",
     "services_on_host",
+    "unusable_hosts",
     "unusable_minions",
     "validation_findings",
     "verify_key",
--- a/packages/geraniumshore/src/geraniumshore/internal/pool_home.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/pool_home.py
@@ -76,6 +76,7 @@
     retry_at_by_job: dict[str, float] = field(default_factory=dict)
     decide_at: float = float("-inf")
     reports_due: bool = True
+    grants: int = 0
 
     def __post_init__(self) -> None:
         self.starts = StartBatches(self.pool, self.epoch)
@@ -114,7 +115,7 @@
         in_use = self._in_use_by_team()
         for team, account in self.tokens_by_team.items():
             wanted = self.wanted_by_team[team]
-            account.return_idle(in_use[team], wanted > 0, now)
+            account.return_idle(in_use[team], wanted, now)
             report = account.report(wanted, complete=True, always=everyone)
             if report is not None:
                 yield report
@@ -158,12 +159,13 @@
             candidates = list(self._candidates(lanes, in_use))
             if not candidates:
                 break
-            chosen = self.policy.choose(candidates)
+            chosen = self.policy.choose(candidates, self.grants)
             lane = WaitingLane(chosen.team, chosen.urgent)
             start = placing.place_first(lanes[lane])
             if start is None:
                 del lanes[lane]
                 continue
+            self.grants += 1
             starts.append(start)
             in_use[chosen.team] += 1
         self.wanted_by_team = placing.placeable(lanes)
@@ -187,10 +189,12 @@
             account = self.tokens_by_team.get(lane.team)
             if not jobs or account is None or account.held <= in_use[lane.team]:
                 continue
+            used = in_use[lane.team] + account.elsewhere
             yield Candidate(
                 team=lane.team,
                 share=self.terms.terms_by_team[lane.team].share,
-                in_use=in_use[lane.team] + account.elsewhere,
+                in_use=used,
+                recent=used,
                 urgent=lane.urgent,
                 waiting_since=jobs[0].accepted_at_ms / 1000,
             )
