--- a/packages/geraniumshore/src/geraniumshore/__init__.py
+++ b/packages/geraniumshore/src/geraniumshore/__init__.py
@@ -76,6 +76,25 @@
     Wave,
     Weights,
 )
+from geraniumshore.internal.job_fold import MAX_JOB_BODY_BYTES
+from geraniumshore.internal.job_records import (
+    JobEnd,
+    JobRecord,
+    JobsCancelled,
+    JobsEnded,
+    JobSettled,
+    JobsStarted,
+    JobStart,
+    JobSubmitted,
+    Sizes,
+    TaskResult,
+)
+from geraniumshore.internal.jobs import (
+    Job,
+    JobPhase,
+    JobTable,
+    WaitingLane,
+)
 from geraniumshore.internal.keys import MadeKey, make_key, verify_key
 from geraniumshore.internal.member import Effects, Member
 from geraniumshore.internal.messages import (
@@ -89,6 +108,7 @@
 )
 from geraniumshore.internal.outcomes import NotRun, Outcome, Ran, Unknown
 from geraniumshore.internal.outliers import OutlierDetector
+from geraniumshore.internal.placement import BestFit, FirstFit, Placement
 from geraniumshore.internal.planner import (
     PLANNER_KEY,
     LargestBatch,
@@ -109,6 +129,14 @@
     LogRead,
     RawEntry,
 )
+from geraniumshore.internal.platform_tasks import (
+    TaskReport,
+    TaskReports,
+    TaskService,
+    TaskStart,
+    TaskState,
+)
+from geraniumshore.internal.pool_home import PoolHome, PoolTerms
 from geraniumshore.internal.preview import (
     Preview,
     PreviewMove,
@@ -155,6 +183,9 @@
     SharePolicy,
     WeightedShares,
 )
+from geraniumshore.internal.sizing import DeclaredSizes, LearnedSizes, Sizing
+from geraniumshore.internal.task_watch import LEASE_MS, TaskWork
+from geraniumshore.internal.tokens import TeamTerms
 from geraniumshore.internal.view import predecessor
 from geraniumshore.internal.wait_estimate import Flow, WaitEstimator
 
@@ -163,6 +194,7 @@
     "Admission",
     "Alert",
     "Answer",
+    "BestFit",
     "Candidate",
     "Claim",
     "Claims",
@@ -170,15 +202,17 @@
     "ControlLog",
     "ControlState",
     "Decision",
+    "DeclaredSizes",
     "Effects",
     "EndorseRequest",
     "Evict",
     "Finding",
-    "Flow",
     "FirstComeFirstServed",
+    "FirstFit",
     "FleetHost",
     "FleetState",
     "FleetView",
+    "Flow",
     "GeraniumshoreError",
     "Host",
     "HostControl",
@@ -189,16 +223,30 @@
     "IntentReport",
     "InvalidInputError",
     "Items",
+    "Job",
+    "JobEnd",
+    "JobPhase",
+    "JobRecord",
+    "JobSettled",
+    "JobStart",
+    "JobSubmitted",
+    "JobTable",
+    "JobsCancelled",
+    "JobsEnded",
+    "JobsStarted",
     "Join",
     "KeptAnswer",
     "KeptClaim",
     "Key",
+    "LEASE_MS",
     "LargestBatch",
+    "LearnedSizes",
     "Leave",
     "ListedHost",
     "LogEntry",
     "LogRead",
     "MAX_ANSWER_BYTES",
+    "MAX_JOB_BODY_BYTES",
     "MadeKey",
     "Member",
     "MemberInfo",
@@ -210,10 +258,13 @@
     "OutlierDetector",
     "PLANNER_KEY",
     "Phase",
+    "Placement",
     "Planner",
     "PlannerTimes",
     "PlatformUnavailableError",
     "Pool",
+    "PoolHome",
+    "PoolTerms",
     "PoolUse",
     "Preview",
     "PreviewMove",
@@ -236,16 +287,27 @@
     "ServiceLevels",
     "ServiceQuiet",
     "SharePolicy",
+    "Sizes",
+    "Sizing",
     "SlotRequest",
     "SnapshotPart",
     "Standing",
     "Start",
     "StateTransfer",
+    "TaskReport",
+    "TaskReports",
+    "TaskResult",
+    "TaskService",
+    "TaskStart",
+    "TaskState",
+    "TaskWork",
     "Team",
+    "TeamTerms",
     "Unknown",
     "UnknownOutcomeError",
     "Verdict",
     "WaitEstimator",
+    "WaitingLane",
     "Wave",
     "WaveCandidate",
     "WavePolicy",
--- a/packages/geraniumshore/src/geraniumshore/internal/fleet_fold.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/fleet_fold.py
@@ -327,6 +327,9 @@
             loud -= set(host.quiet_services)
             if loud:
                 return (Finding("step", f"not quiet yet: {', '.join(sorted(loud))}"),)
+            jobs = state.jobs.running_by_host[name]
+            if jobs:
+                return (Finding("step", f"{jobs} jobs run there still"),)
             fleet.by_host[name] = _settle(host, Phase.DRAINED, at_ms)
         case Phase.MOVING:
             assert host.to_pool is not None
--- a/packages/geraniumshore/src/geraniumshore/internal/fold.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/fold.py
@@ -22,6 +22,19 @@
 )
 from geraniumshore.internal.fleet_state import FleetState
 from geraniumshore.internal.homes import Home, LedgerKey, assign_homes
+from geraniumshore.internal.job_fold import (
+    check_job_queues,
+    fold_job_record,
+    set_orphans_aside,
+)
+from geraniumshore.internal.job_records import (
+    JobsCancelled,
+    JobsEnded,
+    JobSettled,
+    JobsStarted,
+    JobSubmitted,
+)
+from geraniumshore.internal.jobs import JobTable, KeptJobTable
 from geraniumshore.internal.lingering import Lingering
 from geraniumshore.internal.records import (
     Evict,
@@ -81,6 +94,7 @@
     lingering: Lingering = field(default_factory=Lingering)
     releases: list[ReleaseSummary] = field(default_factory=list)
     recent_ids: dict[str, None] = field(default_factory=dict)
+    jobs: KeptJobTable = field(default_factory=JobTable)
     claims: Claims = field(default_factory=Claims)
     service_levels: dict[str, ServiceLevelHistory] = field(default_factory=dict)
 
@@ -145,6 +159,21 @@
             state.view, findings = apply_evict(state.view, record)
         case Release():
             findings = _fold_release(state, record, entry)
+        case (
+            JobSubmitted()
+            | JobsStarted()
+            | JobsEnded()
+            | JobsCancelled()
+            | JobSettled()
+        ):
+            return fold_job_record(
+                state.jobs,
+                state.configuration,
+                state.fleet,
+                state.homes,
+                record,
+                entry.appended_at_ms,
+            )
         case Claim():
             return fold_claim(state.claims, record, entry.appended_at_ms)
         case Answer():
@@ -171,7 +200,11 @@
     applied = apply_release(state.configuration, record.note)
     if isinstance(applied, Err):
         return applied.err_value
+    findings = tuple(check_job_queues(state.jobs, applied.ok_value))
+    if findings:
+        return findings
     before, state.configuration = state.configuration, applied.ok_value
+    set_orphans_aside(state.jobs, state.configuration, entry.appended_at_ms)
     follow_release(state.fleet, before, state.configuration, record.note.changed.waves)
     state.lingering.update(before, state.configuration, entry.appended_at_ms)
     state.releases.append(
--- a/packages/geraniumshore/src/geraniumshore/internal/records.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/records.py
@@ -16,6 +16,7 @@
     IntentReport,
     ServiceQuiet,
 )
+from geraniumshore.internal.job_records import JobRecord
 from geraniumshore.internal.release import ReleaseNote, validation_findings
 from geraniumshore.internal.service_levels import ServiceLevels
 
@@ -138,6 +139,7 @@
     | SnapshotPart
     | Claim
     | Answer
+    | JobRecord
     | HostsObserved
     | Intent
     | IntentReport
--- a/packages/geraniumshored/src/geraniumshored/internal/daemon.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/daemon.py
@@ -17,6 +17,9 @@
 from geraniumshored.internal.follower import LogAppender, LogFollower
 from geraniumshored.internal.front import Front
 from geraniumshored.internal.host_watch import HostWatch
+from geraniumshored.internal.job_appender import JobAppender
+from geraniumshored.internal.job_calls import JobHandler
+from geraniumshored.internal.job_driver import JobDriver
 from geraniumshored.internal.metrics import Metrics
 from geraniumshored.internal.operators import OperatorHandler
 from geraniumshored.internal.peers import PeerNetwork, PeerServer
@@ -27,6 +30,7 @@
     HttpHostList,
     PlatformCaller,
 )
+from geraniumshored.internal.platform_tasks_http import HttpTaskService
 from geraniumshored.internal.run_watch import RunWatch
 from geraniumshored.internal.runtime import Runtime
 from geraniumshored.internal.service_levels import ServiceLevelCounter
@@ -89,7 +93,11 @@
         operators = OperatorHandler(
             self._runtime, self._appender, settings.operators, self._levels
         )
-        self._front = Front(self._runtime, self._calls, operators)
+        tasks = HttpTaskService(caller)
+        self._job_driver = JobDriver(tasks, self._runtime)
+        self._job_appender = JobAppender(log, self._runtime)
+        jobs = JobHandler(self._runtime, self._job_appender, tasks, operators)
+        self._front = Front(self._runtime, self._calls, jobs, operators)
         self._planner = PlannerDriver(
             self._runtime,
             self._appender,
@@ -131,6 +139,8 @@
         self._claim_log.start()
         self._watch.start()
         self._host_watch.start()
+        self._job_appender.start()
+        self._job_driver.start()
         self._ticker.start()
         self._planner.start()
         self._levels_ticker.start()
@@ -161,6 +171,8 @@
         self._claim_log.stop()
         self._watch.stop()
         self._host_watch.stop()
+        self._job_driver.stop()
+        self._job_appender.stop()
         self._network.stop()
         self._peer_server.stop(grace_seconds=0.5)
         logger.info("stopped", extra={"every_call_ended": idle})
--- a/packages/geraniumshored/src/geraniumshored/internal/front.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/front.py
@@ -21,6 +21,7 @@
     answer_problem,
     read_request,
 )
+from geraniumshored.internal.job_calls import JobHandler
 from geraniumshored.internal.operators import OperatorHandler
 from geraniumshored.internal.runtime import Runtime
 from geraniumshored.internal.settings import Listen
@@ -60,10 +61,15 @@
     """Serves HTTP with a bounded number of threads."""
 
     def __init__(
-        self, runtime: Runtime, calls: CallHandler, operators: OperatorHandler
+        self,
+        runtime: Runtime,
+        calls: CallHandler,
+        jobs: JobHandler,
+        operators: OperatorHandler,
     ) -> None:
         self._runtime = runtime
         self._calls = calls
+        self._jobs = jobs
         self._operators = operators
         self._stopping = threading.Event()
         self._server: BaseWSGIServer | None = None
@@ -140,6 +146,10 @@
 
     def _route(self, request: HttpRequest) -> HttpAnswer:
         match (request.method, request.path):
+            case ("POST", ("queues", name)) if self._jobs.takes(name):
+                return self._jobs.submit(request, name)
+            case (_, ("jobs", *_)):
+                return self._jobs.handle(request)
             case (_, ("queues", name)):
                 return self._calls.handle(request, name)
             case ("GET", ("healthz",)):
--- a/packages/geraniumshored/src/geraniumshored/internal/host_watch.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/host_watch.py
@@ -66,6 +66,10 @@
             logger.info("hosts are leaving", extra={"hosts": sorted(leaving)})
             self._leaving = leaving
         member = self._runtime.member
+        if leaving != member.unusable_hosts:
+            self._runtime.perform(
+                lambda member, now: member.set_unusable_hosts(leaving, now)
+            )
         unusable = minions_on(member.state.configuration, leaving)
         if unusable != member.unusable_minions:
             self._runtime.perform(
--- a/packages/geraniumshored/src/geraniumshored/internal/metrics.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/metrics.py
@@ -43,6 +43,7 @@
         self.peer_batches = self._counter("peer_batches", "Batches sent", "result")
         self.peer_messages = self._counter("peer_messages", "Messages sent", "kind")
         self.peer_bytes = self._counter("peer_bytes", "Bytes sent to peers", "kind")
+        self.task_calls = self._counter("task_calls", "Task calls", "call", "result")
         self.authority = Gauge(
             "geraniumshore_authority",
             "1 while this member may act",
--- a/packages/geraniumshored/src/geraniumshored/internal/operators.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/operators.py
@@ -63,7 +63,7 @@
 
     def handle(self, request: HttpRequest) -> HttpAnswer:
         """Answer one call of an operator."""
-        operator = self._operator(request.bearer)
+        operator = self.identify(request.bearer)
         if operator is None:
             return answer_problem(401, "unknown-operator", "no such operator key")
         match (request.method, request.path[1:]):
@@ -92,7 +92,8 @@
             case _:
                 return answer_problem(404, "unknown-path", "/".join(request.path))
 
-    def _operator(self, bearer: str | None) -> str | None:
+    def identify(self, bearer: str | None) -> str | None:
+        """Return the name of the operator whose key this is, or None."""
         name, _, secret = (bearer or "").rpartition(".")
         operator = self._operators.get(name)
         if operator is None:
--- a/packages/geraniumshored/src/geraniumshored/internal/runtime.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/runtime.py
@@ -14,6 +14,7 @@
     Claim,
     Decision,
     Effects,
+    JobRecord,
     LogEntry,
     LogRead,
     Member,
@@ -33,7 +34,7 @@
 T = TypeVar("T")
 
 # Frequent records that change nothing an operator decided are only counted.
-QUIET_RECORDS = Claim | Answer | SnapshotPart
+QUIET_RECORDS = Claim | Answer | SnapshotPart | JobRecord
 
 ACCEPTED_POLL_SECONDS = 0.02
 
@@ -146,6 +147,11 @@
             self._verdict_by_record[record.id] = future
         return future
 
+    def forget_verdict(self, record: Record) -> None:
+        """Wait no longer for the verdict on a record that was not appended."""
+        with self._lock:
+            self._verdict_by_record.pop(record.id, None)
+
     def _on_verdict(self, verdict: Verdict) -> None:
         label = "accepted" if verdict.accepted else "void"
         self.metrics.log_records.labels(label).inc()
