Let a verdict arrive after its record was given up

Cause: the appender fails the future of a record that it gives up after 10 s; where the append had taken effect, the follower then set a result on the same future and its thread ended with InvalidStateError, so the host folded nothing more. Shown by the test, which failed first (InvalidStateError) and passes now.

--- a/packages/geraniumshored/src/geraniumshored/internal/runtime.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/runtime.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import threading
 import time
 from collections.abc import Callable
-from concurrent.futures import Future
+from concurrent.futures import Future, InvalidStateError
 from typing import Protocol, TypeVar
 
 from geraniumshore import (
@@ -149,7 +150,9 @@
         self.metrics.log_records.labels(label).inc()
         future = self._verdict_by_record.pop(verdict.record.id, None)
         if future is not None:
-            future.set_result(verdict)
+            # Whoever waited may have given the record up before it was folded.
+            with contextlib.suppress(InvalidStateError):
+                future.set_result(verdict)
         if verdict.accepted and not isinstance(verdict.record, QUIET_RECORDS):
             logger.info(
                 "record in force",
