--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/faults.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/faults.py
@@ -207,11 +207,13 @@
         address = self._addresses[number % len(self._addresses)]
         path = f"/queues/{queue}"
         try:
-            return http_call(
+            reply = http_call(
                 address, "POST", path, body.encode(), headers, CALL_TIMEOUT_SECONDS
             )
         except (OSError, http.client.HTTPException):
             return None
+        # Cut within its headers, an answer has no length that tells so.
+        return reply if "content-length" in reply.headers else None
 
 
 def _outcome(reply: HttpReply) -> str:
