--- a/packages/geraniumshore/src/geraniumshore/internal/pool_home.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/pool_home.py
@@ -91,7 +91,10 @@
         in_use = self._in_use_by_team()
         for team, team_terms in terms.terms_by_team.items():
             account = self.tokens_by_team.get(team)
-            if account is None or account.holding.epoch != team_terms.epoch:
+            if account is not None and account.holding.epoch != team_terms.epoch:
+                resealed = account.resealed(team_terms.epoch, in_use[team])
+                self.tokens_by_team[team] = resealed
+            elif account is None:
                 self.tokens_by_team[team] = TokenAccount.sealed(
                     team,
                     pool_ledger(self.pool),
@@ -116,7 +119,9 @@
         for team, account in self.tokens_by_team.items():
             wanted = self.wanted_by_team[team]
             account.return_idle(in_use[team], wanted, now)
-            report = account.report(wanted, complete=True, always=everyone)
+            report = account.report(
+                wanted, complete=True, always=everyone, in_use=in_use[team]
+            )
             if report is not None:
                 yield report
 
@@ -187,7 +192,10 @@
     ) -> Iterator[Candidate]:
         for lane, jobs in lanes.items():
             account = self.tokens_by_team.get(lane.team)
-            if not jobs or account is None or account.held <= in_use[lane.team]:
+            if not jobs or account is None:
+                continue
+            limit = self.terms.terms_by_team[lane.team].limit
+            if not account.may_start(in_use[lane.team], limit):
                 continue
             used = in_use[lane.team] + account.elsewhere
             yield Candidate(
