Send only what is not confirmed, decide only on news

Cause: every message made a member recompute every home that it keeps, and accounts carried every lane that was ever used. Now a batch is taken in at once, homes are marked when news came, confirmed lanes are left out of messages, and tallies look at active lanes only.

--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/simulation.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/simulation.py
@@ -349,6 +349,5 @@
 
     def _deliver(self, sender: str, target: str, messages: list[Message]) -> None:
         member = self._by_id[target]
-        for message in messages:
-            member.on_message(sender, message, self.simulation.now)
+        member.on_messages(sender, messages, self.simulation.now)
         self._carry_out(member)
--- a/packages/geraniumshore/src/geraniumshore/internal/entry.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/entry.py
@@ -196,7 +196,7 @@
             holder=self.member,
             holder_epoch=0,
             sequence=entry.sequence,
-            lanes=entry.holding.lane_reports(),
+            lanes=entry.holding.lane_reports(entry.sequence),
             demand=tuple(
                 Demand(team, urgent, count) for (team, urgent), count in counts.items()
             ),
--- a/packages/geraniumshore/src/geraniumshore/internal/ledger.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/ledger.py
@@ -55,28 +55,45 @@
 
 @dataclass(slots=True)
 class HolderAccount:
-    """A home's counts for one holder."""
+    """A home's counts for one holder.
+
+    ``active`` has the lanes with units held or on their way: all that the home's
+    decisions look at. The others are kept for their counts alone.
+    """
 
     holder_epoch: int
     sequence: int = -1
     by_lane: dict[Lane, LaneCounts] = field(default_factory=dict)
+    active: dict[Lane, LaneCounts] = field(default_factory=dict)
 
-    def update(self, lanes: Iterable[LaneReport]) -> int:
-        """Take in a report; return how many units it newly gives back."""
-        freed = 0
+    def update(self, lanes: Iterable[LaneReport]) -> bool:
+        """Take in a report; tell whether it said anything new."""
+        changed = False
         for report in lanes:
-            counts = self.by_lane.setdefault(
-                Lane(report.team, report.minion), LaneCounts()
-            )
+            lane = Lane(report.team, report.minion)
+            counts = self.by_lane.setdefault(lane, LaneCounts())
+            changed |= report.seen > counts.seen or report.returned > counts.returned
             counts.granted = max(counts.granted, report.seen)
             counts.seen = max(counts.seen, report.seen)
-            freed += max(0, report.returned - counts.returned)
             counts.returned = max(counts.returned, report.returned)
-        return freed
+            self._note_active(lane, counts)
+        return changed
+
+    def grant(self, lane: Lane, count: int) -> None:
+        """Count units as granted."""
+        counts = self.by_lane.setdefault(lane, LaneCounts())
+        counts.granted += count
+        self._note_active(lane, counts)
 
     def held(self) -> int:
         """Return how many units the holder has on all lanes."""
-        return sum(counts.held for counts in self.by_lane.values())
+        return sum(counts.held for counts in self.active.values())
+
+    def _note_active(self, lane: Lane, counts: LaneCounts) -> None:
+        if counts.held or counts.in_flight:
+            self.active[lane] = counts
+        else:
+            self.active.pop(lane, None)
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,15 +127,14 @@
 
     def grant(self, holder: str, lane: Lane, count: int = 1) -> None:
         """Count units as the holder's. Raises KeyError for an unknown holder."""
-        counts = self.by_holder[holder].by_lane.setdefault(lane, LaneCounts())
-        counts.granted += count
+        self.by_holder[holder].grant(lane, count)
 
     def close(self, holder: str, until: float) -> None:
         """Quarantine all that a departed holder has."""
         account = self.by_holder.pop(holder, None)
         if account is None:
             return
-        for lane, counts in account.by_lane.items():
+        for lane, counts in account.active.items():
             self.quarantine(lane, counts.held, until)
 
     def quarantine(
@@ -142,7 +158,7 @@
     def in_use(self) -> Iterator[tuple[Lane, int]]:
         """Yield the units in use, lane by lane; a lane may come more than once."""
         for account in self.by_holder.values():
-            for lane, counts in account.by_lane.items():
+            for lane, counts in account.active.items():
                 if counts.held:
                     yield lane, counts.held
         for units in self.quarantined:
@@ -163,11 +179,16 @@
 
 @dataclass(slots=True)
 class Holding:
-    """The holder's side of an account."""
+    """The holder's side of an account.
+
+    ``unconfirmed`` names the lanes that the home may not know in their present form,
+    each with the first report that gave it, or None before there is one.
+    """
 
     epoch: int
     holder_epoch: int = 0
     by_lane: dict[Lane, LaneCounts] = field(default_factory=dict)
+    unconfirmed: dict[Lane, int | None] = field(default_factory=dict)
 
     @classmethod
     def sealed(
@@ -179,7 +200,7 @@
             for lane, count in held.items()
             if count > 0
         }
-        return cls(epoch, holder_epoch, by_lane)
+        return cls(epoch, holder_epoch, by_lane, dict.fromkeys(by_lane))
 
     def receive(self, notice: GrantNotice) -> Iterator[tuple[Lane, int]]:
         """Take in a grant and yield the units that are new, lane by lane.
@@ -189,12 +210,14 @@
         """
         if (notice.epoch, notice.holder_epoch) != (self.epoch, self.holder_epoch):
             return
+        self._confirm(notice.acknowledged)
         for grant in notice.lanes:
             lane = Lane(grant.team, grant.minion)
             counts = self.by_lane.setdefault(lane, LaneCounts())
             fresh = grant.granted - counts.granted
             if fresh > 0:
                 counts.granted = counts.seen = grant.granted
+                self.unconfirmed[lane] = None
                 yield lane, fresh
 
     def give_back(self, lane: Lane, count: int = 1) -> None:
@@ -203,6 +226,7 @@
         if count > counts.held:
             raise ValueError(f"got {count} units to return, want at most {counts.held}")
         counts.returned += count
+        self.unconfirmed[lane] = None
 
     def held(self) -> dict[Lane, int]:
         """Return the units in hand by lane, without empty lanes."""
@@ -213,17 +237,35 @@
         counts = self.by_lane.get(lane)
         return counts.held if counts is not None else 0
 
-    def lane_reports(self) -> tuple[LaneReport, ...]:
-        """Return the counts of every lane, for a report."""
+    def lane_reports(self, sequence: int) -> tuple[LaneReport, ...]:
+        """Return the lanes that the home may not know, for the report ``sequence``."""
+        for lane, first in self.unconfirmed.items():
+            if first is None:
+                self.unconfirmed[lane] = sequence
         return tuple(
-            LaneReport(lane.team, lane.minion, counts.seen, counts.returned)
-            for lane, counts in self.by_lane.items()
+            LaneReport(
+                lane.team,
+                lane.minion,
+                self.by_lane[lane].seen,
+                self.by_lane[lane].returned,
+            )
+            for lane in self.unconfirmed
         )
 
+    def _confirm(self, acknowledged: int) -> None:
+        known = [
+            lane
+            for lane, first in self.unconfirmed.items()
+            if first is not None and first <= acknowledged
+        ]
+        for lane in known:
+            del self.unconfirmed[lane]
+
 
 def lane_grants(account: HolderAccount) -> tuple[LaneGrant, ...]:
-    """Return the counts of every lane, for a notice."""
+    """Return the counts of the lanes that the holder has not confirmed."""
     return tuple(
         LaneGrant(lane.team, lane.minion, counts.granted)
-        for lane, counts in account.by_lane.items()
+        for lane, counts in account.active.items()
+        if counts.in_flight
     )
--- a/packages/geraniumshore/src/geraniumshore/internal/member.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/member.py
@@ -159,6 +159,12 @@
         self._handle(sender, message, now)
         self._act(now)
 
+    def on_messages(self, sender: str, messages: Iterable[Message], now: float) -> None:
+        """Take in messages that came together, and decide once."""
+        for message in messages:
+            self._handle(sender, message, now)
+        self._act(now)
+
     def on_tick(self, now: float) -> None:
         """Do what is due by time alone; call it a few times in each heartbeat."""
         self._effects.decisions.extend(self.entry.expire(now))
@@ -331,11 +337,13 @@
         if not self.has_authority(now):
             return
         for team_home in self.team_homes.values():
-            team_home.grant(now)
+            if everything or team_home.dirty:
+                team_home.grant(now)
             for notice in team_home.notices(everything):
                 self._send_to_home(LedgerKey(notice.holder), notice)
         for service_home in self.service_homes.values():
-            service_home.grant(now)
+            if everything or service_home.dirty:
+                service_home.grant(now)
             for notice in service_home.notices(everything):
                 self._send(notice.holder, notice)
         for holder in self.token_holders.values():
--- a/packages/geraniumshore/src/geraniumshore/internal/messages.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/messages.py
@@ -113,6 +113,8 @@
 class GrantNotice:
     """All that a home has granted to one holder.
 
+    Lanes that the holder has confirmed are left out. ``acknowledged`` is the newest of
+    the holder's reports that was taken in; it need not repeat what that one said.
     ``recall`` asks for idle units back; ``elsewhere`` counts what others use. A team's
     home also says the ``limit`` that it keeps, and whether it is ``exceeded``: then a
     unit that becomes idle must go back before another starts.
@@ -125,6 +127,7 @@
     lanes: tuple[LaneGrant, ...]
     recall: bool = False
     elsewhere: int = 0
+    acknowledged: int = -1
     limit: int | None = None
     exceeded: bool = False
     kind: Literal["grant"] = "grant"
--- a/packages/geraniumshore/src/geraniumshore/internal/service_home.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/service_home.py
@@ -33,13 +33,16 @@
     since: dict[tuple[str, bool], float] = field(default_factory=dict)
     suspects: tuple[str, ...] = ()
 
-    def update(self, report: HolderReport, now: float) -> None:
+    def update(self, report: HolderReport, now: float) -> bool:
+        """Take in a report; tell whether it said anything new."""
         if report.sequence <= self.sequence:
-            return
+            return False
+        before = (self.suspects, self.waiting)
         self.sequence = report.sequence
         self.suspects = report.suspects
         self.waiting = {(d.team, d.urgent): d.waiting for d in report.demand}
         self.since = {key: self.since.get(key, now) for key in self.waiting}
+        return before != (self.suspects, self.waiting)
 
 
 @dataclass(slots=True)
@@ -63,6 +66,8 @@
     changed: set[str] = field(default_factory=set)
     recent_use: RecentUse = field(default_factory=RecentUse)
     grants: int = 0
+    dirty: bool = True
+    reports_due: bool = True
     last_grant_by_minion: dict[str, int] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
@@ -91,6 +96,7 @@
         self.slots_by_minion = dict(slots_by_minion)
         self.terms_by_team = dict(terms_by_team)
         self.run_limit = run_limit
+        self.dirty = True
         self._seal_tokens()
 
     def on_members(self, members: Iterable[str], now: float) -> None:
@@ -109,10 +115,12 @@
         """Take in an entry member's account and demand."""
         if report.epoch != self.home.epoch or report.holder not in self.members:
             return
-        self.ledger.open(report.holder, report.holder_epoch).update(report.lanes)
+        account = self.ledger.open(report.holder, report.holder_epoch)
+        self.dirty |= account.update(report.lanes)
         demand = self.demand_by_holder.setdefault(report.holder, _HolderDemand())
-        demand.update(report, now)
+        self.dirty |= demand.update(report, now)
         if report.holder in self.unreported:
+            self.dirty = True
             self._take_over(report.handover, now)
             self.unreported.discard(report.holder)
             self._seal_tokens()
@@ -121,10 +129,12 @@
         """Take in tokens from a team's home."""
         tokens = self.tokens_by_team.get(team)
         if tokens is not None:
-            tokens.receive(notice)
+            self.dirty |= tokens.receive(notice)
 
     def grant(self, now: float) -> None:
         """Grant free slots to waiting teams that have tokens, as the policy says."""
+        self.dirty = False
+        self.reports_due = True
         self.ledger.expire(now)
         if not self.ready:
             return
@@ -161,12 +171,14 @@
                     holder=holder,
                     holder_epoch=account.holder_epoch,
                     lanes=lane_grants(account),
+                    acknowledged=self._acknowledged(holder),
                 )
 
     def token_reports(self, everyone: bool, now: float) -> Iterator[HolderReport]:
         """Yield this home's accounts with the teams' homes, changed ones or all."""
-        if not self.ready:
+        if not self.ready or not (everyone or self.reports_due):
             return
+        self.reports_due = False
         use_by_minion, use_by_team = self._tally()
         waiting_by_team = _by_team(self._unmet())
         free = self._free_slots(use_by_minion)
@@ -199,6 +211,10 @@
         }
         self.recent_use.update(use, now)
 
+    def _acknowledged(self, holder: str) -> int:
+        demand = self.demand_by_holder.get(holder)
+        return demand.sequence if demand is not None else -1
+
     def _take_over(self, handover: Handover | None, now: float) -> None:
         if handover is None:
             return
@@ -244,7 +260,7 @@
         for holder, demand in self.demand_by_holder.items():
             account = self.ledger.by_holder[holder]
             in_flight: Counter[str] = Counter()
-            for lane, counts in account.by_lane.items():
+            for lane, counts in account.active.items():
                 in_flight[lane.team] += counts.in_flight
             for team, urgent in sorted(demand.waiting, key=lambda k: (k[0], not k[1])):
                 waiting = demand.waiting[team, urgent]
@@ -324,6 +340,8 @@
         for team, tokens in self.tokens_by_team.items():
             keep = self._kept_idle(waiting[team], free)
             tokens.return_idle(use_by_team[team], keep, now)
+            # Idle tokens go back by time alone, so a later tick must look again.
+            self.dirty = self.dirty or tokens.held > use_by_team[team]
 
     def _kept_idle(self, waiting: int, free: int) -> int:
         """Return how many idle tokens of a team are worth having."""
--- a/packages/geraniumshore/src/geraniumshore/internal/team_home.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/team_home.py
@@ -48,6 +48,7 @@
     recalled: set[str] = field(default_factory=set)
     exceeded: bool = False
     changed: set[str] = field(default_factory=set)
+    dirty: bool = True
 
     def __post_init__(self) -> None:
         self.ledger = Ledger(self.epoch)
@@ -66,6 +67,7 @@
         now: float,
     ) -> None:
         """Take in a changed limit, run limit, or set of holders."""
+        self.dirty = True
         if limit != self.limit:
             self._change_limit(limit, now)
         self.run_limit = run_limit
@@ -84,14 +86,10 @@
         account = self._account(report, now)
         if account is None:
             return
-        account.update(report.lanes)
+        self.dirty |= account.update(report.lanes)
         if report.sequence > account.sequence:
             account.sequence = report.sequence
-            self.use_by_holder[holder] = report.in_use
-            self.wanted_by_holder[holder] = Wanted(
-                at_once=sum(d.waiting for d in report.demand if d.urgent),
-                ahead=sum(d.waiting for d in report.demand if not d.urgent),
-            )
+            self._note_demand(holder, report)
         self._note_complete(report)
 
     def grant(self, now: float) -> None:
@@ -99,6 +97,7 @@
 
         Work that could start at once comes before tokens asked for ahead of need.
         """
+        self.dirty = False
         self.ledger.expire(now)
         if not self.ready:
             return
@@ -143,6 +142,7 @@
         account = self.ledger.by_holder.get(holder)
         if account is None:
             self.changed.add(holder)
+            self.dirty = True
             return self.ledger.open(holder, report.holder_epoch)
         if report.holder_epoch < account.holder_epoch:
             return None
@@ -160,6 +160,7 @@
         """
         del self.ledger.by_holder[report.holder]
         self.changed.add(report.holder)
+        self.dirty = True
         account = self.ledger.open(report.holder, report.holder_epoch)
         account.update(report.lanes)
         if not report.complete:
@@ -168,8 +169,19 @@
             self.ledger.quarantine(Lane(self.team), missing, until, report.holder)
         return account
 
+    def _note_demand(self, holder: LedgerKey, report: HolderReport) -> None:
+        wanted = Wanted(
+            at_once=sum(d.waiting for d in report.demand if d.urgent),
+            ahead=sum(d.waiting for d in report.demand if not d.urgent),
+        )
+        self.dirty |= wanted != self.wanted_by_holder.get(holder)
+        self.use_by_holder[holder] = report.in_use
+        self.wanted_by_holder[holder] = wanted
+
     def _note_complete(self, report: HolderReport) -> None:
-        self.unreported.discard(report.holder)
+        if report.holder in self.unreported:
+            self.dirty = True
+            self.unreported.discard(report.holder)
         if report.complete:
             self.incomplete.discard(report.holder)
             self.ledger.lift(report.holder)
@@ -210,7 +222,7 @@
         account = self.ledger.by_holder[holder]
         if account.holder_epoch != self.epoch_by_holder.get(LedgerKey(holder)):
             return 0
-        in_flight = sum(counts.in_flight for counts in account.by_lane.values())
+        in_flight = sum(counts.in_flight for counts in account.active.values())
         wanted = self.wanted_by_holder[holder]
         return wanted.at_once + wanted.ahead - in_flight
 
@@ -222,6 +234,7 @@
             holder=holder,
             holder_epoch=account.holder_epoch,
             lanes=lane_grants(account),
+            acknowledged=account.sequence,
             recall=holder in self.recalled,
             elsewhere=sum(self.use_by_holder.values()) - self.use_by_holder[holder],
             limit=self.limit,
--- a/packages/geraniumshore/src/geraniumshore/internal/tokens.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/tokens.py
@@ -92,17 +92,25 @@
             return False
         return in_use < self.held
 
-    def receive(self, notice: GrantNotice) -> None:
-        """Take in a notice of the team's home; one of another epoch is dropped."""
+    def receive(self, notice: GrantNotice) -> bool:
+        """Take in a notice of the team's home; tell whether it said anything new.
+
+        A notice of another epoch is dropped.
+        """
         account = (self.holding.epoch, self.holding.holder_epoch)
         if (notice.epoch, notice.holder_epoch) != account:
-            return
-        if any(True for _ in self.holding.receive(notice)):
-            self.changed = True
+            return False
+        before = self._terms()
+        fresh = any(True for _ in self.holding.receive(notice))
+        self.changed = self.changed or fresh
         self.elsewhere = notice.elsewhere
         self.recall = notice.recall
         self.exceeded = notice.exceeded
         self.limit_seen = notice.limit
+        return fresh or self._terms() != before
+
+    def _terms(self) -> tuple[int, bool, bool, int | None]:
+        return self.elsewhere, self.recall, self.exceeded, self.limit_seen
 
     def return_idle(self, in_use: int, keep: int, now: float) -> None:
         """Give idle tokens back: all when asked to, else those beyond ``keep``.
@@ -149,7 +157,7 @@
             holder=self.holder,
             holder_epoch=self.holding.holder_epoch,
             sequence=self._sequence,
-            lanes=self.holding.lane_reports(),
+            lanes=self.holding.lane_reports(self._sequence),
             demand=tuple(
                 Demand(self.team, at_once, count)
                 for at_once, count in ((True, wanted), (False, ahead))
--- a/packages/geraniumshored/src/geraniumshored/internal/peers.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/peers.py
@@ -264,10 +264,12 @@
     batch: peer_pb2.Batch, runtime: Runtime, only: type | None = None
 ) -> None:
     """Hand every readable message of a batch, or those of one type, to the member."""
+    messages: list[Message] = []
     for document in batch.messages:
         decoded = decode_message(document)
         if isinstance(decoded, Err):
             logger.warning("unreadable message", extra={"sender": batch.sender})
-            continue
-        if only is None or isinstance(decoded.ok_value, only):
-            runtime.deliver(batch.sender, decoded.ok_value)
+        elif only is None or isinstance(decoded.ok_value, only):
+            messages.append(decoded.ok_value)
+    if messages:
+        runtime.deliver(batch.sender, messages)
--- a/packages/geraniumshored/src/geraniumshored/internal/runtime.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/runtime.py
@@ -113,9 +113,9 @@
                 return False
             time.sleep(ACCEPTED_POLL_SECONDS)
 
-    def deliver(self, sender: str, message: Message) -> None:
-        """Take in a message of another member."""
-        self.perform(lambda member, now: member.on_message(sender, message, now))
+    def deliver(self, sender: str, messages: list[Message]) -> None:
+        """Take in messages of another member that came together."""
+        self.perform(lambda member, now: member.on_messages(sender, messages, now))
 
     def request_slot(self, request: SlotRequest) -> Future[Decision]:
         """Ask for a slot; the future gives the decision."""
--- a/tests/cover/test_ledger_faults.py
+++ b/tests/cover/test_ledger_faults.py
@@ -8,7 +8,7 @@
 from geraniumshore.internal import service_home, team_home
 from geraniumshore.internal.homes import assign_homes, service_ledger, team_ledger
 from geraniumshore.internal.ledger import Holding
-from geraniumshore.internal.messages import GrantNotice
+from geraniumshore.internal.messages import GrantNotice, LaneGrant
 from tests.common.ledger_world import LIMITS, RUN_LIMIT, SERVICES, LedgerWorld
 
 SORTING = service_ledger("sorting")
@@ -146,8 +146,12 @@
     name = fill(world)
     home = world.home_of(SORTING)
     old = world.members[home.member].service_homes["sorting"]
-    stale = [n for n in old.notices(everyone=True) if n.holder == name]
-    assert isinstance(stale[0], GrantNotice)
+    lanes = [
+        LaneGrant(lane.team, lane.minion, counts.granted)
+        for lane, counts in old.ledger.by_holder[name].by_lane.items()
+    ]
+    assert sum(grant.granted for grant in lanes) == world.limit("acme")
+    stale = GrantNotice(SORTING, home.epoch, name, 0, tuple(lanes))
     for ticket in sorted(world.running):
         world.end_run(ticket)
     world.advance(0.5)
@@ -156,7 +160,7 @@
     for _ in range(3):
         world.submit(name, "sorting", "acme", LONG)
     now = world.clock_by_member[name].at(world.now)
-    world.members[name].on_message(home.member, stale[0], now)
+    world.members[name].on_message(home.member, stale, now)
     world._carry_out(name)
 
 
