--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/failover.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/failover.py
@@ -44,15 +44,11 @@
     def _round(self, fleet: Fleet, keys: dict[str, MadeKey]) -> float:
         home = _home(fleet)
         others = [entry for entry in fleet.by_name.values() if entry is not home]
+        bearer = keys["a"].bearer
+        _wait_for_answers([home, *others], bearer)
         home.kill()
         killed = time.monotonic()
-        bearer = keys["a"].bearer
-        for entry in others:
-            wait_for(
-                lambda e=entry: _answered(e, bearer),  # type: ignore[misc]
-                f"grant through {entry.name}",
-                GIVE_UP_SECONDS,
-            )
+        _wait_for_answers(others, bearer)
         took = time.monotonic() - killed
         fleet.restart_entry(home.name)
         fleet.wait_until_ready()
@@ -70,6 +66,15 @@
     return fleet.by_name[member.rpartition("-")[0]]
 
 
+def _wait_for_answers(entries: list[EntryProcess], bearer: str) -> None:
+    for entry in entries:
+        wait_for(
+            lambda e=entry: _answered(e, bearer),  # type: ignore[misc]
+            f"grant through {entry.name}",
+            GIVE_UP_SECONDS,
+        )
+
+
 def _answered(entry: EntryProcess, bearer: str) -> bool:
     headers = {"Deadline-Ms": "500"}
     return entry.call("s0", bearer, headers=headers).status == 200
--- /dev/null
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/fleet_of_hosts.py
@@ -0,0 +1,50 @@
+"""Gives the platform's stand-in its hosts, and shows what they went through."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import asdict
+from typing import Any
+
+from geraniumshore import Host
+from geraniumshore_standins.internal.operator_client import http_call
+from geraniumshore_standins.internal.platform_hosts import HostTimes
+
+__all__ = ["platform_hosts", "put_hosts", "set_host_faults"]
+
+
+def put_hosts(
+    platform_address: str, hosts: Mapping[str, Host], times: HostTimes
+) -> None:
+    """Let the platform have ``hosts``, all up."""
+    document = {
+        "times": asdict(times),
+        "hosts": [
+            {
+                "host": name,
+                "data_centre": host.data_centre,
+                "rack": host.rack,
+                "pool": host.pool,
+            }
+            for name, host in hosts.items()
+        ],
+    }
+    _put(platform_address, "/test/platform-hosts", document)
+
+
+def set_host_faults(platform_address: str, **faults: Any) -> None:
+    """Fail or repair hosts, lose replies of host control, or switch it off."""
+    _put(platform_address, "/test/host-faults", faults)
+
+
+def platform_hosts(platform_address: str) -> Any:
+    """Return the hosts as the platform has them, with counts of reboots and moves."""
+    return http_call(platform_address, "GET", "/test/platform-hosts").json()
+
+
+def _put(platform_address: str, path: str, document: Any) -> None:
+    body = json.dumps(document).encode()
+    reply = http_call(platform_address, "PUT", path, body)
+    if reply.status != 200:
+        raise ValueError(f"PUT {path}: got status {reply.status}, want 200")
--- a/packages/geraniumshore/src/geraniumshore/internal/fold.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/fold.py
@@ -21,7 +21,12 @@
     follow_release,
 )
 from geraniumshore.internal.fleet_state import FleetState
-from geraniumshore.internal.homes import Home, LedgerKey, assign_homes
+from geraniumshore.internal.homes import (
+    Home,
+    LedgerKey,
+    assign_homes,
+    service_ledger,
+)
 from geraniumshore.internal.lingering import Lingering
 from geraniumshore.internal.records import (
     Evict,
@@ -51,6 +56,8 @@
 # Ids remembered to void a record that was appended twice. At 200 appends a second
 # this covers more than a minute of late duplicates.
 REMEMBERED_IDS = 16_384
+# After a service's home was lost, homes of teams stay put for so long and a run limit.
+SERVICES_SETTLE_MS = 10_000
 REMEMBERED_RELEASES = 50
 # Of each note, so many names of what it touched.
 REMEMBERED_CHANGES = 100
@@ -77,8 +84,9 @@
     configuration: Configuration = field(default_factory=Configuration)
     homes: dict[LedgerKey, Home] = field(default_factory=dict)
     homes_changes: int = 0
-    lingering: Lingering = field(default_factory=Lingering)
+    services_moved_ms: int = 0
     fleet: FleetState = field(default_factory=FleetState)
+    lingering: Lingering = field(default_factory=Lingering)
     releases: list[ReleaseSummary] = field(default_factory=list)
     recent_ids: dict[str, None] = field(default_factory=dict)
     claims: Claims = field(default_factory=Claims)
@@ -161,7 +169,7 @@
             return fold_fleet_record(state, record, entry.appended_at_ms)
     if not findings:
         state.lingering.expire(entry.appended_at_ms)
-        _update_homes(state)
+        _update_homes(state, entry.appended_at_ms)
     return findings
 
 
@@ -171,14 +179,9 @@
     applied = apply_release(state.configuration, record.note)
     if isinstance(applied, Err):
         return applied.err_value
-    state.lingering.update(state.configuration, applied.ok_value, entry.appended_at_ms)
-    follow_release(
-        state.fleet,
-        state.configuration,
-        applied.ok_value,
-        record.note.changed.waves,
-    )
-    state.configuration = applied.ok_value
+    before, state.configuration = state.configuration, applied.ok_value
+    follow_release(state.fleet, before, state.configuration, record.note.changed.waves)
+    state.lingering.update(before, state.configuration, entry.appended_at_ms)
     state.releases.append(
         ReleaseSummary(
             state.configuration.version,
@@ -193,7 +196,11 @@
     return ()
 
 
-def _update_homes(state: ControlState) -> None:
+def _update_homes(state: ControlState, at_ms: int) -> None:
+    # A team's home that moves soon after a service's would meet a home that cannot
+    # yet tell what its predecessor had granted, and would have to hold the limit back.
+    longest = state.lingering.longest_run_ms(state.configuration)
+    hold_ms = SERVICES_SETTLE_MS + longest
     homes = assign_homes(
         state.homes,
         state.view.members,
@@ -201,12 +208,24 @@
         state.configuration.job_pools(),
         state.configuration.teams,
         epoch=state.homes_changes + 1,
+        hold_teams=_service_leaves(state) or at_ms < state.services_moved_ms + hold_ms,
     )
     if homes != state.homes:
+        if _service_leaves(state):
+            state.services_moved_ms = at_ms
         state.homes = homes
         state.homes_changes += 1
 
 
+def _service_leaves(state: ControlState) -> bool:
+    """Tell whether a service's home is no member any more, so that it has to move."""
+    return any(
+        state.homes[key].member not in state.view.members
+        for key in map(service_ledger, state.served())
+        if key in state.homes
+    )
+
+
 def reopen_homes(state: ControlState) -> None:
     """Begin a new epoch of every home, so that each asks its holders again."""
     state.homes_changes += 1
--- a/tests/cover/test_ledger_faults.py
+++ b/tests/cover/test_ledger_faults.py
@@ -140,6 +140,18 @@
     assert ticket in world.started
 
 
+@pytest.mark.parametrize("members", [3, 4, 5, 6, 7])
+def test_grants_go_on_at_once_after_a_services_home_is_lost(members):
+    world = LedgerWorld(members)
+    fill(world)
+    world.advance(RUN_LIMIT + 1.0)
+    world.crash(world.home_of(SORTING).member)
+    world.heal()
+    world.spawn()
+    world.advance(1.0)
+    world.check_work_starts(RECOVERED)
+
+
 def late_grant_after_a_move():
     """A home's last grants arrive after its ledger has a new home."""
     world = LedgerWorld(3)
