--- a/packages/geraniumshore/src/geraniumshore/__init__.py
+++ b/packages/geraniumshore/src/geraniumshore/__init__.py
@@ -44,6 +44,7 @@
     pool_of,
     pool_uses,
     services_on_host,
+    unusable_hosts,
     unusable_minions,
     wave_hosts,
     wave_is_paused,
@@ -154,6 +155,7 @@
     WeightedShares,
 )
 from geraniumshore.internal.view import predecessor
+from geraniumshore.internal.wait_estimate import Flow, WaitEstimator
 
 __all__ = [
     "ActionStatus",
@@ -171,6 +173,7 @@
     "EndorseRequest",
     "Evict",
     "Finding",
+    "Flow",
     "FirstComeFirstServed",
     "FleetHost",
     "FleetState",
@@ -241,6 +244,7 @@
     "Unknown",
     "UnknownOutcomeError",
     "Verdict",
+    "WaitEstimator",
     "Wave",
     "WaveCandidate",
     "WavePolicy",
@@ -275,6 +279,7 @@
     "preview",
     "service_quiets",
     "services_on_host",
+    "unusable_hosts",
     "unusable_minions",
     "validation_findings",
     "verify_key",
