Pass batches through a third member where two cannot reach each other

Cause: a home waits for the report of every member of the view; two members that only miss one another are silent to nobody else, so none was evicted and the ledger stayed closed. Figures: tests/cover/test_peer_relay.py, 2 passed (a relayed message arrives; nothing arrives where nobody reaches the member). The whole fast suite was not run on this commit, only the relay, fault proxy and whole-path tests; recovery of a ledger over a relay was not measured with real processes.

--- a/packages/geraniumshored/src/geraniumshored/internal/peers.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/peers.py
@@ -19,6 +19,13 @@
     predecessor,
 )
 from geraniumshored.internal import peer_pb2, peer_pb2_grpc
+from geraniumshored.internal.routing import (
+    DIRECT_RETRY_SECONDS,
+    RELAY_METADATA,
+    RelayRoutes,
+    Route,
+    is_relay,
+)
 from geraniumshored.internal.runtime import Runtime
 
 __all__ = ["PeerNetwork", "PeerServer"]
@@ -90,7 +97,7 @@
             return messages
 
 
-class PeerLink(threading.Thread):
+class PeerLink(threading.Thread, Route):
     """Sends what is in an outbox to one member, a batch at a time."""
 
     def __init__(
@@ -100,8 +107,13 @@
         address: str,
         outbox: Outbox,
         runtime: Runtime,
+        relays: RelayRoutes,
     ) -> None:
         super().__init__(name=f"link-{member}", daemon=True)
+        self.member = member
+        self.healthy = False
+        self._relays = relays
+        self._direct_after = 0.0
         self._own = own
         self._member = member
         self._address = address
@@ -128,14 +140,40 @@
         for message in messages:
             metrics.peer_messages.labels(message.kind).inc()
         metrics.peer_bytes.labels("request").inc(batch.ByteSize())
+        answer = self._call_directly(batch)
+        result = "answered"
+        if answer is None:
+            answer = self._relays.exchange(batch)
+            result = "relayed" if answer is not None else "failed"
+            if answer is not None:
+                self._direct_after = time.monotonic() + DIRECT_RETRY_SECONDS
+        metrics.peer_batches.labels(result).inc()
+        if answer is not None:
+            take_in_batch(answer, self._runtime)
+
+    def call(self, batch: peer_pb2.Batch, relay: bool = False) -> peer_pb2.Batch:
+        """Exchange a batch; with ``relay`` the member passes it on.
+
+        Raises grpc.RpcError.
+        """
+        metadata = RELAY_METADATA if relay else ()
+        answer: peer_pb2.Batch = self._stub().Exchange(
+            batch, timeout=CALL_SECONDS, metadata=metadata
+        )
+        return answer
+
+    def _call_directly(self, batch: peer_pb2.Batch) -> peer_pb2.Batch | None:
+        if time.monotonic() < self._direct_after:
+            return None
         try:
-            answer = self._stub().Exchange(batch, timeout=CALL_SECONDS)
+            answer = self.call(batch)
         except grpc.RpcError as error:
-            metrics.peer_batches.labels("failed").inc()
+            self.healthy = False
             self._after_failure(error)
-            return
-        metrics.peer_batches.labels("answered").inc()
-        take_in_batch(answer, self._runtime)
+            return None
+        self.healthy = True
+        self._direct_after = 0.0
+        return answer
 
     def _after_failure(self, error: grpc.RpcError) -> None:
         # What was in the batch is sent again by the next heartbeat, in newer form.
@@ -164,6 +202,22 @@
         self._lock = threading.Lock()
         self._outbox_by_member: dict[str, Outbox] = {}
         self._link_by_member: dict[str, PeerLink] = {}
+        self._relays = RelayRoutes(self._links)
+
+    def _links(self) -> list[PeerLink]:
+        with self._lock:
+            return list(self._link_by_member.values())
+
+    def forward(self, batch: peer_pb2.Batch) -> peer_pb2.Batch | None:
+        """Pass another member's batch on; None where it cannot be done."""
+        with self._lock:
+            link = self._link_by_member.get(batch.recipient)
+        if link is None:
+            return None
+        try:
+            return link.call(batch)
+        except grpc.RpcError:
+            return None
 
     def send(self, member: str, messages: list[Message]) -> None:
         """Queue messages; to a member without an address they go with an answer."""
@@ -200,7 +254,7 @@
         with self._lock:
             if member in self._link_by_member:
                 return
-            link = PeerLink(own, member, address, outbox, self._runtime)
+            link = PeerLink(own, member, address, outbox, self._runtime, self._relays)
             self._link_by_member[member] = link
         link.start()
 
@@ -235,6 +289,8 @@
         """Take in a batch and answer with what waits for the caller."""
         member = self._runtime.member
         own = member.id
+        if request.recipient != own and is_relay(context):
+            return self._relay(request, context)
         if request.recipient == own:
             take_in_batch(request, self._runtime)
         elif request.recipient == predecessor(member.state.view, member.info):
@@ -250,6 +306,17 @@
         self._runtime.metrics.peer_bytes.labels("answer").inc(answer.ByteSize())
         return answer
 
+    def _relay(
+        self, request: peer_pb2.Batch, context: grpc.ServicerContext
+    ) -> peer_pb2.Batch:
+        answer = self._network.forward(request)
+        if answer is None:
+            context.abort(
+                grpc.StatusCode.UNAVAILABLE, f"{request.recipient} is out of reach"
+            )
+            raise RuntimeError("the call was aborted")
+        return answer
+
 
 def make_batch(sender: str, recipient: str, messages: list[Message]) -> peer_pb2.Batch:
     """Build the wire form of messages."""
--- /dev/null
+++ b/tests/cover/test_peer_relay.py
@@ -0,0 +1,76 @@
+"""Members that reach each other only through a third."""
+
+import pytest
+
+from geraniumshore import Member, MemberInfo
+from geraniumshore.internal.messages import Heartbeat
+from geraniumshore.internal.view import View
+from geraniumshore_standins.internal.fleet import free_port, wait_for
+from geraniumshored.internal.metrics import Metrics
+from geraniumshored.internal.peers import PeerNetwork, PeerServer
+from geraniumshored.internal.runtime import Runtime
+
+RELAYED_SECONDS = 10.0
+
+
+class RecordingRuntime(Runtime):
+    def __init__(self, member, metrics):
+        super().__init__(member, metrics)
+        self.heard: set[str] = set()
+
+    def deliver(self, sender, messages):
+        self.heard.add(sender)
+
+
+class Node:
+    def __init__(self, name):
+        self.address = f"127.0.0.1:{free_port()}"
+        self.info = MemberInfo(name, name, "dc1", self.address, "127.0.0.1:1")
+        self.runtime = RecordingRuntime(Member(self.info, lambda: "id"), Metrics())
+        self.heard = self.runtime.heard
+        self.network = PeerNetwork(self.runtime)
+        self.server = PeerServer(self.runtime, self.network)
+        self.server.start(self.address)
+
+    def see(self, *others, unreachable=()):
+        members = {other.info.member: other.info for other in others}
+        for other in unreachable:
+            address = f"127.0.0.1:{free_port()}"
+            info = MemberInfo(other.info.member, "h", "dc1", address, "127.0.0.1:1")
+            members[info.member] = info
+        self.runtime.member.state.view = View(1, members)
+
+    def greet(self, *others):
+        for other in others:
+            self.network.send(other.info.member, [Heartbeat(0)])
+
+
+@pytest.fixture
+def nodes():
+    nodes = [Node(name) for name in "abc"]
+    yield nodes
+    for node in nodes:
+        node.network.stop()
+        node.server.stop(0.1)
+
+
+def test_a_message_reaches_a_member_through_one_that_both_reach(nodes):
+    a, b, c = nodes
+    a.see(b, unreachable=[c])
+    b.see(a, c)
+    c.see(b, unreachable=[a])
+    b.greet(a, c)
+
+    def arrived():
+        a.greet(b, c)
+        return "a" in c.heard
+
+    wait_for(arrived, "relayed message", RELAYED_SECONDS)
+
+
+def test_a_message_does_not_arrive_where_nobody_reaches_the_member(nodes):
+    a, b, c = nodes
+    a.see(b, unreachable=[c])
+    b.see(a, unreachable=[c])
+    with pytest.raises(TimeoutError):
+        wait_for(lambda: a.greet(b, c) or "a" in c.heard, "message", 2.0)
