--- a/packages/geraniumshore/src/geraniumshore/internal/homes.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/homes.py
@@ -80,9 +80,12 @@
     pools: Iterable[str],
     teams: Iterable[str],
     epoch: int,
+    hold_teams: bool = False,
 ) -> dict[LedgerKey, Home]:
     """Return the home of each ledger; one that did not move keeps its epoch.
 
+    With ``hold_teams`` the homes of teams stay where they are while their member is
+    there, also beside the home of a service.
     Without members the homes stay as they were: whoever comes next must know that
     there was a home before, since work that it granted may still run.
     """
@@ -100,7 +103,11 @@
         chosen[key] = choose_member(key, all_members)
     for team in teams:
         key = team_ledger(team)
-        chosen[key] = choose_member(key, without_service or all_members)
+        held = previous.get(key) if hold_teams else None
+        if held is not None and held.member in all_members:
+            chosen[key] = held.member
+        else:
+            chosen[key] = choose_member(key, without_service or all_members)
     return {
         key: _keep_or_move(previous.get(key), member, epoch)
         for key, member in chosen.items()
