Ports outside the ephemeral range for stand-ins; forget verdicts of records given up

(1) free_port asked the system for a port and closed it; an outgoing connection of any process could take it before the bind, and two experiment starts had failed so ("no platform", "no ready e0"). Ports now come from below the ephemeral range, and none is given out twice. (2) A record that was given up left its future in the runtime for good. (3) The jobs experiment was not known to the runner.

--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/__init__.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/__init__.py
@@ -11,6 +11,7 @@
 from geraniumshore_standins.internal.experiments.capacity import CapacityExperiment
 from geraniumshore_standins.internal.experiments.control import ControlExperiment
 from geraniumshore_standins.internal.experiments.failover import FailoverExperiment
+from geraniumshore_standins.internal.experiments.jobs import JobsExperiment
 from geraniumshore_standins.internal.experiments.planner_scale import PlannerScale
 from geraniumshore_standins.internal.experiments.requests import (
     FaultsExperiment,
@@ -27,6 +28,7 @@
     "Experiment",
     "FailoverExperiment",
     "FaultsExperiment",
+    "JobsExperiment",
     "Measurement",
     "OverloadExperiment",
     "PlannerScale",
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/jobs.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/jobs.py
@@ -14,6 +14,7 @@
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from typing import ClassVar
 
 from geraniumshore import (
     LEASE_MS,
@@ -41,9 +42,20 @@
     TaskWork,
     Team,
 )
+from geraniumshore_standins.internal.experiments.base import (
+    Experiment,
+    Measurement,
+    register,
+)
 from geraniumshore_standins.internal.platform_tasks import TaskBoard, TaskHost
 
-__all__ = ["CancellationReport", "PlacementReport", "compare_placements", "run_wave"]
+__all__ = [
+    "CancellationReport",
+    "JobsExperiment",
+    "PlacementReport",
+    "compare_placements",
+    "run_wave",
+]
 
 POOL = "roasting"
 HOSTS = 12
@@ -88,13 +100,6 @@
     kills: int
     attempts_per_finished: float
 
-    def line(self) -> str:
-        """Return it as a line of a table."""
-        return (
-            f"{self.placement:10}{self.sizing:15}{self.finished_per_second:8.1f}"
-            f"{self.kills:7d}{self.attempts_per_finished:8.2f}"
-        )
-
 
 @dataclass(frozen=True, slots=True)
 class CancellationReport:
@@ -286,13 +291,24 @@
     )
 
 
-def main() -> None:
-    """Print both measurements."""
-    print("placement sizing          per s  kills  tries")
-    for report in compare_placements():
-        print(report.line())
-    print(run_wave())
-
-
-if __name__ == "__main__":
-    main()
+@register
+class JobsExperiment(Experiment):
+    """Placement of jobs beside its baselines, and a wave of cancellations."""
+
+    name: ClassVar[str] = "jobs"
+    purpose: ClassVar[str] = "jobs finished, kills for memory, cost of cancelling"
+
+    def run(self, seed: int) -> Iterator[Measurement]:
+        """Yield the figures of each placement, the project's own first."""
+        for report in reversed(list(compare_placements(seed))):
+            subject = f"{report.placement} {report.sizing}"
+            yield Measurement(subject, "finished", report.finished_per_second, "1/s")
+            yield Measurement(subject, "kills for memory", report.kills, "tasks")
+            yield Measurement(
+                subject, "attempts for each", report.attempts_per_finished, "tasks"
+            )
+        wave = run_wave(seed)
+        yield Measurement("cancelling", "jobs cancelled", wave.jobs, "jobs")
+        yield Measurement("cancelling", "appends", wave.appends, "records")
+        yield Measurement("cancelling", "stop calls", wave.stop_calls, "calls")
+        yield Measurement("cancelling", "processor time", wave.processor_ms, "ms")
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/fleet.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/fleet.py
@@ -6,6 +6,7 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -30,14 +31,33 @@
 
 OPERATOR = make_key("ops", "operators", "0" * 32, "0" * 32)
 START_SECONDS = 30.0
+LOWEST_PORT = 10_000
+HIGHEST_PORT = 32_000
+# Several test runs may share the machine, so each draws from a place of its own.
+_RANDOM = random.SystemRandom()
+_GIVEN_PORTS: set[int] = set()
 
 
 def free_port() -> int:
-    """Return a loopback port that is free just now."""
+    """Return a loopback port that is free just now, and is not given out again here.
+
+    Ports lie below those that the system gives to outgoing connections: one of these
+    could take a port between its choice and the bind of the process that it is for.
+    """
+    while True:
+        port = _RANDOM.randrange(LOWEST_PORT, HIGHEST_PORT)
+        if port not in _GIVEN_PORTS and _can_bind(port):
+            _GIVEN_PORTS.add(port)
+            return port
+
+
+def _can_bind(port: int) -> bool:
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
 
 
 def wait_for(
--- a/packages/geraniumshored/src/geraniumshored/internal/claim_log.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/claim_log.py
@@ -168,11 +168,13 @@
             except PlatformUnavailableError:
                 raise lost from None
 
-    @staticmethod
     def _fail_claims(
-        batch: list[_Pending], error: PlatformUnavailableError | UnknownOutcomeError
+        self,
+        batch: list[_Pending],
+        error: PlatformUnavailableError | UnknownOutcomeError,
     ) -> None:
         for pending in batch:
             if isinstance(pending.record, Claim):
+                self._runtime.forget_verdict(pending.record)
                 with contextlib.suppress(InvalidStateError):
                     pending.verdict.set_exception(error)
--- a/packages/geraniumshored/src/geraniumshored/internal/follower.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/follower.py
@@ -186,8 +186,7 @@
                 time.sleep(RETRY_SECONDS)
                 batch = self._still_wanted(batch)
 
-    @staticmethod
-    def _still_wanted(batch: list[_Pending]) -> list[_Pending]:
+    def _still_wanted(self, batch: list[_Pending]) -> list[_Pending]:
         now = time.monotonic()
         wanted = []
         for pending in batch:
@@ -196,6 +195,7 @@
             if pending.give_up_at > now:
                 wanted.append(pending)
                 continue
+            self._runtime.forget_verdict(pending.record)
             pending.verdict.set_exception(
                 UnknownOutcomeError(f"record {pending.record.id} was not acknowledged")
             )
--- a/tests/cover/test_fuzz_borders.py
+++ b/tests/cover/test_fuzz_borders.py
@@ -29,6 +29,7 @@
     fold_entry,
     parse_release,
 )
+from geraniumshore.internal.snapshot import decode_state, encode_state
 from geraniumshored import load_settings
 from tests.common.cluster import Cluster
 from tests.common.notes import first_note, key_of
@@ -163,6 +164,7 @@
     verdicts = [[list(fold_entry(s, deepcopy(e))) for e in entries] for s in states]
     assert verdicts[0] == verdicts[1]
     assert states[0] == states[1]
+    assert decode_state(encode_state(states[0])).unwrap() == states[0]
 
 
 @FUZZ
