--- /dev/null
+++ b/tests/cover/test_bench_page.py
@@ -0,0 +1,13 @@
+import re
+from pathlib import Path
+
+PAGE = Path(__file__).parents[2] / "docs" / "BENCH.md"
+
+
+def test_the_driver_of_the_page_runs_until_members_agree():
+    code = re.search(r"```python\n(.*?)```", PAGE.read_text(), re.DOTALL)
+    assert code is not None
+    names = {}
+    exec(code.group(1), names)
+    views = [sorted(m.state.view.members) for m in names["by_id"].values()]
+    assert views == [["a", "b", "c"]] * 3
