Repeat idle, confirmed accounts every 2 s; report a new service at once

Cause: every account between holders and homes was sent again four times a second, units or none: 120 reports and 120 notices a second for 5 services and 6 teams. And an entry's first report on a new service waited for a heartbeat (the 0.26 s of the first call after a note). A holder now knows when its home has confirmed its news; accounts without units, waiting work or unconfirmed news are repeated every 2 s, the others every 0.25 s as before. Ruled out: fewer heartbeats for all, which would make a lost grant or return cost more under load.

--- a/packages/geraniumshore/src/geraniumshore/internal/entry.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/entry.py
@@ -10,6 +10,7 @@
 from geraniumshore.internal.homes import LedgerKey
 from geraniumshore.internal.ledger import Holding, Lane
 from geraniumshore.internal.messages import Demand, GrantNotice, Handover, HolderReport
+from geraniumshore.internal.repeats import Repeat
 from geraniumshore.internal.shares import SHARE_TURN
 
 __all__ = [
@@ -78,10 +79,17 @@
     holding: Holding
     waiting_by_ticket: dict[str, SlotRequest] = field(default_factory=dict)
     sequence: int = 0
-    changed: bool = False
+    changed: bool = True
     starts_by_team: Counter[str] = field(default_factory=Counter)
     suspects: frozenset[str] = frozenset()
 
+    def due(self, repeat: Repeat) -> bool:
+        """Tell whether a report is due."""
+        if self.changed or repeat is Repeat.ALL:
+            return True
+        idle = self.holding.settled and not self.waiting_by_ticket
+        return repeat is Repeat.BUSY and not idle
+
 
 @dataclass(slots=True)
 class Entry:
@@ -185,6 +193,8 @@
         """Return this host's whole account with the home of ``service``."""
         entry = self.by_service[service]
         entry.sequence += 1
+        if entry.changed:
+            entry.holding.news = entry.sequence
         entry.changed = False
         counts = Counter(
             (request.team, request.urgent)
--- a/packages/geraniumshore/src/geraniumshore/internal/ledger.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/ledger.py
@@ -182,13 +182,23 @@
     """The holder's side of an account.
 
     ``unconfirmed`` names the lanes that the home may not know in their present form,
-    each with the first report that gave it, or None before there is one.
+    each with the first report that gave it, or None before there is one. ``news`` is
+    the newest report that said anything new, ``acknowledged`` the newest that the home
+    has confirmed.
     """
 
     epoch: int
     holder_epoch: int = 0
     by_lane: dict[Lane, LaneCounts] = field(default_factory=dict)
     unconfirmed: dict[Lane, int | None] = field(default_factory=dict)
+    news: int = -1
+    acknowledged: int = -1
+
+    @property
+    def settled(self) -> bool:
+        """Tell whether nothing is held and the home is known to know all."""
+        confirmed = not self.unconfirmed and self.acknowledged >= self.news
+        return confirmed and not any(c.held for c in self.by_lane.values())
 
     @classmethod
     def sealed(
@@ -253,6 +263,7 @@
         )
 
     def _confirm(self, acknowledged: int) -> None:
+        self.acknowledged = max(self.acknowledged, acknowledged)
         known = [
             lane
             for lane, first in self.unconfirmed.items()
--- a/packages/geraniumshore/src/geraniumshore/internal/member.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/member.py
@@ -42,12 +42,12 @@
 )
 from geraniumshore.internal.platform_tasks import TaskReports
 from geraniumshore.internal.records import LogEntry, MemberInfo, Record, Release
+from geraniumshore.internal.repeats import HeartbeatSchedule, Repeat
 from geraniumshore.internal.service_home import ServiceHome
 from geraniumshore.internal.shares import SharePolicy, WeightedShares
 from geraniumshore.internal.snapshot import CatchUp, WholeSnapshot, decode_state
 from geraniumshore.internal.task_watch import TaskWork
 from geraniumshore.internal.team_home import TeamHome
-from geraniumshore.internal.timing import HEARTBEAT_SECONDS
 from geraniumshore.internal.tokens import TeamTerms, TokenHolder
 
 __all__ = ["Effects", "Member"]
@@ -86,7 +86,7 @@
         self._retired: dict[str, ServiceHome] = {}
         self._effects = Effects()
         self._local: list[Message] = []
-        self._next_heartbeat = float("-inf")
+        self._heartbeats = HeartbeatSchedule()
 
     @property
     def id(self) -> str:
@@ -334,43 +334,41 @@
 
     def _act(self, now: float) -> None:
         """Decide all that can be decided now, and say what others must hear."""
-        heartbeat = now >= self._next_heartbeat
-        if heartbeat:
-            self._next_heartbeat = now + HEARTBEAT_SECONDS
-        self._report_as_entry(heartbeat, now)
-        self._decide_as_home(heartbeat, now)
+        repeat = self._heartbeats.due(now)
+        self._report_as_entry(repeat, now)
+        self._decide_as_home(repeat, now)
         while self._local:
             pending, self._local = self._local, []
             for message in pending:
                 self._handle(self.id, message, now)
-            self._report_as_entry(False, now)
-            self._decide_as_home(False, now)
+            self._report_as_entry(Repeat.NOTHING, now)
+            self._decide_as_home(Repeat.NOTHING, now)
 
-    def _report_as_entry(self, everything: bool, now: float) -> None:
+    def _report_as_entry(self, repeat: Repeat, now: float) -> None:
         for service, entry in self.entry.by_service.items():
             key = service_ledger(service)
-            if key not in self.state.homes or not (everything or entry.changed):
+            if key not in self.state.homes or not entry.due(repeat):
                 continue
             handover = self._handover(service, now)
             report = self.entry.report(service, key, handover)
             self._send(self.state.homes[key].member, report)
 
-    def _decide_as_home(self, everything: bool, now: float) -> None:
+    def _decide_as_home(self, repeat: Repeat, now: float) -> None:
         if not self.has_authority(now):
             return
         for team_home in self.team_homes.values():
-            if everything or team_home.dirty:
+            if repeat or team_home.dirty:
                 team_home.grant(now)
-            for notice in team_home.notices(everything):
+            for notice in team_home.notices(repeat):
                 self._send_to_home(LedgerKey(notice.holder), notice)
         for service_home in self.service_homes.values():
-            if everything or service_home.dirty:
+            if repeat or service_home.dirty:
                 service_home.grant(now)
-            for notice in service_home.notices(everything):
+            for notice in service_home.notices(repeat):
                 self._send(notice.holder, notice)
         self._effects.appends.extend(self.job_homes.decide(now))
         for holder in self.token_holders.values():
-            for report in holder.token_reports(everything, now):
+            for report in holder.token_reports(repeat, now):
                 self._send_to_home(report.ledger, report)
 
     def _handover(self, service: str, now: float) -> Handover | None:
--- a/packages/geraniumshore/src/geraniumshore/internal/pool_home.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/pool_home.py
@@ -27,6 +27,7 @@
 from geraniumshore.internal.placement_round import PlacementRound
 from geraniumshore.internal.platform_tasks import TaskReports
 from geraniumshore.internal.pool_hosts import hosts_of_pool
+from geraniumshore.internal.repeats import Repeat
 from geraniumshore.internal.shares import Candidate, SharePolicy, WeightedShares
 from geraniumshore.internal.sizing import LearnedSizes, Sizing
 from geraniumshore.internal.task_watch import TaskWatch, TaskWork
@@ -110,9 +111,9 @@
             account.receive(notice)
             self.reports_due = True
 
-    def token_reports(self, everyone: bool, now: float) -> Iterator[HolderReport]:
-        """Yield the accounts with the teams' homes, changed ones or all."""
-        if not (everyone or self.reports_due):
+    def token_reports(self, repeat: Repeat, now: float) -> Iterator[HolderReport]:
+        """Yield the accounts with the teams' homes, changed ones and others."""
+        if not (repeat or self.reports_due):
             return
         self.reports_due = False
         in_use = self._in_use_by_team()
@@ -120,7 +121,7 @@
             wanted = self.wanted_by_team[team]
             account.return_idle(in_use[team], wanted, now)
             report = account.report(
-                wanted, complete=True, always=everyone, in_use=in_use[team]
+                wanted, complete=True, repeat=repeat, in_use=in_use[team]
             )
             if report is not None:
                 yield report
--- a/packages/geraniumshore/src/geraniumshore/internal/service_home.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/service_home.py
@@ -15,6 +15,7 @@
 from geraniumshore.internal.ledger import Lane, Ledger, lane_grants
 from geraniumshore.internal.messages import GrantNotice, Handover, HolderReport
 from geraniumshore.internal.outliers import ejected_minions
+from geraniumshore.internal.repeats import Repeat
 from geraniumshore.internal.shares import Candidate, RecentUse, SharePolicy
 from geraniumshore.internal.timing import quarantine_until
 from geraniumshore.internal.tokens import TeamTerms, TokenAccount, TokenHolder
@@ -64,6 +65,7 @@
     demand_by_holder: dict[str, _HolderDemand] = field(default_factory=dict)
     tokens_by_team: dict[str, TokenAccount] = field(default_factory=dict)
     changed: set[str] = field(default_factory=set)
+    notified_by_holder: dict[str, int] = field(default_factory=dict)
     recent_use: RecentUse = field(default_factory=RecentUse)
     grants: int = 0
     dirty: bool = True
@@ -158,13 +160,15 @@
             unmet[holder, chosen.team, chosen.urgent] -= 1
         self._return_idle_tokens(use_by_minion, use_by_team, unmet, now)
 
-    def notices(self, everyone: bool) -> Iterator[GrantNotice]:
-        """Yield what entry members should hear, changed accounts or all."""
-        holders = list(self.ledger.by_holder) if everyone else sorted(self.changed)
+    def notices(self, repeat: Repeat) -> Iterator[GrantNotice]:
+        """Yield what entry members should hear: changed accounts, and some again."""
+        due = {holder for holder in self.ledger.by_holder if self._due(holder, repeat)}
+        holders = sorted(self.changed | due)
         self.changed.clear()
         for holder in holders:
             account = self.ledger.by_holder.get(holder)
-            if account is not None and (account.by_lane or self.unreported):
+            if account is not None:
+                self.notified_by_holder[holder] = self._acknowledged(holder)
                 yield GrantNotice(
                     ledger=service_ledger(self.service),
                     epoch=self.home.epoch,
@@ -174,9 +178,9 @@
                     acknowledged=self._acknowledged(holder),
                 )
 
-    def token_reports(self, everyone: bool, now: float) -> Iterator[HolderReport]:
+    def token_reports(self, repeat: Repeat, now: float) -> Iterator[HolderReport]:
         """Yield this home's accounts with the teams' homes, changed ones or all."""
-        if not self.ready or not (everyone or self.reports_due):
+        if not self.ready or not (repeat or self.reports_due):
             return
         self.reports_due = False
         use_by_minion, use_by_team = self._tally()
@@ -189,7 +193,7 @@
             report = tokens.report(
                 wanted,
                 self.complete(now),
-                always=everyone,
+                repeat=repeat,
                 ahead=max(0, self._kept_idle(waiting, free) - idle) - wanted,
                 in_use=use_by_team[team],
             )
@@ -211,6 +215,13 @@
         }
         self.recent_use.update(use, now)
 
+    def _due(self, holder: str, repeat: Repeat) -> bool:
+        if repeat is not Repeat.BUSY:
+            return repeat is Repeat.ALL
+        account = self.ledger.by_holder[holder]
+        told = self.notified_by_holder.get(holder, -1)
+        return account.held() > 0 or told < self._acknowledged(holder)
+
     def _acknowledged(self, holder: str) -> int:
         demand = self.demand_by_holder.get(holder)
         return demand.sequence if demand is not None else -1
--- a/packages/geraniumshore/src/geraniumshore/internal/team_home.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/team_home.py
@@ -13,6 +13,7 @@
 from geraniumshore.internal.homes import LedgerKey, team_ledger
 from geraniumshore.internal.ledger import HolderAccount, Lane, Ledger, lane_grants
 from geraniumshore.internal.messages import GrantNotice, HolderReport
+from geraniumshore.internal.repeats import Repeat
 from geraniumshore.internal.timing import quarantine_until
 
 __all__ = ["TeamHome"]
@@ -48,6 +49,7 @@
     recalled: set[str] = field(default_factory=set)
     exceeded: bool = False
     changed: set[str] = field(default_factory=set)
+    notified_by_holder: dict[str, int] = field(default_factory=dict)
     dirty: bool = True
 
     def __post_init__(self) -> None:
@@ -109,14 +111,24 @@
         self._grant_fewest_first(ahead, free)
         self._note_pressure(free, at_once)
 
-    def notices(self, everyone: bool) -> Iterator[GrantNotice]:
-        """Yield what the holders should hear, changed accounts or all."""
-        holders = list(self.ledger.by_holder) if everyone else sorted(self.changed)
+    def notices(self, repeat: Repeat) -> Iterator[GrantNotice]:
+        """Yield what the holders should hear: changed accounts, and some again."""
+        due = {holder for holder in self.ledger.by_holder if self._due(holder, repeat)}
+        holders = sorted(self.changed | due)
         self.changed.clear()
         for holder in holders:
-            if holder in self.ledger.by_holder:
+            account = self.ledger.by_holder.get(holder)
+            if account is not None:
+                self.notified_by_holder[holder] = account.sequence
                 yield self._notice(holder)
 
+    def _due(self, holder: str, repeat: Repeat) -> bool:
+        if repeat is not Repeat.BUSY:
+            return repeat is Repeat.ALL
+        account = self.ledger.by_holder[holder]
+        told = self.notified_by_holder.get(holder, -1)
+        return account.held() > 0 or told < account.sequence
+
     def _change_limit(self, limit: int, now: float) -> None:
         if now < self.unaccounted_until:
             # What is unaccounted for may be as much as the limit, old or new.
--- a/packages/geraniumshore/src/geraniumshore/internal/timing.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/timing.py
@@ -6,6 +6,7 @@
     "AUTHORITY_SECONDS",
     "CLOCK_MARGIN_SECONDS",
     "HEARTBEAT_SECONDS",
+    "IDLE_HEARTBEAT_SECONDS",
     "IDLE_TOKEN_SECONDS",
     "quarantine_until",
 ]
@@ -17,6 +18,8 @@
 CLOCK_MARGIN_SECONDS = 0.3
 # Unchanged reports and grants are repeated this often, which also replaces lost ones.
 HEARTBEAT_SECONDS = 0.25
+# The same for accounts that are idle and confirmed.
+IDLE_HEARTBEAT_SECONDS = 2.0
 # A token without work goes back to its team's home after this time.
 IDLE_TOKEN_SECONDS = 0.1
 
--- a/packages/geraniumshore/src/geraniumshore/internal/tokens.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/tokens.py
@@ -14,6 +14,7 @@
 from geraniumshore.internal.homes import LedgerKey, team_ledger
 from geraniumshore.internal.ledger import Holding, Lane
 from geraniumshore.internal.messages import Demand, GrantNotice, HolderReport
+from geraniumshore.internal.repeats import Repeat
 from geraniumshore.internal.timing import IDLE_TOKEN_SECONDS
 
 __all__ = ["TeamTerms", "TokenAccount", "TokenHolder"]
@@ -39,8 +40,8 @@
         """Take in a notice of a team's home."""
 
     @abstractmethod
-    def token_reports(self, everyone: bool, now: float) -> Iterator[HolderReport]:
-        """Yield the accounts with the teams' homes, changed ones or all.
+    def token_reports(self, repeat: Repeat, now: float) -> Iterator[HolderReport]:
+        """Yield the accounts with the teams' homes: changed ones, and those to repeat.
 
         Nothing may be yielded before all of the work that uses tokens is known.
         """
@@ -135,7 +136,7 @@
         self,
         wanted: int,
         complete: bool,
-        always: bool,
+        repeat: Repeat,
         ahead: int = 0,
         in_use: int = 0,
     ) -> HolderReport | None:
@@ -146,11 +147,15 @@
         that runs. ``complete`` says that no work of an earlier home of the same ledger
         can be unknown here.
         """
-        if not (always or self.changed or (wanted, ahead) != self._reported_wanted):
+        news = self.changed or (wanted, ahead) != self._reported_wanted
+        idle = self.holding.settled and not (wanted or ahead)
+        if not news and (repeat is Repeat.NOTHING or (repeat is Repeat.BUSY and idle)):
             return None
         self.changed = False
         self._reported_wanted = (wanted, ahead)
         self._sequence += 1
+        if news:
+            self.holding.news = self._sequence
         return HolderReport(
             ledger=team_ledger(self.team),
             epoch=self.holding.epoch,
