After a loss, keep homes of services clear of homes of teams

After a loss teams' homes stay for a while, but services' homes still moved by hash, so one could come to lie on a team's home; the next loss then took both ledgers, and the rest of the limit was quarantined.

Seen: test_homes fails before, passes after. Conclusion: not enough: with 6 teams on the 4 hosts without a service there is no host left that is home of no team.

--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/failover.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/failover.py
@@ -7,7 +7,7 @@
 from typing import ClassVar
 
 from geraniumshore import MadeKey
-from geraniumshore.internal.homes import service_ledger
+from geraniumshore.internal.homes import LedgerKey, service_ledger, team_ledger
 from geraniumshore_standins.internal.experiments.base import (
     Experiment,
     Measurement,
@@ -23,6 +23,7 @@
 
 SIZE = FleetSize(entries=5, services=1, minions=6, slots=8)
 ROUNDS = 3
+TEAM = "a"
 GIVE_UP_SECONDS = 60.0
 
 
@@ -38,13 +39,18 @@
         with Fleet() as fleet:
             keys = start_fleet(fleet, SIZE)
             for number in range(ROUNDS):
-                seconds = self._round(fleet, keys)
-                yield Measurement("killed home", f"round {number + 1}", seconds, "s")
-
-    def _round(self, fleet: Fleet, keys: dict[str, MadeKey]) -> float:
-        home = _home(fleet)
+                subject = f"round {number + 1}"
+                home = _home(fleet, service_ledger("s0"))
+                both = home is _home(fleet, team_ledger(TEAM))
+                yield Measurement(subject, "team's home on it too", both, "0 or 1")
+                seconds = self._round(fleet, home, keys)
+                yield Measurement(subject, "until grants", seconds, "s")
+
+    def _round(
+        self, fleet: Fleet, home: EntryProcess, keys: dict[str, MadeKey]
+    ) -> float:
         others = [entry for entry in fleet.by_name.values() if entry is not home]
-        bearer = keys["a"].bearer
+        bearer = keys[TEAM].bearer
         _wait_for_answers([home, *others], bearer)
         home.kill()
         killed = time.monotonic()
@@ -60,9 +66,9 @@
         return took
 
 
-def _home(fleet: Fleet) -> EntryProcess:
+def _home(fleet: Fleet, ledger: LedgerKey) -> EntryProcess:
     status = next(iter(fleet.by_name.values())).status()
-    member = status["homes"][service_ledger("s0")]
+    member = status["homes"][ledger]
     return fleet.by_name[member.rpartition("-")[0]]
 
 
--- a/packages/geraniumshore/src/geraniumshore/internal/fold.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/fold.py
@@ -241,7 +241,7 @@
         state.configuration.job_pools(),
         state.configuration.teams,
         epoch=state.homes_changes + 1,
-        hold_teams=_service_leaves(state) or at_ms < state.services_moved_ms + hold_ms,
+        after_loss=_service_leaves(state) or at_ms < state.services_moved_ms + hold_ms,
     )
     if homes != state.homes:
         if _service_leaves(state):
--- a/packages/geraniumshore/src/geraniumshore/internal/homes.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/homes.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Container, Iterable, Mapping
 from dataclasses import dataclass
 from typing import NewType
 
@@ -80,40 +80,50 @@
     pools: Iterable[str],
     teams: Iterable[str],
     epoch: int,
-    hold_teams: bool = False,
+    after_loss: bool = False,
 ) -> dict[LedgerKey, Home]:
     """Return the home of each ledger; one that did not move keeps its epoch.
 
-    With ``hold_teams`` the homes of teams stay where they are while their member is
-    there, also beside the home of a service.
+    With ``after_loss``, some time after a service's home was lost, the homes of
+    services and teams stay where their members are there, and a service whose home
+    has to move goes, if it can, to a member that is home of no team. So a second loss
+    soon after does not take a service's home and a team's together.
     Without members the homes stay as they were: whoever comes next must know that
     there was a home before, since work that it granted may still run.
     """
     all_members = frozenset(members)
     if not all_members:
         return dict(previous)
-    chosen = {
-        service_ledger(service): choose_member(service_ledger(service), all_members)
-        for service in services
-    }
+    kept = _homes_that_stay(previous, all_members) if after_loss else {}
+    team_keys = [team_ledger(team) for team in teams]
+    without_team = all_members - {kept[key] for key in team_keys if key in kept}
+    chosen = {}
+    for service in services:
+        key = service_ledger(service)
+        chosen[key] = kept.get(key) or choose_member(key, without_team or all_members)
     # What runs for a pool is in the log, so its home is no risk to a team's.
     without_service = all_members - set(chosen.values())
     for pool in pools:
         key = pool_ledger(pool)
         chosen[key] = choose_member(key, all_members)
-    for team in teams:
-        key = team_ledger(team)
-        held = previous.get(key) if hold_teams else None
-        if held is not None and held.member in all_members:
-            chosen[key] = held.member
-        else:
-            chosen[key] = choose_member(key, without_service or all_members)
+    for key in team_keys:
+        chosen[key] = kept.get(key) or choose_member(
+            key, without_service or all_members
+        )
     return {
         key: _keep_or_move(previous.get(key), member, epoch)
         for key, member in chosen.items()
     }
 
 
+def _homes_that_stay(
+    previous: Mapping[LedgerKey, Home], members: Container[str]
+) -> dict[LedgerKey, str]:
+    return {
+        key: home.member for key, home in previous.items() if home.member in members
+    }
+
+
 def _keep_or_move(previous: Home | None, member: str, epoch: int) -> Home:
     if previous is not None and previous.member == member:
         return previous
