--- a/packages/geraniumshore/src/geraniumshore/internal/homes.py
+++ b/packages/geraniumshore/src/geraniumshore/internal/homes.py
@@ -2,9 +2,9 @@
 
 A home is chosen by rendezvous hashing, so that every member computes the same one
 and a change of the view moves few of them. Homes of teams are placed, as far as
-members allow, where no service has its home: a home of a team is then never at the
-same time a holder of that team's tokens, and one crash cannot take with it both the
-ledger and an entry that only this ledger knew.
+members allow, where no service has its home, nor would have it next: a home of a team
+is then never at the same time a holder of that team's tokens, also after a loss, and
+one crash cannot take with it both the ledger and an entry that only this ledger knew.
 """
 
 from __future__ import annotations
@@ -103,12 +103,18 @@
         chosen[key] = kept.get(key) or choose_member(key, without_team or all_members)
     # What runs for a pool is in the log, so its home is no risk to a team's.
     without_service = all_members - set(chosen.values())
+    successors = {
+        choose_member(key, all_members - {home})
+        for key, home in chosen.items()
+        if len(all_members) > 1
+    }
+    clear = without_service - successors
     for pool in pools:
         key = pool_ledger(pool)
         chosen[key] = choose_member(key, all_members)
     for key in team_keys:
         chosen[key] = kept.get(key) or choose_member(
-            key, without_service or all_members
+            key, clear or without_service or all_members
         )
     return {
         key: _keep_or_move(previous.get(key), member, epoch)
--- a/tests/cover/test_homes.py
+++ b/tests/cover/test_homes.py
@@ -2,7 +2,7 @@
 
 from geraniumshore.internal.homes import assign_homes, service_ledger, team_ledger
 
-TEAMS = ("acme", "bolt")
+TEAMS = ("acme", "bolt", "cove", "dell", "eyre", "firs")
 members = st.sets(st.text("abcdefgh", min_size=2, max_size=4), min_size=5, max_size=9)
 
 
