--- a/packages/geraniumshore-standins/src/geraniumshore_standins/demo.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/demo.py
@@ -26,7 +26,7 @@
 
 MINIONS = 6
 ENTRIES = 3
-LIMIT_BY_TEAM = {"bakery": 20, "export": 5, "sorting": 40}
+LIMIT_BY_TEAM = {"photos": 20, "archive": 5, "search": 40}
 LOAD_THREADS = 24
 LOAD_SECONDS = 4.0
 
@@ -48,11 +48,11 @@
     """Return the release note that sets the demo up."""
     return {
         "base": 0,
-        "note": "the sorting line",
+        "note": "first service",
         "added": {
-            "services": {"kernel-count": {}},
+            "services": {"thumbnails": {}},
             "minions": {
-                name: {"service": "kernel-count", "address": address}
+                name: {"service": "thumbnails", "address": address}
                 for name, address in fleet.address_by_minion.items()
             },
             "teams": {
@@ -69,7 +69,7 @@
             },
             "queues": {
                 "count": {
-                    "service": "kernel-count",
+                    "service": "thumbnails",
                     "idempotent": True,
                     "urgent": True,
                 }
@@ -174,10 +174,10 @@
     command(fleet, "members")
 
     entry = fleet.by_name["entry-1"]
-    reply = entry.call("count", keys["sorting"].bearer, b'{"bin": 7}')
+    reply = entry.call("count", keys["search"].bearer, b'{"image": 7}')
     print(f"  answer: {reply.body.decode()}")
     checks.expect(reply.status == 200, "a keyed request got its whole answer")
-    reply = entry.call("count", "sorting-1.not-the-secret")
+    reply = entry.call("count", "search-1.not-the-secret")
     print(f"  answer: {reply.body.decode()}")
     checks.expect(reply.status == 401, "a wrong key is refused")
     checks.expect(reply.json()["outcome"] == "not-run", "and nothing was run for it")
@@ -185,14 +185,14 @@
     run_load(fleet, keys, checks)
     check_limits(fleet, checks)
 
-    key_id = keys["export"].key_id
+    key_id = keys["archive"].key_id
     withdrawal = {"base": 1, "note": "key lost", "withdrawn": {"keys": [key_id]}}
     note = write_note(fleet, "withdraw.json", withdrawal)
     began = time.monotonic()
     applied = command(fleet, "release", "apply", note, "--wait")
     print(f"  in force everywhere after {time.monotonic() - began:.2f} s")
     for name in ("entry-1", "entry-2"):
-        reply = fleet.by_name[name].call("count", keys["export"].bearer)
+        reply = fleet.by_name[name].call("count", keys["archive"].bearer)
         checks.expect(reply.status == 401, f"{name} refuses the withdrawn key")
     stale = write_note(fleet, "stale.json", withdrawal)
     checks.expect(
