--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/faults.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/faults.py
@@ -232,7 +232,7 @@
 def run_faults(requests: int = REQUESTS, seed: int = 1) -> FaultsReport:
     """Run the experiment on processes of its own."""
     with FaultyFleet() as fleet:
-        fleet.start_all(ENTRIES, MINIONS, seed)
+        fleet.start_behind_hops(ENTRIES, MINIONS, seed)
         key = fleet.make_key(TEAM)
         addresses = {name: hop.address for name, hop in fleet.hop_by_minion.items()}
         note = first_note(addresses, key, run_limit_ms=RUN_LIMIT_MS)
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/faulty_fleet.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/faulty_fleet.py
@@ -53,13 +53,17 @@
 
 @dataclass(slots=True)
 class FaultyFleet(Fleet):
-    """Callers, minions, the platform and members are each reached through a hop."""
+    """Callers, minions, the platform and members are each reached through a hop.
+
+    ``work_ms`` is how long minions work once every fault is off.
+    """
 
     hop_by_minion: dict[str, Hop] = field(default_factory=dict)
     hop_by_entry: dict[str, Hop] = field(default_factory=dict)
     platform_hop_by_entry: dict[str, Hop] = field(default_factory=dict)
+    work_ms: int = 5
 
-    def start_all(self, entries: int, minions: int, seed: int) -> None:
+    def start_behind_hops(self, entries: int, minions: int, seed: int = 0) -> None:
         """Start every process, with a working hop before each."""
         self.start_platform()
         self.start_proxy(seed)
@@ -95,5 +99,5 @@
         for hop in self.all_hops():
             hop.set_faults()
         for name in self.address_by_minion:
-            self.set_minion_modes(name, work_ms=5)
+            self.set_minion_modes(name, work_ms=self.work_ms)
         self.set_faults()
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/shares.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/shares.py
@@ -13,13 +13,11 @@
 )
 from geraniumshore_standins.internal.experiments.load import Arrivals, IdleObserver
 from geraniumshore_standins.internal.experiments.simulation import (
+    SCHEDULER_BY_SUBJECT,
     WARM_UP_SECONDS,
-    CentralQueue,
     FleetShape,
-    MemberScheduler,
     Scheduler,
     Simulation,
-    StaticSplit,
 )
 
 __all__ = ["SharesExperiment"]
@@ -51,12 +49,8 @@
 
     def run(self, seed: int) -> Iterator[Measurement]:
         """Yield the distances for the project's policy and both baselines."""
-        for subject, kind in (
-            ("weighted shares", MemberScheduler),
-            ("first come first served", CentralQueue),
-            ("round robin per host", StaticSplit),
-        ):
-            yield from self._measure(subject, kind(Simulation(seed), SHAPE))
+        for subject, scheduler in SCHEDULER_BY_SUBJECT.items():
+            yield from self._measure(subject, scheduler(Simulation(seed), SHAPE))
 
     def _measure(self, subject: str, scheduler: Scheduler) -> Iterator[Measurement]:
         simulation = scheduler.simulation
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/simulation.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/simulation.py
@@ -29,6 +29,7 @@
 )
 
 __all__ = [
+    "SCHEDULER_BY_SUBJECT",
     "CentralQueue",
     "FleetShape",
     "MemberScheduler",
@@ -351,3 +352,11 @@
         member = self._by_id[target]
         member.on_messages(sender, messages, self.simulation.now)
         self._carry_out(member)
+
+
+# The project's own policy first, then its baselines.
+SCHEDULER_BY_SUBJECT: dict[str, Callable[[Simulation, FleetShape], Scheduler]] = {
+    "weighted shares": MemberScheduler,
+    "first come first served": CentralQueue,
+    "round robin per host": StaticSplit,
+}
