--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
-PROJECTS := packages/geraniumshore packages/geraniumshored packages/geraniumshore-cli packages/geraniumshore-standins
+PROJECTS := packages/geraniumshore-scheduler packages/geraniumshore packages/geraniumshored packages/geraniumshore-cli packages/geraniumshore-standins
 
 .PHONY: setup test nocover quality demo bench format check proto schema
 
--- /dev/null
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_book.py
@@ -0,0 +1,121 @@
+"""The fold of the job log, which every node keeps to answer callers from memory."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from geraniumshore_scheduler.internal.model import Job
+from geraniumshore_scheduler.internal.records import (
+    JobState,
+    Progress,
+    RecordKind,
+    decode_job,
+    decode_progress,
+    split_key,
+)
+
+__all__ = ["BookedJob", "JobBook"]
+
+
+@dataclass(slots=True)
+class BookedJob:
+    """A job and the newest records of it. Offsets are those of the job log."""
+
+    job: Job
+    accepted_offset: int
+    accepted_at: float
+    progress: Progress = field(default_factory=Progress)
+    progress_offset: int = -1
+    cancelled_offset: int | None = None
+
+    @property
+    def cancelled(self) -> bool:
+        """Whether a cancellation came before any final state."""
+        if self.cancelled_offset is None:
+            return False
+        final = self.progress.state.final
+        return not final or self.cancelled_offset < self.progress_offset
+
+    @property
+    def state(self) -> JobState:
+        """The state that callers are told."""
+        return JobState.CANCELLED if self.cancelled else self.progress.state
+
+
+class JobBook:
+    """All jobs whose records stand in the log. Not safe for use by several threads."""
+
+    def __init__(self) -> None:
+        self.job_by_id: dict[str, BookedJob] = {}
+        self._orphans: dict[tuple[RecordKind, str], tuple[int, bytes]] = {}
+        self._pending_by_queue: dict[str, int] = {}
+
+    def fold(self, key: str, value: bytes, offset: int, now: float) -> BookedJob | None:
+        """Apply one record; return the job that it changed.
+
+        Records may repeat and their order across keys may differ from the log's, as
+        pages of newest records are no snapshot. Raises InvalidInputError for a value
+        that cannot be decoded.
+        """
+        parts = split_key(key)
+        if parts is None:
+            return None
+        kind, job_id = parts
+        booked = self.job_by_id.get(job_id)
+        if not value:
+            self._drop(kind, job_id)
+            return None
+        if kind is RecordKind.ACCEPTED:
+            if booked is None:
+                return self._accept(decode_job(value), offset, now)
+            return None
+        if booked is None:
+            self._orphans[kind, job_id] = offset, value
+            return None
+        self._count(booked, -1)
+        if kind is RecordKind.CANCELLED:
+            if booked.cancelled_offset is None:
+                booked.cancelled_offset = offset
+        elif offset > booked.progress_offset:
+            booked.progress = decode_progress(value)
+            booked.progress_offset = offset
+        self._count(booked, 1)
+        return booked
+
+    def pending(self, queue: str) -> int:
+        """Return how many accepted jobs of a queue have not begun."""
+        return self._pending_by_queue.get(queue, 0)
+
+    def open_jobs(self) -> Iterator[BookedJob]:
+        """Yield the jobs that are not in a final state."""
+        return (b for b in self.job_by_id.values() if not b.state.final)
+
+    def clear(self) -> None:
+        """Forget everything, before the newest records are read again."""
+        self.job_by_id.clear()
+        self._orphans.clear()
+        self._pending_by_queue.clear()
+
+    def _accept(self, job: Job, offset: int, now: float) -> BookedJob:
+        booked = BookedJob(job, offset, now)
+        self.job_by_id[job.job_id] = booked
+        self._count(booked, 1)
+        for kind in (RecordKind.CANCELLED, RecordKind.PROGRESS):
+            orphan = self._orphans.pop((kind, job.job_id), None)
+            if orphan is not None:
+                key = f"{kind.value}/{job.job_id}"
+                self.fold(key, orphan[1], orphan[0], now)
+        return booked
+
+    def _drop(self, kind: RecordKind, job_id: str) -> None:
+        self._orphans.pop((kind, job_id), None)
+        if kind is RecordKind.ACCEPTED:
+            booked = self.job_by_id.pop(job_id, None)
+            if booked is not None:
+                self._count(booked, -1)
+
+    def _count(self, booked: BookedJob, change: int) -> None:
+        if booked.state is JobState.QUEUED:
+            queue = booked.job.queue
+            self._pending_by_queue[queue] = self.pending(queue) + change
--- /dev/null
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/ordering.py
@@ -0,0 +1,50 @@
+"""The order in which jobs get room: bursts that ask for more than a pool holds."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from typing import Any
+
+from geraniumshore_scheduler.internal.runs import OpenJob
+
+__all__ = ["ByObjective", "FirstCome", "JobOrder"]
+
+# A job that ends after so many times its objective has no worth left for its caller.
+LATE_FACTOR = 3.0
+
+
+class JobOrder(ABC):
+    """Ranks the jobs of one service; the lowest rank goes first."""
+
+    @abstractmethod
+    def rank(self, job: OpenJob, now: float) -> Any:
+        """Return a value to sort by."""
+
+
+class FirstCome(JobOrder):
+    """The baseline: whoever came first."""
+
+    def rank(self, job: OpenJob, now: float) -> Any:
+        """Return the time of arrival."""
+        return (job.priority, job.arrived_at)
+
+
+class ByObjective(JobOrder):
+    """Jobs that can still meet their objective go first, the most urgent of them first.
+
+    In a burst, first come first served would spend the room on jobs that are late
+    already and so make all later ones late too. Lasting tasks go first: they are down
+    until they are placed.
+    """
+
+    def rank(self, job: OpenJob, now: float) -> Any:
+        """Rank by priority, then by what is still to be saved, then by urgency."""
+        if job.job.lasting:
+            return (job.priority, -1, job.arrived_at)
+        latest_start = job.objective_at - job.work_left_s()
+        if now <= latest_start:
+            return (job.priority, 0, latest_start)
+        last_end = job.arrived_at + LATE_FACTOR * job.objective_s
+        if now + job.work_left_s() <= last_end:
+            return (job.priority, 1, job.arrived_at)
+        return (job.priority, 2, job.arrived_at)
--- /dev/null
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
@@ -0,0 +1,132 @@
+"""The records of the job log, and their encoding."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+
+from pydantic import TypeAdapter, ValidationError
+
+from geraniumshore_scheduler.errors import Finding, InvalidInputError
+from geraniumshore_scheduler.internal.model import Job, TaskKey
+
+__all__ = [
+    "JobState",
+    "Placed",
+    "Progress",
+    "RecordKind",
+    "decode_job",
+    "decode_progress",
+    "encode_job",
+    "encode_progress",
+    "job_key",
+    "split_key",
+]
+
+
+class RecordKind(enum.Enum):
+    """What a record of the job log says; the value begins its key."""
+
+    ACCEPTED = "j"
+    CANCELLED = "c"
+    PROGRESS = "s"
+
+
+class JobState(enum.Enum):
+    """Where a job stands, as callers see it."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    DONE = "done"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+    @property
+    def final(self) -> bool:
+        """Whether nothing comes after it."""
+        return self not in (JobState.QUEUED, JobState.RUNNING)
+
+
+@dataclass(frozen=True, slots=True)
+class Placed:
+    """A run that was ordered, or is about to be, on a minion."""
+
+    minion_id: str
+    run: int
+
+
+@dataclass(slots=True)
+class Progress:
+    """What is known for certain of a job's tasks, by ``occurrence.step.index``.
+
+    ``done`` has a bit for each task, by ``occurrence.step``. ``placed`` is written
+    before a start is sent, so that a later owner knows where a task may run.
+    """
+
+    state: JobState = JobState.QUEUED
+    done: dict[str, int] = field(default_factory=dict)
+    failures: dict[str, int] = field(default_factory=dict)
+    checkpoints: dict[str, str] = field(default_factory=dict)
+    placed: dict[str, list[Placed]] = field(default_factory=dict)
+
+    def is_done(self, task: TaskKey) -> bool:
+        """Tell whether a task has ended done."""
+        bits = self.done.get(f"{task.occurrence}.{task.step}", 0)
+        return bool(bits >> task.position & 1)
+
+    def mark_done(self, task: TaskKey) -> None:
+        """Record the task's success; nothing else of it matters any more."""
+        step = f"{task.occurrence}.{task.step}"
+        self.done[step] = self.done.get(step, 0) | 1 << task.position
+        self.failures.pop(task.within_job, None)
+        self.checkpoints.pop(task.within_job, None)
+
+    def step_done(self, occurrence: int, step: int, count: int) -> bool:
+        """Tell whether all ``count`` tasks of a step have ended done."""
+        return self.done.get(f"{occurrence}.{step}", 0).bit_count() >= count
+
+
+_JOB = TypeAdapter(Job)
+_PROGRESS = TypeAdapter(Progress)
+
+
+def job_key(kind: RecordKind, job_id: str) -> str:
+    """Return the key of a job's record."""
+    return f"{kind.value}/{job_id}"
+
+
+def split_key(key: str) -> tuple[RecordKind, str] | None:
+    """Return the kind and the job of a key, None for a key of another form."""
+    prefix, slash, job_id = key.partition("/")
+    if not slash:
+        return None
+    try:
+        return RecordKind(prefix), job_id
+    except ValueError:
+        return None
+
+
+def encode_job(job: Job) -> bytes:
+    """Encode an accepted job."""
+    return _JOB.dump_json(job, exclude_defaults=True)
+
+
+def decode_job(value: bytes) -> Job:
+    """Decode an accepted job. Raises InvalidInputError."""
+    try:
+        return _JOB.validate_json(value)
+    except ValidationError as error:
+        raise InvalidInputError([Finding("job record", str(error))]) from error
+
+
+def encode_progress(progress: Progress) -> bytes:
+    """Encode a job's progress."""
+    return _PROGRESS.dump_json(progress, exclude_defaults=True)
+
+
+def decode_progress(value: bytes) -> Progress:
+    """Decode a job's progress. Raises InvalidInputError."""
+    try:
+        return _PROGRESS.validate_json(value)
+    except ValidationError as error:
+        raise InvalidInputError([Finding("progress record", str(error))]) from error
--- /dev/null
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
@@ -0,0 +1,141 @@
+"""Runs of tasks as their owner knows them, and the jobs that they belong to."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from geraniumshore_scheduler.internal.model import Job, Resources, Step, TaskKey
+from geraniumshore_scheduler.internal.records import JobState, Progress
+
+__all__ = ["OpenJob", "Run", "RunState"]
+
+MS = 1000.0
+
+
+class RunState(enum.Enum):
+    """What is known of a run.
+
+    PLANNED: written down or about to be; no start was sent. SENT: a start was sent and
+    not answered. DOUBTFUL: the start got no answer and has to be settled. ADOPTED: a
+    former owner wrote it down. RUNNING: the minion said so.
+    """
+
+    PLANNED = "planned"
+    SENT = "sent"
+    DOUBTFUL = "doubtful"
+    ADOPTED = "adopted"
+    RUNNING = "running"
+
+
+@dataclass(slots=True)
+class Run:
+    """One run of a task, on one life of one minion.
+
+    ``life`` is None while it is not known. ``stop_wanted`` asks for its end.
+    ``percent`` is its progress, for a lasting task how far it is at work.
+    """
+
+    task: TaskKey
+    number: int
+    minion_id: str
+    step: Step
+    team: str | None
+    state: RunState
+    since: float
+    life: int | None = None
+    confirmed_at: float | None = None
+    stop_wanted: bool = False
+    stop_sent_at: float | None = None
+    percent: int = 0
+    measured: float = 0.0
+    pace: int = 100
+    over_target_since: float | None = None
+    progressed_at: float = 0.0
+    at_work: bool = False
+
+    @property
+    def room(self) -> Resources:
+        """What it takes of the minion's capacity."""
+        return self.step.room
+
+
+@dataclass(slots=True)
+class OpenJob:
+    """A job that has not ended, as its owner schedules it.
+
+    ``waiting`` has the tasks whose turn has come and which certainly run nowhere, in
+    the order in which they became so. ``retry_at`` delays single tasks.
+    """
+
+    job: Job
+    progress: Progress
+    arrived_at: float
+    service: str
+    priority: int
+    objective_s: float
+    max_attempts: int
+    runs: dict[TaskKey, Run] = field(default_factory=dict)
+    waiting: dict[TaskKey, None] = field(default_factory=dict)
+    opened: set[tuple[int, int]] = field(default_factory=set)
+    failed_on: dict[TaskKey, set[str]] = field(default_factory=dict)
+    retry_at: dict[TaskKey, float] = field(default_factory=dict)
+    next_occurrence: int = 0
+
+    @property
+    def occurrences(self) -> int:
+        """How many times the steps run."""
+        return max(1, self.job.occurrences)
+
+    @property
+    def objective_at(self) -> float:
+        """When the job should be done."""
+        return self.arrived_at + self.objective_s
+
+    def due_occurrences(self, wall_ms: float) -> Iterator[int]:
+        """Yield the occurrences whose time has come, each once."""
+        while self.next_occurrence < self.occurrences:
+            due_ms = self.job.first_ms + self.next_occurrence * self.job.interval_ms
+            if self.job.occurrences and wall_ms < due_ms:
+                return
+            yield self.next_occurrence
+            self.next_occurrence += 1
+
+    def open_steps(self, occurrence: int) -> None:
+        """Let the tasks of all steps wait whose dependencies are done."""
+        for number, step in enumerate(self.job.steps):
+            if (occurrence, number) in self.opened:
+                continue
+            if all(self._step_done(occurrence, needed) for needed in step.depends_on):
+                self.opened.add((occurrence, number))
+                for index in range(step.count):
+                    task = TaskKey(self.job.job_id, occurrence, number, index)
+                    if task not in self.runs and not self.progress.is_done(task):
+                        self.waiting[task] = None
+
+    def finished(self) -> bool:
+        """Tell whether all tasks of all occurrences have ended done."""
+        return self.next_occurrence >= self.occurrences and all(
+            self._step_done(occurrence, number)
+            for occurrence in range(self.occurrences)
+            for number in range(len(self.job.steps))
+        )
+
+    def begun(self) -> None:
+        """Note that a task has been placed."""
+        if self.progress.state is JobState.QUEUED:
+            self.progress.state = JobState.RUNNING
+
+    def work_left_s(self) -> float:
+        """Return the longest chain of work left, from the declared estimates."""
+        ends: list[float] = []
+        for number, step in enumerate(self.job.steps):
+            start = max((ends[n] for n in step.depends_on), default=0.0)
+            done = self._step_done(max(0, self.next_occurrence - 1), number)
+            ends.append(start + (0.0 if done else step.estimate_ms / MS))
+        return max(ends, default=0.0)
+
+    def _step_done(self, occurrence: int, number: int) -> bool:
+        count = self.job.steps[number].count
+        return self.progress.step_done(occurrence, number, count)
--- a/packages/geraniumshored/src/geraniumshored/__init__.py
+++ b/packages/geraniumshored/src/geraniumshored/__init__.py
@@ -1,6 +1,24 @@
-"""The entry-host daemon; its public surface is the settings and the way to run it."""
+"""The daemons; the public surface is the settings and the way to run one."""
 
-from geraniumshored.internal.daemon import Daemon
-from geraniumshored.internal.settings import Settings, load_settings
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from geraniumshored.internal.daemon import Daemon
+    from geraniumshored.internal.settings import Settings, load_settings
 
 __all__ = ["Daemon", "Settings", "load_settings"]
+
+
+def __getattr__(name: str) -> Any:
+    """Import the daemon on first use: ``entry`` starts often and does not need it."""
+    if name == "Daemon":
+        from geraniumshored.internal.daemon import Daemon
+
+        return Daemon
+    if name in ("Settings", "load_settings"):
+        from geraniumshored.internal import settings
+
+        return getattr(settings, name)
+    raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
--- /dev/null
+++ b/packages/geraniumshored/src/geraniumshored/entry.py
@@ -0,0 +1,68 @@
+"""The program that runs on each of the platform's machines for the system."""
+
+from __future__ import annotations
+
+import logging
+import signal
+import sys
+import threading
+
+from geraniumshore_scheduler import InvalidInputError
+from geraniumshored.node.logs import configure_node_logs, log_event
+from geraniumshored.node.node import Node
+from geraniumshored.platform import (
+    ConsumerFront,
+    HttpPlatform,
+    load_platform_settings,
+    settings_path,
+)
+from geraniumshored.platform.consumers import JsonJobDecoder
+
+__all__ = ["main"]
+
+logger = logging.getLogger(__name__)
+
+EXIT_BAD_INPUT = 2
+
+
+def main() -> int:
+    """Serve until SIGTERM, then stop gracefully."""
+    try:
+        path = settings_path()
+        settings = load_platform_settings(path)
+    except InvalidInputError as error:
+        for finding in error.findings:
+            print(finding, file=sys.stderr)
+        return EXIT_BAD_INPUT
+    writer = configure_node_logs(settings.node)
+    stop = threading.Event()
+    signal.signal(signal.SIGTERM, lambda *_: stop.set())
+    signal.signal(signal.SIGINT, lambda *_: stop.set())
+    reload = threading.Event()
+    signal.signal(signal.SIGHUP, lambda *_: reload.set())
+    node = Node(settings.node_settings(), HttpPlatform(settings), JsonJobDecoder())
+    front = ConsumerFront(node.intake, node.metrics, node.ready)
+    node.metrics.gauge("log_lines_dropped", lambda: writer.dropped)
+    front.start(settings.front, settings.ready, settings.metrics)
+    node.start()
+    log_event(logger, "started", front=settings.front, data_centre=settings.data_centre)
+    while not stop.wait(0.2):
+        if reload.is_set():
+            reload.clear()
+            _report_reload(settings)
+    node.stop(front.announce_stop, lambda: front.open_calls)
+    return 0
+
+
+def _report_reload(current: object) -> None:
+    """Check the changed settings. Addresses need a new process to take effect."""
+    try:
+        changed = load_platform_settings(settings_path())
+    except InvalidInputError as error:
+        log_event(logger, "settings refused", findings=str(error))
+        return
+    log_event(logger, "settings read again", changed=changed != current)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/packages/geraniumshored/src/geraniumshored/internal/http_types.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/http_types.py
@@ -8,7 +8,7 @@
 from http import HTTPStatus
 from typing import Any
 
-from geraniumshore import Finding
+from geraniumshore_scheduler import Finding
 
 __all__ = ["HttpAnswer", "HttpRequest", "answer_json", "answer_problem", "read_request"]
 
--- /dev/null
+++ b/packages/geraniumshored/src/geraniumshored/node/__init__.py
@@ -0,0 +1,1 @@
+"""A node of the scheduler: threads and queues around the decisions."""
--- /dev/null
+++ b/packages/geraniumshored/src/geraniumshored/node/metrics.py
@@ -0,0 +1,92 @@
+"""Counters and latency histograms of a node, as text for scrapers."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable, Iterator
+
+from hdrh.histogram import HdrHistogram
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    Metric,
+    SummaryMetricFamily,
+)
+from prometheus_client.registry import Collector
+
+__all__ = ["NodeMetrics"]
+
+HIGHEST_US = 600_000_000
+SIGNIFICANT_DIGITS = 2
+QUANTILES = (0.5, 0.9, 0.99, 0.999)
+MICROSECONDS = 1_000_000
+PREFIX = "geraniumshore_"
+
+
+class NodeMetrics(Collector):
+    """What one node counts. Safe for use by several threads."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._count_by_name: dict[str, dict[tuple[str, ...], int]] = {}
+        self._histogram_by_name: dict[str, dict[str, HdrHistogram]] = {}
+        self._gauge_by_name: dict[str, Callable[[], float]] = {}
+        self._registry = CollectorRegistry()
+        self._registry.register(self)
+
+    def count(self, name: str, *labels: str) -> None:
+        """Add one to a counter."""
+        with self._lock:
+            counts = self._count_by_name.setdefault(name, {})
+            counts[labels] = counts.get(labels, 0) + 1
+
+    def observe(self, name: str, label: str, seconds: float) -> None:
+        """Add a duration to a histogram."""
+        with self._lock:
+            histograms = self._histogram_by_name.setdefault(name, {})
+            histogram = histograms.get(label)
+            if histogram is None:
+                histogram = HdrHistogram(1, HIGHEST_US, SIGNIFICANT_DIGITS)
+                histograms[label] = histogram
+            histogram.record_value(max(1, int(seconds * MICROSECONDS)))
+
+    def gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Show a value that is read when scraped."""
+        self._gauge_by_name[name] = read
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield everything for the exposition."""
+        with self._lock:
+            for name, counts in self._count_by_name.items():
+                places = len(next(iter(counts)))
+                labels = [f"of{place}" for place in range(places)]
+                counter = CounterMetricFamily(PREFIX + name, name, labels=labels)
+                for values, count in counts.items():
+                    counter.add_metric(values, count)
+                yield counter
+            for name, histograms in self._histogram_by_name.items():
+                yield self._summary(name, histograms)
+        for name, read in self._gauge_by_name.items():
+            yield GaugeMetricFamily(PREFIX + name, name, value=read())
+
+    def exposition(self) -> bytes:
+        """Return everything in the text form that scrapers read."""
+        return generate_latest(self._registry)
+
+    @staticmethod
+    def _summary(name: str, histograms: dict[str, HdrHistogram]) -> SummaryMetricFamily:
+        full_name = f"{PREFIX}{name}_seconds"
+        family = SummaryMetricFamily(full_name, name, labels=["of"])
+        for label, histogram in histograms.items():
+            count = histogram.get_total_count()
+            total = histogram.get_mean_value() * count / MICROSECONDS
+            family.add_metric([label], count, total)
+            for quantile in QUANTILES:
+                value = histogram.get_value_at_percentile(quantile * 100)
+                family.add_sample(
+                    full_name,
+                    {"of": label, "quantile": str(quantile)},
+                    value / MICROSECONDS,
+                )
+        return family
--- /dev/null
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -0,0 +1,412 @@
+"""The owner of the schedule: carries the scheduler's decisions out."""
+
+from __future__ import annotations
+
+import logging
+import queue
+import threading
+import time
+from collections.abc import Callable
+
+from geraniumshore_scheduler import (
+    Authority,
+    Batch,
+    BookedJob,
+    GeraniumshoreError,
+    HoldRequest,
+    MinionGoneError,
+    OwnerReplacedError,
+    PlatformUnavailableError,
+    RecordKind,
+    Scheduler,
+    SequenceError,
+    StartOrder,
+    StartOutcome,
+    StopOrder,
+    UnknownOutcomeError,
+)
+from geraniumshored.node.clock import wall_ms
+from geraniumshored.node.logs import log_event
+from geraniumshored.node.metrics import NodeMetrics
+from geraniumshored.node.ports import PaceOrder, Platform, Record, Stream, Writer
+from geraniumshored.node.settings import NodeSettings
+from geraniumshored.node.views import JobsView, MinionsView, OperatorsView
+
+__all__ = ["Owner"]
+
+logger = logging.getLogger(__name__)
+
+WRITER = "owner"
+# Decisions are taken at least so often, for what only time brings about.
+TICK_S = 0.1
+# Records wait this long for others to share their append.
+LINGER_S = 0.01
+# An append that failed is made again after this time.
+RETRY_S = 0.05
+# A minion that did not answer is looked at again after this time.
+SILENT_PAUSE_S = 0.25
+# While ends wait to be recorded, the next look comes after this time.
+UNRECORDED_PAUSE_S = 0.02
+# Without news, a look that did not wait is made again after this time.
+IDLE_PAUSE_S = 0.5
+# The takeover reads the log at most this long before it gives up.
+TAKEOVER_S = 5.0
+
+Order = StartOrder | StopOrder | PaceOrder
+
+
+class Owner:
+    """One epoch of ownership, from taking it to losing it."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        platform: Platform,
+        views: tuple[OperatorsView, MinionsView, JobsView],
+        authority: Authority,
+        metrics: NodeMetrics,
+        now: Callable[[], float],
+    ) -> None:
+        self.authority = authority
+        self._settings = settings
+        self._platform = platform
+        self._operators, self._minions, self._jobs = views
+        self._metrics = metrics
+        self._now = now
+        self._lock = threading.RLock()
+        self._wake = threading.Event()
+        self._stopped = threading.Event()
+        self._scheduler = Scheduler(authority, settings.times)
+        self._session_by_minion: dict[str, _Session] = {}
+        self._batch: Batch | None = None
+        self._number = 0
+
+    @property
+    def stopped(self) -> bool:
+        """Whether this epoch is over for this process."""
+        return self._stopped.is_set()
+
+    def start(self) -> None:
+        """Take the schedule over, in a thread of its own."""
+        threading.Thread(target=self._run, name="owner", daemon=True).start()
+
+    def stop(self, why: str) -> None:
+        """Give no more orders."""
+        if not self._stopped.is_set():
+            self._stopped.set()
+            self._jobs.on_job = None
+            self._wake.set()
+            log_event(logger, "ownership lost", epoch=self.authority.epoch, cause=why)
+
+    def confirm(self, sent_at: float) -> None:
+        """Note a join that showed this process as the owner."""
+        with self._lock:
+            self.authority.confirm(sent_at)
+
+    # Taking over.
+
+    def _run(self) -> None:
+        try:
+            if self._take_over():
+                self._serve()
+        except OwnerReplacedError as error:
+            self.stop(str(error))
+        except Exception:
+            logger.exception("fault in the owner")
+            self.stop("fault")
+
+    def _take_over(self) -> bool:
+        deadline = self._now() + TAKEOVER_S
+        end = self._open_epoch(deadline)
+        if end is None:
+            return False
+        while self._jobs.offset < end:
+            if self._stopped.wait(RETRY_S) or self._now() > deadline:
+                self.stop("the log could not be read")
+                return False
+        with self._jobs.lock:
+            self._jobs.on_job = self._on_job
+            with self._lock:
+                now = self._now()
+                if self._operators.configuration is not None:
+                    self._scheduler.set_configuration(self._operators.configuration)
+                self._scheduler.set_listings(self._minions.listing_by_id, now)
+                for booked in self._jobs.book.open_jobs():
+                    self._scheduler.add_job(booked, now)
+        self._operators.on_configuration = self._on_configuration
+        self._minions.on_change = self._on_minions
+        self._on_minions()
+        log_event(
+            logger,
+            "ownership taken",
+            epoch=self.authority.epoch,
+            log_end=end,
+            jobs=len(self._scheduler.job_by_id),
+            minions=len(self._scheduler.view_by_id),
+        )
+        return True
+
+    def _open_epoch(self, deadline: float) -> int | None:
+        """Fence the former owner's appends; return the end of the log."""
+        writer = Writer(WRITER, self.authority.epoch, 0)
+        while not self._stopped.is_set() and self._now() < deadline:
+            try:
+                return self._platform.store.append(Stream.JOBS, (), writer).end
+            except (PlatformUnavailableError, UnknownOutcomeError) as error:
+                log_event(logger, "epoch not opened yet", cause=str(error))
+                self._stopped.wait(RETRY_S)
+        self.stop("the epoch could not be opened")
+        return None
+
+    # What happens meanwhile.
+
+    def _on_job(self, booked: BookedJob, kind: RecordKind) -> None:
+        with self._lock:
+            if kind is RecordKind.ACCEPTED:
+                self._scheduler.add_job(booked, self._now())
+            elif kind is RecordKind.CANCELLED and booked.cancelled:
+                self._scheduler.cancel_job(booked.job.job_id)
+        self._wake.set()
+
+    def _on_configuration(self, configuration: object) -> None:
+        with self._lock:
+            if self._operators.configuration is not None:
+                self._scheduler.set_configuration(self._operators.configuration)
+        self._wake.set()
+
+    def _on_minions(self) -> None:
+        if self.stopped:
+            return
+        with self._lock:
+            self._scheduler.set_listings(self._minions.listing_by_id, self._now())
+            known = set(self._scheduler.view_by_id)
+            for minion_id in known - set(self._session_by_minion):
+                session = _Session(self, minion_id)
+                self._session_by_minion[minion_id] = session
+                session.start()
+            for minion_id in set(self._session_by_minion) - known:
+                self._session_by_minion.pop(minion_id).close()
+        self._wake.set()
+
+    # Deciding.
+
+    def _serve(self) -> None:
+        while not self._stopped.is_set():
+            self._wake.wait(TICK_S)
+            self._wake.clear()
+            time.sleep(LINGER_S)
+            self._decide()
+
+    def _decide(self) -> None:
+        with self._lock:
+            if not self.authority.holds(self._now(), self._settings.times):
+                return
+            batch = self._scheduler.plan(self._now(), wall_ms())
+            stops = self._scheduler.take_stops()
+            decisions = self._scheduler.take_decisions()
+        for decision in decisions:
+            self._metrics.count("decisions", decision.event)
+            log_event(
+                logger,
+                decision.event,
+                task=decision.task or None,
+                minion=decision.minion_id or None,
+                epoch=self.authority.epoch,
+                **decision.details,
+            )
+        for stop in stops:
+            self._send(stop.minion_id, stop)
+        if batch is not None:
+            self._record(batch)
+
+    def _record(self, batch: Batch) -> None:
+        """Append a batch until it is known to be in the log, then send its starts."""
+        self._number += 1
+        writer = Writer(WRITER, self.authority.epoch, self._number)
+        records = [Record(key, value) for key, value in batch.value_by_key.items()]
+        began = self._now()
+        while not self._stopped.is_set():
+            try:
+                self._platform.store.append(Stream.JOBS, records, writer)
+                break
+            except SequenceError as error:
+                self.stop(f"the log has another writer: {error}")
+                return
+            except (PlatformUnavailableError, UnknownOutcomeError) as error:
+                log_event(
+                    logger,
+                    "batch not recorded yet",
+                    batch=batch.number,
+                    cause=str(error),
+                )
+                self._stopped.wait(RETRY_S)
+        if self._stopped.is_set():
+            return
+        self._metrics.observe("append", "batch", self._now() - began)
+        with self._lock:
+            self._scheduler.on_durable(batch)
+        for start in batch.starts:
+            self._send(start.run.minion_id, start)
+
+    def _send(self, minion_id: str, order: Order) -> None:
+        with self._lock:
+            session = self._session_by_minion.get(minion_id)
+        if session is not None:
+            session.send(order)
+        elif isinstance(order, StartOrder):
+            with self._lock:
+                self._scheduler.on_start_sent(order.run, self._now())
+
+    # Called by sessions.
+
+    def may_send(self) -> bool:
+        """Tell whether orders may be given now."""
+        if self._stopped.is_set():
+            return False
+        return self.authority.holds(self._now(), self._settings.times)
+
+    def look(self, minion_id: str) -> float:
+        """Look at a minion; return how long to wait before the next look."""
+        if not self.may_send():
+            return SILENT_PAUSE_S
+        with self._lock:
+            request = self._scheduler.hold_request(minion_id, self._now())
+        if request is None:
+            return SILENT_PAUSE_S
+        try:
+            report = self._platform.minions.hold(request)
+        except (PlatformUnavailableError, UnknownOutcomeError) as error:
+            self._silent(request, error)
+            return SILENT_PAUSE_S
+        with self._lock:
+            self._scheduler.on_report(request, report, self._now())
+            unrecorded = bool(
+                (view := self._scheduler.view_by_id.get(minion_id)) and view.unacked
+            )
+        self._wake.set()
+        if unrecorded:
+            return UNRECORDED_PAUSE_S
+        return 0.0 if request.wait_ms or request.until_ms is None else IDLE_PAUSE_S
+
+    def _silent(self, request: HoldRequest, error: GeraniumshoreError) -> None:
+        self._metrics.count("looks", "unanswered")
+        with self._lock:
+            self._scheduler.on_silence(request)
+        log_event(logger, "look unanswered", minion=request.minion_id, cause=str(error))
+        self._wake.set()
+
+    def gone(self, minion_id: str) -> None:
+        """Note that another minion has the address."""
+        with self._lock:
+            self._scheduler.on_gone(minion_id, self._now())
+        self._wake.set()
+
+    def carry_out(self, order: Order) -> None:
+        """Send one order and take in how it was answered."""
+        if isinstance(order, StartOrder):
+            self._start_run(order)
+        elif isinstance(order, StopOrder):
+            self._stop_run(order)
+        else:
+            self._platform.minions.pace(order)
+
+    def _start_run(self, order: StartOrder) -> None:
+        with self._lock:
+            if not self.may_send():
+                return
+            until_ms = self._scheduler.on_start_sent(order.run, self._now())
+        if until_ms is None:
+            return
+        began = self._now()
+        try:
+            outcome = self._platform.minions.start(order, until_ms)
+        except UnknownOutcomeError:
+            outcome = StartOutcome.NO_ANSWER
+        except PlatformUnavailableError:
+            outcome = StartOutcome.UNHEALTHY
+        self._metrics.count("starts", outcome)
+        self._metrics.observe("start", outcome, self._now() - began)
+        if outcome != StartOutcome.STARTED:
+            log_event(
+                logger,
+                "start not confirmed",
+                task=str(order.run.task),
+                run=order.run.number,
+                minion=order.run.minion_id,
+                outcome=outcome,
+            )
+        with self._lock:
+            self._scheduler.on_start_answer(order.run, outcome, None, self._now())
+        self._wake.set()
+
+    def _stop_run(self, order: StopOrder) -> None:
+        if not self.may_send():
+            return
+        try:
+            self._platform.minions.stop(order)
+        except (PlatformUnavailableError, UnknownOutcomeError) as error:
+            log_event(
+                logger,
+                "stop unanswered",
+                task=order.task,
+                minion=order.minion_id,
+                cause=str(error),
+            )
+            return
+        with self._lock:
+            self._scheduler.on_stop_answer(order, None, self._now())
+        self._wake.set()
+
+
+class _Session:
+    """Two threads for one minion: one looks, the other gives orders."""
+
+    def __init__(self, owner: Owner, minion_id: str) -> None:
+        self._owner = owner
+        self._minion_id = minion_id
+        self._orders: queue.SimpleQueue[Order | None] = queue.SimpleQueue()
+        self._closed = threading.Event()
+
+    def start(self) -> None:
+        """Begin to look and to give orders."""
+        for target, name in ((self._look, "look"), (self._give, "orders")):
+            threading.Thread(
+                target=target, name=f"{name}-{self._minion_id}", daemon=True
+            ).start()
+
+    def close(self) -> None:
+        """End both threads."""
+        self._closed.set()
+        self._orders.put(None)
+
+    def send(self, order: Order) -> None:
+        """Queue an order."""
+        self._orders.put(order)
+
+    def _open(self) -> bool:
+        return not (self._closed.is_set() or self._owner.stopped)
+
+    def _look(self) -> None:
+        while self._open():
+            pause = self._guard(lambda: self._owner.look(self._minion_id))
+            if pause:
+                self._closed.wait(pause)
+
+    def _give(self) -> None:
+        while self._open():
+            order = self._orders.get()
+            if order is None:
+                return
+            self._guard(lambda order=order: self._owner.carry_out(order))  # type: ignore[misc]
+
+    def _guard(self, call: Callable[[], float | None]) -> float | None:
+        try:
+            return call()
+        except OwnerReplacedError as error:
+            self._owner.stop(str(error))
+        except MinionGoneError as error:
+            log_event(logger, "minion gone", minion=self._minion_id, cause=str(error))
+            self._owner.gone(self._minion_id)
+        except Exception:
+            logger.exception("fault while serving minion %s", self._minion_id)
+        return SILENT_PAUSE_S
--- /dev/null
+++ b/packages/geraniumshored/src/geraniumshored/node/settings.py
@@ -0,0 +1,31 @@
+"""What a node is told of itself and of the platform's bounds."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from geraniumshore_scheduler import OwnershipTimes
+
+__all__ = ["NodeSettings"]
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """One node. All times are in seconds.
+
+    ``leaving_s`` is how long a process may go on after SIGTERM. ``duty_lease_s`` is how
+    long another owner's orders to machines must be past. ``notice_s`` is how long a
+    task must be away before it counts against its step's budget. ``harm_s`` is how
+    long a serving task may be over its target through work beside it.
+    """
+
+    node: str
+    data_centre: str
+    times: OwnershipTimes
+    leaving_s: float
+    duty_lease_s: float
+    status_kept_s: float
+    notice_s: float
+    harm_s: float
+    move_s: float
+    stop_s: float
--- /dev/null
+++ b/packages/geraniumshored/src/geraniumshored/platform/documents.py
@@ -0,0 +1,348 @@
+"""The platform's documents, checked and turned into the project's types.
+
+Fields are named as on the wire. Unknown fields are ignored: newer versions may come.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated, Any, TypeVar
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from geraniumshore_scheduler import (
+    Configuration,
+    EndedRun,
+    Finding,
+    InvalidInputError,
+    Job,
+    MachineListing,
+    MinionListing,
+    MinionReport,
+    Queue,
+    Resources,
+    RunningTask,
+    Service,
+    Step,
+    Team,
+    UpkeepWave,
+)
+
+__all__ = [
+    "decode_configuration",
+    "decode_job_request",
+    "decode_machines",
+    "decode_minion",
+    "decode_report",
+    "decode_wave",
+]
+
+MAX_SPEC_BYTES = 4_000
+MAX_STEPS = 1_000
+MAX_TASKS = 100_000
+NonNegative = Annotated[int, Field(ge=0)]
+
+
+class _Document(BaseModel):
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+
+class _Sizes(_Document):
+    cpu: NonNegative = 0
+    mem_mb: NonNegative = 0
+    gpu: NonNegative = 0
+
+    def resources(self) -> Resources:
+        return Resources(self.cpu, self.mem_mb, self.gpu)
+
+
+class _Phase(_Sizes):
+    count: Annotated[int, Field(ge=1, le=MAX_TASKS)]
+    estimate_ms: NonNegative = 0
+    depends_on: tuple[NonNegative, ...] = ()
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    # One label that the minion must have.
+    constraints: str = ""
+    # The rack where the data is.
+    affinity: str = ""
+    # The most tasks of the step on one minion; 0 for no limit.
+    anti_affinity: NonNegative = 0
+    speculative: bool = False
+    long_running: bool = False
+    image: str = ""
+    target_ms: NonNegative = 0
+    fills: bool = False
+    may_miss: NonNegative | None = None
+
+    def step(self) -> Step:
+        return Step(
+            count=self.count,
+            size=self.resources(),
+            estimate_ms=self.estimate_ms,
+            depends_on=self.depends_on,
+            checkpointing=self.checkpointing,
+            gang=self.gang,
+            same_rack=self.same_rack,
+            label=self.constraints,
+            data_rack=self.affinity,
+            most_per_minion=self.anti_affinity,
+            speculative=self.speculative,
+            lasting=self.long_running,
+            image=self.image,
+            tail_target_ms=self.target_ms,
+            filler=self.fills,
+            may_miss=self.may_miss,
+        )
+
+
+class _JobRequest(_Document):
+    spec: Annotated[str, Field(max_length=MAX_SPEC_BYTES)] = ""
+    # The steps of the job.
+    phases: Annotated[tuple[_Phase, ...], Field(min_length=1, max_length=MAX_STEPS)]
+    times: NonNegative = 0
+    first_ms: NonNegative = 0
+    interval_ms: NonNegative = 0
+
+
+class _Route(_Document):
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+    # On these routes, where jobs are handed in, 0 goes first.
+    priority: int = 0
+    max_attempts: Annotated[int, Field(ge=1)] = 1
+    stretch: float = 1.0
+    target_latency_ms: NonNegative = 0
+    public: bool = False
+    hint: dict[str, Any] | None = None
+
+
+class _Service(_Document):
+    name: str
+    enforces_capacity: bool = False
+    # The machines of such a pool are off.
+    standby: bool = False
+
+
+class _Tenant(_Document):
+    name: str
+    api_keys: tuple[str, ...] = ()
+    weight: float = 1.0
+    cap: _Sizes = _Sizes()
+
+
+class _Limits(_Document):
+    max_body_bytes: int = 262_144
+
+
+class _Config(_Document):
+    version: int
+    routes: tuple[_Route, ...] = ()
+    services: tuple[_Service, ...] = ()
+    tenants: tuple[_Tenant, ...] = ()
+    limits: _Limits = _Limits()
+
+
+class _Wave(_Document):
+    wave: int
+    machines: tuple[str, ...]
+    # A length of time, counted from the writing of the record.
+    finish_by_s: float
+    # The most machines that may be down at once.
+    cap: Annotated[int, Field(ge=1)]
+
+
+class _Server(_Document):
+    service: str
+    addr: str
+    zone: str = ""
+    state: str
+    capacity: _Sizes
+    labels: tuple[str, ...] = ()
+    born: int = 0
+    remaining_ms: int | None = None
+
+
+class _Report(_Document):
+    born: int = 0
+    clock_ms: int
+    # Rows of task, run, checkpoint, percent and, on shared minions, a measurement.
+    running: tuple[tuple[Any, ...], ...] = ()
+    # Rows of number, task, run, manner of the end, checkpoint.
+    ended: tuple[tuple[Any, ...], ...] = ()
+    remaining_ms: int | None = None
+
+
+class _Machine(_Document):
+    machine: str
+    pool: str
+    state: str
+    zone: str = ""
+    labels: tuple[str, ...] = ()
+    capacity: _Sizes = _Sizes()
+    # The id of the machine's present minion.
+    id: str | None = None
+
+
+class _Machines(_Document):
+    machines: tuple[_Machine, ...] = ()
+    next_token: str | None = None
+
+
+SERVING_STATES = {"ready", "draining"}
+
+ModelType = TypeVar("ModelType", bound=BaseModel)
+
+
+def _load(model: type[ModelType], data: bytes, place: str) -> ModelType:
+    try:
+        return model.model_validate_json(data)
+    except ValidationError as error:
+        raise InvalidInputError(
+            Finding(
+                f"{place}.{'.'.join(str(part) for part in fault['loc'])}",
+                fault["msg"],
+            )
+            for fault in error.errors(include_url=False, include_input=False)
+        ) from error
+
+
+def decode_job_request(
+    data: bytes, job_id: str, queue: Queue, team: str | None, accepted_ms: int
+) -> Job:
+    """Decode what a caller hands in. Raises InvalidInputError with all findings."""
+    request = _load(_JobRequest, data, "job")
+    steps = tuple(phase.step() for phase in request.phases)
+    findings = [
+        Finding(f"job.phases.{number}.depends_on", "names no earlier step")
+        for number, step in enumerate(steps)
+        if any(needed >= number for needed in step.depends_on)
+    ]
+    if len(request.spec.encode()) > MAX_SPEC_BYTES:
+        findings.append(Finding("job.spec", f"is longer than {MAX_SPEC_BYTES} bytes"))
+    if request.times > 1 and request.interval_ms == 0:
+        findings.append(Finding("job.interval_ms", "is missing"))
+    if findings:
+        raise InvalidInputError(findings)
+    return Job(
+        job_id=job_id,
+        queue=queue.name,
+        service=queue.service,
+        team=team,
+        spec=request.spec,
+        steps=steps,
+        accepted_ms=accepted_ms,
+        occurrences=request.times,
+        first_ms=request.first_ms,
+        interval_ms=request.interval_ms,
+    )
+
+
+def decode_configuration(data: bytes) -> Configuration:
+    """Decode the operators' configuration. Raises InvalidInputError."""
+    config = _load(_Config, data, "configuration")
+    return Configuration(
+        version=config.version,
+        queues=tuple(
+            Queue(
+                name=route.name,
+                host=route.host,
+                path_prefix=route.path_prefix,
+                service=route.service,
+                priority=route.priority,
+                max_attempts=route.max_attempts,
+                stretch=route.stretch,
+                target_latency_ms=route.target_latency_ms,
+                open_to_all=route.public,
+                needs_advice=route.hint is not None,
+            )
+            for route in config.routes
+        ),
+        service_by_name={
+            service.name: Service(
+                service.name, service.enforces_capacity, service.standby
+            )
+            for service in config.services
+        },
+        team_by_name={
+            tenant.name: Team(
+                tenant.name,
+                frozenset(tenant.api_keys),
+                tenant.weight,
+                tenant.cap.resources(),
+            )
+            for tenant in config.tenants
+        },
+        max_body_bytes=config.limits.max_body_bytes,
+    )
+
+
+def decode_wave(data: bytes) -> UpkeepWave:
+    """Decode a wave of upkeep. Raises InvalidInputError."""
+    wave = _load(_Wave, data, "wave")
+    return UpkeepWave(wave.wave, wave.machines, wave.finish_by_s, wave.cap)
+
+
+def decode_minion(minion_id: str, data: bytes) -> MinionListing:
+    """Decode a minion's entry in the list. Raises InvalidInputError."""
+    server = _load(_Server, data, f"minion {minion_id}")
+    if server.state not in SERVING_STATES:
+        raise InvalidInputError(
+            [Finding(f"minion {minion_id}.state", f"{server.state!r} is unknown")]
+        )
+    return MinionListing(
+        minion_id=minion_id,
+        service=server.service,
+        address=server.addr,
+        data_centre=server.zone,
+        draining=server.state == "draining",
+        life=server.born,
+        capacity=server.capacity.resources(),
+        labels=server.labels,
+        remaining_ms=server.remaining_ms,
+    )
+
+
+def decode_report(data: bytes) -> MinionReport:
+    """Decode a minion's answer to a look. Raises InvalidInputError."""
+    report = _load(_Report, data, "report")
+    try:
+        running = tuple(
+            RunningTask(
+                str(row[0]),
+                int(row[1]),
+                str(row[2]),
+                int(row[3]),
+                float(row[4]) if len(row) > 4 else 0.0,
+            )
+            for row in report.running
+        )
+        ended = tuple(
+            EndedRun(int(row[0]), str(row[1]), int(row[2]), str(row[3]), str(row[4]))
+            for row in report.ended
+        )
+    except (IndexError, TypeError, ValueError) as error:
+        raise InvalidInputError([Finding("report", str(error))]) from error
+    return MinionReport(
+        report.born, report.clock_ms, running, ended, report.remaining_ms
+    )
+
+
+def decode_machines(data: bytes) -> tuple[tuple[MachineListing, ...], str | None]:
+    """Decode a page of machines and the next page's token."""
+    page = _load(_Machines, data, "machines")
+    machines = tuple(
+        MachineListing(
+            machine=machine.machine,
+            pool=machine.pool,
+            up=machine.state == "up",
+            data_centre=machine.zone,
+            labels=machine.labels,
+            capacity=machine.capacity.resources(),
+            minion_id=machine.id,
+        )
+        for machine in page.machines
+    )
+    return machines, page.next_token
--- /dev/null
+++ b/packages/geraniumshored/src/geraniumshored/platform/machines.py
@@ -0,0 +1,83 @@
+"""The platform's machines, spoken over HTTP."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+from urllib.parse import quote
+
+from geraniumshore_scheduler import (
+    InvalidInputError,
+    MachineListing,
+    OwnerReplacedError,
+    PlatformUnavailableError,
+    UnknownOutcomeError,
+)
+from geraniumshored.node.ports import Machines
+from geraniumshored.platform.documents import decode_machines
+from geraniumshored.platform.http import JSON_HEADERS, HttpClient
+
+__all__ = ["HttpMachines"]
+
+CALL_SECONDS = 1.0
+
+
+class HttpMachines(Machines):
+    """Calls to the platform's machines, named by this node and fenced by the epoch."""
+
+    def __init__(self, http: HttpClient, address: str, node: str) -> None:
+        self._http = http
+        self._address = address
+        self._node = node
+
+    def list(self) -> tuple[MachineListing, ...]:
+        """Read all pages of the list."""
+        machines: list[MachineListing] = []
+        token: str | None = None
+        while True:
+            target = "/v1/machines"
+            if token is not None:
+                target += f"?page_token={quote(token)}"
+            reply = self._http.request(self._address, "GET", target, CALL_SECONDS)
+            if reply.status != 200:
+                raise PlatformUnavailableError(f"the machines answered {reply.status}")
+            try:
+                page, token = decode_machines(reply.body)
+            except InvalidInputError as error:
+                raise UnknownOutcomeError(f"unreadable machines: {error}") from error
+            machines.extend(page)
+            if not token:
+                return tuple(machines)
+
+    def move(self, machine: str, pool: str, epoch: int) -> bool:
+        """Move a machine."""
+        return self._order(
+            "/v1/machine-move", {"machine": machine, "pool": pool}, epoch
+        )
+
+    def maintain(self, machine: str, wave: int, epoch: int) -> bool:
+        """Begin an upkeep."""
+        return self._order(
+            "/v1/machine-upkeep", {"machine": machine, "wave": wave}, epoch
+        )
+
+    def _order(self, path: str, document: dict[str, Any], epoch: int) -> bool:
+        reply = self._http.request(
+            self._address,
+            "POST",
+            path,
+            CALL_SECONDS,
+            json.dumps(document).encode(),
+            {
+                **JSON_HEADERS,
+                "Geraniumshore-Lease-Holder": self._node,
+                "Geraniumshore-Fencing-Token": str(epoch),
+            },
+        )
+        if reply.status == 200:
+            return True
+        if reply.status == 409 and reply.document().get("reason") == "fence":
+            raise OwnerReplacedError("the machines know a newer fence")
+        if reply.status in (400, 409):
+            return False
+        raise PlatformUnavailableError(f"the machines answered {reply.status}")
--- /dev/null
+++ b/packages/geraniumshored/src/geraniumshored/platform/minions.py
@@ -0,0 +1,124 @@
+"""Orders to minions, spoken over HTTP."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from geraniumshore_scheduler import (
+    HoldRequest,
+    InvalidInputError,
+    MinionGoneError,
+    MinionReport,
+    OwnerReplacedError,
+    PlatformUnavailableError,
+    StartOrder,
+    StartOutcome,
+    StopOrder,
+    UnknownOutcomeError,
+)
+from geraniumshored.node.ports import Minions, PaceOrder
+from geraniumshored.platform.documents import decode_report
+from geraniumshored.platform.http import JSON_HEADERS, HttpClient, HttpReply
+
+__all__ = ["HttpMinions"]
+
+# An answer takes a few ms; a slow minion takes up to ten times as long.
+ORDER_SECONDS = 0.7
+MS = 1000
+
+OUTCOME_BY_REASON = {
+    "old": StartOutcome.OLD_RUN,
+    "late": StartOutcome.LATE,
+    "room": StartOutcome.NO_ROOM,
+}
+
+
+class HttpMinions(Minions):
+    """Calls to minions. The id that is meant goes along, as addresses are reused."""
+
+    def __init__(self, http: HttpClient) -> None:
+        self._http = http
+
+    def hold(self, request: HoldRequest) -> MinionReport:
+        """Look, and renew the leases where ``until_ms`` is given."""
+        document: dict[str, Any] = {
+            "fence": request.fence,
+            "acked_upto": request.acked_upto,
+        }
+        if request.until_ms is not None:
+            document["until_ms"] = request.until_ms
+        if request.wait_ms:
+            document["wait_ms"] = request.wait_ms
+        timeout = request.wait_ms / MS + ORDER_SECONDS
+        reply = self._post(
+            request.address, request.minion_id, "hold", document, timeout
+        )
+        if reply.status != 200:
+            raise PlatformUnavailableError(f"the look got {reply.status}")
+        try:
+            return decode_report(reply.body)
+        except InvalidInputError as error:
+            raise UnknownOutcomeError(f"unreadable report: {error}") from error
+
+    def start(self, order: StartOrder, until_ms: int) -> str:
+        """Start a run."""
+        document: dict[str, Any] = {
+            "task": str(order.run.task),
+            "run": order.run.number,
+            "spec": order.spec,
+            "until_ms": until_ms,
+            "fence": order.fence,
+        }
+        if order.checkpoint:
+            document["checkpoint"] = order.checkpoint
+        reply = self._post(order.address, order.run.minion_id, "run-start", document)
+        if reply.status == 200:
+            return StartOutcome.STARTED
+        if reply.status == 409:
+            reason = str(reply.document().get("reason", ""))
+            return OUTCOME_BY_REASON.get(reason, StartOutcome.REFUSED)
+        if reply.status in (429, 503):
+            return StartOutcome.UNHEALTHY
+        return StartOutcome.REFUSED
+
+    def stop(self, order: StopOrder) -> None:
+        """Stop a run."""
+        document = {"task": order.task, "run": order.run, "fence": order.fence}
+        reply = self._post(order.address, order.minion_id, "run-stop", document)
+        if reply.status != 200:
+            raise PlatformUnavailableError(f"the stop got {reply.status}")
+
+    def pace(self, order: PaceOrder) -> None:
+        """Set a run's pace."""
+        document = {
+            "task": order.task,
+            "run": order.run,
+            "percent": order.percent,
+            "fence": order.fence,
+        }
+        reply = self._post(order.address, order.minion_id, "pace", document)
+        if reply.status != 200:
+            raise PlatformUnavailableError(f"the pace got {reply.status}")
+
+    def _post(
+        self,
+        address: str,
+        minion_id: str,
+        call: str,
+        document: dict[str, Any],
+        timeout: float = ORDER_SECONDS,
+    ) -> HttpReply:
+        reply = self._http.request(
+            address,
+            "POST",
+            f"/v1/{call}",
+            timeout,
+            json.dumps(document).encode(),
+            {**JSON_HEADERS, "Geraniumshore-Expect-Instance": minion_id},
+        )
+        if reply.status == 421:
+            raise MinionGoneError(f"{address} is no longer {minion_id}")
+        if reply.status == 409 and reply.document().get("reason") == "fence":
+            raise OwnerReplacedError(f"{minion_id} knows a newer fence")
+        return reply
--- /dev/null
+++ b/packages/geraniumshored/src/geraniumshored/platform/store.py
@@ -0,0 +1,191 @@
+"""The platform's log store, spoken over HTTP."""
+
+from __future__ import annotations
+
+import base64
+import json
+import struct
+from collections.abc import Sequence
+from urllib.parse import quote, urlencode
+
+from geraniumshore_scheduler import (
+    OwnerReplacedError,
+    PlatformUnavailableError,
+    RecordsTrimmedError,
+    SequenceError,
+    UnknownOutcomeError,
+)
+from geraniumshored.node.ports import (
+    Appended,
+    Membership,
+    Page,
+    Record,
+    Store,
+    Stream,
+    Writer,
+)
+from geraniumshored.platform.http import JSON_HEADERS, HttpClient, HttpReply
+
+__all__ = ["LogStore"]
+
+# An answer takes some 10 ms, and up to 60 times as long on a slow day.
+CALL_SECONDS = 1.2
+# A join must come back well within the group's time to live.
+JOIN_SECONDS = 0.8
+MS = 1000
+GROUP = "geraniumshore"
+# Whoever holds partition 0 of this topic owns the schedule.
+SCHEDULE_TOPIC = "schedule"
+SCHEDULE_PARTITION = 0
+
+TOPIC_BY_STREAM = {
+    Stream.OPERATORS: "keyed.op",
+    Stream.MINIONS: "keyed.servers",
+    Stream.JOBS: "keyed.jobs",
+    Stream.STATUS: "keyed.status",
+}
+
+
+class LogStore(Store):
+    """The store's calls. All streams use partition 0 of their topic."""
+
+    def __init__(self, http: HttpClient, address: str, group_ttl_ms: int) -> None:
+        self._http = http
+        self._address = address
+        self._group_ttl_ms = group_ttl_ms
+
+    def append(
+        self, stream: Stream, records: Sequence[Record], writer: Writer | None = None
+    ) -> Appended:
+        """Append records; with none, only open the writer's epoch."""
+        query: dict[str, object] = {"topic": TOPIC_BY_STREAM[stream], "part": 0}
+        if writer is not None:
+            query.update(producer=writer.name, epoch=writer.epoch, seq=writer.number)
+        body = b"".join(map(_frame, records))
+        reply = self._call("POST", "/v1/log-append", query, CALL_SECONDS, body)
+        if reply.status == 409:
+            refused = reply.document()
+            if refused.get("reason") == "fenced":
+                raise OwnerReplacedError("the log knows a newer epoch")
+            # The page gives no name for the number that the store expects.
+            expected = next((v for v in refused.values() if isinstance(v, int)), -1)
+            raise SequenceError(expected)
+        _require_ok(reply)
+        document = reply.document()
+        return Appended(int(document.get("offset", 0)), int(document.get("end", 0)))
+
+    def read(self, stream: Stream, offset: int, wait_ms: int) -> Page:
+        """Read on from an offset."""
+        query = {
+            "topic": TOPIC_BY_STREAM[stream],
+            "part": 0,
+            "from": offset,
+            "wait_ms": wait_ms,
+        }
+        timeout = wait_ms / MS + CALL_SECONDS
+        reply = self._call("GET", "/v1/log-read", query, timeout)
+        if reply.status == 410:
+            raise RecordsTrimmedError(int(reply.document().get("first", 0)))
+        _require_ok(reply)
+        return _decode_page(reply.body, offset)
+
+    def newest(self, stream: Stream) -> Page:
+        """Read the newest record of each key, page by page."""
+        records: list[Record] = []
+        end: int | None = None
+        after: str | None = None
+        while True:
+            query: dict[str, object] = {"topic": TOPIC_BY_STREAM[stream], "part": 0}
+            if after is not None:
+                # On this call the field holds the last key of the page before.
+                query["depends_on"] = after
+            reply = self._call("GET", "/v1/log-newest", query, CALL_SECONDS)
+            _require_ok(reply)
+            document = reply.document()
+            # Records that come while pages are read stand after the first page's end.
+            end = int(document["end"]) if end is None else end
+            items = document.get("items") or []
+            records.extend(
+                Record(i["key"], base64.b64decode(i["value"]), int(i["offset"]))
+                for i in items
+            )
+            if not document.get("has_more") or not items:
+                return Page(tuple(records), end)
+            after = items[-1]["key"]
+
+    def join(self, member: str, generation: int) -> Membership:
+        """Join the group; the store deals the topic's partitions to its members."""
+        document = self._post(
+            "/v1/log-join",
+            {
+                "group": GROUP,
+                "member": member,
+                "topics": [SCHEDULE_TOPIC],
+                "ttl_ms": self._group_ttl_ms,
+                "generation": generation,
+            },
+        ).document()
+        owns = any(
+            row[0] == SCHEDULE_TOPIC and row[1] == SCHEDULE_PARTITION
+            for row in document.get("parts") or []
+        )
+        return Membership(int(document["generation"]), owns)
+
+    def leave(self, member: str) -> None:
+        """Leave the group."""
+        self._post("/v1/log-leave", {"group": GROUP, "member": member})
+
+    def _post(self, path: str, document: dict[str, object]) -> HttpReply:
+        reply = self._http.request(
+            self._address,
+            "POST",
+            path,
+            JOIN_SECONDS,
+            json.dumps(document).encode(),
+            JSON_HEADERS,
+        )
+        _require_ok(reply)
+        return reply
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, object],
+        timeout: float,
+        body: bytes | None = None,
+    ) -> HttpReply:
+        target = f"{path}?{urlencode(query, quote_via=quote)}"
+        return self._http.request(self._address, method, target, timeout, body)
+
+
+def _require_ok(reply: HttpReply) -> None:
+    if reply.status == 200:
+        return
+    detail = f"the store answered {reply.status}"
+    if reply.status in (400, 403, 404, 410, 413, 429, 503, 507):
+        raise PlatformUnavailableError(detail)
+    raise UnknownOutcomeError(detail)
+
+
+def _frame(record: Record) -> bytes:
+    key = record.key.encode()
+    content = bytes([len(key)]) + key + record.value
+    return struct.pack(">I", len(content)) + content
+
+
+def _decode_page(body: bytes, offset: int) -> Page:
+    if len(body) < 16:
+        raise UnknownOutcomeError("the store's answer is cut short")
+    (end,) = struct.unpack_from(">Q", body)
+    records: list[Record] = []
+    position = 16
+    while position + 4 <= len(body):
+        (length,) = struct.unpack_from(">I", body, position)
+        content = body[position + 4 : position + 4 + length]
+        position += 4 + length
+        key_length = content[0] if content else 0
+        key = content[1 : 1 + key_length].decode(errors="replace")
+        records.append(Record(key, content[1 + key_length :], offset))
+        offset += 1
+    return Page(tuple(records), end)
