Waves of upkeep and pools that follow the queues' turns

Machines of a wave are emptied first, within the budgets of lasting tasks; idle machines wait in the standby pool and move to where tasks wait.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/__init__.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/__init__.py
@@ -13,6 +13,11 @@
 )
 from geraniumshore_scheduler.internal.authority import Authority, OwnershipTimes
 from geraniumshore_scheduler.internal.job_book import BookedJob, JobBook
+from geraniumshore_scheduler.internal.maintenance import (
+    Upkeep,
+    WaveBook,
+    may_interrupt,
+)
 from geraniumshore_scheduler.internal.minion_view import HoldRequest, MinionView
 from geraniumshore_scheduler.internal.model import (
     Configuration,
@@ -35,6 +40,12 @@
     FirstCome,
     JobOrder,
 )
+from geraniumshore_scheduler.internal.pools import (
+    Move,
+    PoolLoad,
+    PoolPolicy,
+    PoolRates,
+)
 from geraniumshore_scheduler.internal.records import (
     JobState,
     Placed,
@@ -79,11 +90,15 @@
     "MinionListing",
     "MinionReport",
     "MinionView",
+    "Move",
     "OpenJob",
     "OwnerReplacedError",
     "OwnershipTimes",
     "Placed",
     "PlatformUnavailableError",
+    "PoolLoad",
+    "PoolPolicy",
+    "PoolRates",
     "Progress",
     "Queue",
     "RecordKind",
@@ -102,11 +117,14 @@
     "TaskKey",
     "Team",
     "UnknownOutcomeError",
+    "Upkeep",
     "UpkeepWave",
+    "WaveBook",
     "decode_job",
     "decode_progress",
     "encode_job",
     "encode_progress",
     "job_key",
+    "may_interrupt",
     "split_key",
 ]
--- /dev/null
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pools.py
@@ -0,0 +1,137 @@
+"""How many machines each pool gets, for queues whose bursts come by turns.
+
+A burst asks for more than its pool holds while other pools stand idle, and a machine
+costs as long as it stands in a pool, busy or not. So idle machines wait in the standby
+pool, and move to where tasks wait.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass, field
+
+from geraniumshore_scheduler.internal.model import MachineListing
+
+__all__ = ["Move", "PoolLoad", "PoolPolicy", "PoolRates"]
+
+
+@dataclass(frozen=True, slots=True)
+class PoolLoad:
+    """What a pool's tasks ask for and what it has, in thousandths of a core.
+
+    ``waiting_milli`` is what all waiting tasks would use if they ran at once,
+    ``free_milli`` what nothing uses on the minions that accept work.
+    """
+
+    pool: str
+    waiting_milli: int
+    free_milli: int
+
+
+@dataclass(frozen=True, slots=True)
+class Move:
+    """Moves a machine to a pool."""
+
+    machine: str
+    pool: str
+
+
+@dataclass(frozen=True, slots=True)
+class PoolRates:
+    """When to move, in seconds and in shares of a machine.
+
+    ``least_share`` of a machine must be asked for to move one in. A machine stays at
+    least ``stay_s``, as a move costs about what a second of a machine in a pool does.
+    A pool gives one up after ``idle_s`` without waiting tasks if ``reserve_share`` of
+    a machine's processors stays free on each of the others.
+    """
+
+    least_share: float = 0.3
+    stay_s: float = 2.5
+    idle_s: float = 1.0
+    reserve_share: float = 0.4
+
+
+@dataclass(slots=True)
+class PoolPolicy:
+    """Decides on moves between pools."""
+
+    rates: PoolRates = field(default_factory=PoolRates)
+    _joined_at: dict[str, float] = field(default_factory=dict)
+    _busy_at: dict[str, float] = field(default_factory=dict)
+
+    def note_moved(self, machine: str, now: float) -> None:
+        """Note that a machine was moved."""
+        self._joined_at[machine] = now
+
+    def plan(
+        self,
+        loads: Iterable[PoolLoad],
+        idle_by_pool: dict[str, Sequence[MachineListing]],
+        size_by_pool: dict[str, int],
+        coming_milli: dict[str, int],
+        standby: str | None,
+        now: float,
+    ) -> Iterator[Move]:
+        """Yield the moves to make now.
+
+        ``idle_by_pool`` has the machines on which nothing runs and which may be moved;
+        ``coming_milli`` is the capacity already on its way to a pool.
+        """
+        load_by_pool = {load.pool: load for load in loads}
+        for load in load_by_pool.values():
+            if load.waiting_milli:
+                self._busy_at[load.pool] = now
+        needs = {
+            pool: load.waiting_milli - load.free_milli - coming_milli.get(pool, 0)
+            for pool, load in load_by_pool.items()
+        }
+        spares = list(idle_by_pool.get(standby, ())) if standby is not None else []
+        for pool, idle in idle_by_pool.items():
+            if pool != standby and pool in load_by_pool:
+                releasable = self._releasable(
+                    load_by_pool[pool], idle, size_by_pool.get(pool, 0), now
+                )
+                spares.extend(releasable)
+        taken: set[str] = set()
+        yield from self._fill(needs, spares, taken)
+        if standby is None:
+            return
+        for machine in spares:
+            if machine.machine not in taken and machine.pool != standby:
+                yield Move(machine.machine, standby)
+
+    def _fill(
+        self, needs: dict[str, int], spares: list[MachineListing], taken: set[str]
+    ) -> Iterator[Move]:
+        """Give spare machines to the pool that lacks most, one at a time."""
+        for machine in spares:
+            size = machine.capacity.cpu_milli
+            others = {p: need for p, need in needs.items() if p != machine.pool}
+            pool = max(others, key=lambda p: others[p], default=None)
+            if pool is None or needs[pool] < self.rates.least_share * size:
+                continue
+            needs[pool] -= size
+            taken.add(machine.machine)
+            yield Move(machine.machine, pool)
+
+    def _releasable(
+        self, load: PoolLoad, idle: Sequence[MachineListing], size: int, now: float
+    ) -> Iterator[MachineListing]:
+        if now - self._busy_at.get(load.pool, -math.inf) < self.rates.idle_s:
+            return
+        free = load.free_milli
+        for machine in idle:
+            if (
+                now - self._joined_at.get(machine.machine, -math.inf)
+                < self.rates.stay_s
+            ):
+                continue
+            own = machine.capacity.cpu_milli
+            reserve = self.rates.reserve_share * own * (size - 1)
+            if size <= 1 or free - own < reserve:
+                return
+            free -= own
+            size -= 1
+            yield machine
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -22,6 +22,7 @@
     TaskKey,
 )
 from geraniumshore_scheduler.internal.ordering import ByObjective, JobOrder
+from geraniumshore_scheduler.internal.pools import PoolLoad
 from geraniumshore_scheduler.internal.records import (
     JobState,
     Placed,
@@ -353,6 +354,39 @@
         decisions, self.decisions = self.decisions, []
         return decisions
 
+    def pool_loads(self, now: float) -> list[PoolLoad]:
+        """Return what each pool's tasks ask for and what it has."""
+        waiting: dict[str, int] = {}
+        for job in self.job_by_id.values():
+            for task in job.waiting:
+                cpu = job.job.steps[task.step].room.cpu_milli
+                waiting[job.service] = waiting.get(job.service, 0) + cpu
+        free: dict[str, int] = {}
+        for view in self.view_by_id.values():
+            if view.listing is not None and view.accepts(now):
+                service = view.listing.service
+                free[service] = free.get(service, 0) + max(0, view.free.cpu_milli)
+        return [
+            PoolLoad(pool, waiting.get(pool, 0), free.get(pool, 0))
+            for pool in self._pools()
+        ]
+
+    def _pools(self) -> list[str]:
+        if self.configuration is None:
+            return []
+        return [
+            service.name
+            for service in self.configuration.service_by_name.values()
+            if not service.standby
+        ]
+
+    def standby_pool(self) -> str | None:
+        """Return the pool whose machines are off, if there is one."""
+        if self.configuration is None:
+            return None
+        services = self.configuration.service_by_name.values()
+        return next((s.name for s in services if s.standby), None)
+
     def has_work(self) -> bool:
         """Tell whether some task waits for room."""
         return any(job.waiting for job in self.job_by_id.values())
--- /dev/null
+++ b/packages/geraniumshored/src/geraniumshored/node/machinist.py
@@ -0,0 +1,255 @@
+"""Carries out the owner's decisions on machines: moves between pools, and upkeep."""
+
+from __future__ import annotations
+
+import logging
+import threading
+from collections.abc import Callable
+
+from geraniumshore_scheduler import (
+    MachineListing,
+    Move,
+    OwnerReplacedError,
+    PlatformUnavailableError,
+    PoolPolicy,
+    Scheduler,
+    UnknownOutcomeError,
+    Upkeep,
+    WaveBook,
+)
+from geraniumshored.node.logs import log_event
+from geraniumshored.node.metrics import NodeMetrics
+from geraniumshored.node.ports import Platform, Stream
+from geraniumshored.node.settings import NodeSettings
+from geraniumshored.node.views import OperatorsView
+
+__all__ = ["Machinist"]
+
+logger = logging.getLogger(__name__)
+
+# Decisions on machines are taken so often: a move takes over a second anyway.
+TICK_S = 0.1
+# The list of machines is read so often while something is under way, and at rest.
+BUSY_LIST_S = 0.5
+IDLE_LIST_S = 2.0
+
+
+class Machinist:
+    """One owner's orders to machines.
+
+    No fence may guard them, so they are given only while the group surely counts this
+    process as the owner, and not before a former owner's are ``duty_lease_s`` past.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        platform: Platform,
+        operators: OperatorsView,
+        scheduler: Scheduler,
+        lock: threading.RLock,
+        stopped: threading.Event,
+        metrics: NodeMetrics,
+        now: Callable[[], float],
+        on_change: Callable[[], None],
+    ) -> None:
+        self._settings = settings
+        self._platform = platform
+        self._operators = operators
+        self._scheduler = scheduler
+        self._lock = lock
+        self._stopped = stopped
+        self._metrics = metrics
+        self._now = now
+        self._on_change = on_change
+        self._waves = WaveBook()
+        self._pools = PoolPolicy()
+        self._machine_by_name: dict[str, MachineListing] = {}
+        self._listed_at = float("-inf")
+        # Moves that were ordered, until the list shows a new minion in the pool.
+        self._moving: dict[str, tuple[Move, str | None]] = {}
+
+    def start(self) -> None:
+        """Begin to decide, in a thread of its own."""
+        threading.Thread(target=self._run, name="machines", daemon=True).start()
+
+    def _run(self) -> None:
+        while not self._stopped.wait(TICK_S):
+            try:
+                if self._may_order():
+                    self._step()
+            except (PlatformUnavailableError, UnknownOutcomeError) as error:
+                log_event(logger, "machines unanswered", cause=str(error))
+            except OwnerReplacedError as error:
+                log_event(logger, "machines have another owner", cause=str(error))
+            except Exception:
+                logger.exception("fault in the decisions on machines")
+
+    def _may_order(self) -> bool:
+        authority = self._scheduler.authority
+        now = self._now()
+        if now < authority.taken_at + self._settings.duty_lease_s:
+            return False
+        with self._lock:
+            return authority.holds_unfenced(now, self._settings.times)
+
+    def _step(self) -> None:
+        self._list()
+        self._plan_waves()
+        self._plan_moves()
+        self._tell()
+
+    def _list(self) -> None:
+        busy = self._waves.busy or self._moving or self._scheduler.has_work()
+        interval = BUSY_LIST_S if busy else IDLE_LIST_S
+        if self._now() < self._listed_at + interval:
+            return
+        machines = self._platform.machines.list()
+        self._listed_at = self._now()
+        self._machine_by_name = {machine.machine: machine for machine in machines}
+        self._waves.follow(self._machine_by_name)
+        for name, (move, former) in list(self._moving.items()):
+            listed = self._machine_by_name.get(name)
+            arrived = listed is not None and listed.up and listed.pool == move.pool
+            if listed is None or (arrived and listed.minion_id not in (None, former)):
+                del self._moving[name]
+
+    # Upkeep.
+
+    def _plan_waves(self) -> None:
+        with self._lock:
+            for wave, announced_at in self._operators.wave_by_number.values():
+                self._waves.announce(wave, announced_at)
+            standby = self._scheduler.standby_pool()
+            orders = list(self._waves.unanswered())
+            orders.extend(
+                self._waves.plan(
+                    self._machine_by_name,
+                    self._scheduler.view_by_id,
+                    self._scheduler.job_by_id,
+                    [standby] if standby else [],
+                    self._now(),
+                )
+            )
+        self._on_change()
+        for upkeep in orders:
+            if self._may_order():
+                self._maintain(upkeep)
+
+    def _maintain(self, upkeep: Upkeep) -> None:
+        begun: bool | None = None
+        try:
+            begun = self._platform.machines.maintain(
+                upkeep.machine, upkeep.wave, self._scheduler.authority.epoch
+            )
+        except PlatformUnavailableError:
+            begun = False
+        except UnknownOutcomeError as error:
+            log_event(
+                logger, "upkeep unanswered", machine=upkeep.machine, cause=str(error)
+            )
+        self._metrics.count("upkeeps", str(begun))
+        log_event(
+            logger,
+            "upkeep ordered",
+            machine=upkeep.machine,
+            wave=upkeep.wave,
+            minion=upkeep.minion_id,
+            begun=begun,
+        )
+        with self._lock:
+            self._waves.on_answer(upkeep, begun)
+            if begun and upkeep.minion_id is not None:
+                self._scheduler.on_gone(upkeep.minion_id, self._now())
+
+    def _tell(self) -> None:
+        for number, done in list(self._waves.news()):
+            record = self._platform.wave_status(number, done)
+            self._platform.store.append(Stream.STATUS, [record])
+            self._waves.note_told(number, done)
+            log_event(logger, "wave told", wave=number, done=done)
+
+    # Moves.
+
+    def _plan_moves(self) -> None:
+        with self._lock:
+            now = self._now()
+            standby = self._scheduler.standby_pool()
+            held = self._waves.due_machines() | set(self._moving)
+            idle_by_pool: dict[str, list[MachineListing]] = {}
+            size_by_pool: dict[str, int] = {}
+            coming: dict[str, int] = {}
+            for machine in self._machine_by_name.values():
+                if machine.machine in self._moving:
+                    pool = self._moving[machine.machine][0].pool
+                    coming[pool] = coming.get(pool, 0) + machine.capacity.cpu_milli
+                    continue
+                size_by_pool[machine.pool] = size_by_pool.get(machine.pool, 0) + 1
+                if machine.machine not in held and self._idle(machine, standby):
+                    idle_by_pool.setdefault(machine.pool, []).append(machine)
+            moves = list(
+                self._pools.plan(
+                    self._scheduler.pool_loads(now),
+                    idle_by_pool,  # type: ignore[arg-type]
+                    size_by_pool,
+                    coming,
+                    standby,
+                    now,
+                )
+            )
+            for move in moves:
+                self._cordon(move)
+        for move in moves:
+            if self._may_order():
+                self._move(move)
+
+    def _idle(self, machine: MachineListing, standby: str | None) -> bool:
+        if not machine.up:
+            return False
+        if machine.pool == standby:
+            return True
+        view = self._scheduler.view_by_id.get(machine.minion_id or "")
+        return view is not None and view.reached and not view.runs and not view.strays
+
+    def _cordon(self, move: Move) -> None:
+        minion_id = self._machine_by_name[move.machine].minion_id
+        self._moving[move.machine] = move, minion_id
+        view = self._scheduler.view_by_id.get(minion_id or "")
+        if view is not None:
+            view.cordoned = True
+
+    def _move(self, move: Move) -> None:
+        """Order a move, again and again in the same words while there is no answer."""
+        machine = self._machine_by_name[move.machine]
+        moved: bool | None = None
+        while moved is None and self._may_order():
+            try:
+                moved = self._platform.machines.move(
+                    move.machine, move.pool, self._scheduler.authority.epoch
+                )
+            except PlatformUnavailableError:
+                moved = False
+            except UnknownOutcomeError as error:
+                log_event(
+                    logger, "move unanswered", machine=move.machine, cause=str(error)
+                )
+        self._metrics.count("moves", str(moved))
+        log_event(
+            logger,
+            "machine moved",
+            machine=move.machine,
+            before=machine.pool,
+            pool=move.pool,
+            minion=machine.minion_id,
+            moved=moved,
+        )
+        with self._lock:
+            if moved:
+                self._pools.note_moved(move.machine, self._now())
+                if machine.minion_id is not None:
+                    self._scheduler.on_gone(machine.minion_id, self._now())
+            else:
+                self._moving.pop(move.machine, None)
+                view = self._scheduler.view_by_id.get(machine.minion_id or "")
+                if view is not None:
+                    view.cordoned = False
--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -27,6 +27,7 @@
 )
 from geraniumshored.node.clock import wall_ms
 from geraniumshored.node.logs import log_event
+from geraniumshored.node.machinist import Machinist
 from geraniumshored.node.metrics import NodeMetrics
 from geraniumshored.node.ports import PaceOrder, Platform, Record, Stream, Writer
 from geraniumshored.node.settings import NodeSettings
@@ -95,6 +96,7 @@
         if not self._stopped.is_set():
             self._stopped.set()
             self._jobs.on_job = None
+            self._minions.on_change = None
             self._wake.set()
             log_event(logger, "ownership lost", epoch=self.authority.epoch, cause=why)
 
@@ -108,6 +110,17 @@
     def _run(self) -> None:
         try:
             if self._take_over():
+                Machinist(
+                    self._settings,
+                    self._platform,
+                    self._operators,
+                    self._scheduler,
+                    self._lock,
+                    self._stopped,
+                    self._metrics,
+                    self._now,
+                    self._wake.set,
+                ).start()
                 self._serve()
         except OwnerReplacedError as error:
             self.stop(str(error))
--- a/packages/geraniumshored/src/geraniumshored/node/views.py
+++ b/packages/geraniumshored/src/geraniumshored/node/views.py
@@ -207,10 +207,17 @@
 class MinionsView(Follower):
     """The platform's list of minions. It lags, and entries may be missing."""
 
+    # Every minion writes its entry over and over; only the owner needs it, and soon.
+    FOLLOW_PAUSE_S = 1.0
+    OWNER_PAUSE_S = 0.25
+
     def __init__(self, platform: Platform, now: Callable[[], float]) -> None:
         super().__init__(platform, Stream.MINIONS, now)
         self.listing_by_id: dict[str, MinionListing] = {}
-        self.on_change: Callable[[], None] = lambda: None
+        self.on_change: Callable[[], None] | None = None
+
+    def _pause_s(self) -> float:
+        return self.FOLLOW_PAUSE_S if self.on_change is None else self.OWNER_PAUSE_S
 
     def _reset(self) -> None:
         self.listing_by_id = {}
@@ -230,7 +237,8 @@
             self.listing_by_id = listings
 
     def _folded(self) -> None:
-        self.on_change()
+        if self.on_change is not None:
+            self.on_change()
 
 
 class JobsView(Follower):
