Moves to the standby pool end; replaced minions are forgotten

Also a pool was emptied before its first job, and sessions went on looking at minions that a move had ended.

Ruled out: a slow list (read every 0.5 s), refused moves (all were answered).

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/maintenance.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/maintenance.py
@@ -141,7 +141,10 @@
                     # A machine that was taken away needs no upkeep.
                     upkeep.stage = Stage.DONE
                 elif upkeep.stage is Stage.DOWN:
-                    back = listed.minion_id not in (None, upkeep.minion_id)
+                    # A machine that was off has no minion before or after.
+                    back = upkeep.minion_id is None or (
+                        listed.minion_id not in (None, upkeep.minion_id)
+                    )
                     if listed.up and back:
                         upkeep.stage = Stage.DONE
 
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pools.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pools.py
@@ -119,7 +119,9 @@
     def _releasable(
         self, load: PoolLoad, idle: Sequence[MachineListing], size: int, now: float
     ) -> Iterator[MachineListing]:
-        if now - self._busy_at.get(load.pool, -math.inf) < self.rates.idle_s:
+        busy_at = self._busy_at.get(load.pool)
+        if busy_at is None or now - busy_at < self.rates.idle_s:
+            # A pool that has had no work yet is left as the operators made it.
             return
         free = load.free_milli
         for machine in idle:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -137,6 +137,7 @@
         self.decisions: list[Decision] = []
         self.stops: list[StopOrder] = []
         self._order = order or ByObjective()
+        self._gone_life_by_id: dict[str, int] = {}
         self._team_use: dict[str, Resources] = {}
         self._dirty: dict[str, None] = {}
         self._final: dict[str, OpenJob] = {}
@@ -191,6 +192,8 @@
     def set_listings(self, listing_by_id: dict[str, MinionListing], now: float) -> None:
         """Use a newer list of minions. A missing entry does not mean a dead minion."""
         for minion_id, listing in listing_by_id.items():
+            if listing.life <= self._gone_life_by_id.get(minion_id, -1):
+                continue
             view = self.view_by_id.setdefault(minion_id, MinionView(minion_id))
             view.listing = listing
             if view.life is not None and listing.life > view.life:
@@ -259,9 +262,13 @@
         view = self.view_by_id.get(minion_id)
         if view is None:
             return
-        view.reached = False
         for run in list(view.runs.values()):
             self._free(run, now, "minion replaced")
+        life = view.life if view.life is not None else 0
+        if view.listing is not None:
+            life = max(life, view.listing.life)
+        self._gone_life_by_id[minion_id] = life
+        del self.view_by_id[minion_id]
 
     def on_start_sent(self, run: Run, now: float) -> int | None:
         """Return the lease to send with a start; None where it must not be sent."""
--- a/packages/geraniumshored/src/geraniumshored/node/machinist.py
+++ b/packages/geraniumshored/src/geraniumshored/node/machinist.py
@@ -108,10 +108,15 @@
         self._listed_at = self._now()
         self._machine_by_name = {machine.machine: machine for machine in machines}
         self._waves.follow(self._machine_by_name)
+        standby = self._scheduler.standby_pool()
         for name, (move, former) in list(self._moving.items()):
             listed = self._machine_by_name.get(name)
-            arrived = listed is not None and listed.up and listed.pool == move.pool
-            if listed is None or (arrived and listed.minion_id not in (None, former)):
+            if listed is None:
+                del self._moving[name]
+                continue
+            # A machine in the standby pool is off and has no minion.
+            born = listed.minion_id not in (None, former) or move.pool == standby
+            if listed.up and listed.pool == move.pool and born:
                 del self._moving[name]
 
     # Upkeep.
--- a/packages/geraniumshored/src/geraniumshored/platform/documents.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/documents.py
@@ -182,7 +182,7 @@
     zone: str = ""
     labels: tuple[str, ...] = ()
     capacity: _Sizes = _Sizes()
-    # The id of the machine's present minion.
+    # The id of the machine's present minion; empty while it is off.
     id: str | None = None
 
 
@@ -341,7 +341,7 @@
             data_centre=machine.zone,
             labels=machine.labels,
             capacity=machine.capacity.resources(),
-            minion_id=machine.id,
+            minion_id=machine.id or None,
         )
         for machine in page.machines
     )
