The owner stays while it is a member; two partitions; waits from the last renewer

Now the log names the owner, who stays for as long as the group lists it; the record of a run names the last owner that may have renewed its lease, and the wait counts from the end of that one's epoch; what callers hand in and what the owner writes stand in two partitions; one append a node is open unless it is overdue; nodes read the log every 0.3 s and when a caller asks.

Ruled out: more committers (they made the queue longer), a longer time-out alone.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/authority.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/authority.py
@@ -29,20 +29,14 @@
         """The longest that a lease lasts by our clock, both clocks being off."""
         return self.longest_lease * (1 + 2 * self.clock_rate)
 
-    @property
-    def former_owner(self) -> float:
-        """How long after a takeover a former owner may still renew leases.
-
-        The group may move a partition without waiting for ``ttl``.
-        """
-        return self.ttl + self.grace
-
 
 @dataclass(slots=True)
 class Authority:
     """An owner's epoch and the joins that confirm it.
 
-    All times come from one clock that also counts while the machine is suspended.
+    A successor takes over once the group has not heard of the owner for ``ttl``, so
+    the owner's orders have ended ``grace`` after that. All times come from one clock
+    that also counts while the machine is suspended.
     """
 
     epoch: int
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_book.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_book.py
@@ -8,9 +8,11 @@
 from geraniumshore_scheduler.internal.model import Job
 from geraniumshore_scheduler.internal.records import (
     JobState,
+    OwnerRecord,
     Progress,
     RecordKind,
     decode_job,
+    decode_owner,
     decode_progress,
     split_key,
 )
@@ -20,27 +22,23 @@
 
 @dataclass(slots=True)
 class BookedJob:
-    """A job and the newest records of it. Offsets are those of the job log."""
+    """A job and the newest records of it.
+
+    A final state in the progress stands, whenever a cancellation came.
+    """
 
     job: Job
-    accepted_offset: int
     accepted_at: float
     progress: Progress = field(default_factory=Progress)
     progress_offset: int = -1
-    cancelled_offset: int | None = None
-
-    @property
-    def cancelled(self) -> bool:
-        """Whether a cancellation came before any final state."""
-        if self.cancelled_offset is None:
-            return False
-        final = self.progress.state.final
-        return not final or self.cancelled_offset < self.progress_offset
+    cancelled: bool = False
 
     @property
     def state(self) -> JobState:
         """The state that callers are told."""
-        return JobState.CANCELLED if self.cancelled else self.progress.state
+        if self.cancelled and not self.progress.state.final:
+            return JobState.CANCELLED
+        return self.progress.state
 
 
 class JobBook:
@@ -48,35 +46,39 @@
 
     def __init__(self) -> None:
         self.job_by_id: dict[str, BookedJob] = {}
+        self.owner: OwnerRecord | None = None
+        self.opened_at_by_epoch: dict[int, float] = {}
         self._orphans: dict[tuple[RecordKind, str], tuple[int, bytes]] = {}
         self._pending_by_queue: dict[str, int] = {}
 
     def fold(self, key: str, value: bytes, offset: int, now: float) -> BookedJob | None:
         """Apply one record; return the job that it changed.
 
-        Records may repeat and their order across keys may differ from the log's, as
-        pages of newest records are no snapshot. Raises InvalidInputError for a value
-        that cannot be decoded.
+        Records may repeat, and those of different keys may come in any order: they
+        stand in two streams, and pages of newest records are no snapshot. Raises
+        InvalidInputError for a value that cannot be decoded.
         """
         parts = split_key(key)
         if parts is None:
             return None
         kind, job_id = parts
+        if kind is RecordKind.OWNER:
+            self._note_owner(decode_owner(value), now)
+            return None
         booked = self.job_by_id.get(job_id)
         if not value:
             self._drop(kind, job_id)
             return None
         if kind is RecordKind.ACCEPTED:
             if booked is None:
-                return self._accept(decode_job(value), offset, now)
+                return self._accept(decode_job(value), now)
             return None
         if booked is None:
             self._orphans[kind, job_id] = offset, value
             return None
         self._count(booked, -1)
         if kind is RecordKind.CANCELLED:
-            if booked.cancelled_offset is None:
-                booked.cancelled_offset = offset
+            booked.cancelled = True
         elif offset > booked.progress_offset:
             booked.progress = decode_progress(value)
             booked.progress_offset = offset
@@ -97,8 +99,14 @@
         self._orphans.clear()
         self._pending_by_queue.clear()
 
-    def _accept(self, job: Job, offset: int, now: float) -> BookedJob:
-        booked = BookedJob(job, offset, now)
+    def _note_owner(self, owner: OwnerRecord, now: float) -> None:
+        """Note the owner, and when its epoch had certainly begun."""
+        if self.owner is None or owner.epoch > self.owner.epoch:
+            self.owner = owner
+            self.opened_at_by_epoch[owner.epoch] = now
+
+    def _accept(self, job: Job, now: float) -> BookedJob:
+        booked = BookedJob(job, now)
         self.job_by_id[job.job_id] = booked
         self._count(booked, 1)
         for kind in (RecordKind.CANCELLED, RecordKind.PROGRESS):
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
@@ -34,7 +34,8 @@
     ``granted_at`` is when a lease was last sent, answered or not. A lease that got no
     answer, though the minion answered later, may be carried out late: it counts until
     ``late_grant_until``. ``unlisted`` means that the platform's list lacks the minion,
-    which may live all the same.
+    which may live all the same. No lease is sent before the batch
+    ``grants_after_batch`` is durable, which says that this owner sends them.
     """
 
     minion_id: str
@@ -58,6 +59,7 @@
     cordoned: bool = False
     reached: bool = False
     unlisted: bool = False
+    grants_after_batch: int = 0
 
     @property
     def draining(self) -> bool:
@@ -115,12 +117,14 @@
         self.answered_at = now
         self.reached = True
 
-    def lapsed_at(self, run: Run, taken_at: float, times: OwnershipTimes) -> float:
+    def lapsed_at(self, run: Run, times: OwnershipTimes) -> float:
         """Return when the lease of a run has certainly ended, without any contact."""
-        moments = [run.since if self.granted_at is None else self.granted_at]
-        if self.life is None or run.life is None:
-            moments.append(taken_at + times.former_owner)
-        return max(max(moments) + times.lapse, self.late_grant_until)
+        renewed_until = run.since
+        if run.foreign_until is not None:
+            renewed_until = run.foreign_until
+        if self.granted_at is not None:
+            renewed_until = max(renewed_until, self.granted_at)
+        return max(renewed_until + times.lapse, self.late_grant_until)
 
     def release_acks(self, durable_batch: int) -> None:
         """Let the ends be acknowledged that are recorded."""
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
@@ -11,13 +11,17 @@
 from geraniumshore_scheduler.internal.model import Job, TaskKey
 
 __all__ = [
+    "OWNER_KEY",
     "JobState",
+    "OwnerRecord",
     "Placed",
     "Progress",
     "RecordKind",
     "decode_job",
+    "decode_owner",
     "decode_progress",
     "encode_job",
+    "encode_owner",
     "encode_progress",
     "job_key",
     "split_key",
@@ -30,6 +34,7 @@
     ACCEPTED = "j"
     CANCELLED = "c"
     PROGRESS = "s"
+    OWNER = "o"
 
 
 class JobState(enum.Enum):
@@ -49,10 +54,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Placed:
-    """A run that was ordered, or is about to be, on a minion."""
+    """A run that was ordered, or is about to be, on a minion.
+
+    ``epoch`` is that of the last owner that may have renewed its lease.
+    """
 
     minion_id: str
     run: int
+    epoch: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerRecord:
+    """The process that owns the schedule from this record on."""
+
+    member: str
+    epoch: int
 
 
 @dataclass(slots=True)
@@ -88,6 +105,8 @@
 
 _JOB = TypeAdapter(Job)
 _PROGRESS = TypeAdapter(Progress)
+_OWNER = TypeAdapter(OwnerRecord)
+OWNER_KEY = f"{RecordKind.OWNER.value}/owner"
 
 
 def job_key(kind: RecordKind, job_id: str) -> str:
@@ -119,6 +138,19 @@
         raise InvalidInputError([Finding("job record", str(error))]) from error
 
 
+def encode_owner(owner: OwnerRecord) -> bytes:
+    """Encode the owner of the schedule."""
+    return _OWNER.dump_json(owner)
+
+
+def decode_owner(value: bytes) -> OwnerRecord:
+    """Decode the owner of the schedule. Raises InvalidInputError."""
+    try:
+        return _OWNER.validate_json(value)
+    except ValidationError as error:
+        raise InvalidInputError([Finding("owner record", str(error))]) from error
+
+
 def encode_progress(progress: Progress) -> bytes:
     """Encode a job's progress."""
     return _PROGRESS.dump_json(progress, exclude_defaults=True)
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
@@ -34,6 +34,7 @@
     """One run of a task, on one life of one minion.
 
     ``life`` is None while it is not known. ``stop_wanted`` asks for its end.
+    ``foreign_until`` is until when a former owner may have renewed its lease.
     ``percent`` is its progress, for a lasting task how far it is at work.
     """
 
@@ -54,6 +55,7 @@
     over_target_since: float | None = None
     progressed_at: float = 0.0
     at_work: bool = False
+    foreign_until: float | None = None
 
     @property
     def room(self) -> Resources:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
 from geraniumshore_scheduler.internal.authority import Authority, OwnershipTimes
@@ -128,6 +128,7 @@
         authority: Authority,
         times: OwnershipTimes,
         order: JobOrder | None = None,
+        opened_at_by_epoch: Mapping[int, float] | None = None,
     ) -> None:
         self.authority = authority
         self.times = times
@@ -137,6 +138,7 @@
         self.decisions: list[Decision] = []
         self.stops: list[StopOrder] = []
         self._order = order or ByObjective()
+        self._opened_at_by_epoch = opened_at_by_epoch or {}
         self._gone_life_by_id: dict[str, int] = {}
         self._team_use: dict[str, Resources] = {}
         self._dirty: dict[str, None] = {}
@@ -216,7 +218,8 @@
             return None
         until_ms = None
         known = view.life is not None and view.reached
-        if known and view.unanswered_grant_at is None:
+        recorded = view.grants_after_batch <= self._durable_batch
+        if known and recorded and view.unanswered_grant_at is None:
             until_ms = view.lease_until_ms(now, self.times)
             view.granted_at = now
         wait_ms = LOOK_WAIT_MS if until_ms is not None and not view.unacked else 0
@@ -428,9 +431,16 @@
                     job.job.team,
                     RunState.ADOPTED,
                     now,
+                    foreign_until=self._foreign_until(place.epoch),
                 )
                 self._attach(job, run)
 
+    def _foreign_until(self, epoch: int) -> float:
+        """Return until when the owner of an epoch may have renewed leases."""
+        later = [at for e, at in self._opened_at_by_epoch.items() if e > epoch]
+        ended = min(later, default=self.authority.taken_at)
+        return min(ended, self.authority.taken_at) + self.times.grace
+
     @staticmethod
     def _begun_before(job: OpenJob, occurrence: int) -> bool:
         prefix = f"{occurrence}."
@@ -603,6 +613,8 @@
         view.strays = {row.task: row.run for row in row_by_name.values()}
 
     def _update(self, run: Run, row: RunningTask, view: MinionView, now: float) -> None:
+        if run.state is RunState.ADOPTED:
+            self._take_on(run, view)
         if run.state is not RunState.RUNNING:
             run.state = RunState.RUNNING
             run.confirmed_at = now
@@ -617,6 +629,17 @@
         if job is not None and row.checkpoint and run.step.checkpointing:
             job.progress.checkpoints[run.task.within_job] = row.checkpoint
 
+    def _take_on(self, run: Run, view: MinionView) -> None:
+        """Write down that this owner renews the run's lease from now on."""
+        job = self.job_by_id.get(run.task.job_id)
+        if job is None:
+            return
+        job.progress.placed[run.task.within_job] = [
+            Placed(run.minion_id, run.number, self.authority.epoch)
+        ]
+        self._dirty[run.task.job_id] = None
+        view.grants_after_batch = self._next_batch
+
     def _settle_missing(self, run: Run, asked: HoldRequest, now: float) -> None:
         """Decide on a run that the minion neither runs nor lists as ended."""
         if run.state is RunState.ADOPTED:
@@ -630,14 +653,14 @@
             self._free(run, now, "gone without an end")
 
     def _free_lapsed(self, now: float) -> None:
-        authority = self.authority
+        confirmed_at = self.authority.confirmed_at
         for view in self.view_by_id.values():
             if view.reached or not view.runs:
                 continue
             for run in list(view.runs.values()):
-                lapsed = view.lapsed_at(run, authority.taken_at, self.times)
+                lapsed = view.lapsed_at(run, self.times)
                 # A successor may have adopted the run unless a later join came back.
-                if now > lapsed and authority.confirmed_at > lapsed:
+                if now > lapsed and confirmed_at > lapsed:
                     self._free(run, now, "lease lapsed")
 
     # Starts and stops.
@@ -743,7 +766,9 @@
         view = self.view_by_id[run.minion_id]
         assert view.listing is not None
         name = run.task.within_job
-        job.progress.placed[name] = [Placed(run.minion_id, run.number)]
+        job.progress.placed[name] = [
+            Placed(run.minion_id, run.number, self.authority.epoch)
+        ]
         job.begun()
         self._dirty[job.job.job_id] = None
         self._starts.append(
--- a/packages/geraniumshored/src/geraniumshored/node/appender.py
+++ b/packages/geraniumshored/src/geraniumshored/node/appender.py
@@ -20,8 +20,14 @@
 # A refused or unanswered append is tried again after this time; a few round trips.
 RETRY_S = 0.05
 MOST_IN_BATCH = 200
-# Several appends may be open, so that one lost answer does not hold up all callers.
+# Several appends may be open, so that one lost answer does not hold up all callers. The
+# next one is made when the last is overdue, by so many times what appends take of late:
+# more of them would only queue in a slow store.
 COMMITTERS = 3
+OVERDUE_FACTOR = 3.0
+SHORTEST_OVERDUE_S = 0.15
+# The weight of the newest append in what appends take of late.
+NEWEST_WEIGHT = 0.3
 
 
 class AppendOutcome(enum.Enum):
@@ -47,6 +53,8 @@
         self._now = now
         self._condition = threading.Condition()
         self._waiting: list[_Waiting] = []
+        self._open_since: list[float] = []
+        self._usual_s = 0.0
         self._threads = [
             threading.Thread(target=self._run, name=f"append-{number}", daemon=True)
             for number in range(COMMITTERS)
@@ -75,14 +83,28 @@
     def _run(self) -> None:
         while True:
             with self._condition:
-                while not self._waiting:
-                    self._condition.wait()
+                while not self._waiting or (left := self._overdue_in()) > 0:
+                    self._condition.wait(left if self._waiting else None)
                 batch = self._waiting[:MOST_IN_BATCH]
                 del self._waiting[:MOST_IN_BATCH]
+                began = self._now()
+                self._open_since.append(began)
             outcome = self._commit(batch)
+            with self._condition:
+                self._open_since.remove(began)
+                took = self._now() - began
+                self._usual_s += NEWEST_WEIGHT * (took - self._usual_s)
+                self._condition.notify()
             for waiting in batch:
                 waiting.outcome.set_result(outcome)
 
+    def _overdue_in(self) -> float:
+        """Return for how long the append opened last may still be waited for."""
+        if not self._open_since:
+            return 0.0
+        patience = max(SHORTEST_OVERDUE_S, OVERDUE_FACTOR * self._usual_s)
+        return self._open_since[-1] + patience - self._now()
+
     def _commit(self, batch: list[_Waiting]) -> AppendOutcome:
         """Append until an answer comes or no one waits any more.
 
@@ -93,7 +115,7 @@
         unanswered = False
         while True:
             try:
-                self._store.append(Stream.JOBS, records)
+                self._store.append(Stream.ACCEPTED, records)
                 return AppendOutcome.DONE
             except PlatformUnavailableError as error:
                 if not unanswered:
--- a/packages/geraniumshored/src/geraniumshored/node/intake.py
+++ b/packages/geraniumshored/src/geraniumshored/node/intake.py
@@ -38,6 +38,9 @@
 # Some of a caller's patience is kept for the answer's way back.
 ANSWER_MARGIN_S = 0.15
 LONGEST_WAIT_S = 2.5
+# A caller that asks for a state waits this long for a read of the log, a few times what
+# one takes.
+FRESH_WAIT_S = 0.04
 CANCEL_MARK = b"1"
 
 
@@ -138,6 +141,9 @@
                 return self._behind()
             return Answer(Verdict.OK, pending=self._jobs.pending(queue.name))
         state = self._find_state(job_id, team)
+        if state is None or not state.final:
+            self._jobs.refresh(FRESH_WAIT_S)
+            state = self._find_state(job_id, team)
         if state is None:
             if not self._current():
                 return self._behind()
@@ -151,6 +157,9 @@
             return found
         configuration, _, team, job_id = found
         state = self._find_state(job_id, team)
+        if state is None:
+            self._jobs.refresh(FRESH_WAIT_S)
+            state = self._find_state(job_id, team)
         if state is None:
             if not self._current():
                 return self._behind()
--- a/packages/geraniumshored/src/geraniumshored/node/node.py
+++ b/packages/geraniumshored/src/geraniumshored/node/node.py
@@ -52,11 +52,12 @@
         )
         # A process that starts again is another member.
         member = f"{settings.node}.{time.time_ns()}.{os.getpid()}"
+        self._member = member
         self._ownership = Ownership(
-            platform.store, member, self._make_owner, self._followed, now
+            platform.store, member, self._jobs, self._make_owner, self._followed, now
         )
         self.metrics.gauge("log_age_seconds", lambda: self._jobs.age(now()))
-        self.metrics.gauge("log_offset", lambda: self._jobs.offset)
+        self.metrics.gauge("log_offset", lambda: self._jobs.progress_offset)
 
     def start(self) -> None:
         """Begin to follow the store and to stand by for the schedule."""
@@ -97,6 +98,7 @@
             self.settings,
             self._platform,
             (self._operators, self._minions, self._jobs),
+            self._member,
             authority,
             self.metrics,
             self._now,
--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -9,12 +9,14 @@
 from collections.abc import Callable
 
 from geraniumshore_scheduler import (
+    OWNER_KEY,
     Authority,
     Batch,
     BookedJob,
     GeraniumshoreError,
     HoldRequest,
     MinionGoneError,
+    OwnerRecord,
     OwnerReplacedError,
     PlatformUnavailableError,
     RecordKind,
@@ -24,6 +26,7 @@
     StartOutcome,
     StopOrder,
     UnknownOutcomeError,
+    encode_owner,
 )
 from geraniumshored.node.clock import wall_ms
 from geraniumshored.node.logs import log_event
@@ -64,12 +67,14 @@
         settings: NodeSettings,
         platform: Platform,
         views: tuple[OperatorsView, MinionsView, JobsView],
+        member: str,
         authority: Authority,
         metrics: NodeMetrics,
         now: Callable[[], float],
     ) -> None:
         self.authority = authority
         self._settings = settings
+        self._member = member
         self._platform = platform
         self._operators, self._minions, self._jobs = views
         self._metrics = metrics
@@ -77,7 +82,11 @@
         self._lock = threading.RLock()
         self._wake = threading.Event()
         self._stopped = threading.Event()
-        self._scheduler = Scheduler(authority, settings.times)
+        self._scheduler = Scheduler(
+            authority,
+            settings.times,
+            opened_at_by_epoch=self._jobs.book.opened_at_by_epoch,
+        )
         self._session_by_minion: dict[str, _Session] = {}
         self._batch: Batch | None = None
         self._number = 0
@@ -133,7 +142,7 @@
         end = self._open_epoch(deadline)
         if end is None:
             return False
-        while self._jobs.offset < end:
+        while self._jobs.progress_offset < end:
             if self._stopped.wait(RETRY_S) or self._now() > deadline:
                 self.stop("the log could not be read")
                 return False
@@ -161,10 +170,12 @@
 
     def _open_epoch(self, deadline: float) -> int | None:
         """Fence the former owner's appends; return the end of the log."""
-        writer = Writer(WRITER, self.authority.epoch, 0)
+        writer = Writer(WRITER, self.authority.epoch, self._number)
+        owner = OwnerRecord(self._member, self.authority.epoch)
+        records = [Record(OWNER_KEY, encode_owner(owner))]
         while not self._stopped.is_set() and self._now() < deadline:
             try:
-                return self._platform.store.append(Stream.JOBS, (), writer).end
+                return self._platform.store.append(Stream.PROGRESS, records, writer).end
             except (PlatformUnavailableError, UnknownOutcomeError) as error:
                 log_event(logger, "epoch not opened yet", cause=str(error))
                 self._stopped.wait(RETRY_S)
@@ -240,7 +251,7 @@
         began = self._now()
         while not self._stopped.is_set():
             try:
-                self._platform.store.append(Stream.JOBS, records, writer)
+                self._platform.store.append(Stream.PROGRESS, records, writer)
                 break
             except SequenceError as error:
                 self.stop(f"the log has another writer: {error}")
--- a/packages/geraniumshored/src/geraniumshored/node/ownership.py
+++ b/packages/geraniumshored/src/geraniumshored/node/ownership.py
@@ -1,4 +1,4 @@
-"""Membership of the group of nodes, which deals out the ownership of the schedule."""
+"""Who owns the schedule: the group tells who lives, the job log who is the owner."""
 
 from __future__ import annotations
 
@@ -14,6 +14,7 @@
 from geraniumshored.node.logs import log_event
 from geraniumshored.node.owner import Owner
 from geraniumshored.node.ports import Membership, Store
+from geraniumshored.node.views import JobsView
 
 __all__ = ["Ownership"]
 
@@ -21,28 +22,40 @@
 
 # Four joins fit into the shortest time to live that the store allows.
 JOIN_PAUSE_S = 0.25
+# So many members can stand in for each other; more would only cost joins.
+MOST_MEMBERS = 9
+# A node that is no member looks for a free place so often.
+OUTSIDE_PAUSE_S = 1.0
+# After an outage of the store the owner gets this time to join again.
+REGAINED_S = 0.6
 
 
 class Ownership:
-    """Joins the group over and over, and starts and stops the owner accordingly."""
+    """Stays in the group, and takes the schedule over when its owner has left it.
+
+    The group deals out more than the schedule, and deals anew with each change, so the
+    owner stays the owner for as long as it is a member at all.
+    """
 
     def __init__(
         self,
         store: Store,
         member: str,
+        jobs: JobsView,
         make_owner: Callable[[Authority], Owner],
         ready: Callable[[], bool],
         now: Callable[[], float],
     ) -> None:
         self._store = store
         self._member = member
+        self._jobs = jobs
         self._make_owner = make_owner
         self._ready = ready
         self._now = now
         self._generation = 0
         self._owner: Owner | None = None
-        self._held = False
         self._lost = False
+        self._regained_at = float("-inf")
         self._leaving = threading.Event()
         self._thread = threading.Thread(target=self._run, name="join", daemon=True)
 
@@ -61,36 +74,47 @@
             log_event(logger, "leave unanswered", cause=str(error))
 
     def _run(self) -> None:
-        while not self._leaving.wait(JOIN_PAUSE_S):
+        pause = JOIN_PAUSE_S
+        while not self._leaving.wait(pause):
             if not self._ready():
                 continue
-            sent_at = self._now()
             try:
-                membership = self._store.join(self._member, self._generation)
+                pause = self._step()
             except (PlatformUnavailableError, UnknownOutcomeError) as error:
+                pause = JOIN_PAUSE_S
                 if not self._lost:
                     self._lost = True
                     log_event(logger, "group lost", cause=str(error))
-                continue
-            if self._lost:
-                self._lost = False
-                log_event(logger, "group regained", generation=membership.generation)
-            if not self._leaving.is_set():
-                self._follow(membership, sent_at)
+
+    def _step(self) -> float:
+        """Join or look for a place; return how long to wait before the next step."""
+        if self._generation == 0 and len(self._store.members()) >= MOST_MEMBERS:
+            return OUTSIDE_PAUSE_S
+        sent_at = self._now()
+        membership = self._store.join(self._member, self._generation)
+        if self._lost:
+            self._lost = False
+            self._regained_at = self._now()
+            log_event(logger, "group regained", generation=membership.generation)
+        if not self._leaving.is_set():
+            self._follow(membership, sent_at)
+        self._generation = membership.generation
+        return JOIN_PAUSE_S
 
     def _follow(self, membership: Membership, sent_at: float) -> None:
-        owner = self._owner
-        if owner is not None and owner.stopped:
-            owner = self._owner = None
-        if not membership.owns_schedule:
-            if owner is not None:
-                owner.stop("the group gave the schedule to another node")
-                self._owner = None
-        elif owner is None:
+        if self._owner is not None and self._owner.stopped:
+            self._owner = None
+        if self._owner is not None:
+            self._owner.confirm(sent_at)
+        elif membership.first and self._schedule_is_free():
             authority = Authority(membership.generation, self._now(), sent_at)
             self._owner = self._make_owner(authority)
             self._owner.start()
-        else:
-            owner.confirm(sent_at)
-        # The next join tells the store that a withdrawn partition is given up.
-        self._generation = membership.generation
+
+    def _schedule_is_free(self) -> bool:
+        if self._now() < self._regained_at + REGAINED_S:
+            return False
+        owner = self._jobs.book.owner
+        if owner is None or owner.member == self._member:
+            return True
+        return owner.member not in self._store.members()
--- a/packages/geraniumshored/src/geraniumshored/node/ports.py
+++ b/packages/geraniumshored/src/geraniumshored/node/ports.py
@@ -35,11 +35,16 @@
 
 
 class Stream(enum.Enum):
-    """The streams of records that a node uses."""
+    """The streams of records that a node uses.
+
+    ACCEPTED has what callers handed in or cancelled, written by every node; PROGRESS
+    only what the owner writes, so that it does not queue behind the others.
+    """
 
     OPERATORS = "operators"
     MINIONS = "minions"
-    JOBS = "jobs"
+    ACCEPTED = "accepted"
+    PROGRESS = "progress"
     STATUS = "status"
 
 
@@ -79,10 +84,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Membership:
-    """A group's answer: its generation, and whether the schedule is this member's."""
+    """A group's answer: its generation, and whether this member is the first to act.
+
+    Exactly one member is; which one may change at any time.
+    """
 
     generation: int
-    owns_schedule: bool
+    first: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,6 +142,10 @@
     def join(self, member: str, generation: int) -> Membership:
         """Join the group of nodes, or stay in it."""
 
+    @abstractmethod
+    def members(self) -> frozenset[str]:
+        """Return the members of the group of nodes."""
+
     @abstractmethod
     def leave(self, member: str) -> None:
         """Leave the group of nodes."""
--- a/packages/geraniumshored/src/geraniumshored/node/views.py
+++ b/packages/geraniumshored/src/geraniumshored/node/views.py
@@ -45,6 +45,7 @@
         self._now = now
         self._offset: int | None = None
         self._read_at: float | None = None
+        self._reading_since: float | None = None
         self._broken = False
         self._pause = threading.Event()
         self._thread = threading.Thread(
@@ -100,7 +101,8 @@
                 self._pause.wait(RETRY_S)
 
     def _step(self) -> None:
-        asked_at = self._now()
+        self._pause.clear()
+        asked_at = self._reading_since = self._now()
         if self._offset is None:
             page = self._platform.store.newest(self._stream)
             self._reset()
@@ -133,6 +135,7 @@
             )
         # A read that returns nothing has waited at the end of the stream.
         behind = self._offset < page.end
+        self._reading_since = None
         if not behind:
             self._read_at = asked_at if page.records else self._now()
         self._folded()
@@ -241,20 +244,40 @@
             self.on_change()
 
 
-class JobsView(Follower):
-    """The fold of the job log. The lock guards the book."""
-
-    # How often a node that does not own the schedule reads the log. Each read of each
-    # node costs the store a call; callers see states that much later.
-    FOLLOW_PAUSE_S = 0.1
-    # The owner reads sooner: a job waits for it.
-    OWNER_PAUSE_S = 0.01
+class JobsView:
+    """The fold of the job log's two streams. The lock guards the book."""
 
     def __init__(self, platform: Platform, now: Callable[[], float]) -> None:
-        super().__init__(platform, Stream.JOBS, now)
         self.lock = threading.RLock()
         self.book = JobBook()
         self.on_job: Callable[[BookedJob, RecordKind], None] | None = None
+        self._now = now
+        self._followers = (
+            _JobFollower(self, platform, Stream.ACCEPTED, now),
+            _JobFollower(self, platform, Stream.PROGRESS, now),
+        )
+
+    def start(self) -> None:
+        """Begin to follow both streams."""
+        for follower in self._followers:
+            follower.start()
+
+    def age(self, now: float) -> float:
+        """Return for how long the book may have missed records."""
+        return max(follower.age(now) for follower in self._followers)
+
+    @property
+    def progress_offset(self) -> int:
+        """The offset up to which the owner's records are folded."""
+        return self._followers[1].offset
+
+    def refresh(self, wait_s: float) -> None:
+        """Read on now, and wait for that, at most ``wait_s``."""
+        asked_at = self._now()
+        for follower in self._followers:
+            follower.hurry()
+        for follower in self._followers:
+            follower.wait_for_read(asked_at, asked_at + wait_s)
 
     def find(self, job_id: str) -> BookedJob | None:
         """Return a job of the log."""
@@ -266,16 +289,8 @@
         with self.lock:
             return self.book.pending(queue)
 
-    def _pause_s(self) -> float:
-        return self.FOLLOW_PAUSE_S if self.on_job is None else self.OWNER_PAUSE_S
-
-    def _folded(self) -> None:
-        """Jobs are told one by one."""
-
-    def _reset(self) -> None:
-        """Keep what is known: newer records replace it one by one."""
-
-    def _apply(self, record: Record) -> None:
+    def fold(self, record: Record) -> None:
+        """Fold one record, and tell the owner in this process of it."""
         with self.lock:
             booked = self.book.fold(
                 record.key, record.value, record.offset, self._now()
@@ -283,3 +298,60 @@
             parts = split_key(record.key)
             if booked is not None and parts is not None and self.on_job is not None:
                 self.on_job(booked, parts[0])
+
+
+class _JobFollower(Follower):
+    """Follows one of the job log's streams.
+
+    Each read costs the store a call, so a node reads seldom, and at once when a caller
+    asks. The owner reads accepted jobs soon: they wait for it.
+    """
+
+    FOLLOW_PAUSE_S = 0.3
+    OWNER_PAUSE_S = 0.01
+    # The store answers a read of records that exist within this time.
+    ANSWER_S = 0.015
+
+    def __init__(
+        self,
+        view: JobsView,
+        platform: Platform,
+        stream: Stream,
+        now: Callable[[], float],
+    ) -> None:
+        super().__init__(platform, stream, now)
+        self._view = view
+        self._read = threading.Condition()
+
+    def hurry(self) -> None:
+        """End the pause before the next read."""
+        self._pause.set()
+
+    def wait_for_read(self, since: float, deadline: float) -> None:
+        """Wait until a read that began after ``since`` has been folded.
+
+        A read that waits for records at the stream's end already would have returned.
+        """
+        with self._read:
+            while (self._read_at or 0.0) < since:
+                reading_since = self._reading_since
+                now = self._now()
+                if reading_since is not None and now > reading_since + self.ANSWER_S:
+                    return
+                if now >= deadline or not self._read.wait(deadline - now):
+                    return
+
+    def _pause_s(self) -> float:
+        if self._view.on_job is None or self._stream is Stream.PROGRESS:
+            return self.FOLLOW_PAUSE_S
+        return self.OWNER_PAUSE_S
+
+    def _apply(self, record: Record) -> None:
+        self._view.fold(record)
+
+    def _folded(self) -> None:
+        with self._read:
+            self._read.notify_all()
+
+    def _reset(self) -> None:
+        """Keep what is known: newer records replace it one by one."""
--- a/packages/geraniumshored/src/geraniumshored/platform/store.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/store.py
@@ -28,26 +28,32 @@
 
 __all__ = ["LogStore"]
 
-# An answer takes some 10 ms, and up to 60 times as long on a slow day.
-CALL_SECONDS = 1.2
+# An answer takes some 10 ms, and up to 60 times as long on a slow day; appends to one
+# partition also wait for each other, for up to 2 s before the store refuses them.
+CALL_SECONDS = 2.0
+# A silent connection is noticed this long after the wait that a read asked for.
+READ_SECONDS = 1.0
 # A join must come back well within the group's time to live.
 JOIN_SECONDS = 0.8
 MS = 1000
 GROUP = "geraniumshore"
-# Whoever holds partition 0 of this topic owns the schedule.
-SCHEDULE_TOPIC = "schedule"
-SCHEDULE_PARTITION = 0
-
-TOPIC_BY_STREAM = {
-    Stream.OPERATORS: "keyed.op",
-    Stream.MINIONS: "keyed.servers",
-    Stream.JOBS: "keyed.jobs",
-    Stream.STATUS: "keyed.status",
+# The topic serves only for its partitions to be dealt out; each member gets some, and
+# whoever holds this one is the first to act.
+GROUP_TOPIC = "members"
+FIRST_PARTITION = 0
+
+# The topic and the partition of each stream.
+PLACE_BY_STREAM = {
+    Stream.OPERATORS: ("keyed.op", 0),
+    Stream.MINIONS: ("keyed.servers", 0),
+    Stream.ACCEPTED: ("keyed.jobs", 0),
+    Stream.PROGRESS: ("keyed.jobs", 1),
+    Stream.STATUS: ("keyed.status", 0),
 }
 
 
 class LogStore(Store):
-    """The store's calls. All streams use partition 0 of their topic."""
+    """The store's calls. Each stream is one partition of a topic."""
 
     def __init__(self, http: HttpClient, address: str, group_ttl_ms: int) -> None:
         self._http = http
@@ -58,7 +64,7 @@
         self, stream: Stream, records: Sequence[Record], writer: Writer | None = None
     ) -> Appended:
         """Append records; with none, only open the writer's epoch."""
-        query: dict[str, object] = {"topic": TOPIC_BY_STREAM[stream], "part": 0}
+        query = _place(stream)
         if writer is not None:
             query.update(producer=writer.name, epoch=writer.epoch, seq=writer.number)
         body = b"".join(map(_frame, records))
@@ -76,13 +82,8 @@
 
     def read(self, stream: Stream, offset: int, wait_ms: int) -> Page:
         """Read on from an offset."""
-        query = {
-            "topic": TOPIC_BY_STREAM[stream],
-            "part": 0,
-            "from": offset,
-            "wait_ms": wait_ms,
-        }
-        timeout = wait_ms / MS + CALL_SECONDS
+        query = {**_place(stream), "from": offset, "wait_ms": wait_ms}
+        timeout = wait_ms / MS + READ_SECONDS
         reply = self._call("GET", "/v1/log-read", query, timeout)
         if reply.status == 410:
             raise RecordsTrimmedError(int(reply.document().get("first", 0)))
@@ -95,7 +96,7 @@
         end: int | None = None
         after: str | None = None
         while True:
-            query: dict[str, object] = {"topic": TOPIC_BY_STREAM[stream], "part": 0}
+            query = _place(stream)
             if after is not None:
                 # On this call the field holds the last key of the page before.
                 query["depends_on"] = after
@@ -120,16 +121,26 @@
             {
                 "group": GROUP,
                 "member": member,
-                "topics": [SCHEDULE_TOPIC],
+                "topics": [GROUP_TOPIC],
                 "ttl_ms": self._group_ttl_ms,
                 "generation": generation,
             },
         ).document()
-        owns = any(
-            row[0] == SCHEDULE_TOPIC and row[1] == SCHEDULE_PARTITION
+        first = any(
+            row[0] == GROUP_TOPIC and row[1] == FIRST_PARTITION
             for row in document.get("parts") or []
         )
-        return Membership(int(document["generation"]), owns)
+        return Membership(int(document["generation"]), first)
+
+    def members(self) -> frozenset[str]:
+        """Return who holds some partition of the group's topic."""
+        query: dict[str, object] = {"group": GROUP}
+        reply = self._call("GET", "/v1/log-owners", query, JOIN_SECONDS)
+        _require_ok(reply)
+        rows = next(
+            (rows for rows in reply.document().values() if isinstance(rows, list)), []
+        )
+        return frozenset(str(row[2]) for row in rows if len(row) > 2 and row[2])
 
     def leave(self, member: str) -> None:
         """Leave the group."""
@@ -159,6 +170,11 @@
         return self._http.request(self._address, method, target, timeout, body)
 
 
+def _place(stream: Stream) -> dict[str, object]:
+    topic, partition = PLACE_BY_STREAM[stream]
+    return {"topic": topic, "part": partition}
+
+
 def _require_ok(reply: HttpReply) -> None:
     if reply.status == 200:
         return
