Stand-ins of the users' platform as models; a machine of overlapping owners

Found by it: a run that was given up as lapsed and had ended done was run once more, though its end was listed by then. Such an end now counts.

Ruled out as a broken rule: an end that is taken note of after its minion's lease lapsed does not forbid another run; the model leaves it out.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -524,8 +524,25 @@
             run = self._run_named(view, end.task, end.run)
             if run is not None:
                 self._end(view, run, end, now)
+            elif end.how == "done":
+                self._credit(end, view)
             view.unacked.append((end.number, self._next_batch))
 
+    def _credit(self, end: EndedRun, view: MinionView) -> None:
+        """Take in that a run succeeded which was given up as lost."""
+        job_id, *numbers = end.task.split(".")
+        job = self.job_by_id.get(job_id)
+        if job is None:
+            return
+        task = TaskKey(job_id, *(int(number) for number in numbers))
+        if job.progress.is_done(task) or job.job.steps[task.step].gang:
+            return
+        self._decide("late success", end.task, view.minion_id, {"run": end.run})
+        other = job.runs.get(task)
+        if other is not None:
+            other.stop_wanted = True
+        self._succeed(job, task)
+
     def _run_named(self, view: MinionView, task: str, number: int) -> Run | None:
         for run in view.runs.values():
             if run.number == number and str(run.task) == task:
@@ -540,15 +557,7 @@
         self._dirty[job.job.job_id] = None
         if end.how == "done":
             view.faults = 0
-            # One member that ends done stands for its whole gang.
-            members = range(run.step.count) if run.step.gang else (run.task.position,)
-            for index in members:
-                member = run.task._replace(position=index)
-                job.progress.mark_done(member)
-                job.waiting.pop(member, None)
-            job.open_steps(run.task.occurrence)
-            if job.finished():
-                self._finish(job, JobState.DONE)
+            self._succeed(job, run.task)
             return
         if end.checkpoint and run.step.checkpointing:
             job.progress.checkpoints[run.task.within_job] = end.checkpoint
@@ -558,6 +567,19 @@
         if still_open and not job.progress.is_done(run.task):
             job.waiting[run.task] = None
 
+    def _succeed(self, job: OpenJob, task: TaskKey) -> None:
+        self._dirty[task.job_id] = None
+        step = job.job.steps[task.step]
+        # One member that ends done stands for its whole gang.
+        members = range(step.count) if step.gang else (task.position,)
+        for position in members:
+            member = task._replace(position=position)
+            job.progress.mark_done(member)
+            job.waiting.pop(member, None)
+        job.open_steps(task.occurrence)
+        if job.finished():
+            self._finish(job, JobState.DONE)
+
     def _count_failure(
         self, job: OpenJob, run: Run, view: MinionView, now: float
     ) -> None:
--- /dev/null
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/__init__.py
@@ -0,0 +1,10 @@
+"""Stand-ins of the users' platform: its store, minions and machines."""
+
+from geraniumshore_standins.internal.users_platform.log_model import LogModel, Reply
+from geraniumshore_standins.internal.users_platform.minion_model import (
+    MinionModel,
+    TaskPlan,
+)
+from geraniumshore_standins.internal.users_platform.world import PlatformWorld
+
+__all__ = ["LogModel", "MinionModel", "PlatformWorld", "Reply", "TaskPlan"]
--- /dev/null
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/minion_model.py
@@ -0,0 +1,201 @@
+"""A minion as a model: leases, fences, runs and their ends. Time is passed in."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from geraniumshore_standins.internal.users_platform.log_model import Reply
+
+__all__ = ["MinionModel", "TaskPlan"]
+
+MS = 1000.0
+LONGEST_LEASE_MS = 6000.0
+STARTUP_MS = 300.0
+
+
+@dataclass(frozen=True, slots=True)
+class TaskPlan:
+    """What becomes of a run: how long it works, and how it ends."""
+
+    work_ms: float = 100.0
+    how: str = "done"
+
+    @classmethod
+    def from_spec(cls, spec: str) -> TaskPlan:
+        """Read a plan from a job's spec, ``{"work_ms": 100, "how": "done"}``."""
+        try:
+            document = json.loads(spec)
+        except ValueError:
+            return cls()
+        if not isinstance(document, dict):
+            return cls()
+        work_ms = document.get("work_ms", 100.0)
+        return cls(float(work_ms), str(document.get("how", "done")))
+
+
+@dataclass(slots=True)
+class _Run:
+    number: int
+    began_ms: float
+    plan: TaskPlan
+    cpu: int
+    stopping_at: float | None = None
+
+
+@dataclass(slots=True)
+class MinionModel:
+    """One life of a minion. ``rate`` is the speed of its clock.
+
+    ``observe`` is told each start and each end: kind, task, run, details.
+    """
+
+    minion_id: str
+    born: int
+    started_at: float
+    rate: float = 1.0
+    stop_ms: float = 200.0
+    cpu_capacity: int = 16_000
+    observe: Callable[[str, str, int, str], None] = lambda *_: None
+    cpu_of: Callable[[str], int] = lambda _: 1000
+    fence: int = 0
+    lease_until: float = 0.0
+    runs: dict[str, _Run] = field(default_factory=dict)
+    highest: dict[str, int] = field(default_factory=dict)
+    ended: list[list[Any]] = field(default_factory=list)
+    ends: int = 0
+    acked: int = 0
+    lapsed_after: int = 0
+    remaining_ms: int | None = None
+
+    def clock_ms(self, now: float) -> float:
+        """Return the minion's own clock."""
+        return (now - self.started_at) * self.rate * MS
+
+    def tick(self, now: float) -> None:
+        """Let runs end whose time has come."""
+        clock = self.clock_ms(now)
+        if clock >= self.lease_until:
+            for task in list(self.runs):
+                self._end(task, "lapsed")
+            self.lapsed_after = self.ends
+        for task, run in list(self.runs.items()):
+            if run.stopping_at is not None and clock >= run.stopping_at:
+                self._end(task, "stopped")
+            elif run.plan.how != "lasts" and clock - run.began_ms >= run.plan.work_ms:
+                self._end(task, run.plan.how)
+
+    def hold(self, document: dict[str, Any], now: float) -> Reply:
+        """Renew, acknowledge, look."""
+        self.tick(now)
+        if (refused := self._check_fence(document, now)) is not None:
+            return refused
+        self._extend(document.get("until_ms"), now)
+        acked = int(document.get("acked_upto", 0))
+        for end in self.ended:
+            # What ended before the lease lapsed may have begun elsewhere since.
+            if self.lapsed_after < end[0] <= acked:
+                self.observe("noted", end[1], end[2], end[3])
+        self.ended = [end for end in self.ended if end[0] > acked]
+        self.acked = max(self.acked, acked)
+        return self._report(now)
+
+    def start(self, document: dict[str, Any], now: float) -> Reply:
+        """Start a run."""
+        self.tick(now)
+        if (refused := self._check_fence(document, now)) is not None:
+            return refused
+        task, number = str(document["task"]), int(document["run"])
+        clock = self.clock_ms(now)
+        running = self.runs.get(task)
+        if running is not None and running.number == number:
+            return Reply(200, {"clock_ms": int(clock)})
+        if float(document["until_ms"]) <= clock:
+            return self._refuse("late", now)
+        self._extend(document["until_ms"], now)
+        if running is not None or number <= self.highest.get(task, 0):
+            return self._refuse("old", now)
+        cpu = self.cpu_of(task)
+        used = sum(run.cpu for run in self.runs.values())
+        if used + cpu > self.cpu_capacity:
+            self.observe("over capacity", task, number, "")
+        plan = TaskPlan.from_spec(str(document["spec"]))
+        self.runs[task] = _Run(number, clock, plan, cpu)
+        self.observe("start", task, number, "")
+        return Reply(200, {"clock_ms": int(clock)})
+
+    def stop(self, document: dict[str, Any], now: float) -> Reply:
+        """Stop a run, and refuse it from then on."""
+        self.tick(now)
+        if (refused := self._check_fence(document, now)) is not None:
+            return refused
+        task, number = str(document["task"]), int(document["run"])
+        run = self.runs.get(task)
+        if run is not None and run.number <= number and run.stopping_at is None:
+            run.stopping_at = self.clock_ms(now) + self.stop_ms
+        self.highest[task] = max(number, self.highest.get(task, 0))
+        return Reply(200, {"clock_ms": int(self.clock_ms(now))})
+
+    def pace(self, document: dict[str, Any], now: float) -> Reply:
+        """Take note of a pace; the model's tasks do not slow down."""
+        self.tick(now)
+        refused = self._check_fence(document, now)
+        return refused or Reply(200, {"clock_ms": int(self.clock_ms(now))})
+
+    def call(self, name: str, document: dict[str, Any], now: float) -> Reply:
+        """Carry out the call of that name."""
+        calls: dict[str, Callable[[dict[str, Any], float], Reply]] = {
+            "hold": self.hold,
+            "run-start": self.start,
+            "run-stop": self.stop,
+            "pace": self.pace,
+        }
+        return calls[name](document, now)
+
+    def running_tasks(self) -> Iterable[str]:
+        """Return the names of what runs."""
+        return tuple(self.runs)
+
+    def _report(self, now: float) -> Reply:
+        clock = self.clock_ms(now)
+        document: dict[str, Any] = {
+            "born": self.born,
+            "clock_ms": int(clock),
+            "running": [
+                [task, run.number, "", self._percent(run, clock), 0]
+                for task, run in self.runs.items()
+            ],
+            "ended": [list(end) for end in self.ended],
+        }
+        if self.remaining_ms is not None:
+            document["remaining_ms"] = self.remaining_ms
+        return Reply(200, document)
+
+    @staticmethod
+    def _percent(run: _Run, clock: float) -> int:
+        whole = STARTUP_MS if run.plan.how == "lasts" else run.plan.work_ms
+        return min(100, int(100 * (clock - run.began_ms) / max(1.0, whole)))
+
+    def _extend(self, until_ms: Any, now: float) -> None:
+        if until_ms is not None:
+            longest = self.clock_ms(now) + LONGEST_LEASE_MS
+            self.lease_until = max(self.lease_until, min(float(until_ms), longest))
+
+    def _check_fence(self, document: dict[str, Any], now: float) -> Reply | None:
+        fence = int(document.get("fence", 0))
+        if fence < self.fence:
+            return self._refuse("fence", now)
+        self.fence = fence
+        return None
+
+    def _refuse(self, reason: str, now: float) -> Reply:
+        return Reply(409, {"clock_ms": int(self.clock_ms(now)), "reason": reason})
+
+    def _end(self, task: str, how: str) -> None:
+        run = self.runs.pop(task)
+        self.ends += 1
+        self.ended.append([self.ends, task, run.number, how, ""])
+        self.highest[task] = max(run.number, self.highest.get(task, 0))
+        self.observe("end", task, run.number, how)
--- /dev/null
+++ b/tests/cover/test_schedule_machine.py
@@ -0,0 +1,29 @@
+"""Owners that overlap, late orders, frozen nodes, minions born again: no task twice."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.common.schedule_world import QUIET, World
+
+SECONDS = 45.0
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_promises_hold_under_faults(seed):
+    world = World(seed)
+    world.run(SECONDS)
+    assert world.events["start"] > 20
+
+
+def test_all_jobs_end_without_faults():
+    world = World(1, QUIET)
+    world.run(SECONDS)
+    assert world.events["takeover"] == 1
+    unfinished = [
+        job.job_id
+        for job in world.job_by_id.values()
+        if not job.lasting and not world.finished(job.job_id)
+    ]
+    assert unfinished == []
+    assert len(world.job_by_id) == 14
