A silent minion's lasting tasks count as missing; pools grow by memory and spread

Ruled out: a late list of machines (the minion was known as silent since 12.6 s, the stop came at 15.7 s); a lapsed lease (the task waited and was not placed).

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/maintenance.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/maintenance.py
@@ -66,11 +66,12 @@
         return all(u.stage in stages for u in self.upkeep_by_machine.values())
 
 
-def may_interrupt(run: Run, job: OpenJob) -> bool:
+def may_interrupt(run: Run, job: OpenJob, view_by_id: Mapping[str, MinionView]) -> bool:
     """Tell whether a lasting task may be ended now within its step's budget.
 
     Every other task of the step that is not at work counts as missing, whatever the
-    cause. A step without a budget gives up one task at a time.
+    cause, and so does one on a minion that does not answer: it may be gone since its
+    last report. A step without a budget gives up one task at a time.
     """
     if not run.step.lasting:
         return True
@@ -80,7 +81,9 @@
         if task == run.task:
             continue
         other = job.runs.get(task)
-        if other is None or not other.at_work or other.stop_wanted:
+        view = None if other is None else view_by_id.get(other.minion_id)
+        reached = view is not None and view.reached
+        if other is None or not (reached and other.at_work) or other.stop_wanted:
             missing += 1
     return missing < max(1, run.step.may_miss or 0)
 
@@ -171,7 +174,7 @@
                 if listed is None or not listed.up:
                     continue
                 view = view_by_id.get(listed.minion_id or "")
-                empty = self._empty(view, job_by_id, last_call)
+                empty = self._empty(view, job_by_id, view_by_id, last_call)
                 if empty and wave.down < wave.wave.most_at_once:
                     upkeep.stage = Stage.ORDERED
                     upkeep.minion_id = listed.minion_id
@@ -243,7 +246,10 @@
 
     @staticmethod
     def _empty(
-        view: MinionView | None, job_by_id: Mapping[str, OpenJob], last_call: bool
+        view: MinionView | None,
+        job_by_id: Mapping[str, OpenJob],
+        view_by_id: Mapping[str, MinionView],
+        last_call: bool,
     ) -> bool:
         """Empty a machine; tell whether it is."""
         if view is None:
@@ -255,6 +261,8 @@
             if not run.step.lasting:
                 continue
             lasting = True
-            if job is not None and not run.stop_wanted and may_interrupt(run, job):
+            if job is None or run.stop_wanted:
+                continue
+            if may_interrupt(run, job, view_by_id):
                 run.stop_wanted = True
         return not view.runs or (last_call and not lasting)
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pools.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pools.py
@@ -11,22 +11,34 @@
 from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 
-from geraniumshore_scheduler.internal.model import MachineListing
+from geraniumshore_scheduler.internal.model import MachineListing, Resources
 
 __all__ = ["Move", "PoolLoad", "PoolPolicy", "PoolRates"]
 
 
 @dataclass(frozen=True, slots=True)
 class PoolLoad:
-    """What a pool's tasks ask for and what it has, in thousandths of a core.
+    """What a pool's tasks ask for and what it has.
 
-    ``waiting_milli`` is what all waiting tasks would use if they ran at once,
-    ``free_milli`` what nothing uses on the minions that accept work.
+    ``unplaced`` is what the tasks need that wait and for which no minion of the pool
+    has room; ``apart`` of them each want a minion of their own. ``free`` is what
+    nothing uses on the minions that accept work. ``busy`` pools have tasks that wait.
     """
 
     pool: str
-    waiting_milli: int
-    free_milli: int
+    unplaced: Resources = Resources()
+    apart: int = 0
+    free: Resources = Resources()
+    busy: bool = False
+
+    def machines_wanted(self, size: Resources) -> float:
+        """Return how many machines of a size the unplaced tasks would fill."""
+        shares = (
+            wanted / had
+            for wanted, had in zip(self.unplaced, size, strict=True)
+            if wanted and had
+        )
+        return max([float(self.apart), *shares])
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,23 +82,19 @@
         loads: Iterable[PoolLoad],
         idle_by_pool: dict[str, Sequence[MachineListing]],
         size_by_pool: dict[str, int],
-        coming_milli: dict[str, int],
+        coming_by_pool: dict[str, int],
         standby: str | None,
         now: float,
     ) -> Iterator[Move]:
         """Yield the moves to make now.
 
         ``idle_by_pool`` has the machines on which nothing runs and which may be moved;
-        ``coming_milli`` is the capacity already on its way to a pool.
+        ``coming_by_pool`` counts the machines on their way to a pool.
         """
         load_by_pool = {load.pool: load for load in loads}
         for load in load_by_pool.values():
-            if load.waiting_milli:
+            if load.busy:
                 self._busy_at[load.pool] = now
-        needs = {
-            pool: load.waiting_milli - load.free_milli - coming_milli.get(pool, 0)
-            for pool, load in load_by_pool.items()
-        }
         spares = list(idle_by_pool.get(standby, ())) if standby is not None else []
         for pool, idle in idle_by_pool.items():
             if pool != standby and pool in load_by_pool:
@@ -95,7 +103,7 @@
                 )
                 spares.extend(releasable)
         taken: set[str] = set()
-        yield from self._fill(needs, spares, taken)
+        yield from self._fill(load_by_pool, coming_by_pool, spares, taken)
         if standby is None:
             return
         for machine in spares:
@@ -103,16 +111,24 @@
                 yield Move(machine.machine, standby)
 
     def _fill(
-        self, needs: dict[str, int], spares: list[MachineListing], taken: set[str]
+        self,
+        load_by_pool: dict[str, PoolLoad],
+        coming_by_pool: dict[str, int],
+        spares: list[MachineListing],
+        taken: set[str],
     ) -> Iterator[Move]:
         """Give spare machines to the pool that lacks most, one at a time."""
+        given = dict(coming_by_pool)
         for machine in spares:
-            size = machine.capacity.cpu_milli
-            others = {p: need for p, need in needs.items() if p != machine.pool}
-            pool = max(others, key=lambda p: others[p], default=None)
-            if pool is None or needs[pool] < self.rates.least_share * size:
+            needs = {
+                pool: load.machines_wanted(machine.capacity) - given.get(pool, 0)
+                for pool, load in load_by_pool.items()
+                if pool != machine.pool
+            }
+            pool = max(needs, key=lambda name: needs[name], default=None)
+            if pool is None or needs[pool] < self.rates.least_share:
                 continue
-            needs[pool] -= size
+            given[pool] = given.get(pool, 0) + 1
             taken.add(machine.machine)
             yield Move(machine.machine, pool)
 
@@ -123,17 +139,19 @@
         if busy_at is None or now - busy_at < self.rates.idle_s:
             # A pool that has had no work yet is left as the operators made it.
             return
-        free = load.free_milli
+        free = load.free
         for machine in idle:
             if (
                 now - self._joined_at.get(machine.machine, -math.inf)
                 < self.rates.stay_s
             ):
                 continue
-            own = machine.capacity.cpu_milli
-            reserve = self.rates.reserve_share * own * (size - 1)
-            if size <= 1 or free - own < reserve:
-                return
-            free -= own
+            free = free.minus(machine.capacity)
             size -= 1
+            reserve = self.rates.reserve_share * size
+            if size < 1 or any(
+                left < reserve * had
+                for left, had in zip(free, machine.capacity, strict=True)
+            ):
+                return
             yield machine
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
@@ -68,7 +68,8 @@
     """A job that has not ended, as its owner schedules it.
 
     ``waiting`` has the tasks whose turn has come and which certainly run nowhere, in
-    the order in which they became so. ``retry_at`` delays single tasks.
+    the order in which they became so. ``retry_at`` delays single tasks; ``unplaced``
+    names the occurrences and steps for whose tasks no minion had room.
     """
 
     job: Job
@@ -84,6 +85,7 @@
     failed_on: dict[TaskKey, set[str]] = field(default_factory=dict)
     retry_at: dict[TaskKey, float] = field(default_factory=dict)
     next_occurrence: int = 0
+    unplaced: set[tuple[int, int]] = field(default_factory=set)
 
     @property
     def occurrences(self) -> int:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -117,6 +117,14 @@
     details: dict[str, object] = field(default_factory=dict)
 
 
+@dataclass(slots=True)
+class _Load:
+    unplaced: Resources = Resources()
+    apart: int = 0
+    free: Resources = Resources()
+    busy: bool = False
+
+
 class Scheduler:
     """The state machine of one owner's epoch. Not safe for use by several threads.
 
@@ -366,19 +374,25 @@
 
     def pool_loads(self, now: float) -> list[PoolLoad]:
         """Return what each pool's tasks ask for and what it has."""
-        waiting: dict[str, int] = {}
+        load_by_pool = {pool: _Load() for pool in self._pools()}
         for job in self.job_by_id.values():
+            load = load_by_pool.get(job.service)
+            if load is None or not job.waiting:
+                continue
+            load.busy = True
             for task in job.waiting:
-                cpu = job.job.steps[task.step].room.cpu_milli
-                waiting[job.service] = waiting.get(job.service, 0) + cpu
-        free: dict[str, int] = {}
+                if (task.occurrence, task.step) in job.unplaced:
+                    step = job.job.steps[task.step]
+                    load.unplaced = load.unplaced.plus(step.room)
+                    load.apart += step.most_per_minion == 1
         for view in self.view_by_id.values():
             if view.listing is not None and view.accepts(now):
-                service = view.listing.service
-                free[service] = free.get(service, 0) + max(0, view.free.cpu_milli)
+                load = load_by_pool.get(view.listing.service)
+                if load is not None:
+                    load.free = load.free.plus(view.free)
         return [
-            PoolLoad(pool, waiting.get(pool, 0), free.get(pool, 0))
-            for pool in self._pools()
+            PoolLoad(pool, load.unplaced, load.apart, load.free, load.busy)
+            for pool, load in load_by_pool.items()
         ]
 
     def _pools(self) -> list[str]:
@@ -709,14 +723,13 @@
             if view.listing is not None and view.accepts(now):
                 views_by_service.setdefault(view.listing.service, []).append(view)
         for service, jobs in jobs_by_service.items():
-            views = views_by_service.get(service)
-            if views:
-                jobs.sort(key=lambda job: self._order.rank(job, now))
-                for job in jobs:
-                    self._place_job(job, views, now)
+            views = views_by_service.get(service, [])
+            jobs.sort(key=lambda job: self._order.rank(job, now))
+            for job in jobs:
+                self._place_job(job, views, now)
 
     def _place_job(self, job: OpenJob, views: list[MinionView], now: float) -> None:
-        full: set[tuple[int, int]] = set()
+        full = job.unplaced = set()
         for task in list(job.waiting):
             step_key = (task.occurrence, task.step)
             if step_key in full or job.retry_at.get(task, 0.0) > now:
--- a/packages/geraniumshored/src/geraniumshored/node/machinist.py
+++ b/packages/geraniumshored/src/geraniumshored/node/machinist.py
@@ -187,7 +187,7 @@
             for machine in self._machine_by_name.values():
                 if machine.machine in self._moving:
                     pool = self._moving[machine.machine][0].pool
-                    coming[pool] = coming.get(pool, 0) + machine.capacity.cpu_milli
+                    coming[pool] = coming.get(pool, 0) + 1
                     continue
                 size_by_pool[machine.pool] = size_by_pool.get(machine.pool, 0) + 1
                 if machine.machine not in held and self._idle(machine, standby):
--- /dev/null
+++ b/tests/common/schedule_parts.py
@@ -0,0 +1,118 @@
+"""Small parts for tests of single decisions: minions, jobs and schedulers."""
+
+from __future__ import annotations
+
+from geraniumshore_scheduler import (
+    Authority,
+    BookedJob,
+    Configuration,
+    EndedRun,
+    HoldRequest,
+    Job,
+    MinionListing,
+    MinionReport,
+    OwnershipTimes,
+    Queue,
+    Resources,
+    RunningTask,
+    Scheduler,
+    Service,
+    StartOutcome,
+    Step,
+    Team,
+)
+
+TIMES = OwnershipTimes(ttl=1.0, grace=3.0, longest_lease=6.0)
+CAPACITY = Resources(16_000, 32_000, 0)
+SMALL = Resources(1_000, 1_000, 0)
+NO_LIMIT = Resources()
+
+
+def listing(number: int, rack: str = "r1", service: str = "s") -> MinionListing:
+    """Return a minion's entry."""
+    return MinionListing(
+        f"i-{number}",
+        service,
+        f"10.0.0.{number}:80",
+        "a",
+        False,
+        1,
+        CAPACITY,
+        ("a", rack),
+    )
+
+
+def job(job_id: str, *steps: Step, team: str | None = None, queue: str = "q") -> Job:
+    """Return an accepted job."""
+    return Job(job_id, queue, "s", team, "spec", steps, accepted_ms=0)
+
+
+def configuration(
+    cap: Resources = NO_LIMIT, max_attempts: int = 3, version: int = 1
+) -> Configuration:
+    """Return one queue, one service, a standby service and one team."""
+    return Configuration(
+        version,
+        (Queue("q", "h", "/q/", "s", 0, max_attempts, 2.0, 500, False),),
+        {"s": Service("s", False, False), "spare": Service("spare", False, True)},
+        {"team": Team("team", frozenset({"key"}), 1.0, cap)},
+        100_000,
+    )
+
+
+class Fleet:
+    """A scheduler whose minions answer as the test says."""
+
+    def __init__(
+        self, minions: int = 2, config: Configuration | None = None, epoch: int = 5
+    ) -> None:
+        self.now = 0.0
+        self.scheduler = Scheduler(Authority(epoch, 0.0, 0.0), TIMES)
+        self.scheduler.set_configuration(config or configuration())
+        listings = {f"i-{n}": listing(n) for n in range(minions)}
+        self.scheduler.set_listings(listings, self.now)
+        for minion_id in listings:
+            self.report(minion_id)
+
+    def add(self, added: Job) -> None:
+        """Accept a job."""
+        self.scheduler.add_job(BookedJob(added, self.now), self.now)
+
+    def ask(self, minion_id: str) -> HoldRequest:
+        """Return the next look at a minion."""
+        request = self.scheduler.hold_request(minion_id, self.now)
+        assert request is not None
+        return request
+
+    def report(
+        self,
+        minion_id: str,
+        running: tuple[RunningTask, ...] = (),
+        ended: tuple[EndedRun, ...] = (),
+        life: int = 1,
+        remaining_ms: int | None = None,
+    ) -> None:
+        """Let a minion answer a look."""
+        answer = MinionReport(life, int(self.now * 1000), running, ended, remaining_ms)
+        self.scheduler.on_report(self.ask(minion_id), answer, self.now)
+
+    def plan(self):
+        """Decide, record, send all starts and let them succeed; return the starts."""
+        batch = self.scheduler.plan(self.now, self.now * 1000)
+        if batch is None:
+            return ()
+        self.scheduler.on_durable(batch)
+        for order in batch.starts:
+            if self.scheduler.on_start_sent(order.run, self.now) is not None:
+                self.scheduler.on_start_answer(
+                    order.run, StartOutcome.STARTED, None, self.now
+                )
+        return batch.starts
+
+    def running(self, minion_id: str, percent: int = 100) -> tuple[RunningTask, ...]:
+        """Return the rows of what the scheduler believes to run on a minion."""
+        view = self.scheduler.view_by_id[minion_id]
+        return tuple(
+            RunningTask(str(run.task), run.number, "", percent)
+            for run in view.runs.values()
+        )
