--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pools.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pools.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 
@@ -22,7 +23,8 @@
 
     ``unplaced`` is what the tasks need that wait and for which no minion of the pool
     has room; ``apart`` of them each want a minion of their own. ``free`` is what
-    nothing uses on the minions that accept work. ``busy`` pools have tasks that wait.
+    nothing uses on the minions that accept work, and ``demand`` what tasks that end by
+    themselves use or wait for. ``busy`` pools have tasks that wait.
     """
 
     pool: str
@@ -30,15 +32,22 @@
     apart: int = 0
     free: Resources = Resources()
     busy: bool = False
+    demand: Resources = Resources()
 
-    def machines_wanted(self, size: Resources) -> float:
-        """Return how many machines of a size the unplaced tasks would fill."""
-        shares = (
-            wanted / had
-            for wanted, had in zip(self.unplaced, size, strict=True)
-            if wanted and had
-        )
-        return max([float(self.apart), *shares])
+    def machines_wanted(self, size: Resources, growth: float) -> float:
+        """Return how many machines of a size the pool lacks.
+
+        They would hold the unplaced tasks, and what comes while a machine moves:
+        ``growth`` times the present demand, as far as free room does not hold it.
+        """
+        wanted = float(self.apart)
+        for unplaced, free, demand, had in zip(
+            self.unplaced, self.free, self.demand, size, strict=True
+        ):
+            if had:
+                coming = unplaced + growth * demand - max(0, free)
+                wanted = max(wanted, unplaced / had, coming / had)
+        return wanted
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,13 +65,18 @@
     ``least_share`` of a machine must be asked for to move one in. A machine stays at
     least ``stay_s``, as a move costs about what a second of a machine in a pool does.
     A pool gives one up after ``idle_s`` without waiting tasks if ``reserve_share`` of
-    a machine's processors stays free on each of the others.
+    a machine's processors stays free on each of the others. Demand is taken to grow on
+    as it did over ``trend_s``, for the ``lead_s`` that a move takes, by ``most_growth``
+    times what it is at most.
     """
 
     least_share: float = 0.3
     stay_s: float = 2.5
     idle_s: float = 1.0
     reserve_share: float = 0.4
+    trend_s: float = 0.8
+    lead_s: float = 2.0
+    most_growth: float = 1.0
 
 
 @dataclass(slots=True)
@@ -72,6 +86,7 @@
     rates: PoolRates = field(default_factory=PoolRates)
     _joined_at: dict[str, float] = field(default_factory=dict)
     _busy_at: dict[str, float] = field(default_factory=dict)
+    _demands: dict[str, deque[tuple[float, Resources]]] = field(default_factory=dict)
 
     def note_moved(self, machine: str, now: float) -> None:
         """Note that a machine was moved."""
@@ -95,6 +110,10 @@
         for load in load_by_pool.values():
             if load.busy:
                 self._busy_at[load.pool] = now
+            history = self._demands.setdefault(load.pool, deque())
+            history.append((now, load.demand))
+            while history[0][0] < now - self.rates.trend_s:
+                history.popleft()
         spares = list(idle_by_pool.get(standby, ())) if standby is not None else []
         for pool, idle in idle_by_pool.items():
             if pool != standby and pool in load_by_pool:
@@ -110,6 +129,21 @@
             if machine.machine not in taken and machine.pool != standby:
                 yield Move(machine.machine, standby)
 
+    def _growth(self, load: PoolLoad) -> float:
+        """Return by how much of itself the demand will have grown after a move."""
+        history = self._demands[load.pool]
+        then, before = history[0]
+        elapsed = history[-1][0] - then
+        if not elapsed:
+            return 0.0
+        rates = [
+            (amount - earlier) / elapsed / amount
+            for amount, earlier in zip(load.demand, before, strict=True)
+            if amount
+        ]
+        growth = max(rates, default=0.0) * self.rates.lead_s
+        return min(self.rates.most_growth, max(0.0, growth))
+
     def _fill(
         self,
         load_by_pool: dict[str, PoolLoad],
@@ -119,9 +153,11 @@
     ) -> Iterator[Move]:
         """Give spare machines to the pool that lacks most, one at a time."""
         given = dict(coming_by_pool)
+        growths = {pool: self._growth(load) for pool, load in load_by_pool.items()}
         for machine in spares:
             needs = {
-                pool: load.machines_wanted(machine.capacity) - given.get(pool, 0)
+                pool: load.machines_wanted(machine.capacity, growths[pool])
+                - given.get(pool, 0)
                 for pool, load in load_by_pool.items()
                 if pool != machine.pool
             }
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
@@ -86,6 +86,16 @@
     checkpoints: dict[str, str] = field(default_factory=dict)
     placed: dict[str, list[Placed]] = field(default_factory=dict)
 
+    def copy(self) -> Progress:
+        """Return an independent copy."""
+        return Progress(
+            self.state,
+            dict(self.done),
+            dict(self.failures),
+            dict(self.checkpoints),
+            {name: list(places) for name, places in self.placed.items()},
+        )
+
     def is_done(self, task: TaskKey) -> bool:
         """Tell whether a task has ended done."""
         bits = self.done.get(f"{task.occurrence}.{task.step}", 0)
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -123,6 +123,7 @@
     apart: int = 0
     free: Resources = Resources()
     busy: bool = False
+    demand: Resources = Resources()
 
 
 class Scheduler:
@@ -171,7 +172,8 @@
             return
         opened = OpenJob(
             job=job,
-            progress=booked.progress,
+            # What is decided here must not be seen before it is in the log.
+            progress=booked.progress.copy(),
             arrived_at=min(booked.accepted_at, now),
             service=job.service,
             priority=0,
@@ -381,17 +383,25 @@
                 continue
             load.busy = True
             for task in job.waiting:
+                if not job.job.steps[task.step].lasting:
+                    room = job.job.steps[task.step].room
+                    load.demand = load.demand.plus(room)
                 if (task.occurrence, task.step) in job.unplaced:
                     step = job.job.steps[task.step]
                     load.unplaced = load.unplaced.plus(step.room)
                     load.apart += step.most_per_minion == 1
         for view in self.view_by_id.values():
-            if view.listing is not None and view.accepts(now):
-                load = load_by_pool.get(view.listing.service)
-                if load is not None:
-                    load.free = load.free.plus(view.free)
+            service = None if view.listing is None else view.listing.service
+            load = load_by_pool.get(service or "")
+            if load is None:
+                continue
+            for run in view.runs.values():
+                if not run.step.lasting:
+                    load.demand = load.demand.plus(run.room)
+            if view.accepts(now):
+                load.free = load.free.plus(view.free)
         return [
-            PoolLoad(pool, load.unplaced, load.apart, load.free, load.busy)
+            PoolLoad(pool, load.unplaced, load.apart, load.free, load.busy, load.demand)
             for pool, load in load_by_pool.items()
         ]
 
@@ -722,18 +732,24 @@
         for view in self.view_by_id.values():
             if view.listing is not None and view.accepts(now):
                 views_by_service.setdefault(view.listing.service, []).append(view)
+        strays = {name for view in self.view_by_id.values() for name in view.strays}
         for service, jobs in jobs_by_service.items():
             views = views_by_service.get(service, [])
             jobs.sort(key=lambda job: self._order.rank(job, now))
             for job in jobs:
-                self._place_job(job, views, now)
+                self._place_job(job, views, strays, now)
 
-    def _place_job(self, job: OpenJob, views: list[MinionView], now: float) -> None:
+    def _place_job(
+        self, job: OpenJob, views: list[MinionView], strays: set[str], now: float
+    ) -> None:
         full = job.unplaced = set()
         for task in list(job.waiting):
             step_key = (task.occurrence, task.step)
             if step_key in full or job.retry_at.get(task, 0.0) > now:
                 continue
+            if strays and str(task) in strays:
+                # An older run of it is still being stopped somewhere.
+                continue
             step = job.job.steps[task.step]
             if step.gang:
                 self._place_gang(job, task, views, now)
--- a/packages/geraniumshored/src/geraniumshored/platform/minions.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/minions.py
@@ -80,7 +80,10 @@
             return OUTCOME_BY_REASON.get(reason, StartOutcome.REFUSED)
         if reply.status in (429, 503):
             return StartOutcome.UNHEALTHY
-        return StartOutcome.REFUSED
+        if reply.status == 400:
+            return StartOutcome.REFUSED
+        # Whether a faulty minion has begun the run is not known.
+        return StartOutcome.NO_ANSWER
 
     def stop(self, order: StopOrder) -> None:
         """Stop a run."""
