A new owner gives back the machines that a former one moved in

Ruled out: the burst itself (export-cert waited for nothing after 10 s), the wave.

Whether a pool was used is now read from the job log. Test: test_a_new_owner_gives_back_what_a_former_one_moved_in.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_book.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_book.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from geraniumshore_scheduler.internal.model import Job
@@ -89,10 +88,6 @@
         """Return how many accepted jobs of a queue have not begun."""
         return self._pending_by_queue.get(queue, 0)
 
-    def open_jobs(self) -> Iterator[BookedJob]:
-        """Yield the jobs that are not in a final state."""
-        return (b for b in self.job_by_id.values() if not b.state.final)
-
     def clear(self) -> None:
         """Forget everything, before the newest records are read again."""
         self.job_by_id.clear()
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pools.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pools.py
@@ -24,7 +24,8 @@
     ``unplaced`` is what the tasks need that wait and for which no minion of the pool
     has room; ``apart`` of them each want a minion of their own. ``free`` is what
     nothing uses on the minions that accept work, and ``demand`` what tasks that end by
-    themselves use or wait for. ``busy`` pools have tasks that wait.
+    themselves use or wait for. ``busy`` pools have tasks that wait, ``used`` ones have
+    had some job.
     """
 
     pool: str
@@ -32,6 +33,7 @@
     apart: int = 0
     free: Resources = Resources()
     busy: bool = False
+    used: bool = True
     demand: Resources = Resources()
 
     def machines_wanted(self, size: Resources, growth: float) -> float:
@@ -171,9 +173,9 @@
     def _releasable(
         self, load: PoolLoad, idle: Sequence[MachineListing], size: int, now: float
     ) -> Iterator[MachineListing]:
-        busy_at = self._busy_at.get(load.pool)
-        if busy_at is None or now - busy_at < self.rates.idle_s:
-            # A pool that has had no work yet is left as the operators made it.
+        # A pool that has had no work yet is left as the operators made it.
+        busy_at = self._busy_at.get(load.pool, -math.inf)
+        if not load.used or now - busy_at < self.rates.idle_s:
             return
         free = load.free
         for machine in idle:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -148,6 +148,7 @@
         self.stops: list[StopOrder] = []
         self._order = order or ByObjective()
         self._opened_at_by_epoch = opened_at_by_epoch or {}
+        self._used_services: set[str] = set()
         self._gone_life_by_id: dict[str, int] = {}
         self._team_use: dict[str, Resources] = {}
         self._dirty: dict[str, None] = {}
@@ -166,8 +167,9 @@
             self._classify(job)
 
     def add_job(self, booked: BookedJob, now: float) -> None:
-        """Take on a job of the log that is not in a final state."""
+        """Take on a job of the log, unless it has ended."""
         job = booked.job
+        self._used_services.add(job.service)
         if job.job_id in self.job_by_id or booked.state.final:
             return
         opened = OpenJob(
@@ -401,7 +403,15 @@
             if view.accepts(now):
                 load.free = load.free.plus(view.free)
         return [
-            PoolLoad(pool, load.unplaced, load.apart, load.free, load.busy, load.demand)
+            PoolLoad(
+                pool,
+                load.unplaced,
+                load.apart,
+                load.free,
+                load.busy,
+                pool in self._used_services,
+                load.demand,
+            )
             for pool, load in load_by_pool.items()
         ]
 
--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -153,7 +153,7 @@
                 if self._operators.configuration is not None:
                     self._scheduler.set_configuration(self._operators.configuration)
                 self._scheduler.set_listings(self._minions.listing_by_id, now)
-                for booked in self._jobs.book.open_jobs():
+                for booked in self._jobs.book.job_by_id.values():
                     self._scheduler.add_job(booked, now)
         self._operators.on_configuration = self._on_configuration
         self._minions.on_change = self._on_minions
--- a/tests/common/schedule_world.py
+++ b/tests/common/schedule_world.py
@@ -434,7 +434,7 @@
         )
         scheduler.set_configuration(configuration())
         scheduler.set_listings(self._listings(), self.world.now)
-        for booked in self.node.book.open_jobs():
+        for booked in self.node.book.job_by_id.values():
             scheduler.add_job(booked, self.world.now)
         self.scheduler = scheduler
         self.node.on_job = self._on_job
--- a/tests/cover/test_pools_for_turns.py
+++ b/tests/cover/test_pools_for_turns.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 from geraniumshore_scheduler import (
+    BookedJob,
+    JobState,
     MachineListing,
     Move,
     PoolLoad,
     PoolPolicy,
     Resources,
+    Step,
 )
-from tests.common.schedule_parts import CAPACITY
+from tests.common.schedule_parts import CAPACITY, Fleet, job
 
 
 def machine(name: str, pool: str) -> MachineListing:
@@ -69,7 +72,18 @@
 def test_a_pool_without_work_so_far_is_left_alone():
     free = Resources(*(amount * 3 for amount in CAPACITY))
     idle = {"a": [machine("m1", "a")]}
-    assert moves(PoolPolicy(), [PoolLoad("a", free=free)], idle, {"a": 3}) == []
+    unused = PoolLoad("a", free=free, used=False)
+    assert moves(PoolPolicy(), [unused], idle, {"a": 3}) == []
+
+
+def test_a_new_owner_gives_back_what_a_former_one_moved_in():
+    fleet = Fleet(minions=3)
+    ended = BookedJob(job("a" * 16, Step(1, CAPACITY, 500)), 0.0)
+    ended.progress.state = JobState.DONE
+    fleet.scheduler.add_job(ended, 0.0)
+    idle = {"s": [machine("m1", "s")]}
+    loads = fleet.scheduler.pool_loads(0.0)
+    assert moves(PoolPolicy(), loads, idle, {"s": 3}) == [Move("m1", "spare")]
 
 
 def test_a_machine_goes_from_a_quiet_pool_straight_to_a_busy_one():
