A yes from the platform is no proof that a minion ended; pools by a fluid model

The platform says yes to what is done already, and the owner took that for the end of the machine's present minion, which ran on: tasks started 0.1 to 1.7 s later elsewhere. It showed only in the last 3 s of a wave, when machines are not emptied first.

What an order ends is given up only once the list of machines no longer has the minion, and the machines of a wave whose upkeep has begun are in the job log. Tests: test_machinist. test_pools_for_turns now tests the new model with each of its former cases.

Pools are sized by the work that comes, the work that is done and the backlog after a move, in machines, in place of waiting tasks and their trend.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/__init__.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/__init__.py
@@ -54,13 +54,16 @@
     Progress,
     RecordKind,
     decode_job,
+    decode_maintained,
     decode_owner,
     decode_progress,
     encode_job,
+    encode_maintained,
     encode_owner,
     encode_progress,
     job_key,
     split_key,
+    wave_key,
 )
 from geraniumshore_scheduler.internal.runs import OpenJob, Run, RunState
 from geraniumshore_scheduler.internal.scheduler import (
@@ -127,12 +130,15 @@
     "UpkeepWave",
     "WaveBook",
     "decode_job",
+    "decode_maintained",
     "decode_owner",
     "decode_progress",
     "encode_job",
+    "encode_maintained",
     "encode_owner",
     "encode_progress",
     "job_key",
     "may_interrupt",
     "split_key",
+    "wave_key",
 ]
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_book.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_book.py
@@ -11,6 +11,7 @@
     Progress,
     RecordKind,
     decode_job,
+    decode_maintained,
     decode_owner,
     decode_progress,
     split_key,
@@ -47,6 +48,7 @@
         self.job_by_id: dict[str, BookedJob] = {}
         self.owner: OwnerRecord | None = None
         self.opened_at_by_epoch: dict[int, float] = {}
+        self.maintained_by_wave: dict[int, tuple[str, ...]] = {}
         self._orphans: dict[tuple[RecordKind, str], tuple[int, bytes]] = {}
         self._pending_by_queue: dict[str, int] = {}
 
@@ -64,6 +66,10 @@
         if kind is RecordKind.OWNER:
             self._note_owner(decode_owner(value), now)
             return None
+        if kind is RecordKind.WAVE:
+            if job_id.isdigit():
+                self.maintained_by_wave[int(job_id)] = decode_maintained(value)
+            return None
         booked = self.job_by_id.get(job_id)
         if not value:
             self._drop(kind, job_id)
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/maintenance.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/maintenance.py
@@ -144,11 +144,10 @@
                     # A machine that was taken away needs no upkeep.
                     upkeep.stage = Stage.DONE
                 elif upkeep.stage is Stage.DOWN:
-                    # A machine that was off has no minion before or after.
-                    back = upkeep.minion_id is None or (
-                        listed.minion_id not in (None, upkeep.minion_id)
-                    )
-                    if listed.up and back:
+                    # A machine that was off has no minion before or after; one that
+                    # still has its minion was maintained before, by a former owner.
+                    off = upkeep.minion_id is None
+                    if listed.up and (off or listed.minion_id is not None):
                         upkeep.stage = Stage.DONE
 
     def plan(
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pools.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pools.py
@@ -2,54 +2,39 @@
 
 A burst asks for more than its pool holds while other pools stand idle, and a machine
 costs as long as it stands in a pool, busy or not. So idle machines wait in the standby
-pool, and move to where tasks wait.
+pool, and move to where work comes faster than it is done.
 """
 
 from __future__ import annotations
 
-import math
-from collections import deque
 from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 
-from geraniumshore_scheduler.internal.model import MachineListing, Resources
+from geraniumshore_scheduler.internal.model import MachineListing
 
 __all__ = ["Move", "PoolLoad", "PoolPolicy", "PoolRates"]
 
 
 @dataclass(frozen=True, slots=True)
 class PoolLoad:
-    """What a pool's tasks ask for and what it has.
-
-    ``unplaced`` is what the tasks need that wait and for which no minion of the pool
-    has room; ``apart`` of them each want a minion of their own. ``free`` is what
-    nothing uses on the minions that accept work, and ``demand`` what tasks that end by
-    themselves use or wait for. ``busy`` pools have tasks that wait, ``used`` ones have
-    had some job.
+    """What a pool's tasks ask for and what it has, in whole machines.
+
+    ``room`` is what the tasks that end by themselves have or could have, ``offered``
+    the work that came of late, in machines that it keeps busy. ``backlog`` is the work
+    of the tasks that wait and for which no minion has room, in seconds of a machine;
+    all at once they would fill ``parallel`` machines. ``lasting`` machines are wanted
+    for lasting tasks that found no minion. ``busy`` pools have tasks that wait,
+    ``used`` ones have had some job.
     """
 
     pool: str
-    unplaced: Resources = Resources()
-    apart: int = 0
-    free: Resources = Resources()
+    room: float = 0.0
+    offered: float = 0.0
+    backlog: float = 0.0
+    parallel: float = 0.0
+    lasting: float = 0.0
     busy: bool = False
     used: bool = True
-    demand: Resources = Resources()
-
-    def machines_wanted(self, size: Resources, growth: float) -> float:
-        """Return how many machines of a size the pool lacks.
-
-        They would hold the unplaced tasks, and what comes while a machine moves:
-        ``growth`` times the present demand, as far as free room does not hold it.
-        """
-        wanted = float(self.apart)
-        for unplaced, free, demand, had in zip(
-            self.unplaced, self.free, self.demand, size, strict=True
-        ):
-            if had:
-                coming = unplaced + growth * demand - max(0, free)
-                wanted = max(wanted, unplaced / had, coming / had)
-        return wanted
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,23 +47,23 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolRates:
-    """When to move, in seconds and in shares of a machine.
+    """When to move; times in seconds, amounts in machines.
 
-    ``least_share`` of a machine must be asked for to move one in. A machine stays at
+    A move takes ``lead_s`` until tasks start, and a backlog should be done ``clear_s``
+    after that. ``least`` of a machine must be lacking to move one. A machine stays at
     least ``stay_s``, as a move costs about what a second of a machine in a pool does.
-    A pool gives one up after ``idle_s`` without waiting tasks if ``reserve_share`` of
-    a machine's processors stays free on each of the others. Demand is taken to grow on
-    as it did over ``trend_s``, for the ``lead_s`` that a move takes, by ``most_growth``
-    times what it is at most.
+    A pool gives one up after ``idle_s`` without waiting tasks, if it keeps ``spare``
+    times what work comes, and ``keep_share`` of an equal part of all machines for the
+    onset of the next burst.
     """
 
-    least_share: float = 0.3
-    stay_s: float = 2.5
-    idle_s: float = 1.0
-    reserve_share: float = 0.4
-    trend_s: float = 0.8
     lead_s: float = 2.0
-    most_growth: float = 1.0
+    clear_s: float = 0.8
+    least: float = 0.4
+    stay_s: float = 2.5
+    idle_s: float = 0.8
+    spare: float = 1.3
+    keep_share: float = 0.8
 
 
 @dataclass(slots=True)
@@ -88,7 +73,6 @@
     rates: PoolRates = field(default_factory=PoolRates)
     _joined_at: dict[str, float] = field(default_factory=dict)
     _busy_at: dict[str, float] = field(default_factory=dict)
-    _demands: dict[str, deque[tuple[float, Resources]]] = field(default_factory=dict)
 
     def note_moved(self, machine: str, now: float) -> None:
         """Note that a machine was moved."""
@@ -112,15 +96,13 @@
         for load in load_by_pool.values():
             if load.busy:
                 self._busy_at[load.pool] = now
-            history = self._demands.setdefault(load.pool, deque())
-            history.append((now, load.demand))
-            while history[0][0] < now - self.rates.trend_s:
-                history.popleft()
+        pools = len(load_by_pool) + (standby is not None)
+        onset = self.rates.keep_share * sum(size_by_pool.values()) / max(1, pools)
         spares = list(idle_by_pool.get(standby, ())) if standby is not None else []
         for pool, idle in idle_by_pool.items():
             if pool != standby and pool in load_by_pool:
                 releasable = self._releasable(
-                    load_by_pool[pool], idle, size_by_pool.get(pool, 0), now
+                    load_by_pool[pool], idle, size_by_pool.get(pool, 0), onset, now
                 )
                 spares.extend(releasable)
         taken: set[str] = set()
@@ -131,20 +113,20 @@
             if machine.machine not in taken and machine.pool != standby:
                 yield Move(machine.machine, standby)
 
-    def _growth(self, load: PoolLoad) -> float:
-        """Return by how much of itself the demand will have grown after a move."""
-        history = self._demands[load.pool]
-        then, before = history[0]
-        elapsed = history[-1][0] - then
-        if not elapsed:
-            return 0.0
-        rates = [
-            (amount - earlier) / elapsed / amount
-            for amount, earlier in zip(load.demand, before, strict=True)
-            if amount
-        ]
-        growth = max(rates, default=0.0) * self.rates.lead_s
-        return min(self.rates.most_growth, max(0.0, growth))
+    def lacking(self, load: PoolLoad, coming: int) -> float:
+        """Return how many machines a pool lacks beside those that are coming.
+
+        Work that comes faster than it is done needs machines for as long as it does; a
+        backlog, with what it grows by until a machine is there, only for a while.
+        """
+        rates = self.rates
+        short = load.offered - load.room - coming
+        backlog = load.backlog + short * rates.lead_s
+        return (
+            max(0.0, load.lasting - coming)
+            + max(0.0, short)
+            + min(load.parallel, max(0.0, backlog) / rates.clear_s)
+        )
 
     def _fill(
         self,
@@ -155,41 +137,39 @@
     ) -> Iterator[Move]:
         """Give spare machines to the pool that lacks most, one at a time."""
         given = dict(coming_by_pool)
-        growths = {pool: self._growth(load) for pool, load in load_by_pool.items()}
         for machine in spares:
             needs = {
-                pool: load.machines_wanted(machine.capacity, growths[pool])
-                - given.get(pool, 0)
+                pool: self.lacking(load, given.get(pool, 0))
                 for pool, load in load_by_pool.items()
                 if pool != machine.pool
             }
             pool = max(needs, key=lambda name: needs[name], default=None)
-            if pool is None or needs[pool] < self.rates.least_share:
+            if pool is None or needs[pool] < self.rates.least:
                 continue
             given[pool] = given.get(pool, 0) + 1
             taken.add(machine.machine)
             yield Move(machine.machine, pool)
 
     def _releasable(
-        self, load: PoolLoad, idle: Sequence[MachineListing], size: int, now: float
+        self,
+        load: PoolLoad,
+        idle: Sequence[MachineListing],
+        size: int,
+        onset: float,
+        now: float,
     ) -> Iterator[MachineListing]:
         # A pool that has had no work yet is left as the operators made it.
-        busy_at = self._busy_at.get(load.pool, -math.inf)
-        if not load.used or now - busy_at < self.rates.idle_s:
+        idle_since = self._busy_at.get(load.pool, float("-inf"))
+        if not load.used or now - idle_since < self.rates.idle_s:
             return
-        free = load.free
+        kept = max(self.rates.spare * load.offered, onset)
+        room = load.room
         for machine in idle:
-            if (
-                now - self._joined_at.get(machine.machine, -math.inf)
-                < self.rates.stay_s
-            ):
+            joined_at = self._joined_at.get(machine.machine, float("-inf"))
+            if now - joined_at < self.rates.stay_s:
                 continue
-            free = free.minus(machine.capacity)
-            size -= 1
-            reserve = self.rates.reserve_share * size
-            if size < 1 or any(
-                left < reserve * had
-                for left, had in zip(free, machine.capacity, strict=True)
-            ):
+            if size <= 1 or room - 1 < kept:
                 return
+            room -= 1
+            size -= 1
             yield machine
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from pydantic import TypeAdapter, ValidationError
@@ -18,13 +19,16 @@
     "Progress",
     "RecordKind",
     "decode_job",
+    "decode_maintained",
     "decode_owner",
     "decode_progress",
     "encode_job",
+    "encode_maintained",
     "encode_owner",
     "encode_progress",
     "job_key",
     "split_key",
+    "wave_key",
 ]
 
 
@@ -35,6 +39,7 @@
     CANCELLED = "c"
     PROGRESS = "s"
     OWNER = "o"
+    WAVE = "w"
 
 
 class JobState(enum.Enum):
@@ -116,6 +121,7 @@
 _JOB = TypeAdapter(Job)
 _PROGRESS = TypeAdapter(Progress)
 _OWNER = TypeAdapter(OwnerRecord)
+_MACHINES = TypeAdapter(tuple[str, ...])
 OWNER_KEY = f"{RecordKind.OWNER.value}/owner"
 
 
@@ -161,6 +167,24 @@
         raise InvalidInputError([Finding("owner record", str(error))]) from error
 
 
+def wave_key(number: int) -> str:
+    """Return the key under which a wave's progress is recorded."""
+    return f"{RecordKind.WAVE.value}/{number}"
+
+
+def encode_maintained(machines: Iterable[str]) -> bytes:
+    """Encode the machines of a wave whose upkeep has begun."""
+    return _MACHINES.dump_json(tuple(machines))
+
+
+def decode_maintained(value: bytes) -> tuple[str, ...]:
+    """Decode the machines of a wave. Raises InvalidInputError."""
+    try:
+        return _MACHINES.validate_json(value)
+    except ValidationError as error:
+        raise InvalidInputError([Finding("wave record", str(error))]) from error
+
+
 def encode_progress(progress: Progress) -> bytes:
     """Encode a job's progress."""
     return _PROGRESS.dump_json(progress, exclude_defaults=True)
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 
 from geraniumshore_scheduler.internal.model import Job, Resources, Step, TaskKey
 from geraniumshore_scheduler.internal.records import JobState, Progress
 
-__all__ = ["OpenJob", "Run", "RunState"]
+__all__ = ["OpenJob", "Run", "RunState", "longest_chain_s"]
 
 MS = 1000.0
 
@@ -63,6 +63,17 @@
         return self.step.room
 
 
+def longest_chain_s(
+    steps: Sequence[Step], done: Callable[[int], bool] = lambda _: False
+) -> float:
+    """Return how long steps take that wait for each other, from their estimates."""
+    ends: list[float] = []
+    for number, step in enumerate(steps):
+        start = max((ends[n] for n in step.depends_on), default=0.0)
+        ends.append(start + (0.0 if done(number) else step.estimate_ms / MS))
+    return max(ends, default=0.0)
+
+
 @dataclass(slots=True)
 class OpenJob:
     """A job that has not ended, as its owner schedules it.
@@ -133,12 +144,10 @@
 
     def work_left_s(self) -> float:
         """Return the longest chain of work left, from the declared estimates."""
-        ends: list[float] = []
-        for number, step in enumerate(self.job.steps):
-            start = max((ends[n] for n in step.depends_on), default=0.0)
-            done = self._step_done(max(0, self.next_occurrence - 1), number)
-            ends.append(start + (0.0 if done else step.estimate_ms / MS))
-        return max(ends, default=0.0)
+        occurrence = max(0, self.next_occurrence - 1)
+        return longest_chain_s(
+            self.job.steps, lambda number: self._step_done(occurrence, number)
+        )
 
     def _step_done(self, occurrence: int, number: int) -> bool:
         count = self.job.steps[number].count
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -22,6 +22,7 @@
     TaskKey,
 )
 from geraniumshore_scheduler.internal.ordering import ByObjective, JobOrder
+from geraniumshore_scheduler.internal.pool_meter import Arrivals, PoolMeter
 from geraniumshore_scheduler.internal.pools import PoolLoad
 from geraniumshore_scheduler.internal.records import (
     JobState,
@@ -117,15 +118,6 @@
     details: dict[str, object] = field(default_factory=dict)
 
 
-@dataclass(slots=True)
-class _Load:
-    unplaced: Resources = Resources()
-    apart: int = 0
-    free: Resources = Resources()
-    busy: bool = False
-    demand: Resources = Resources()
-
-
 class Scheduler:
     """The state machine of one owner's epoch. Not safe for use by several threads.
 
@@ -149,9 +141,11 @@
         self._order = order or ByObjective()
         self._opened_at_by_epoch = opened_at_by_epoch or {}
         self._used_services: set[str] = set()
+        self._arrivals = Arrivals()
         self._gone_life_by_id: dict[str, int] = {}
         self._team_use: dict[str, Resources] = {}
         self._dirty: dict[str, None] = {}
+        self._records: dict[str, bytes] = {}
         self._final: dict[str, OpenJob] = {}
         self._starts: list[StartOrder] = []
         self._next_batch = 1
@@ -170,6 +164,7 @@
         """Take on a job of the log, unless it has ended."""
         job = booked.job
         self._used_services.add(job.service)
+        self._arrivals.note(job, booked.accepted_at)
         if job.job_id in self.job_by_id or booked.state.final:
             return
         opened = OpenJob(
@@ -360,6 +355,10 @@
         self._next_batch += 1
         return batch
 
+    def record(self, key: str, value: bytes) -> None:
+        """Let the next batch carry one more record."""
+        self._records[key] = value
+
     def on_durable(self, batch: Batch) -> None:
         """Note that a batch is in the log."""
         self._durable_batch = batch.number
@@ -378,41 +377,12 @@
 
     def pool_loads(self, now: float) -> list[PoolLoad]:
         """Return what each pool's tasks ask for and what it has."""
-        load_by_pool = {pool: _Load() for pool in self._pools()}
-        for job in self.job_by_id.values():
-            load = load_by_pool.get(job.service)
-            if load is None or not job.waiting:
-                continue
-            load.busy = True
-            for task in job.waiting:
-                if not job.job.steps[task.step].lasting:
-                    room = job.job.steps[task.step].room
-                    load.demand = load.demand.plus(room)
-                if (task.occurrence, task.step) in job.unplaced:
-                    step = job.job.steps[task.step]
-                    load.unplaced = load.unplaced.plus(step.room)
-                    load.apart += step.most_per_minion == 1
-        for view in self.view_by_id.values():
-            service = None if view.listing is None else view.listing.service
-            load = load_by_pool.get(service or "")
-            if load is None:
-                continue
-            for run in view.runs.values():
-                if not run.step.lasting:
-                    load.demand = load.demand.plus(run.room)
-            if view.accepts(now):
-                load.free = load.free.plus(view.free)
+        meter = PoolMeter(self.view_by_id.values(), self.job_by_id.values())
         return [
-            PoolLoad(
-                pool,
-                load.unplaced,
-                load.apart,
-                load.free,
-                load.busy,
-                pool in self._used_services,
-                load.demand,
+            meter.load(
+                pool, self._arrivals.busy(pool, now), pool in self._used_services, now
             )
-            for pool, load in load_by_pool.items()
+            for pool in self._pools()
         ]
 
     def _pools(self) -> list[str]:
@@ -904,7 +874,7 @@
         self._decide("stop", task, view.minion_id, {"run": number})
 
     def _values_to_record(self) -> dict[str, bytes]:
-        values: dict[str, bytes] = {}
+        values, self._records = self._records, {}
         for job_id in self._dirty:
             job = self.job_by_id.get(job_id) or self._final.get(job_id)
             if job is not None:
--- a/packages/geraniumshored/src/geraniumshored/node/machinist.py
+++ b/packages/geraniumshored/src/geraniumshored/node/machinist.py
@@ -4,7 +4,7 @@
 
 import logging
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from geraniumshore_scheduler import (
     MachineListing,
@@ -16,6 +16,8 @@
     UnknownOutcomeError,
     Upkeep,
     WaveBook,
+    encode_maintained,
+    wave_key,
 )
 from geraniumshored.node.logs import log_event
 from geraniumshored.node.metrics import NodeMetrics
@@ -46,6 +48,7 @@
         settings: NodeSettings,
         platform: Platform,
         operators: OperatorsView,
+        maintained_by_wave: Mapping[int, tuple[str, ...]],
         scheduler: Scheduler,
         lock: threading.RLock,
         stopped: threading.Event,
@@ -56,6 +59,7 @@
         self._settings = settings
         self._platform = platform
         self._operators = operators
+        self._maintained_by_wave = maintained_by_wave
         self._scheduler = scheduler
         self._lock = lock
         self._stopped = stopped
@@ -68,6 +72,9 @@
         self._listed_at = float("-inf")
         # Moves that were ordered, until the list shows a new minion in the pool.
         self._moving: dict[str, tuple[Move, str | None]] = {}
+        # Minions that an order ends, by machine, until the list no longer has them. The
+        # platform says yes also where the same was done before, to an earlier minion.
+        self._ending: dict[str, str] = {}
 
     def start(self) -> None:
         """Begin to decide, in a thread of its own."""
@@ -107,7 +114,9 @@
         machines = self._platform.machines.list()
         self._listed_at = self._now()
         self._machine_by_name = {machine.machine: machine for machine in machines}
-        self._waves.follow(self._machine_by_name)
+        with self._lock:
+            self._waves.follow(self._machine_by_name)
+            self._note_ended()
         standby = self._scheduler.standby_pool()
         for name, (move, former) in list(self._moving.items()):
             listed = self._machine_by_name.get(name)
@@ -119,12 +128,26 @@
             if listed.up and listed.pool == move.pool and born:
                 del self._moving[name]
 
+    def _note_ended(self) -> None:
+        for name, minion_id in list(self._ending.items()):
+            listed = self._machine_by_name.get(name)
+            if listed is None or listed.minion_id != minion_id:
+                del self._ending[name]
+                self._scheduler.on_gone(minion_id, self._now())
+            elif listed.up and name not in self._moving:
+                # It was not ended after all.
+                del self._ending[name]
+                view = self._scheduler.view_by_id.get(minion_id)
+                if view is not None:
+                    view.cordoned = False
+
     # Upkeep.
 
     def _plan_waves(self) -> None:
         with self._lock:
-            for wave, announced_at in self._operators.wave_by_number.values():
-                self._waves.announce(wave, announced_at)
+            for wave, announced_at in list(self._operators.wave_by_number.values()):
+                done = self._maintained_by_wave.get(wave.number, ())
+                self._waves.announce(wave, announced_at, done)
             standby = self._scheduler.standby_pool()
             orders = list(self._waves.unanswered())
             orders.extend(
@@ -164,8 +187,14 @@
         )
         with self._lock:
             self._waves.on_answer(upkeep, begun)
-            if begun and upkeep.minion_id is not None:
-                self._scheduler.on_gone(upkeep.minion_id, self._now())
+            if begun:
+                maintained = self._waves.maintained(upkeep.wave)
+                self._scheduler.record(
+                    wave_key(upkeep.wave), encode_maintained(maintained)
+                )
+                if upkeep.minion_id is not None:
+                    self._ending[upkeep.machine] = upkeep.minion_id
+                self._listed_at = float("-inf")
 
     def _tell(self) -> None:
         for number, done in list(self._waves.news()):
@@ -252,7 +281,7 @@
             if moved:
                 self._pools.note_moved(move.machine, self._now())
                 if machine.minion_id is not None:
-                    self._scheduler.on_gone(machine.minion_id, self._now())
+                    self._ending[move.machine] = machine.minion_id
             else:
                 self._moving.pop(move.machine, None)
                 view = self._scheduler.view_by_id.get(machine.minion_id or "")
--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -123,6 +123,7 @@
                     self._settings,
                     self._platform,
                     self._operators,
+                    self._jobs.book.maintained_by_wave,
                     self._scheduler,
                     self._lock,
                     self._stopped,
--- /dev/null
+++ b/tests/cover/test_machinist.py
@@ -0,0 +1,137 @@
+"""Orders to machines: the platform's yes is no proof that a minion has ended."""
+
+from __future__ import annotations
+
+import threading
+from dataclasses import replace
+from types import SimpleNamespace
+
+from geraniumshore_scheduler import (
+    MachineListing,
+    Move,
+    Step,
+    UnknownOutcomeError,
+    Upkeep,
+    UpkeepWave,
+)
+from geraniumshored.node.machinist import Machinist
+from geraniumshored.node.metrics import NodeMetrics
+from geraniumshored.node.settings import NodeSettings
+from tests.common.schedule_parts import CAPACITY, SMALL, TIMES, Fleet, job
+
+SETTINGS = NodeSettings("n", "a", TIMES, 6, 3, 120, 4.5, 4, 1.5, 0.2)
+
+
+class FakeMachines:
+    """Says yes to everything; the test decides what the list shows."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.orders: list[tuple[str, str]] = []
+        self.lost_answers = 0
+        self.listed = {
+            f"m-{n}": MachineListing(
+                f"m-{n}", "s", True, "a", ("a", "r1"), CAPACITY, f"i-{n}"
+            )
+            for n in range(len(fleet.scheduler.view_by_id))
+        }
+
+    def list(self):
+        return tuple(self.listed.values())
+
+    def _order(self, kind: str, machine: str) -> bool:
+        self.orders.append((kind, machine))
+        if self.lost_answers:
+            self.lost_answers -= 1
+            raise UnknownOutcomeError("lost")
+        return True
+
+    def move(self, machine: str, pool: str, epoch: int) -> bool:
+        return self._order("move", machine)
+
+    def maintain(self, machine: str, wave: int, epoch: int) -> bool:
+        return self._order("maintain", machine)
+
+
+class Bench:
+    """A machinist with fakes around it."""
+
+    def __init__(self, minions: int = 2) -> None:
+        self.fleet = Fleet(minions)
+        self.machines = FakeMachines(self.fleet)
+        self.waves: dict[int, tuple[UpkeepWave, float]] = {}
+        self.recorded: dict[int, tuple[str, ...]] = {}
+        platform = SimpleNamespace(
+            machines=self.machines,
+            store=SimpleNamespace(append=lambda *_: None),
+            wave_status=lambda wave, done: (wave, done),
+        )
+        self.machinist = Machinist(
+            SETTINGS,
+            platform,  # type: ignore[arg-type]
+            SimpleNamespace(wave_by_number=self.waves),  # type: ignore[arg-type]
+            self.recorded,
+            self.fleet.scheduler,
+            threading.RLock(),
+            threading.Event(),
+            NodeMetrics(),
+            lambda: self.fleet.now,
+            lambda: None,
+        )
+
+    def pass_time(self, seconds: float) -> None:
+        self.fleet.now += seconds
+        self.fleet.scheduler.authority.confirm(self.fleet.now)
+
+    def run_one(self) -> str:
+        self.fleet.add(job("a" * 16, Step(1, SMALL, 500)))
+        (order,) = self.fleet.plan()
+        return str(order.run.minion_id)
+
+
+def test_no_orders_until_a_former_owner_s_are_past():
+    bench = Bench()
+    bench.waves[1] = UpkeepWave(1, ("m-0",), 30, 1), 0.0
+    bench.pass_time(SETTINGS.duty_lease_s - 0.1)
+    assert not bench.machinist._may_order()
+    bench.pass_time(0.2)
+    assert bench.machinist._may_order()
+    bench.fleet.now += TIMES.ttl + 0.1
+    assert not bench.machinist._may_order()
+
+
+def test_what_runs_is_given_up_only_once_the_list_shows_another_minion():
+    bench = Bench()
+    minion = bench.run_one()
+    machine = f"m-{minion[2:]}"
+    bench.pass_time(4)
+    bench.machinist._list()
+    bench.machinist._waves.announce(UpkeepWave(1, (machine,), 30, 1), 0.0)
+    bench.machinist._maintain(Upkeep(machine, 1, minion_id=minion))
+    bench.machinist._list()
+    assert bench.fleet.scheduler.job_by_id["a" * 16].runs
+    bench.machinist._ending[machine] = minion
+    bench.machines.listed[machine] = replace(
+        bench.machines.listed[machine], up=False, minion_id=None
+    )
+    bench.pass_time(4)
+    bench.machinist._list()
+    assert not bench.fleet.scheduler.job_by_id["a" * 16].runs
+
+
+def test_a_move_without_an_answer_is_given_again_in_the_same_words():
+    bench = Bench()
+    bench.pass_time(4)
+    bench.machinist._list()
+    bench.machines.lost_answers = 2
+    bench.machinist._move(Move("m-0", "spare"))
+    assert bench.machines.orders == [("move", "m-0")] * 3
+
+
+def test_a_new_owner_does_not_maintain_again():
+    bench = Bench()
+    bench.waves[1] = UpkeepWave(1, ("m-0", "m-1"), 30, 2), 0.0
+    bench.recorded[1] = ("m-0",)
+    bench.pass_time(4)
+    for _ in range(3):
+        bench.machinist._step()
+    assert bench.machines.orders == [("maintain", "m-1")]
--- a/tests/cover/test_pools_for_turns.py
+++ b/tests/cover/test_pools_for_turns.py
@@ -1,7 +1,9 @@
-"""Queues whose bursts come by turns: machines stand where tasks wait."""
+"""Queues whose bursts come by turns: machines stand where work comes."""
 
 from __future__ import annotations
 
+import pytest
+
 from geraniumshore_scheduler import (
     BookedJob,
     JobState,
@@ -9,10 +11,13 @@
     Move,
     PoolLoad,
     PoolPolicy,
+    PoolRates,
     Resources,
     Step,
 )
-from tests.common.schedule_parts import CAPACITY, Fleet, job
+from tests.common.schedule_parts import CAPACITY, SMALL, Fleet, job
+
+RATES = PoolRates(lead_s=2, clear_s=1, least=0.4, stay_s=2, idle_s=1, keep_share=0.5)
 
 
 def machine(name: str, pool: str) -> MachineListing:
@@ -23,73 +28,98 @@
     return list(policy.plan(loads, idle, sizes or {}, coming or {}, "spare", now))
 
 
-def busy(pool: str, machines: float) -> PoolLoad:
-    wanted = Resources(int(CAPACITY.cpu_milli * machines), 0, 0)
-    return PoolLoad(pool, wanted, busy=True)
+def spares(count: int) -> dict[str, list[MachineListing]]:
+    return {"spare": [machine(f"m{n}", "spare") for n in range(count)]}
 
 
 def test_spare_machines_go_to_the_pool_that_lacks_most():
-    idle = {"spare": [machine(f"m{n}", "spare") for n in range(3)]}
-    loads = [busy("a", 0.5), busy("b", 2.2)]
-    assert [move.pool for move in moves(PoolPolicy(), loads, idle)] == ["b", "b", "a"]
+    loads = [PoolLoad("a", offered=0.5), PoolLoad("b", offered=1.5, parallel=9)]
+    pools = [move.pool for move in moves(PoolPolicy(RATES), loads, spares(4))]
+    assert pools[0] == "b"
+    assert "a" in pools
 
 
 def test_machines_on_their_way_count():
-    idle = {"spare": [machine("m1", "spare")]}
-    assert moves(PoolPolicy(), [busy("a", 1.0)], idle, coming={"a": 1}) == []
+    load = PoolLoad("a", offered=1.0, parallel=5)
+    assert moves(PoolPolicy(RATES), [load], spares(1), coming={"a": 1}) == []
 
 
-def test_memory_alone_brings_a_machine():
-    idle = {"spare": [machine("m1", "spare")]}
-    load = PoolLoad("a", Resources(100, CAPACITY.memory_mb // 2, 0), busy=True)
-    assert moves(PoolPolicy(), [load], idle) == [Move("m1", "a")]
+def test_a_backlog_that_the_pool_does_by_itself_in_time_brings_no_machine():
+    load = PoolLoad("a", room=4, offered=1, backlog=5, parallel=5, busy=True)
+    assert moves(PoolPolicy(RATES), [load], spares(5)) == []
 
 
-def test_a_task_that_wants_a_minion_of_its_own_brings_a_machine():
-    idle = {"spare": [machine("m1", "spare")]}
-    load = PoolLoad("a", Resources(100, 100, 0), apart=1, busy=True)
-    assert moves(PoolPolicy(), [load], idle) == [Move("m1", "a")]
+def test_a_backlog_brings_no_more_machines_than_it_can_use():
+    load = PoolLoad("a", room=0, offered=0, backlog=50, parallel=2, busy=True)
+    assert len(moves(PoolPolicy(RATES), [load], spares(9))) == 2
 
 
 def test_an_idle_machine_leaves_once_its_pool_is_quiet():
-    policy = PoolPolicy()
+    policy = PoolPolicy(RATES)
     idle = {"a": [machine("m1", "a")]}
-    free = Resources(*(amount * 3 for amount in CAPACITY))
-    moves(policy, [busy("a", 0.1)], {}, now=1.0)
-    quiet = [PoolLoad("a", free=free)]
+    moves(policy, [PoolLoad("a", room=3, busy=True)], {}, now=1.0)
+    quiet = [PoolLoad("a", room=3)]
     assert moves(policy, quiet, idle, {"a": 3}, now=1.5) == []
     assert moves(policy, quiet, idle, {"a": 3}, now=3.0) == [Move("m1", "spare")]
 
 
-def test_a_pool_keeps_its_reserve():
-    policy = PoolPolicy()
+@pytest.mark.parametrize(
+    "load",
+    [
+        PoolLoad("a", room=3.0, offered=2.0),
+        PoolLoad("a", room=3.4),
+    ],
+    ids=["for the work that comes", "for the onset of a burst"],
+)
+def test_a_pool_keeps_machines(load):
     idle = {"a": [machine("m1", "a")]}
-    moves(policy, [busy("a", 0.1)], {}, now=1.0)
-    tight = [PoolLoad("a", free=Resources(CAPACITY.cpu_milli, CAPACITY.memory_mb, 0))]
-    assert moves(policy, tight, idle, {"a": 6}, now=5.0) == []
+    sizes = {"a": 4, "spare": 6}
+    assert moves(PoolPolicy(RATES), [load], idle, sizes) == []
 
 
 def test_a_pool_without_work_so_far_is_left_alone():
-    free = Resources(*(amount * 3 for amount in CAPACITY))
     idle = {"a": [machine("m1", "a")]}
-    unused = PoolLoad("a", free=free, used=False)
-    assert moves(PoolPolicy(), [unused], idle, {"a": 3}) == []
+    unused = PoolLoad("a", room=3, used=False)
+    assert moves(PoolPolicy(RATES), [unused], idle, {"a": 3}) == []
+
+
+def test_a_machine_goes_from_a_quiet_pool_straight_to_a_busy_one():
+    idle = {"a": [machine("m1", "a")]}
+    loads = [PoolLoad("a", room=3), PoolLoad("b", offered=1.0, parallel=3)]
+    assert moves(PoolPolicy(RATES), loads, idle, {"a": 3}) == [Move("m1", "b")]
 
 
 def test_a_new_owner_gives_back_what_a_former_one_moved_in():
     fleet = Fleet(minions=3)
     ended = BookedJob(job("a" * 16, Step(1, CAPACITY, 500)), 0.0)
     ended.progress.state = JobState.DONE
-    fleet.scheduler.add_job(ended, 0.0)
-    idle = {"s": [machine("m1", "s")]}
+    fleet.scheduler.add_job(ended, -5.0)
     loads = fleet.scheduler.pool_loads(0.0)
-    assert moves(PoolPolicy(), loads, idle, {"s": 3}) == [Move("m1", "spare")]
+    idle = {"s": [machine("m1", "s")]}
+    assert moves(PoolPolicy(RATES), loads, idle, {"s": 3}) == [Move("m1", "spare")]
 
 
-def test_a_machine_goes_from_a_quiet_pool_straight_to_a_busy_one():
-    policy = PoolPolicy()
-    free = Resources(*(amount * 3 for amount in CAPACITY))
-    moves(policy, [busy("a", 0.1)], {}, now=1.0)
-    loads = [PoolLoad("a", free=free), busy("b", 1.0)]
-    idle = {"a": [machine("m1", "a")]}
-    assert moves(policy, loads, idle, {"a": 3}, now=5.0) == [Move("m1", "b")]
+def test_memory_alone_makes_a_lasting_task_want_a_machine():
+    fleet = Fleet(minions=1)
+    large = Resources(100, CAPACITY.memory_mb * 3 // 4, 0)
+    fleet.add(job("a" * 16, Step(2, large, 500, lasting=True)))
+    fleet.plan()
+    (load,) = fleet.scheduler.pool_loads(0.0)
+    assert load.lasting == pytest.approx(0.75)
+    assert moves(PoolPolicy(RATES), [load], spares(2)) == [Move("m0", "s")]
+
+
+def test_a_task_that_wants_a_minion_of_its_own_wants_a_whole_machine():
+    fleet = Fleet(minions=1)
+    fleet.add(job("a" * 16, Step(2, SMALL, 500, lasting=True, most_per_minion=1)))
+    fleet.plan()
+    (load,) = fleet.scheduler.pool_loads(0.0)
+    assert load.lasting == 1
+
+
+def test_work_is_offered_from_the_first_job_of_a_burst():
+    fleet = Fleet(minions=1)
+    assert fleet.scheduler.pool_loads(0.0)[0].offered == 0
+    fleet.add(job("a" * 16, Step(16, SMALL, 1000)))
+    assert fleet.scheduler.pool_loads(0.0)[0].offered == pytest.approx(1.0)
+    assert fleet.scheduler.pool_loads(1.5)[0].offered == 0
