--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pools.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pools.py
@@ -119,14 +119,14 @@
         Work that comes faster than it is done needs machines for as long as it does; a
         backlog, with what it grows by until a machine is there, only for a while.
         """
-        rates = self.rates
-        short = load.offered - load.room - coming
-        backlog = load.backlog + short * rates.lead_s
-        return (
-            max(0.0, load.lasting - coming)
+        short = load.offered - load.room
+        backlog = max(0.0, load.backlog + short * self.rates.lead_s)
+        wanted = (
+            load.lasting
             + max(0.0, short)
-            + min(load.parallel, max(0.0, backlog) / rates.clear_s)
+            + min(load.parallel, backlog / self.rates.clear_s)
         )
+        return wanted - coming
 
     def _fill(
         self,
