--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pools.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pools.py
@@ -119,14 +119,13 @@
         Work that comes faster than it is done needs machines for as long as it does; a
         backlog, with what it grows by until a machine is there, only for a while.
         """
-        short = load.offered - load.room
+        short = load.offered - load.room - coming
         backlog = max(0.0, load.backlog + short * self.rates.lead_s)
-        wanted = (
-            load.lasting
+        return (
+            max(0.0, load.lasting - coming)
             + max(0.0, short)
-            + min(load.parallel, backlog / self.rates.clear_s)
+            + min(max(0.0, load.parallel - coming), backlog / self.rates.clear_s)
         )
-        return wanted - coming
 
     def _fill(
         self,
