--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/__init__.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/__init__.py
@@ -5,6 +5,22 @@
     MinionModel,
     TaskPlan,
 )
+from geraniumshore_standins.internal.users_platform.nodes import (
+    JobReply,
+    NodeProcess,
+    PlatformFleet,
+    configuration_document,
+)
 from geraniumshore_standins.internal.users_platform.world import PlatformWorld
 
-__all__ = ["LogModel", "MinionModel", "PlatformWorld", "Reply", "TaskPlan"]
+__all__ = [
+    "JobReply",
+    "LogModel",
+    "MinionModel",
+    "NodeProcess",
+    "PlatformFleet",
+    "PlatformWorld",
+    "Reply",
+    "TaskPlan",
+    "configuration_document",
+]
