--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pool_meter.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pool_meter.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from functools import reduce
 
 from geraniumshore_scheduler.internal.minion_view import MinionView
 from geraniumshore_scheduler.internal.model import Job, Resources
@@ -20,31 +21,48 @@
 LONGEST_SPREAD_S = 1.0
 
 
+# So many jobs within this time are the onset of a burst, and make a rate by themselves.
+ONSET_JOBS = 6
+ONSET_S = 0.4
+
+
+@dataclass(frozen=True, slots=True)
+class _Arrival:
+    at: float
+    until: float
+    work: Resources
+    busy: Resources
+
+
 @dataclass(slots=True)
 class Arrivals:
     """The work of the jobs that came of late, as what it keeps busy on average."""
 
-    _jobs: dict[str, list[tuple[float, Resources]]] = field(default_factory=dict)
+    _jobs: dict[str, list[_Arrival]] = field(default_factory=dict)
 
     def note(self, job: Job, at: float) -> None:
         """Note a job that was accepted."""
         chain_s = longest_chain_s(job.steps)
         duration = min(LONGEST_SPREAD_S, max(SHORTEST_SPREAD_S, chain_s))
-        busy = Resources()
-        for step in job.steps:
-            if not step.lasting:
-                share = step.count * step.estimate_ms / MS / duration
-                busy = busy.plus(Resources(*(int(part * share) for part in step.room)))
-        self._jobs.setdefault(job.service, []).append((at + duration, busy))
+        work = _sum(
+            _scaled(step.room, step.count * step.estimate_ms / MS)
+            for step in job.steps
+            if not step.lasting
+        )
+        arrival = _Arrival(at, at + duration, work, _scaled(work, 1 / duration))
+        self._jobs.setdefault(job.service, []).append(arrival)
 
     def busy(self, service: str, now: float) -> Resources:
         """Return what the work keeps busy that came for a service."""
-        jobs = [job for job in self._jobs.get(service, ()) if job[0] > now]
+        jobs = [job for job in self._jobs.get(service, ()) if job.until > now]
         self._jobs[service] = jobs
-        total = Resources()
-        for _, busy in jobs:
-            total = total.plus(busy)
-        return total
+        usual = _sum(job.busy for job in jobs)
+        latest = jobs[-ONSET_JOBS:]
+        if len(latest) < ONSET_JOBS or now - latest[0].at > ONSET_S:
+            return usual
+        span = max(now - latest[0].at, ONSET_S / ONSET_JOBS)
+        onset = _scaled(_sum(job.work for job in latest), 1 / span)
+        return Resources(*map(max, usual, onset))
 
 
 class PoolMeter:
@@ -112,3 +130,11 @@
         return min(
             left / had for left, had in zip(amount, self._machine, strict=True) if had
         )
+
+
+def _sum(amounts: Iterable[Resources]) -> Resources:
+    return reduce(Resources.plus, amounts, Resources())
+
+
+def _scaled(amount: Resources, factor: float) -> Resources:
+    return Resources(*(int(part * factor) for part in amount))
--- a/packages/geraniumshored/src/geraniumshored/node/views.py
+++ b/packages/geraniumshored/src/geraniumshored/node/views.py
@@ -212,7 +212,7 @@
 
     # Every minion writes its entry over and over; only the owner needs it, and soon.
     FOLLOW_PAUSE_S = 1.0
-    OWNER_PAUSE_S = 0.25
+    OWNER_PAUSE_S = 0.1
 
     def __init__(self, platform: Platform, now: Callable[[], float]) -> None:
         super().__init__(platform, Stream.MINIONS, now)
--- a/tests/cover/test_pools_for_turns.py
+++ b/tests/cover/test_pools_for_turns.py
@@ -123,3 +123,14 @@
     fleet.add(job("a" * 16, Step(16, SMALL, 1000)))
     assert fleet.scheduler.pool_loads(0.0)[0].offered == pytest.approx(1.0)
     assert fleet.scheduler.pool_loads(1.5)[0].offered == 0
+
+
+def test_the_onset_of_a_burst_is_seen_in_its_first_jobs():
+    fleet = Fleet(minions=1)
+    for number in range(6):
+        fleet.now = number * 0.05
+        fleet.add(job(f"{number:016x}", Step(16, SMALL, 1000)))
+    (load,) = fleet.scheduler.pool_loads(0.25)
+    assert load.offered == pytest.approx(6 / 0.25)
+    (load,) = fleet.scheduler.pool_loads(0.9)
+    assert load.offered == pytest.approx(6)
