--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pool_meter.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pool_meter.py
@@ -18,7 +18,7 @@
 # these bounds: long enough for a few jobs of a burst to make a rate, short enough to
 # see the burst begin.
 SHORTEST_SPREAD_S = 0.5
-LONGEST_SPREAD_S = 1.0
+LONGEST_SPREAD_S = 2.0
 
 
 # So many jobs within this time are the onset of a burst, and make a rate by themselves.
