--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/authority.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/authority.py
@@ -11,8 +11,9 @@
 class OwnershipTimes:
     """Times of ownership, in seconds.
 
-    ``ttl`` is how long the group keeps a silent member. ``grace`` is how long an owner
-    acts on after that, to ride out an outage of the store. ``longest_lease`` is the
+    ``ttl`` is how long the group keeps a silent member, and how long an owner acts on
+    what the log last said. ``grace`` is how much longer it sends orders that a fence
+    guards, to ride out an outage of the store. ``longest_lease`` is the
     platform's upper bound on a lease, and ``clock_rate`` how far a steady clock may be
     off. ``order_delay`` is how late an order without an answer may still be carried
     out.
@@ -29,15 +30,22 @@
         """The longest that a lease lasts by our clock, both clocks being off."""
         return self.longest_lease * (1 + 2 * self.clock_rate)
 
+    @property
+    def former_owner(self) -> float:
+        """How long after a newer epoch was opened a former owner sends orders."""
+        return self.ttl + self.grace
+
 
 @dataclass(slots=True)
 class Authority:
-    """An owner's epoch and the joins that confirm it.
+    """An owner's epoch, and when the log last showed it to be the newest.
 
-    A successor takes over once the group has not heard of the owner for ``ttl``, so
-    the owner's orders have ended ``grace`` after that. All times come from one clock
-    that also counts while the machine is suspended. With ``after_own_process`` the
-    owner before was another process on this host, which has ended.
+    ``taken_at`` is when the epoch was surely open, ``confirmed_at`` when a read of the
+    log was begun that showed no newer one. Membership of the group alone confirms
+    nothing: who was dropped and joined again would not know of an owner in between. So
+    an owner's orders have ended ``ttl`` + ``grace`` after a newer epoch was opened. All
+    times come from one clock that also counts while the machine is suspended. With
+    ``after_own_process`` the owner before was a process of this host that has ended.
     """
 
     epoch: int
@@ -45,9 +53,9 @@
     confirmed_at: float
     after_own_process: bool = False
 
-    def confirm(self, sent_at: float) -> None:
-        """Note a join, sent at ``sent_at``, that showed this process as the owner."""
-        self.confirmed_at = max(self.confirmed_at, sent_at)
+    def confirm(self, read_begun_at: float) -> None:
+        """Note a read of the log that showed no newer epoch."""
+        self.confirmed_at = max(self.confirmed_at, read_begun_at)
 
     def holds(self, now: float, times: OwnershipTimes) -> bool:
         """Tell whether orders that a fence guards may be sent."""
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_book.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_book.py
@@ -47,6 +47,7 @@
     def __init__(self) -> None:
         self.job_by_id: dict[str, BookedJob] = {}
         self.owner: OwnerRecord | None = None
+        self.former_owner: OwnerRecord | None = None
         self.opened_at_by_epoch: dict[int, float] = {}
         self.maintained_by_wave: dict[int, tuple[str, ...]] = {}
         self._orphans: dict[tuple[RecordKind, str], tuple[int, bytes]] = {}
@@ -103,7 +104,7 @@
     def _note_owner(self, owner: OwnerRecord, now: float) -> None:
         """Note the owner, and when its epoch had certainly begun."""
         if self.owner is None or owner.epoch > self.owner.epoch:
-            self.owner = owner
+            self.former_owner, self.owner = self.owner, owner
             self.opened_at_by_epoch[owner.epoch] = now
 
     def _accept(self, job: Job, now: float) -> BookedJob:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -446,8 +446,7 @@
     def _foreign_until(self, epoch: int) -> float:
         """Return until when the owner of an epoch may have renewed leases."""
         later = [at for e, at in self._opened_at_by_epoch.items() if e > epoch]
-        ended = min(later, default=self.authority.taken_at)
-        return min(ended, self.authority.taken_at) + self.times.grace
+        return min(later, default=self.authority.taken_at) + self.times.former_owner
 
     @staticmethod
     def _begun_before(job: OpenJob, occurrence: int) -> bool:
--- a/packages/geraniumshored/src/geraniumshored/node/machinist.py
+++ b/packages/geraniumshored/src/geraniumshored/node/machinist.py
@@ -95,8 +95,9 @@
     def _may_order(self) -> bool:
         authority = self._scheduler.authority
         now = self._now()
-        former_s_orders_end = authority.taken_at + self._settings.duty_lease_s
-        if now < former_s_orders_end and not authority.after_own_process:
+        # A former owner gives such orders until ``ttl`` after this epoch was opened.
+        wait_s = self._settings.times.ttl + self._settings.duty_lease_s
+        if now < authority.taken_at + wait_s and not authority.after_own_process:
             return False
         with self._lock:
             return authority.holds_unfenced(now, self._settings.times)
--- a/packages/geraniumshored/src/geraniumshored/node/node.py
+++ b/packages/geraniumshored/src/geraniumshored/node/node.py
@@ -8,14 +8,14 @@
 import time
 from collections.abc import Callable
 
-from geraniumshore_scheduler import Authority
 from geraniumshored.node.appender import Appender
 from geraniumshored.node.clock import steady_seconds
 from geraniumshored.node.intake import Intake, JobDecoder
 from geraniumshored.node.logs import log_event
+from geraniumshored.node.members import member_name
 from geraniumshored.node.metrics import NodeMetrics
 from geraniumshored.node.owner import Owner
-from geraniumshored.node.ownership import Ownership, member_name
+from geraniumshored.node.ownership import Ownership
 from geraniumshored.node.ports import Platform
 from geraniumshored.node.settings import NodeSettings
 from geraniumshored.node.views import JobsView, MinionsView, OperatorsView
@@ -83,9 +83,10 @@
         """Hand the schedule on and serve callers until the balancer has turned away."""
         began = self._now()
         log_event(logger, "stopping", within_s=self.settings.leaving_s)
+        # Connections end with their next answer from the moment the balancer is told.
+        announce()
         self._stopping.set()
         self._ownership.leave()
-        announce()
         end = began + self.settings.leaving_s - STOP_MARGIN_S
         while self._now() < end:
             time.sleep(POLL_S)
@@ -99,13 +100,13 @@
             and self._minions.age(now) < READY_AGE_S
         )
 
-    def _make_owner(self, authority: Authority) -> Owner:
+    def _make_owner(self, epoch: int) -> Owner:
         return Owner(
             self.settings,
             self._platform,
             (self._operators, self._minions, self._jobs),
             self._member,
-            authority,
+            epoch,
             self.metrics,
             self._now,
         )
--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -31,6 +31,7 @@
 from geraniumshored.node.clock import wall_ms
 from geraniumshored.node.logs import log_event
 from geraniumshored.node.machinist import Machinist
+from geraniumshored.node.members import host_of
 from geraniumshored.node.metrics import NodeMetrics
 from geraniumshored.node.ports import PaceOrder, Platform, Record, Stream, Writer
 from geraniumshored.node.settings import NodeSettings
@@ -68,11 +69,12 @@
         platform: Platform,
         views: tuple[OperatorsView, MinionsView, JobsView],
         member: str,
-        authority: Authority,
+        epoch: int,
         metrics: NodeMetrics,
         now: Callable[[], float],
     ) -> None:
-        self.authority = authority
+        never = float("-inf")
+        self.authority = Authority(epoch, never, never)
         self._settings = settings
         self._member = member
         self._platform = platform
@@ -83,7 +85,7 @@
         self._wake = threading.Event()
         self._stopped = threading.Event()
         self._scheduler = Scheduler(
-            authority,
+            self.authority,
             settings.times,
             opened_at_by_epoch=self._jobs.book.opened_at_by_epoch,
         )
@@ -105,14 +107,20 @@
         if not self._stopped.is_set():
             self._stopped.set()
             self._jobs.on_job = None
+            self._jobs.on_progress_read = None
             self._minions.on_change = None
             self._wake.set()
             log_event(logger, "ownership lost", epoch=self.authority.epoch, cause=why)
 
-    def confirm(self, sent_at: float) -> None:
-        """Note a join that showed this process as the owner."""
+    def _on_progress_read(self, begun_at: float) -> None:
+        """Take in that the log was read; it says who the owner is."""
+        owner = self._jobs.book.owner
+        if owner is None or owner.epoch != self.authority.epoch:
+            if begun_at > self.authority.taken_at:
+                self.stop("the log has another owner")
+            return
         with self._lock:
-            self.authority.confirm(sent_at)
+            self.authority.confirm(begun_at)
 
     # Taking over.
 
@@ -140,9 +148,11 @@
 
     def _take_over(self) -> bool:
         deadline = self._now() + TAKEOVER_S
+        opened_at = self._now()
         end = self._open_epoch(deadline)
         if end is None:
             return False
+        self._jobs.on_progress_read = self._on_progress_read
         while self._jobs.progress_offset < end:
             if self._stopped.wait(RETRY_S) or self._now() > deadline:
                 self.stop("the log could not be read")
@@ -151,6 +161,12 @@
             self._jobs.on_job = self._on_job
             with self._lock:
                 now = self._now()
+                former = self._jobs.book.former_owner
+                self.authority.taken_at = now
+                self.authority.confirm(opened_at)
+                self.authority.after_own_process = former is not None and host_of(
+                    former.member
+                ) == host_of(self._member)
                 if self._operators.configuration is not None:
                     self._scheduler.set_configuration(self._operators.configuration)
                 self._scheduler.set_listings(self._minions.listing_by_id, now)
@@ -170,7 +186,10 @@
         return True
 
     def _open_epoch(self, deadline: float) -> int | None:
-        """Fence the former owner's appends; return the end of the log."""
+        """Fence the former owner's appends; return the end of the log.
+
+        The time at which this began is a lower bound for the log's confirmation.
+        """
         writer = Writer(WRITER, self.authority.epoch, self._number)
         owner = OwnerRecord(self._member, self.authority.epoch)
         records = [Record(OWNER_KEY, encode_owner(owner))]
--- a/packages/geraniumshored/src/geraniumshored/node/ownership.py
+++ b/packages/geraniumshored/src/geraniumshored/node/ownership.py
@@ -6,17 +6,14 @@
 import threading
 from collections.abc import Callable
 
-from geraniumshore_scheduler import (
-    Authority,
-    PlatformUnavailableError,
-    UnknownOutcomeError,
-)
+from geraniumshore_scheduler import PlatformUnavailableError, UnknownOutcomeError
 from geraniumshored.node.logs import log_event
+from geraniumshored.node.members import host_of
 from geraniumshored.node.owner import Owner
 from geraniumshored.node.ports import Membership, Store
 from geraniumshored.node.views import JobsView
 
-__all__ = ["Ownership", "host_of", "member_name"]
+__all__ = ["Ownership"]
 
 logger = logging.getLogger(__name__)
 
@@ -36,21 +33,12 @@
 CLAIMS_PER_GENERATION = 2
 
 
-def member_name(host: str, process: str) -> str:
-    """Return the name of one process of a host in the group."""
-    return f"{host}/{process}"
-
-
-def host_of(member: str) -> str:
-    """Return the host of a member."""
-    return member.rpartition("/")[0]
-
-
 class Ownership:
     """Stays in the group, and takes the schedule over when its owner has left it.
 
     The group deals out more than the schedule, and deals anew with each change, so the
-    owner stays the owner for as long as it is a member at all.
+    owner stays the owner for as long as it is a member at all. Whether it is the owner
+    is for the log to say: a claim is an epoch that is opened there.
     """
 
     def __init__(
@@ -59,7 +47,7 @@
         host: str,
         member: str,
         jobs: JobsView,
-        make_owner: Callable[[Authority], Owner],
+        make_owner: Callable[[int], Owner],
         ready: Callable[[], bool],
         now: Callable[[], float],
     ) -> None:
@@ -109,26 +97,23 @@
         """Join or look for a place; return how long to wait before the next step."""
         if self._generation == 0 and len(self._store.members()) >= MOST_MEMBERS:
             return OUTSIDE_PAUSE_S
-        sent_at = self._now()
         membership = self._store.join(self._member, self._generation)
         if self._lost:
             self._lost = False
             self._regained_at = self._now()
             log_event(logger, "group regained", generation=membership.generation)
         if not self._leaving.is_set():
-            self._follow(membership, sent_at)
+            self._follow(membership)
         self._generation = membership.generation
         return JOIN_PAUSE_S
 
-    def _follow(self, membership: Membership, sent_at: float) -> None:
+    def _follow(self, membership: Membership) -> None:
         if self._owner is not None and self._owner.stopped:
             self._owner = None
-        if self._owner is not None:
-            self._owner.confirm(sent_at)
-        else:
-            self._claim(membership, sent_at)
+        if self._owner is None:
+            self._claim(membership)
 
-    def _claim(self, membership: Membership, sent_at: float) -> None:
+    def _claim(self, membership: Membership) -> None:
         """Take the schedule over if its owner is gone.
 
         The owner's own host goes first when its process has been started again: it
@@ -140,8 +125,7 @@
         if not (back or membership.first) or not self._schedule_is_free(back):
             return
         epoch = CLAIMS_PER_GENERATION * membership.generation + back
-        authority = Authority(epoch, self._now(), sent_at, after_own_process=back)
-        self._owner = self._make_owner(authority)
+        self._owner = self._make_owner(epoch)
         self._owner.start()
 
     def _schedule_is_free(self, back: bool) -> bool:
--- a/packages/geraniumshored/src/geraniumshored/node/views.py
+++ b/packages/geraniumshored/src/geraniumshored/node/views.py
@@ -46,6 +46,7 @@
         self._offset: int | None = None
         self._read_at: float | None = None
         self._reading_since: float | None = None
+        self._asked_at: float | None = None
         self._broken = False
         self._pause = threading.Event()
         self._thread = threading.Thread(
@@ -81,6 +82,10 @@
         """Return how long to wait between reads."""
         return 0.0
 
+    def _wait_ms(self) -> int:
+        """Return for how long a read waits for a record."""
+        return READ_WAIT_MS
+
     def _run(self) -> None:
         while True:
             try:
@@ -102,7 +107,7 @@
 
     def _step(self) -> None:
         self._pause.clear()
-        asked_at = self._reading_since = self._now()
+        self._asked_at = asked_at = self._reading_since = self._now()
         if self._offset is None:
             page = self._platform.store.newest(self._stream)
             self._reset()
@@ -111,7 +116,7 @@
         else:
             try:
                 page = self._platform.store.read(
-                    self._stream, self._offset, READ_WAIT_MS
+                    self._stream, self._offset, self._wait_ms()
                 )
             except RecordsTrimmedError as error:
                 log_event(
@@ -251,6 +256,7 @@
         self.lock = threading.RLock()
         self.book = JobBook()
         self.on_job: Callable[[BookedJob, RecordKind], None] | None = None
+        self.on_progress_read: Callable[[float], None] | None = None
         self._now = now
         self._followers = (
             _JobFollower(self, platform, Stream.ACCEPTED, now),
@@ -309,6 +315,9 @@
 
     FOLLOW_PAUSE_S = 0.3
     OWNER_PAUSE_S = 0.01
+    # The owner's reads of its own stream confirm it, so they must not wait for long.
+    CONFIRMING_WAIT_MS = 200
+    CONFIRMING_PAUSE_S = 0.1
     # The store answers a read of records that exist within this time.
     ANSWER_S = 0.015
 
@@ -341,7 +350,17 @@
                 if now >= deadline or not self._read.wait(deadline - now):
                     return
 
+    @property
+    def _confirming(self) -> bool:
+        told = self._view.on_progress_read is not None
+        return told and self._stream is Stream.PROGRESS
+
+    def _wait_ms(self) -> int:
+        return self.CONFIRMING_WAIT_MS if self._confirming else READ_WAIT_MS
+
     def _pause_s(self) -> float:
+        if self._confirming:
+            return self.CONFIRMING_PAUSE_S
         if self._view.on_job is None or self._stream is Stream.PROGRESS:
             return self.FOLLOW_PAUSE_S
         return self.OWNER_PAUSE_S
@@ -352,6 +371,9 @@
     def _folded(self) -> None:
         with self._read:
             self._read.notify_all()
+        on_read = self._view.on_progress_read
+        if on_read is not None and self._confirming and self._asked_at is not None:
+            on_read(self._asked_at)
 
     def _reset(self) -> None:
         """Keep what is known: newer records replace it one by one."""
--- /dev/null
+++ b/tests/nocover/test_schedule_mutations.py
@@ -0,0 +1,93 @@
+"""Each rule on owners, leases and records is dropped once: the machine must notice."""
+
+from __future__ import annotations
+
+import pytest
+
+from geraniumshore_scheduler import (
+    Authority,
+    MinionView,
+    OwnershipTimes,
+    Scheduler,
+    StartOutcome,
+)
+from tests.common.schedule_world import BrokenPromiseError, SimOwner, World
+
+SEEDS = 400
+SECONDS = 45.0
+
+
+def no_wait_for_a_former_owner(patch):
+    patch.setattr(OwnershipTimes, "former_owner", property(lambda _: 0.0))
+    patch.setattr(OwnershipTimes, "lapse", property(lambda _: 0.0))
+
+
+def no_wait_for_the_lease(patch):
+    patch.setattr(OwnershipTimes, "lapse", property(lambda _: 0.5))
+
+
+def orders_without_authority(patch):
+    patch.setattr(Authority, "holds", lambda *_: True)
+
+
+def unanswered_starts_count_as_refused(patch):
+    answer = Scheduler.on_start_answer
+
+    def refused(self, run, outcome, life, now):
+        if outcome == StartOutcome.NO_ANSWER:
+            outcome = StartOutcome.OLD_RUN
+        answer(self, run, outcome, life, now)
+
+    patch.setattr(Scheduler, "on_start_answer", refused)
+
+
+def acknowledged_before_recorded(patch):
+    plan = Scheduler.plan
+
+    def hasty(self, now, wall_ms):
+        batch = plan(self, now, wall_ms)
+        for view in self.view_by_id.values():
+            view.release_acks(self._next_batch)
+        return batch
+
+    patch.setattr(Scheduler, "plan", hasty)
+
+
+def started_before_recorded(patch):
+    decide = SimOwner._decide
+
+    def hasty(self):
+        before = self.batch
+        decide(self)
+        if self.batch is not None and self.batch is not before:
+            for order in self.batch.starts:
+                self._start(order)
+
+    patch.setattr(SimOwner, "_decide", hasty)
+
+
+def capacity_ignored(patch):
+    patch.setattr(MinionView, "free", property(lambda view: view.listing.capacity))
+
+
+@pytest.mark.parametrize(
+    "mutation",
+    [
+        no_wait_for_a_former_owner,
+        no_wait_for_the_lease,
+        orders_without_authority,
+        unanswered_starts_count_as_refused,
+        acknowledged_before_recorded,
+        started_before_recorded,
+        capacity_ignored,
+    ],
+    ids=lambda mutation: mutation.__name__,
+)
+def test_the_machine_notices(mutation, monkeypatch):
+    mutation(monkeypatch)
+    for seed in range(SEEDS):
+        try:
+            World(seed).run(SECONDS)
+        except BrokenPromiseError:
+            return
+    pytest.fail(f"{SEEDS} seeds hold without the rule")
