--- a/packages/geraniumshored/src/geraniumshored/node/node.py
+++ b/packages/geraniumshored/src/geraniumshored/node/node.py
@@ -56,6 +56,7 @@
         self._ownership = Ownership(
             platform.store,
             settings.node,
+            settings.processors,
             member,
             self._jobs,
             self._make_owner,
--- a/packages/geraniumshored/src/geraniumshored/node/ownership.py
+++ b/packages/geraniumshored/src/geraniumshored/node/ownership.py
@@ -23,6 +23,10 @@
 MOST_MEMBERS = 9
 # A node that is no member looks for a free place so often.
 OUTSIDE_PAUSE_S = 1.0
+# Owning the schedule of some hundred minions keeps half a core busy in bursts. Hosts
+# that give less than this leave the places to others at first.
+OWNER_PROCESSORS = 1.0
+WEAK_HOST_S = 3.0
 # After an outage of the store the owner gets this time to join again.
 REGAINED_S = 0.6
 
@@ -45,6 +49,7 @@
         self,
         store: Store,
         host: str,
+        processors: float,
         member: str,
         jobs: JobsView,
         make_owner: Callable[[int], Owner],
@@ -53,6 +58,7 @@
     ) -> None:
         self._store = store
         self._host = host
+        self._processors = processors
         self._member = member
         self._jobs = jobs
         self._make_owner = make_owner
@@ -95,7 +101,7 @@
 
     def _step(self) -> float:
         """Join or look for a place; return how long to wait before the next step."""
-        if self._generation == 0 and len(self._store.members()) >= MOST_MEMBERS:
+        if self._generation == 0 and not self._may_join():
             return OUTSIDE_PAUSE_S
         membership = self._store.join(self._member, self._generation)
         if self._lost:
@@ -107,6 +113,12 @@
         self._generation = membership.generation
         return JOIN_PAUSE_S
 
+    def _may_join(self) -> bool:
+        weak = self._processors < OWNER_PROCESSORS
+        if weak and self._now() < self._started_at + WEAK_HOST_S:
+            return False
+        return len(self._store.members()) < MOST_MEMBERS
+
     def _follow(self, membership: Membership) -> None:
         if self._owner is not None and self._owner.stopped:
             self._owner = None
--- a/packages/geraniumshored/src/geraniumshored/node/settings.py
+++ b/packages/geraniumshored/src/geraniumshored/node/settings.py
@@ -16,7 +16,8 @@
     ``leaving_s`` is how long a process may go on after SIGTERM. ``duty_lease_s`` is how
     long another owner's orders to machines must be past. ``notice_s`` is how long a
     task must be away before it counts against its step's budget. ``harm_s`` is how
-    long a serving task may be over its target through work beside it.
+    long a serving task may be over its target through work beside it. ``processors``
+    is what the host gives this process, in cores.
     """
 
     node: str
@@ -29,3 +30,4 @@
     harm_s: float
     move_s: float
     stop_s: float
+    processors: float
--- a/packages/geraniumshored/src/geraniumshored/platform/settings.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/settings.py
@@ -18,7 +18,7 @@
 # How long an owner goes on without the store. Leases that it renews meanwhile carry
 # the work on for ``longest_lease`` more, and a successor waits this long before it
 # restarts what ran on minions that it cannot reach.
-GRACE_S = 3.0
+GRACE_S = 2.0
 
 
 class PlatformSettings(BaseModel):
@@ -43,7 +43,8 @@
     notice_ms: Annotated[int, Field(ge=0)] = 4500
     harm_ms: Annotated[int, Field(ge=0)] = 4000
     move_ms: Annotated[int, Field(ge=0)] = 1500
-    early_ms: Annotated[int, Field(ge=0)] = 250
+    cpu_share: Annotated[float, Field(gt=0)] = 1.0
+    cpu_speed: Annotated[float, Field(gt=0)] = 1.0
 
     def node_settings(self) -> NodeSettings:
         """Return the part that does not concern addresses of the platform."""
@@ -62,6 +63,8 @@
             harm_s=self.harm_ms / MS,
             move_s=self.move_ms / MS,
             stop_s=self.stop_ms / MS,
+            # The platform gives a share of a core that is so many times as fast.
+            processors=self.cpu_share * self.cpu_speed,
         )
 
 
--- a/tests/common/schedule_world.py
+++ b/tests/common/schedule_world.py
@@ -340,6 +340,7 @@
         self.ownership = Ownership(
             self.store,  # type: ignore[arg-type]
             name,
+            1.0,
             f"{name}/1",
             self,  # type: ignore[arg-type]
             self._make_owner,  # type: ignore[arg-type]
--- a/tests/cover/test_ownership.py
+++ b/tests/cover/test_ownership.py
@@ -10,6 +10,7 @@
     CLAIMS_PER_GENERATION,
     MOST_MEMBERS,
     OWNER_BACK_S,
+    WEAK_HOST_S,
     Ownership,
 )
 from geraniumshored.node.ports import Membership
@@ -34,7 +35,7 @@
 class Bench:
     """One node's ownership, and the claims that it made."""
 
-    def __init__(self, owner: str | None = None) -> None:
+    def __init__(self, owner: str | None = None, processors: float = 1.0) -> None:
         self.now = 100.0
         self.store = FakeStore()
         self.book = SimpleNamespace(
@@ -44,6 +45,7 @@
         self.ownership = Ownership(
             self.store,  # type: ignore[arg-type]
             "h1",
+            processors,
             member_name("h1", "new"),
             SimpleNamespace(book=self.book),  # type: ignore[arg-type]
             self._make_owner,
@@ -93,6 +95,14 @@
     assert bench.step() == [7 * CLAIMS_PER_GENERATION + 1]
 
 
+def test_a_weak_host_leaves_the_places_to_others_at_first():
+    bench = Bench(processors=0.5)
+    bench.step()
+    assert bench.store.joins == 0
+    bench.step(WEAK_HOST_S)
+    assert bench.store.joins == 1
+
+
 def test_a_full_group_is_left_alone():
     bench = Bench()
     bench.store.listed = {member_name(f"x{n}", "1") for n in range(MOST_MEMBERS)}
