Advice with tickets; paces of filling tasks

A step of such a queue starts only with a ticket that is good for the minion's life; filling tasks stop while a tail beside them is over its target, and come back step by step.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/__init__.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/__init__.py
@@ -11,6 +11,7 @@
     SequenceError,
     UnknownOutcomeError,
 )
+from geraniumshore_scheduler.internal.advice import AdviceBook, AdviceRequest, StepKey
 from geraniumshore_scheduler.internal.authority import Authority, OwnershipTimes
 from geraniumshore_scheduler.internal.job_book import BookedJob, JobBook
 from geraniumshore_scheduler.internal.maintenance import (
@@ -40,6 +41,7 @@
     FirstCome,
     JobOrder,
 )
+from geraniumshore_scheduler.internal.pacing import Pace, plan_paces
 from geraniumshore_scheduler.internal.pools import (
     Move,
     PoolLoad,
@@ -69,6 +71,7 @@
 from geraniumshore_scheduler.internal.scheduler import (
     Batch,
     Decision,
+    PaceOrder,
     Scheduler,
     StartOrder,
     StartOutcome,
@@ -76,6 +79,8 @@
 )
 
 __all__ = [
+    "AdviceBook",
+    "AdviceRequest",
     "Authority",
     "Batch",
     "BookedJob",
@@ -103,6 +108,8 @@
     "OwnerRecord",
     "OwnerReplacedError",
     "OwnershipTimes",
+    "Pace",
+    "PaceOrder",
     "Placed",
     "PlatformUnavailableError",
     "PoolLoad",
@@ -122,6 +129,7 @@
     "StartOrder",
     "StartOutcome",
     "Step",
+    "StepKey",
     "StopOrder",
     "TaskKey",
     "Team",
@@ -139,6 +147,7 @@
     "encode_progress",
     "job_key",
     "may_interrupt",
+    "plan_paces",
     "split_key",
     "wave_key",
 ]
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
@@ -95,6 +95,7 @@
     opened: set[tuple[int, int]] = field(default_factory=set)
     failed_on: dict[TaskKey, set[str]] = field(default_factory=dict)
     retry_at: dict[TaskKey, float] = field(default_factory=dict)
+    needs_advice: bool = False
     next_occurrence: int = 0
     unplaced: set[tuple[int, int]] = field(default_factory=set)
 
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -9,6 +9,11 @@
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
+from geraniumshore_scheduler.internal.advice import (
+    AdviceBook,
+    AdviceRequest,
+    StepKey,
+)
 from geraniumshore_scheduler.internal.authority import Authority, OwnershipTimes
 from geraniumshore_scheduler.internal.job_book import BookedJob
 from geraniumshore_scheduler.internal.minion_view import HoldRequest, MinionView
@@ -22,6 +27,7 @@
     TaskKey,
 )
 from geraniumshore_scheduler.internal.ordering import ByObjective, JobOrder
+from geraniumshore_scheduler.internal.pacing import FULL_PACE, plan_paces
 from geraniumshore_scheduler.internal.pool_meter import Arrivals, PoolMeter
 from geraniumshore_scheduler.internal.pools import PoolLoad
 from geraniumshore_scheduler.internal.records import (
@@ -38,6 +44,7 @@
 __all__ = [
     "Batch",
     "Decision",
+    "PaceOrder",
     "Scheduler",
     "StartOrder",
     "StartOutcome",
@@ -76,6 +83,19 @@
     spec: str
     checkpoint: str
     fence: int
+    ticket: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class PaceOrder:
+    """Lets a run work at a share of its speed, in percent."""
+
+    minion_id: str
+    address: str
+    task: str
+    run: int
+    percent: int
+    fence: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +118,7 @@
     OLD_RUN = "old"
     LATE = "late"
     UNHEALTHY = "unhealthy"
+    NO_TICKET = "ticket"
     REFUSED = "refused"
     GONE = "gone"
 
@@ -141,6 +162,7 @@
         self.view_by_id: dict[str, MinionView] = {}
         self.decisions: list[Decision] = []
         self.stops: list[StopOrder] = []
+        self.paces: list[PaceOrder] = []
         self._order = order or ByObjective()
         self._opened_at_by_epoch = opened_at_by_epoch or {}
         self._used_services: set[str] = set()
@@ -148,6 +170,7 @@
         self._gone_life_by_id: dict[str, int] = {}
         self._team_use: dict[str, Resources] = {}
         self._dirty: dict[str, None] = {}
+        self._advice = AdviceBook()
         self._records: dict[str, bytes] = {}
         self._final: dict[str, OpenJob] = {}
         self._starts: list[StartOrder] = []
@@ -193,6 +216,7 @@
         job = self.job_by_id.pop(job_id, None)
         if job is None:
             return
+        self._advice.forget_job(job_id)
         self._decide("cancelled", job_id, details={"runs": len(job.runs)})
         self._dirty.pop(job_id, None)
         job.waiting.clear()
@@ -258,6 +282,7 @@
         view.remaining_ms = report.remaining_ms
         self._take_ends(view, report.ended, now)
         self._take_running(view, asked, report.running, report.ended, now)
+        self._set_paces(view)
 
     def on_silence(self, asked: HoldRequest) -> None:
         """Note that a minion did not answer a look."""
@@ -317,6 +342,8 @@
             return
         if outcome in (StartOutcome.UNHEALTHY, StartOutcome.REFUSED):
             self._blame(view, now)
+        elif outcome == StartOutcome.NO_TICKET:
+            self._advice.drop_ticket(StepKey(*run.task[:3]), run.minion_id)
         elif outcome == StartOutcome.NO_ROOM:
             view.avoid_until = max(view.avoid_until, now + RETRY_S)
         job = self.job_by_id.get(run.task.job_id)
@@ -338,8 +365,43 @@
             run.confirmed_at = now
             run.stop_wanted = True
 
+    def on_pace_unanswered(self, order: PaceOrder) -> None:
+        """Take a run as working at full pace, so that the next look sets it again."""
+        view = self.view_by_id.get(order.minion_id)
+        run = None if view is None else self._run_named(view, order.task, order.run)
+        if run is not None:
+            run.pace = FULL_PACE
+
+    def on_advice(
+        self,
+        request: AdviceRequest,
+        ticket_by_minion: Mapping[str, str],
+        valid_s: float,
+        asked_at: float,
+    ) -> None:
+        """Take in which minions may run a step."""
+        self._advice.note(request, ticket_by_minion, valid_s, asked_at)
+
     # Outputs.
 
+    def advice_wanted(self, now: float) -> AdviceRequest | None:
+        """Return the next question on a waiting step, the most urgent job's first."""
+        jobs = [j for j in self.job_by_id.values() if j.needs_advice and j.waiting]
+        jobs.sort(key=lambda job: self._order.rank(job, now))
+        for job in jobs:
+            views = [
+                view
+                for view in self.view_by_id.values()
+                if view.listing is not None
+                and view.listing.service == job.service
+                and view.accepts(now)
+            ]
+            for step in dict.fromkeys(StepKey(*task[:3]) for task in job.waiting):
+                request = self._advice.request(step, views, now)
+                if request is not None:
+                    return request
+        return None
+
     def plan(self, now: float, wall_ms: float) -> Batch | None:
         """Decide what to start and stop now; return what to record first."""
         self._free_lapsed(now)
@@ -374,6 +436,11 @@
         stops, self.stops = self.stops, []
         return stops
 
+    def take_paces(self) -> list[PaceOrder]:
+        """Return the paces to set now."""
+        paces, self.paces = self.paces, []
+        return paces
+
     def take_decisions(self) -> list[Decision]:
         """Return the decisions since the last call, for the log."""
         decisions, self.decisions = self.decisions, []
@@ -420,6 +487,7 @@
         job.service = queue.service
         job.priority = queue.priority
         job.max_attempts = queue.max_attempts
+        job.needs_advice = queue.needs_advice
         job.objective_s = (
             queue.stretch * job.work_left_s() + queue.target_latency_ms / MS
         )
@@ -608,6 +676,7 @@
         job_id = job.job.job_id
         self._decide(f"job {state.value}", job_id)
         del self.job_by_id[job_id]
+        self._advice.forget_job(job_id)
         self._final[job_id] = job
         for run in job.runs.values():
             run.stop_wanted = True
@@ -658,6 +727,26 @@
         if job is not None and row.checkpoint and run.step.checkpointing:
             job.progress.checkpoints[run.task.within_job] = row.checkpoint
 
+    def _set_paces(self, view: MinionView) -> None:
+        if view.listing is None:
+            return
+        for pace in plan_paces(view.runs.values()):
+            run = pace.run
+            run.pace = pace.percent
+            self.paces.append(
+                PaceOrder(
+                    view.minion_id,
+                    view.listing.address,
+                    str(run.task),
+                    run.number,
+                    pace.percent,
+                    self.authority.epoch,
+                )
+            )
+            self._decide(
+                "pace", str(run.task), view.minion_id, {"percent": pace.percent}
+            )
+
     def _take_on(self, run: Run, view: MinionView) -> None:
         """Write down that this owner renews the run's lease from now on."""
         job = self.job_by_id.get(run.task.job_id)
@@ -751,13 +840,16 @@
                 # An older run of it is still being stopped somewhere.
                 continue
             step = job.job.steps[task.step]
+            allowed = views
+            if job.needs_advice:
+                allowed = list(self._advice.eligible(StepKey(*task[:3]), views, now))
             if step.gang:
-                self._place_gang(job, task, views, now)
+                self._place_gang(job, task, allowed, now)
                 full.add(step_key)
                 continue
             if not self._within_cap(job, step.size):
                 return
-            view = choose_minion(step, task, views, job.failed_on.get(task, ()))
+            view = choose_minion(step, task, allowed, job.failed_on.get(task, ()))
             if view is None:
                 full.add(step_key)
                 continue
@@ -829,6 +921,7 @@
                 job.job.spec,
                 self._checkpoint(job, run),
                 self.authority.epoch,
+                self._advice.ticket(StepKey(*run.task[:3]), view, run.since),
             )
         )
         self._decide(
--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -18,6 +18,7 @@
     MinionGoneError,
     OwnerRecord,
     OwnerReplacedError,
+    PaceOrder,
     PlatformUnavailableError,
     RecordKind,
     Scheduler,
@@ -33,7 +34,7 @@
 from geraniumshored.node.machinist import Machinist
 from geraniumshored.node.members import host_of
 from geraniumshored.node.metrics import NodeMetrics
-from geraniumshored.node.ports import PaceOrder, Platform, Record, Stream, Writer
+from geraniumshored.node.ports import Platform, Record, Stream, Writer
 from geraniumshored.node.settings import NodeSettings
 from geraniumshored.node.views import JobsView, MinionsView, OperatorsView
 
@@ -54,6 +55,10 @@
 UNRECORDED_PAUSE_S = 0.02
 # Without news, a look that did not wait is made again after this time.
 IDLE_PAUSE_S = 0.5
+# Waiting steps that need advice are looked for so often; a failed question is asked
+# again after a while.
+ADVICE_PAUSE_S = 0.02
+ADVICE_RETRY_S = 0.3
 # The takeover reads the log at most this long before it gives up.
 TAKEOVER_S = 5.0
 
@@ -139,6 +144,9 @@
                     self._now,
                     self._wake.set,
                 ).start()
+                threading.Thread(
+                    target=self._ask_advice, name="advice", daemon=True
+                ).start()
                 self._serve()
         except OwnerReplacedError as error:
             self.stop(str(error))
@@ -247,6 +255,7 @@
                 return
             batch = self._scheduler.plan(self._now(), wall_ms())
             stops = self._scheduler.take_stops()
+            paces = self._scheduler.take_paces()
             decisions = self._scheduler.take_decisions()
         for decision in decisions:
             self._metrics.count("decisions", decision.event)
@@ -260,6 +269,8 @@
             )
         for stop in stops:
             self._send(stop.minion_id, stop)
+        for pace in paces:
+            self._send(pace.minion_id, pace)
         if batch is not None:
             self._record(batch)
 
@@ -292,6 +303,38 @@
         for start in batch.starts:
             self._send(start.run.minion_id, start)
 
+    def _ask_advice(self) -> None:
+        """Ask on one step after the other: the service takes one call at a time."""
+        while not self._stopped.wait(ADVICE_PAUSE_S):
+            with self._lock:
+                request = self._scheduler.advice_wanted(self._now())
+            if request is None:
+                continue
+            asked_at = self._now()
+            try:
+                advised = self._platform.advisers.advise(request)
+            except (PlatformUnavailableError, UnknownOutcomeError) as error:
+                log_event(
+                    logger,
+                    "advice unanswered",
+                    step=str(request.step),
+                    cause=str(error),
+                )
+                self._stopped.wait(ADVICE_RETRY_S)
+                continue
+            log_event(
+                logger,
+                "advice",
+                step=str(request.step),
+                asked=len(request.life_by_minion),
+                eligible=len(advised.ticket_by_minion),
+            )
+            with self._lock:
+                self._scheduler.on_advice(
+                    request, advised.ticket_by_minion, advised.valid_s, asked_at
+                )
+            self._wake.set()
+
     def _send(self, minion_id: str, order: Order) -> None:
         with self._lock:
             session = self._session_by_minion.get(minion_id)
@@ -352,7 +395,23 @@
         elif isinstance(order, StopOrder):
             self._stop_run(order)
         else:
+            self._set_pace(order)
+
+    def _set_pace(self, order: PaceOrder) -> None:
+        if not self.may_send():
+            return
+        try:
             self._platform.minions.pace(order)
+        except (PlatformUnavailableError, UnknownOutcomeError) as error:
+            with self._lock:
+                self._scheduler.on_pace_unanswered(order)
+            log_event(
+                logger,
+                "pace unanswered",
+                task=order.task,
+                minion=order.minion_id,
+                cause=str(error),
+            )
 
     def _start_run(self, order: StartOrder) -> None:
         with self._lock:
--- a/packages/geraniumshored/src/geraniumshored/node/ports.py
+++ b/packages/geraniumshored/src/geraniumshored/node/ports.py
@@ -8,23 +8,26 @@
 from dataclasses import dataclass
 
 from geraniumshore_scheduler import (
+    AdviceRequest,
     Configuration,
     HoldRequest,
     MachineListing,
     MinionListing,
     MinionReport,
+    PaceOrder,
     StartOrder,
     StopOrder,
     UpkeepWave,
 )
 
 __all__ = [
+    "Advised",
+    "Advisers",
     "Appended",
     "Machines",
     "Membership",
     "Minions",
     "OperatorRecord",
-    "PaceOrder",
     "Page",
     "Platform",
     "Record",
@@ -94,15 +97,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PaceOrder:
-    """Lets a run work at a share of its speed."""
+class Advised:
+    """Tickets of the minions that may run a step, and for how long they are good."""
 
-    minion_id: str
-    address: str
-    task: str
-    run: int
-    percent: int
-    fence: int
+    ticket_by_minion: dict[str, str]
+    valid_s: float
 
 
 OperatorRecord = Configuration | UpkeepWave
@@ -192,12 +191,21 @@
         """Begin a machine's upkeep; tell whether it was done."""
 
 
+class Advisers(ABC):
+    """The service that knows which minions a queue's policy allows."""
+
+    @abstractmethod
+    def advise(self, request: AdviceRequest) -> Advised:
+        """Ask. Raises PlatformUnavailableError or UnknownOutcomeError."""
+
+
 class Platform(ABC):
     """All that a node reaches, and the decoding of what others write."""
 
     store: Store
     minions: Minions
     machines: Machines
+    advisers: Advisers
 
     @abstractmethod
     def decode_operator_record(self, record: Record) -> OperatorRecord | None:
--- a/packages/geraniumshored/src/geraniumshored/platform/adapter.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/adapter.py
@@ -6,6 +6,7 @@
 
 from geraniumshore_scheduler import MinionListing
 from geraniumshored.node.ports import OperatorRecord, Platform, Record
+from geraniumshored.platform.advice import HttpAdvisers
 from geraniumshored.platform.documents import (
     decode_configuration,
     decode_minion,
@@ -30,6 +31,7 @@
         self.http = HttpClient()
         self.store = LogStore(self.http, settings.store, settings.group_ttl_ms)
         self.minions = HttpMinions(self.http)
+        self.advisers = HttpAdvisers(self.http, settings.advice)
         self.machines = HttpMachines(self.http, settings.machines, settings.node)
 
     def decode_operator_record(self, record: Record) -> OperatorRecord | None:
--- a/packages/geraniumshored/src/geraniumshored/platform/documents.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/documents.py
@@ -28,6 +28,7 @@
 )
 
 __all__ = [
+    "decode_advice",
     "decode_configuration",
     "decode_job_request",
     "decode_machines",
@@ -186,6 +187,12 @@
     id: str | None = None
 
 
+class _Advice(_Document):
+    # Rows of a minion's id and its ticket.
+    eligible: tuple[tuple[str, str], ...] = ()
+    valid_ms: NonNegative = 0
+
+
 class _Machines(_Document):
     machines: tuple[_Machine, ...] = ()
     next_token: str | None = None
@@ -330,6 +337,12 @@
     )
 
 
+def decode_advice(data: bytes) -> tuple[dict[str, str], int]:
+    """Decode tickets by minion, and for how many ms they are good."""
+    advice = _load(_Advice, data, "advice")
+    return dict(advice.eligible), advice.valid_ms
+
+
 def decode_machines(data: bytes) -> tuple[tuple[MachineListing, ...], str | None]:
     """Decode a page of machines and the next page's token."""
     page = _load(_Machines, data, "machines")
--- a/packages/geraniumshored/src/geraniumshored/platform/minions.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/minions.py
@@ -11,13 +11,14 @@
     MinionGoneError,
     MinionReport,
     OwnerReplacedError,
+    PaceOrder,
     PlatformUnavailableError,
     StartOrder,
     StartOutcome,
     StopOrder,
     UnknownOutcomeError,
 )
-from geraniumshored.node.ports import Minions, PaceOrder
+from geraniumshored.node.ports import Minions
 from geraniumshored.platform.documents import decode_report
 from geraniumshored.platform.http import JSON_HEADERS, HttpClient, HttpReply
 
@@ -31,6 +32,7 @@
     "old": StartOutcome.OLD_RUN,
     "late": StartOutcome.LATE,
     "room": StartOutcome.NO_ROOM,
+    "ticket": StartOutcome.NO_TICKET,
 }
 
 
@@ -72,6 +74,8 @@
         }
         if order.checkpoint:
             document["checkpoint"] = order.checkpoint
+        if order.ticket is not None:
+            document["ticket"] = order.ticket
         reply = self._post(order.address, order.run.minion_id, "run-start", document)
         if reply.status == 200:
             return StartOutcome.STARTED
