--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/maintenance.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/maintenance.py
@@ -21,7 +21,7 @@
 # its time: a few steps' tasks end, lasting tasks start elsewhere, then the upkeep.
 TURN_S = 5.0
 # The share of a wave's time that is planned for; the rest is for what goes wrong.
-PLANNED_SHARE = 0.7
+PLANNED_SHARE = 0.45
 # With so little time left, tasks on a machine that is due are ended by its upkeep.
 LAST_CALL_S = 3.0
 
