--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_book.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_book.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from itertools import islice
 
 from geraniumshore_scheduler.internal.model import Job
 from geraniumshore_scheduler.internal.records import (
@@ -24,7 +25,8 @@
 class BookedJob:
     """A job and the newest records of it.
 
-    A final state in the progress stands, whenever a cancellation came.
+    A final state in the progress stands, whenever a cancellation came. ``ended_at`` is
+    when this node learned of the end.
     """
 
     job: Job
@@ -32,6 +34,7 @@
     progress: Progress = field(default_factory=Progress)
     progress_offset: int = -1
     cancelled: bool = False
+    ended_at: float | None = None
 
     @property
     def state(self) -> JobState:
@@ -89,8 +92,19 @@
             booked.progress = decode_progress(value)
             booked.progress_offset = offset
         self._count(booked, 1)
+        if booked.state.final and booked.ended_at is None:
+            booked.ended_at = now
         return booked
 
+    def expired(self, ended_before: float, most: int) -> list[str]:
+        """Return jobs whose end was learned before a moment, at most so many."""
+        ids = (
+            job_id
+            for job_id, booked in self.job_by_id.items()
+            if booked.ended_at is not None and booked.ended_at < ended_before
+        )
+        return list(islice(ids, most))
+
     def pending(self, queue: str) -> int:
         """Return how many accepted jobs of a queue have not begun."""
         return self._pending_by_queue.get(queue, 0)
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -600,10 +600,10 @@
             if run is not None:
                 self._end(view, run, end, now)
             elif end.how == "done":
-                self._credit(end, view)
+                self._credit(end, view, now)
             view.unacked.append((end.number, self._next_batch))
 
-    def _credit(self, end: EndedRun, view: MinionView) -> None:
+    def _credit(self, end: EndedRun, view: MinionView, now: float) -> None:
         """Take in that a run succeeded which was given up as lost."""
         job_id, *numbers = end.task.split(".")
         job = self.job_by_id.get(job_id)
@@ -616,7 +616,7 @@
         other = job.runs.get(task)
         if other is not None:
             other.stop_wanted = True
-        self._succeed(job, task)
+        self._succeed(job, task, now)
 
     def _run_named(self, view: MinionView, task: str, number: int) -> Run | None:
         for run in view.runs.values():
@@ -626,13 +626,14 @@
 
     def _end(self, view: MinionView, run: Run, end: EndedRun, now: float) -> None:
         job = self._detach(run)
-        self._decide("run ended", end.task, view.minion_id, {"how": end.how})
+        if end.how != "done":
+            self._decide("run ended", end.task, view.minion_id, {"how": end.how})
         if job is None:
             return
         self._dirty[job.job.job_id] = None
         if end.how == "done":
             view.faults = 0
-            self._succeed(job, run.task)
+            self._succeed(job, run.task, now)
             return
         if end.checkpoint and run.step.checkpointing:
             job.progress.checkpoints[run.task.within_job] = end.checkpoint
@@ -642,7 +643,7 @@
         if still_open and not job.progress.is_done(run.task):
             job.waiting[run.task] = None
 
-    def _succeed(self, job: OpenJob, task: TaskKey) -> None:
+    def _succeed(self, job: OpenJob, task: TaskKey, now: float) -> None:
         self._dirty[task.job_id] = None
         step = job.job.steps[task.step]
         # One member that ends done stands for its whole gang.
@@ -653,7 +654,7 @@
             job.waiting.pop(member, None)
         job.open_steps(task.occurrence)
         if job.finished():
-            self._finish(job, JobState.DONE)
+            self._finish(job, JobState.DONE, now)
 
     def _count_failure(
         self, job: OpenJob, run: Run, view: MinionView, now: float
@@ -668,13 +669,25 @@
             self._blame(view, now)
         job.failed_on.setdefault(run.task, set()).add(view.minion_id)
         if failures >= job.max_attempts:
-            self._finish(job, JobState.FAILED)
+            self._finish(job, JobState.FAILED, now)
 
-    def _finish(self, job: OpenJob, state: JobState) -> None:
+    def _finish(self, job: OpenJob, state: JobState, now: float) -> None:
         job.progress.state = state
         job.waiting.clear()
         job_id = job.job.job_id
-        self._decide(f"job {state.value}", job_id)
+        took_s = now - job.arrived_at
+        self._decide(
+            f"job {state.value}",
+            job_id,
+            details={
+                "took_s": round(took_s, 3),
+                "objective_s": round(job.objective_s, 3),
+                "late": took_s > job.objective_s,
+                "first_start_after_s": job.first_start_after_s,
+                "failures": dict(job.progress.failures) or None,
+                "attempts_allowed": job.max_attempts,
+            },
+        )
         del self.job_by_id[job_id]
         self._advice.forget_job(job_id)
         self._final[job_id] = job
@@ -913,6 +926,8 @@
             Placed(run.minion_id, run.number, self.authority.epoch)
         ]
         job.begun()
+        if job.first_start_after_s is None:
+            job.first_start_after_s = round(run.since - job.arrived_at, 3)
         self._dirty[job.job.job_id] = None
         self._starts.append(
             StartOrder(
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/nodes.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/nodes.py
@@ -59,9 +59,10 @@
 class PlatformFleet:
     """The stand-ins and some nodes; ends every process that it started."""
 
-    def __init__(self, service: str = "s") -> None:
+    def __init__(self, service: str = "s", **settings: Any) -> None:
         self.world = PlatformWorld(free_port)
         self.service = service
+        self._settings = settings
         self.node_by_name: dict[str, NodeProcess] = {}
         self._folder = tempfile.TemporaryDirectory()
 
@@ -92,6 +93,7 @@
             "machines": f"127.0.0.1:{self.world.machines_port}",
             "leaving_ms": 2000,
             **addresses,
+            **self._settings,
         }
         folder = Path(self._folder.name)
         path = folder / f"{name}.json"
--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -28,8 +28,10 @@
     StopOrder,
     UnknownOutcomeError,
     encode_owner,
+    job_key,
 )
 from geraniumshored.node.clock import wall_ms
+from geraniumshored.node.decision_log import summarize
 from geraniumshored.node.logs import log_event
 from geraniumshored.node.machinist import Machinist
 from geraniumshored.node.members import host_of
@@ -59,6 +61,9 @@
 # again after a while.
 ADVICE_PAUSE_S = 0.02
 ADVICE_RETRY_S = 0.3
+# Records of ended jobs are dropped so often, so many at once.
+DROP_PAUSE_S = 2.0
+MOST_DROPPED = 200
 # The takeover reads the log at most this long before it gives up.
 TAKEOVER_S = 5.0
 
@@ -97,6 +102,7 @@
         self._session_by_minion: dict[str, _Session] = {}
         self._batch: Batch | None = None
         self._number = 0
+        self._dropped_at = now()
 
     @property
     def stopped(self) -> bool:
@@ -248,6 +254,33 @@
             self._wake.clear()
             time.sleep(LINGER_S)
             self._decide()
+            self._drop_old_jobs()
+
+    def _drop_old_jobs(self) -> None:
+        """Drop the records of jobs that callers have had their time to ask for."""
+        now = self._now()
+        if now < self._dropped_at + DROP_PAUSE_S or not self.may_send():
+            return
+        self._dropped_at = now
+        with self._jobs.lock:
+            ids = self._jobs.book.expired(
+                now - self._settings.status_kept_s, MOST_DROPPED
+            )
+        if not ids:
+            return
+        kinds = (RecordKind.ACCEPTED, RecordKind.CANCELLED)
+        records = [
+            Record(job_key(kind, job_id), b"") for job_id in ids for kind in kinds
+        ]
+        try:
+            self._platform.store.append(Stream.ACCEPTED, records)
+        except (PlatformUnavailableError, UnknownOutcomeError) as error:
+            log_event(logger, "old jobs not dropped yet", cause=str(error))
+            return
+        with self._lock:
+            for job_id in ids:
+                self._scheduler.record(job_key(RecordKind.PROGRESS, job_id), b"")
+        log_event(logger, "old jobs dropped", jobs=len(ids))
 
     def _decide(self) -> None:
         with self._lock:
@@ -257,16 +290,9 @@
             stops = self._scheduler.take_stops()
             paces = self._scheduler.take_paces()
             decisions = self._scheduler.take_decisions()
-        for decision in decisions:
-            self._metrics.count("decisions", decision.event)
-            log_event(
-                logger,
-                decision.event,
-                task=decision.task or None,
-                minion=decision.minion_id or None,
-                epoch=self.authority.epoch,
-                **decision.details,
-            )
+        for line in summarize(decisions):
+            self._metrics.count("decisions", line.event)
+            log_event(logger, line.event, epoch=self.authority.epoch, **line.fields)
         for stop in stops:
             self._send(stop.minion_id, stop)
         for pace in paces:
--- a/tests/cover/test_platform_whole_path.py
+++ b/tests/cover/test_platform_whole_path.py
@@ -205,3 +205,23 @@
     gone = [e for e in fleet.world.events if e[1] == "end" and e[5] == "gone"]
     assert gone == []
     wait_for(lambda: wave_state(fleet) == "done", "the wave is told as done", 5)
+
+
+def test_ended_jobs_are_dropped_after_their_time():
+    with PlatformFleet(status_kept_s=1) as fleet:
+        fleet.start(nodes=1)
+        fleet.submit("n0", job_id(1), document(1))
+        fleet.wait_for_state("n0", job_id(1), "done")
+        wait_for(
+            lambda: fleet.call("n0", "GET", job_id(1)).status == 410,
+            "unknown again",
+            10,
+        )
+        kept = [
+            item["key"]
+            for part in (0, 1)
+            for item in fleet.world.log.newest("keyed.jobs", part, None).document[
+                "items"
+            ]
+        ]
+        assert not [key for key in kept if key.endswith(job_id(1))]
