--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,7 @@
 	$(BIN)/python -m pytest tests/quality
 
 demo: setup
+	$(BIN)/python -m geraniumshore_standins.platform_demo
 	$(BIN)/python -m geraniumshore_standins.demo
 
 bench: setup
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/__init__.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/__init__.py
@@ -41,6 +41,14 @@
     FirstCome,
     JobOrder,
 )
+from geraniumshore_scheduler.internal.orders import (
+    Batch,
+    Decision,
+    PaceOrder,
+    StartOrder,
+    StartOutcome,
+    StopOrder,
+)
 from geraniumshore_scheduler.internal.pacing import Pace, plan_paces
 from geraniumshore_scheduler.internal.pools import (
     Move,
@@ -68,15 +76,7 @@
     wave_key,
 )
 from geraniumshore_scheduler.internal.runs import OpenJob, Run, RunState
-from geraniumshore_scheduler.internal.scheduler import (
-    Batch,
-    Decision,
-    PaceOrder,
-    Scheduler,
-    StartOrder,
-    StartOutcome,
-    StopOrder,
-)
+from geraniumshore_scheduler.internal.scheduler import Scheduler
 
 __all__ = [
     "AdviceBook",
--- /dev/null
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/placer.py
@@ -0,0 +1,236 @@
+"""Which tasks start and stop now, and where."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from geraniumshore_scheduler.internal.advice import StepKey
+from geraniumshore_scheduler.internal.minion_view import MinionView
+from geraniumshore_scheduler.internal.model import TaskKey
+from geraniumshore_scheduler.internal.orders import StartOrder, StopOrder
+from geraniumshore_scheduler.internal.records import Placed
+from geraniumshore_scheduler.internal.runs import OpenJob, Run, RunState
+from geraniumshore_scheduler.internal.settlement import Settlement
+from geraniumshore_scheduler.internal.spread import choose_minion
+from geraniumshore_scheduler.internal.stragglers import is_straggler
+
+__all__ = ["Placer"]
+
+# A stop that shows no effect is sent again after this time; a few round trips.
+STOP_AGAIN_S = 0.4
+# A minion on which a task stands still gets no work for this time.
+STRAGGLER_AVOID_S = 3.0
+# A draining minion's tasks are stopped when this much time is left, for their
+# checkpoints and ends to be read.
+EVACUATE_MS = 600
+# A task that is so far is left to finish on a draining minion.
+NEARLY_DONE_PERCENT = 90
+
+
+class Placer(Settlement):
+    """Plans starts and stops from what the runs are known to be."""
+
+    def _evacuate(self) -> None:
+        for view in self.view_by_id.values():
+            if not view.draining or not view.reached:
+                continue
+            left = view.remaining_ms
+            closing = left is not None and left < EVACUATE_MS
+            for run in view.runs.values():
+                if run.step.lasting or (closing and run.percent < NEARLY_DONE_PERCENT):
+                    run.stop_wanted = True
+
+    def _give_up_stragglers(self, now: float) -> None:
+        for view in self.view_by_id.values():
+            if not view.reached:
+                continue
+            for run in view.runs.values():
+                if run.stop_wanted or not is_straggler(run, now):
+                    continue
+                run.stop_wanted = True
+                self._decide(
+                    "straggler", str(run.task), view.minion_id, {"percent": run.percent}
+                )
+                job = self.job_by_id.get(run.task.job_id)
+                if job is not None:
+                    job.failed_on.setdefault(run.task, set()).add(view.minion_id)
+                longer = now + STRAGGLER_AVOID_S
+                view.avoid_until = max(view.avoid_until, longer)
+
+    def _place(self, now: float) -> None:
+        jobs_by_service: dict[str, list[OpenJob]] = {}
+        for job in self.job_by_id.values():
+            if job.waiting:
+                jobs_by_service.setdefault(job.service, []).append(job)
+        if not jobs_by_service:
+            return
+        views_by_service: dict[str, list[MinionView]] = {}
+        for view in self.view_by_id.values():
+            if view.listing is not None and view.accepts(now):
+                views_by_service.setdefault(view.listing.service, []).append(view)
+        strays = {name for view in self.view_by_id.values() for name in view.strays}
+        for service, jobs in jobs_by_service.items():
+            views = views_by_service.get(service, [])
+            jobs.sort(key=lambda job: self._order.rank(job, now))
+            for job in jobs:
+                self._place_job(job, views, strays, now)
+
+    def _place_job(
+        self, job: OpenJob, views: list[MinionView], strays: set[str], now: float
+    ) -> None:
+        full = job.unplaced = set()
+        for task in list(job.waiting):
+            step_key = (task.occurrence, task.step)
+            if step_key in full or job.retry_at.get(task, 0.0) > now:
+                continue
+            if strays and str(task) in strays:
+                # An older run of it is still being stopped somewhere.
+                continue
+            step = job.job.steps[task.step]
+            allowed = views
+            if job.needs_advice:
+                allowed = list(self._advice.eligible(StepKey(*task[:3]), views, now))
+            if step.gang:
+                self._place_gang(job, task, allowed, now)
+                full.add(step_key)
+                continue
+            if not self._within_cap(job, step.size):
+                return
+            view = choose_minion(step, task, allowed, job.failed_on.get(task, ()))
+            if view is None:
+                full.add(step_key)
+                continue
+            self._start(job, task, view, self._take_run_number(), now)
+
+    def _place_gang(
+        self, job: OpenJob, first: TaskKey, views: list[MinionView], now: float
+    ) -> None:
+        """Start all tasks of a gang, or none."""
+        step = job.job.steps[first.step]
+        members = [first._replace(position=index) for index in range(step.count)]
+        if any(member not in job.waiting for member in members):
+            return
+        number = self._take_run_number()
+        placed: list[Run] = []
+        for candidates in _gang_candidates(step.same_rack, views):
+            for member in members:
+                if not self._within_cap(job, step.size):
+                    break
+                view = choose_minion(step, member, candidates)
+                if view is None:
+                    break
+                placed.append(self._planned(job, member, view, number, now))
+                self._attach(job, placed[-1])
+            if len(placed) == len(members):
+                break
+            for run in placed:
+                self._detach(run)
+                job.waiting[run.task] = None
+            placed = []
+        for run in placed:
+            self._order_start(job, run)
+
+    def _planned(
+        self, job: OpenJob, task: TaskKey, view: MinionView, number: int, now: float
+    ) -> Run:
+        step = job.job.steps[task.step]
+        return Run(
+            task,
+            number,
+            view.minion_id,
+            step,
+            job.job.team,
+            RunState.PLANNED,
+            now,
+            life=view.life,
+        )
+
+    def _start(
+        self, job: OpenJob, task: TaskKey, view: MinionView, number: int, now: float
+    ) -> None:
+        run = self._planned(job, task, view, number, now)
+        self._attach(job, run)
+        self._order_start(job, run)
+
+    def _order_start(self, job: OpenJob, run: Run) -> None:
+        view = self.view_by_id[run.minion_id]
+        assert view.listing is not None
+        name = run.task.within_job
+        job.progress.placed[name] = [
+            Placed(run.minion_id, run.number, self.authority.epoch)
+        ]
+        job.begun()
+        if job.first_start_after_s is None:
+            job.first_start_after_s = round(run.since - job.arrived_at, 3)
+        self._dirty[job.job.job_id] = None
+        self._starts.append(
+            StartOrder(
+                run,
+                view.listing.address,
+                job.job.spec,
+                self._checkpoint(job, run),
+                self.authority.epoch,
+                self._advice.ticket(StepKey(*run.task[:3]), view, run.since),
+            )
+        )
+        self._decide(
+            "start",
+            str(run.task),
+            run.minion_id,
+            {"run": run.number, "free_cpu": view.free.cpu_milli},
+        )
+
+    @staticmethod
+    def _checkpoint(job: OpenJob, run: Run) -> str:
+        """Return where a run resumes; all members of a gang resume from one place."""
+        if not run.step.gang:
+            return job.progress.checkpoints.get(run.task.within_job, "")
+        members = (run.task._replace(position=index) for index in range(run.step.count))
+        saved = (job.progress.checkpoints.get(m.within_job, "") for m in members)
+        return next((value for value in saved if value), "")
+
+    def _take_run_number(self) -> int:
+        self._next_run += 1
+        return self._next_run - 1
+
+    def _send_stops(self, now: float) -> None:
+        for view in self.view_by_id.values():
+            if not view.reached or view.listing is None:
+                continue
+            for run in view.runs.values():
+                doubtful = run.state is RunState.DOUBTFUL
+                if not (run.stop_wanted or doubtful):
+                    continue
+                if run.state is RunState.PLANNED or run.state is RunState.SENT:
+                    continue
+                if run.stop_sent_at is None or now > run.stop_sent_at + STOP_AGAIN_S:
+                    run.stop_sent_at = now
+                    self._stop(view, str(run.task), run.number)
+            for name, number in view.strays.items():
+                self._stop(view, name, number)
+
+    def _stop(self, view: MinionView, task: str, number: int) -> None:
+        assert view.listing is not None
+        self.stops.append(
+            StopOrder(
+                view.minion_id,
+                view.listing.address,
+                task,
+                number,
+                self.authority.epoch,
+            )
+        )
+        self._decide("stop", task, view.minion_id, {"run": number})
+
+
+def _gang_candidates(
+    same_rack: bool, views: list[MinionView]
+) -> Iterator[list[MinionView]]:
+    """Yield the sets of minions on which a gang may be placed, the best first."""
+    if same_rack:
+        by_rack: dict[str, list[MinionView]] = {}
+        for view in views:
+            if view.listing is not None:
+                by_rack.setdefault(view.listing.rack, []).append(view)
+        yield from sorted(by_rack.values(), key=len, reverse=True)
+    yield views
--- /dev/null
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_book.py
@@ -0,0 +1,243 @@
+"""The jobs, runs and minions that an owner of the schedule knows."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from geraniumshore_scheduler.internal.advice import AdviceBook
+from geraniumshore_scheduler.internal.authority import Authority, OwnershipTimes
+from geraniumshore_scheduler.internal.minion_view import MinionView
+from geraniumshore_scheduler.internal.model import Configuration, Resources, TaskKey
+from geraniumshore_scheduler.internal.ordering import ByObjective, JobOrder
+from geraniumshore_scheduler.internal.orders import (
+    Decision,
+    PaceOrder,
+    StartOrder,
+    StopOrder,
+)
+from geraniumshore_scheduler.internal.pool_meter import Arrivals
+from geraniumshore_scheduler.internal.records import JobState
+from geraniumshore_scheduler.internal.runs import OpenJob, Run, RunState
+
+__all__ = ["AVOID_S", "RunBook"]
+
+MS = 1000.0
+# Runs are numbered by epoch and count, so that they rise from owner to owner.
+RUNS_PER_EPOCH = 1_000_000
+# A minion that refused, failed or did not answer for some work is left alone for this
+# time, doubled with each failure.
+AVOID_S = 0.5
+LONGEST_AVOID_S = 8.0
+# Failures in a row, of different jobs, that show a minion to be at fault.
+FAULTS_TO_AVOID = 2
+
+
+class RunBook:
+    """What is known, and what each change of it brings about.
+
+    All times are those of one monotonic clock that counts suspensions too.
+    """
+
+    def __init__(
+        self,
+        authority: Authority,
+        times: OwnershipTimes,
+        order: JobOrder | None = None,
+        opened_at_by_epoch: Mapping[int, float] | None = None,
+    ) -> None:
+        self.authority = authority
+        self.times = times
+        self.configuration: Configuration | None = None
+        self.job_by_id: dict[str, OpenJob] = {}
+        self.view_by_id: dict[str, MinionView] = {}
+        self.decisions: list[Decision] = []
+        self.stops: list[StopOrder] = []
+        self.paces: list[PaceOrder] = []
+        self._order = order or ByObjective()
+        self._opened_at_by_epoch = opened_at_by_epoch or {}
+        self._used_services: set[str] = set()
+        self._arrivals = Arrivals()
+        self._gone_life_by_id: dict[str, int] = {}
+        self._team_use: dict[str, Resources] = {}
+        self._dirty: dict[str, None] = {}
+        self._advice = AdviceBook()
+        self._records: dict[str, bytes] = {}
+        self._final: dict[str, OpenJob] = {}
+        self._starts: list[StartOrder] = []
+        self._next_batch = 1
+        self._durable_batch = 0
+        self._next_run = authority.epoch * RUNS_PER_EPOCH + 1
+
+    def _classify(self, job: OpenJob) -> None:
+        queue = None
+        if self.configuration is not None:
+            queue = self.configuration.queue_by_name.get(job.job.queue)
+        if queue is None:
+            return
+        job.service = queue.service
+        job.priority = queue.priority
+        job.max_attempts = queue.max_attempts
+        job.needs_advice = queue.needs_advice
+        job.objective_s = (
+            queue.stretch * job.work_left_s() + queue.target_latency_ms / MS
+        )
+
+    def _adopt(self, job: OpenJob, now: float) -> None:
+        for name, places in job.progress.placed.items():
+            occurrence, step, index = (int(part) for part in name.split("."))
+            task = TaskKey(job.job.job_id, occurrence, step, index)
+            if job.progress.is_done(task):
+                continue
+            for place in places:
+                run = Run(
+                    task,
+                    place.run,
+                    place.minion_id,
+                    job.job.steps[step],
+                    job.job.team,
+                    RunState.ADOPTED,
+                    now,
+                    foreign_until=self._foreign_until(place.epoch),
+                )
+                self._attach(job, run)
+
+    def _foreign_until(self, epoch: int) -> float:
+        """Return until when the owner of an epoch may have renewed leases."""
+        later = [at for e, at in self._opened_at_by_epoch.items() if e > epoch]
+        return min(later, default=self.authority.taken_at) + self.times.former_owner
+
+    @staticmethod
+    def _begun_before(job: OpenJob, occurrence: int) -> bool:
+        prefix = f"{occurrence}."
+        progress = job.progress
+        return any(
+            name.startswith(prefix)
+            for names in (progress.done, progress.failures, progress.placed)
+            for name in names
+        )
+
+    def _attach(self, job: OpenJob, run: Run) -> None:
+        job.runs[run.task] = run
+        job.waiting.pop(run.task, None)
+        view = self.view_by_id.setdefault(run.minion_id, MinionView(run.minion_id))
+        view.attach(run)
+        if run.team is not None:
+            use = self._team_use.get(run.team, Resources())
+            self._team_use[run.team] = use.plus(run.step.size)
+
+    def _detach(self, run: Run) -> OpenJob | None:
+        view = self.view_by_id.get(run.minion_id)
+        if view is not None:
+            view.detach(run)
+        if run.team is not None:
+            use = self._team_use.get(run.team, Resources())
+            self._team_use[run.team] = use.minus(run.step.size)
+        job_id = run.task.job_id
+        job = self.job_by_id.get(job_id) or self._final.get(job_id)
+        if job is None:
+            return None
+        if job.runs.get(run.task) is run:
+            del job.runs[run.task]
+            job.progress.placed.pop(run.task.within_job, None)
+        if job_id in self._final:
+            if not job.runs and job_id not in self._dirty:
+                del self._final[job_id]
+            return None
+        return job
+
+    def _free(self, run: Run, now: float, why: str) -> None:
+        """Note that a run certainly is not and will not be on its minion."""
+        self._decide("run freed", str(run.task), run.minion_id, {"why": why})
+        job = self._detach(run)
+        if job is None:
+            return
+        self._dirty[run.task.job_id] = None
+        if run.task not in job.runs and not job.progress.is_done(run.task):
+            job.waiting[run.task] = None
+
+    def _begin_life(self, view: MinionView, life: int, now: float) -> None:
+        """All runs of a former life are over."""
+        first = view.life is None
+        view.life = life
+        view.seen_end = view.acked_upto = 0
+        view.unacked.clear()
+        view.strays.clear()
+        view.faults = 0
+        if first:
+            # Runs that a former owner wrote down are settled by the first report.
+            return
+        view.reached = False
+        for run in list(view.runs.values()):
+            if run.life != life:
+                self._free(run, now, "minion born again")
+
+    def _run_named(self, view: MinionView, task: str, number: int) -> Run | None:
+        for run in view.runs.values():
+            if run.number == number and str(run.task) == task:
+                return run
+        return None
+
+    def _succeed(self, job: OpenJob, task: TaskKey, now: float) -> None:
+        self._dirty[task.job_id] = None
+        step = job.job.steps[task.step]
+        # One member that ends done stands for its whole gang.
+        members = range(step.count) if step.gang else (task.position,)
+        for position in members:
+            member = task._replace(position=position)
+            job.progress.mark_done(member)
+            job.waiting.pop(member, None)
+        job.open_steps(task.occurrence)
+        if job.finished():
+            self._finish(job, JobState.DONE, now)
+
+    def _finish(self, job: OpenJob, state: JobState, now: float) -> None:
+        job.progress.state = state
+        job.waiting.clear()
+        job_id = job.job.job_id
+        took_s = now - job.arrived_at
+        self._decide(
+            f"job {state.value}",
+            job_id,
+            details={
+                "took_s": round(took_s, 3),
+                "objective_s": round(job.objective_s, 3),
+                "late": took_s > job.objective_s,
+                "first_start_after_s": job.first_start_after_s,
+                "failures": dict(job.progress.failures) or None,
+                "attempts_allowed": job.max_attempts,
+            },
+        )
+        del self.job_by_id[job_id]
+        self._advice.forget_job(job_id)
+        self._final[job_id] = job
+        for run in job.runs.values():
+            run.stop_wanted = True
+
+    def _blame(self, view: MinionView, now: float) -> None:
+        view.faults += 1
+        if view.faults >= FAULTS_TO_AVOID:
+            longer = 2 ** (view.faults - FAULTS_TO_AVOID)
+            view.avoid_until = now + min(LONGEST_AVOID_S, AVOID_S * longer)
+            self._decide("minion avoided", "", view.minion_id, {"faults": view.faults})
+
+    def _within_cap(self, job: OpenJob, size: Resources) -> bool:
+        team_name = job.job.team
+        if team_name is None or self.configuration is None:
+            return True
+        team = self.configuration.team_by_name.get(team_name)
+        if team is None:
+            return True
+        use = self._team_use.get(team_name, Resources()).plus(size)
+        return all(
+            limit == 0 or amount <= limit
+            for amount, limit in zip(use, team.cap, strict=True)
+        )
+
+    def _decide(
+        self,
+        event: str,
+        task: str,
+        minion_id: str = "",
+        details: dict[str, object] | None = None,
+    ) -> None:
+        self.decisions.append(Decision(event, task, minion_id, details or {}))
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/world.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/world.py
@@ -9,8 +9,6 @@
 from dataclasses import dataclass
 from typing import Any
 
-from waitress.server import BaseWSGIServer, MultiSocketServer
-
 from geraniumshore_standins.internal.users_platform.log_model import LogModel, Reply
 from geraniumshore_standins.internal.users_platform.minion_model import MinionModel
 from geraniumshore_standins.internal.wsgi import Answer, Call, serve_in_thread
@@ -19,6 +17,8 @@
 
 POLL_S = 0.01
 BEAT_S = 0.5
+# Calls that wait look for the end this often, with room to spare.
+CLOSE_S = 0.1
 STORE_THREADS = 64
 MINION_THREADS = 8
 UPKEEP_S = 0.5
@@ -35,7 +35,6 @@
     rack: str
     port: int
     state: str = "ready"
-    server: BaseWSGIServer | MultiSocketServer | None = None
 
 
 @dataclass(slots=True)
@@ -79,8 +78,9 @@
         threading.Thread(target=self._beat, daemon=True).start()
 
     def close(self) -> None:
-        """End all servers."""
+        """End all servers, after the calls that still wait."""
         self._closed.set()
+        time.sleep(CLOSE_S)
         for server in self._servers:
             server.close()
 
@@ -139,8 +139,10 @@
         )
         port = self._take_port()
         minion = StandInMinion(model, machine.pool, machine.name, machine.rack, port)
-        minion.server = serve_in_thread(
-            lambda call: self._serve_minion(minion, call), port, MINION_THREADS
+        self._servers.append(
+            serve_in_thread(
+                lambda call: self._serve_minion(minion, call), port, MINION_THREADS
+            )
         )
         machine.minion = minion
         machine.state = "up"
@@ -157,8 +159,6 @@
             )
         minion.model.runs.clear()
         minion.state = "gone"
-        if minion.server is not None:
-            minion.server.close()
         self.log.put("keyed.servers", minion.model.minion_id, b"")
 
     def _write_entry(self, minion: StandInMinion) -> None:
@@ -199,6 +199,8 @@
             reply = minion.model.call(name, document, self.now())
         deadline = self.now() + float(document.get("wait_ms", 0)) / 1000
         while name == "hold" and reply.status == 200 and self.now() < deadline:
+            if self._closed.is_set() or minion.state == "gone":
+                return Answer(503, cut=True)
             if reply.document["ended"]:
                 break
             time.sleep(POLL_S)
@@ -218,6 +220,7 @@
             and reply.status == 200
             and len(reply.raw or b"") <= 16
             and self.now() < deadline
+            and not self._closed.is_set()
         ):
             time.sleep(POLL_S)
             reply = self._store_reply(call)
--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import queue
 import threading
 import time
 from collections.abc import Callable
@@ -15,7 +14,6 @@
     BookedJob,
     GeraniumshoreError,
     HoldRequest,
-    MinionGoneError,
     OwnerRecord,
     OwnerReplacedError,
     PaceOrder,
@@ -37,6 +35,12 @@
 from geraniumshored.node.members import host_of
 from geraniumshored.node.metrics import NodeMetrics
 from geraniumshored.node.ports import Platform, Record, Stream, Writer
+from geraniumshored.node.sessions import (
+    SILENT_PAUSE_S,
+    MinionSession,
+    Order,
+    SessionOwner,
+)
 from geraniumshored.node.settings import NodeSettings
 from geraniumshored.node.views import JobsView, MinionsView, OperatorsView
 
@@ -51,8 +55,6 @@
 LINGER_S = 0.01
 # An append that failed is made again after this time.
 RETRY_S = 0.05
-# A minion that did not answer is looked at again after this time.
-SILENT_PAUSE_S = 0.25
 # While ends wait to be recorded, the next look comes after this time.
 UNRECORDED_PAUSE_S = 0.02
 # Without news, a look that did not wait is made again after this time.
@@ -67,10 +69,8 @@
 # The takeover reads the log at most this long before it gives up.
 TAKEOVER_S = 5.0
 
-Order = StartOrder | StopOrder | PaceOrder
-
 
-class Owner:
+class Owner(SessionOwner):
     """One epoch of ownership, from taking it to losing it."""
 
     def __init__(
@@ -99,7 +99,7 @@
             settings.times,
             opened_at_by_epoch=self._jobs.book.opened_at_by_epoch,
         )
-        self._session_by_minion: dict[str, _Session] = {}
+        self._session_by_minion: dict[str, MinionSession] = {}
         self._batch: Batch | None = None
         self._number = 0
         self._dropped_at = now()
@@ -239,7 +239,7 @@
             self._scheduler.set_listings(self._minions.listing_by_id, self._now())
             known = set(self._scheduler.view_by_id)
             for minion_id in known - set(self._session_by_minion):
-                session = _Session(self, minion_id)
+                session = MinionSession(self, minion_id)
                 self._session_by_minion[minion_id] = session
                 session.start()
             for minion_id in set(self._session_by_minion) - known:
@@ -485,57 +485,3 @@
         with self._lock:
             self._scheduler.on_stop_answer(order, None, self._now())
         self._wake.set()
-
-
-class _Session:
-    """Two threads for one minion: one looks, the other gives orders."""
-
-    def __init__(self, owner: Owner, minion_id: str) -> None:
-        self._owner = owner
-        self._minion_id = minion_id
-        self._orders: queue.SimpleQueue[Order | None] = queue.SimpleQueue()
-        self._closed = threading.Event()
-
-    def start(self) -> None:
-        """Begin to look and to give orders."""
-        for target, name in ((self._look, "look"), (self._give, "orders")):
-            threading.Thread(
-                target=target, name=f"{name}-{self._minion_id}", daemon=True
-            ).start()
-
-    def close(self) -> None:
-        """End both threads."""
-        self._closed.set()
-        self._orders.put(None)
-
-    def send(self, order: Order) -> None:
-        """Queue an order."""
-        self._orders.put(order)
-
-    def _open(self) -> bool:
-        return not (self._closed.is_set() or self._owner.stopped)
-
-    def _look(self) -> None:
-        while self._open():
-            pause = self._guard(lambda: self._owner.look(self._minion_id))
-            if pause:
-                self._closed.wait(pause)
-
-    def _give(self) -> None:
-        while self._open():
-            order = self._orders.get()
-            if order is None:
-                return
-            self._guard(lambda order=order: self._owner.carry_out(order))  # type: ignore[misc]
-
-    def _guard(self, call: Callable[[], float | None]) -> float | None:
-        try:
-            return call()
-        except OwnerReplacedError as error:
-            self._owner.stop(str(error))
-        except MinionGoneError as error:
-            log_event(logger, "minion gone", minion=self._minion_id, cause=str(error))
-            self._owner.gone(self._minion_id)
-        except Exception:
-            logger.exception("fault while serving minion %s", self._minion_id)
-        return SILENT_PAUSE_S
