--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/wsgi.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/wsgi.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import threading
 from collections.abc import Callable, Iterable
@@ -80,10 +81,16 @@
     server = create_server(
         application_of(handler), host="127.0.0.1", port=port, threads=threads
     )
-    threading.Thread(target=server.run, daemon=True).start()
+    threading.Thread(target=_run_until_closed, args=[server], daemon=True).start()
     return server
 
 
+def _run_until_closed(server: BaseWSGIServer | MultiSocketServer) -> None:
+    # Closing a server from another thread ends its loop with an error on the socket.
+    with contextlib.suppress(OSError):
+        server.run()
+
+
 def _read_call(environ: WsgiEnviron) -> Call:
     headers = {
         name[5:].replace("_", "-").lower(): value
