--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/model.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/model.py
@@ -152,10 +152,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Service:
-    """A pool of minions. A ``standby`` pool holds spare machines that are off."""
+    """A pool of minions. A ``standby`` pool holds spare machines that are off.
+
+    Whether its minions guard their capacity does not matter: it is never passed.
+    """
 
     name: str
-    guards_capacity: bool
     standby: bool
 
 
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/orders.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/orders.py
@@ -62,7 +62,6 @@
     UNHEALTHY = "unhealthy"
     NO_TICKET = "ticket"
     REFUSED = "refused"
-    GONE = "gone"
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
@@ -52,7 +52,6 @@
     percent: int = 0
     measured: float = 0.0
     pace: int = 100
-    over_target_since: float | None = None
     progressed_at: float = 0.0
     at_work: bool = False
     foreign_until: float | None = None
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/settlement.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/settlement.py
@@ -114,9 +114,7 @@
         view.granted_at = now
         return view.lease_until_ms(now, self.times)
 
-    def on_start_answer(
-        self, run: Run, outcome: str, life: int | None, now: float
-    ) -> None:
+    def on_start_answer(self, run: Run, outcome: str, now: float) -> None:
         """Take in how a start was answered."""
         view = self.view_by_id.get(run.minion_id)
         if view is None or view.runs.get(run.task) is not run:
@@ -143,7 +141,7 @@
             job.retry_at[run.task] = now + RETRY_S
         self._free(run, now, f"start refused: {outcome}")
 
-    def on_stop_answer(self, order: StopOrder, life: int | None, now: float) -> None:
+    def on_stop_answer(self, order: StopOrder, now: float) -> None:
         """Take in that a minion accepted a stop; a run that is not there never will be.
 
         The run counts as there until a later look shows that it is not.
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/nodes.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/nodes.py
@@ -91,7 +91,7 @@
             "data_centre": "a",
             "store": f"127.0.0.1:{self.world.store_port}",
             "machines": f"127.0.0.1:{self.world.machines_port}",
-            "leaving_ms": 2000,
+            "leaving_s": 2,
             **addresses,
             **self._settings,
         }
--- a/packages/geraniumshored/src/geraniumshored/internal/front.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/front.py
@@ -9,9 +9,9 @@
 
 from waitress.channel import HTTPChannel
 from waitress.server import BaseWSGIServer, create_server
-from waitress.task import WSGITask
 
 from geraniumshored.internal.calls import CallHandler
+from geraniumshored.internal.closing import closing_channel
 from geraniumshored.internal.http_types import (
     HttpAnswer,
     HttpRequest,
@@ -37,26 +37,6 @@
 SENT_POLL_SECONDS = 0.02
 
 
-def closing_channel(stopping: threading.Event) -> type[HTTPChannel]:
-    """Return a channel whose answers end the connection once ``stopping`` is set.
-
-    A caller that keeps its connection would otherwise send its next request into the
-    end of the process.
-    """
-
-    class ClosingTask(WSGITask):
-        def build_response_header(self) -> bytes:
-            if stopping.is_set():
-                self.set_close_on_finish()
-            header: bytes = super().build_response_header()
-            return header
-
-    class ClosingChannel(HTTPChannel):
-        task_class = ClosingTask
-
-    return ClosingChannel
-
-
 class Front:
     """Serves HTTP with a bounded number of threads."""
 
--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -465,7 +465,7 @@
                 outcome=outcome,
             )
         with self._lock:
-            self._scheduler.on_start_answer(order.run, outcome, None, self._now())
+            self._scheduler.on_start_answer(order.run, outcome, self._now())
         self._wake.set()
 
     def _stop_run(self, order: StopOrder) -> None:
@@ -483,5 +483,5 @@
             )
             return
         with self._lock:
-            self._scheduler.on_stop_answer(order, None, self._now())
+            self._scheduler.on_stop_answer(order, self._now())
         self._wake.set()
--- a/packages/geraniumshored/src/geraniumshored/node/settings.py
+++ b/packages/geraniumshored/src/geraniumshored/node/settings.py
@@ -14,9 +14,8 @@
     """One node. All times are in seconds.
 
     ``leaving_s`` is how long a process may go on after SIGTERM. ``duty_lease_s`` is how
-    long another owner's orders to machines must be past. ``notice_s`` is how long a
-    task must be away before it counts against its step's budget. ``harm_s`` is how
-    long a serving task may be over its target through work beside it. ``processors``
+    long another owner's orders to machines must be past.
+    ``processors``
     is what the host gives this process, in cores.
     """
 
@@ -26,8 +25,4 @@
     leaving_s: float
     duty_lease_s: float
     status_kept_s: float
-    notice_s: float
-    harm_s: float
-    move_s: float
-    stop_s: float
     processors: float
--- a/packages/geraniumshored/src/geraniumshored/platform/consumers.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/consumers.py
@@ -8,11 +8,10 @@
 import time
 from collections.abc import Callable, Iterable
 
-from waitress.channel import HTTPChannel
 from waitress.server import BaseWSGIServer, create_server
-from waitress.task import WSGITask
 
 from geraniumshore_scheduler import Job, Queue
+from geraniumshored.internal.closing import closing_channel
 from geraniumshored.internal.http_types import HttpAnswer, StartResponse, WsgiEnviron
 from geraniumshored.internal.sockets import SOCKET_OPTIONS
 from geraniumshored.node.intake import Answer, Caller, Intake, JobDecoder, Verdict
@@ -55,22 +54,6 @@
         return decode_job_request(body, job_id, queue, team, accepted_ms)
 
 
-def closing_channel(stopping: threading.Event) -> type[HTTPChannel]:
-    """Return a channel whose answers end the connection once ``stopping`` is set."""
-
-    class ClosingTask(WSGITask):
-        def build_response_header(self) -> bytes:
-            if stopping.is_set():
-                self.set_close_on_finish()
-            header: bytes = super().build_response_header()
-            return header
-
-    class ClosingChannel(HTTPChannel):
-        task_class = ClosingTask
-
-    return ClosingChannel
-
-
 class ConsumerFront:
     """Serves callers on one address, the balancer and scrapers on others."""
 
--- a/packages/geraniumshored/src/geraniumshored/platform/documents.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/documents.py
@@ -122,7 +122,6 @@
 
 class _Service(_Document):
     name: str
-    enforces_capacity: bool = False
     # The machines of such a pool are off.
     standby: bool = False
 
@@ -268,9 +267,7 @@
             for route in config.routes
         ),
         service_by_name={
-            service.name: Service(
-                service.name, service.enforces_capacity, service.standby
-            )
+            service.name: Service(service.name, service.standby)
             for service in config.services
         },
         team_by_name={
--- a/packages/geraniumshored/src/geraniumshored/platform/settings.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/settings.py
@@ -22,7 +22,7 @@
 
 
 class PlatformSettings(BaseModel):
-    """One node's settings, checked whole. Times are in milliseconds."""
+    """One node's settings, checked whole. Names end with the unit."""
 
     model_config = ConfigDict(extra="forbid", frozen=True)
 
@@ -36,13 +36,9 @@
     advice: str = ""
     group_ttl_ms: Annotated[int, Field(ge=1)] = 1000
     longest_lease_ms: Annotated[int, Field(ge=1)] = 6000
-    stop_ms: Annotated[int, Field(ge=0)] = 1000
-    leaving_ms: Annotated[int, Field(ge=0)] = 6000
+    leaving_s: Annotated[float, Field(ge=0)] = 6.0
     duty_lease_ms: Annotated[int, Field(ge=0)] = 3000
     status_kept_s: Annotated[int, Field(ge=1)] = 120
-    notice_ms: Annotated[int, Field(ge=0)] = 4500
-    harm_ms: Annotated[int, Field(ge=0)] = 4000
-    move_ms: Annotated[int, Field(ge=0)] = 1500
     cpu_share: Annotated[float, Field(gt=0)] = 1.0
     cpu_speed: Annotated[float, Field(gt=0)] = 1.0
 
@@ -56,13 +52,9 @@
                 grace=GRACE_S,
                 longest_lease=self.longest_lease_ms / MS,
             ),
-            leaving_s=self.leaving_ms / MS,
+            leaving_s=self.leaving_s,
             duty_lease_s=self.duty_lease_ms / MS,
             status_kept_s=float(self.status_kept_s),
-            notice_s=self.notice_ms / MS,
-            harm_s=self.harm_ms / MS,
-            move_s=self.move_ms / MS,
-            stop_s=self.stop_ms / MS,
             # The platform gives a share of a core that is so many times as fast.
             processors=self.cpu_share * self.cpu_speed,
         )
--- a/tests/common/schedule_parts.py
+++ b/tests/common/schedule_parts.py
@@ -54,7 +54,7 @@
     return Configuration(
         version,
         (Queue("q", "h", "/q/", "s", 0, max_attempts, 2.0, 500, False),),
-        {"s": Service("s", False, False), "spare": Service("spare", False, True)},
+        {"s": Service("s", False), "spare": Service("spare", True)},
         {"team": Team("team", frozenset({"key"}), 1.0, cap)},
         100_000,
     )
@@ -105,7 +105,7 @@
         for order in batch.starts:
             if self.scheduler.on_start_sent(order.run, self.now) is not None:
                 self.scheduler.on_start_answer(
-                    order.run, StartOutcome.STARTED, None, self.now
+                    order.run, StartOutcome.STARTED, self.now
                 )
         return batch.starts
 
--- a/tests/common/schedule_world.py
+++ b/tests/common/schedule_world.py
@@ -531,7 +531,7 @@
                 outcome = StartOutcome.OLD_RUN
         except UnknownOutcomeError:
             pass
-        self.scheduler.on_start_answer(order.run, outcome, None, now)
+        self.scheduler.on_start_answer(order.run, outcome, now)
 
     def _stop(self, order: StopOrder) -> None:
         assert self.scheduler is not None
@@ -540,7 +540,7 @@
             self._order(order.minion_id, "run-stop", document)
         except UnknownOutcomeError:
             return
-        self.scheduler.on_stop_answer(order, None, self.world.now)
+        self.scheduler.on_stop_answer(order, self.world.now)
 
     def _look(self) -> None:
         assert self.scheduler is not None
@@ -576,7 +576,7 @@
     return Configuration(
         1,
         (Queue("q", "h", "/q/", "s", 0, 3, 2.0, 500, False),),
-        {"s": Service("s", False, False)},
+        {"s": Service("s", False)},
         {"team": Team("team", frozenset({"key"}), 1.0, Resources())},
         100_000,
     )
--- a/tests/cover/test_advice.py
+++ b/tests/cover/test_advice.py
@@ -60,7 +60,7 @@
     fleet.scheduler.on_durable(batch)
     for order in batch.starts:
         fleet.scheduler.on_start_sent(order.run, 0.0)
-        fleet.scheduler.on_start_answer(order.run, StartOutcome.NO_TICKET, None, 0.0)
+        fleet.scheduler.on_start_answer(order.run, StartOutcome.NO_TICKET, 0.0)
     fleet.now = 1.0
     fleet.report("i-0")
     assert fleet.plan() == ()
--- a/tests/cover/test_machinist.py
+++ b/tests/cover/test_machinist.py
@@ -19,7 +19,7 @@
 from geraniumshored.node.settings import NodeSettings
 from tests.common.schedule_parts import CAPACITY, SMALL, TIMES, Fleet, job
 
-SETTINGS = NodeSettings("n", "a", TIMES, 6, 3, 120, 4.5, 4, 1.5, 0.2, 1.0)
+SETTINGS = NodeSettings("n", "a", TIMES, 6, 3, 120, 1.0)
 
 
 class FakeMachines:
--- a/tests/cover/test_scheduler_decisions.py
+++ b/tests/cover/test_scheduler_decisions.py
@@ -77,13 +77,13 @@
     fleet.scheduler.on_durable(batch)
     (order,) = batch.starts
     fleet.scheduler.on_start_sent(order.run, 0.0)
-    fleet.scheduler.on_start_answer(order.run, StartOutcome.NO_ANSWER, None, 0.7)
+    fleet.scheduler.on_start_answer(order.run, StartOutcome.NO_ANSWER, 0.7)
     fleet.now = 1.0
     minion = order.run.minion_id
     fleet.report(minion)
     assert fleet.plan() == ()
     (stop,) = fleet.scheduler.take_stops()
-    fleet.scheduler.on_stop_answer(stop, None, 1.0)
+    fleet.scheduler.on_stop_answer(stop, 1.0)
     fleet.now = 1.1
     fleet.report(minion)
     assert len(fleet.plan()) == 1
--- a/tests/nocover/test_schedule_mutations.py
+++ b/tests/nocover/test_schedule_mutations.py
@@ -33,10 +33,10 @@
 def unanswered_starts_count_as_refused(patch):
     answer = Scheduler.on_start_answer
 
-    def refused(self, run, outcome, life, now):
+    def refused(self, run, outcome, now):
         if outcome == StartOutcome.NO_ANSWER:
             outcome = StartOutcome.OLD_RUN
-        answer(self, run, outcome, life, now)
+        answer(self, run, outcome, now)
 
     patch.setattr(Scheduler, "on_start_answer", refused)
 
