--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_book.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_book.py
@@ -109,12 +109,6 @@
         """Return how many accepted jobs of a queue have not begun."""
         return self._pending_by_queue.get(queue, 0)
 
-    def clear(self) -> None:
-        """Forget everything, before the newest records are read again."""
-        self.job_by_id.clear()
-        self._orphans.clear()
-        self._pending_by_queue.clear()
-
     def _note_owner(self, owner: OwnerRecord, now: float) -> None:
         """Note the owner, and when its epoch had certainly begun."""
         if self.owner is None or owner.epoch > self.owner.epoch:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
@@ -43,7 +43,6 @@
     life: int | None = None
     clock_ms: float = 0.0
     clock_at: float = 0.0
-    answered_at: float | None = None
     granted_at: float | None = None
     unanswered_grant_at: float | None = None
     late_grant_until: float = 0.0
@@ -108,13 +107,12 @@
         if self.unanswered_grant_at is None:
             self.unanswered_grant_at = sent_at
 
-    def note_answer(self, same_life: bool, now: float, times: OwnershipTimes) -> None:
+    def note_answer(self, same_life: bool, times: OwnershipTimes) -> None:
         """Note an answer to a look: the minion lives and is within reach."""
         if same_life and self.unanswered_grant_at is not None:
             late = self.unanswered_grant_at + times.order_delay + times.lapse
             self.late_grant_until = max(self.late_grant_until, late)
         self.unanswered_grant_at = None
-        self.answered_at = now
         self.reached = True
 
     def lapsed_at(self, run: Run, times: OwnershipTimes) -> float:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/settlement.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/settlement.py
@@ -67,7 +67,7 @@
         same_life = view.life == report.life
         if view.life is not None and report.life < view.life:
             return
-        view.note_answer(same_life, now, self.times)
+        view.note_answer(same_life, self.times)
         if not same_life:
             self._begin_life(view, report.life, now)
         view.clock_ms, view.clock_at = report.clock_ms, now
--- a/packages/geraniumshored/src/geraniumshored/node/intake.py
+++ b/packages/geraniumshored/src/geraniumshored/node/intake.py
@@ -145,9 +145,7 @@
             self._jobs.refresh(FRESH_WAIT_S)
             state = self._find_state(job_id, team)
         if state is None:
-            if not self._current():
-                return self._behind()
-            return self._told("show", job_id, Answer(Verdict.UNKNOWN_JOB))
+            return self._unknown_job("show", job_id)
         return Answer(Verdict.OK, state=state)
 
     def cancel(self, caller: Caller) -> Answer:
@@ -161,9 +159,7 @@
             self._jobs.refresh(FRESH_WAIT_S)
             state = self._find_state(job_id, team)
         if state is None:
-            if not self._current():
-                return self._behind()
-            return self._told("cancel", job_id, Answer(Verdict.UNKNOWN_JOB))
+            return self._unknown_job("cancel", job_id)
         if state.final:
             return self._told("cancel", job_id, Answer(Verdict.OK, state=state))
         record = Record(job_key(RecordKind.CANCELLED, job_id), CANCEL_MARK)
@@ -216,6 +212,11 @@
             )
         return Answer(Verdict.UNCERTAIN, detail="the store did not answer")
 
+    def _unknown_job(self, call: str, job_id: str) -> Answer:
+        if not self._current():
+            return self._behind()
+        return self._told(call, job_id, Answer(Verdict.UNKNOWN_JOB))
+
     def _current(self) -> bool:
         return self._jobs.age(self._now()) < CURRENT_S
 
--- a/packages/geraniumshored/src/geraniumshored/node/machinist.py
+++ b/packages/geraniumshored/src/geraniumshored/node/machinist.py
@@ -139,9 +139,12 @@
             elif listed.up and name not in self._moving:
                 # It was not ended after all.
                 del self._ending[name]
-                view = self._scheduler.view_by_id.get(minion_id)
-                if view is not None:
-                    view.cordoned = False
+                self._set_cordoned(minion_id, False)
+
+    def _set_cordoned(self, minion_id: str | None, cordoned: bool) -> None:
+        view = self._scheduler.view_by_id.get(minion_id or "")
+        if view is not None:
+            view.cordoned = cordoned
 
     # Upkeep.
 
@@ -250,9 +253,7 @@
     def _cordon(self, move: Move) -> None:
         minion_id = self._machine_by_name[move.machine].minion_id
         self._moving[move.machine] = move, minion_id
-        view = self._scheduler.view_by_id.get(minion_id or "")
-        if view is not None:
-            view.cordoned = True
+        self._set_cordoned(minion_id, True)
 
     def _move(self, move: Move) -> None:
         """Order a move, again and again in the same words while there is no answer."""
@@ -286,6 +287,4 @@
                     self._ending[move.machine] = machine.minion_id
             else:
                 self._moving.pop(move.machine, None)
-                view = self._scheduler.view_by_id.get(machine.minion_id or "")
-                if view is not None:
-                    view.cordoned = False
+                self._set_cordoned(machine.minion_id, False)
--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -100,7 +100,6 @@
             opened_at_by_epoch=self._jobs.book.opened_at_by_epoch,
         )
         self._session_by_minion: dict[str, MinionSession] = {}
-        self._batch: Batch | None = None
         self._number = 0
         self._dropped_at = now()
 
