Take back a move whose owner loses its authority before ordering it

Cause: the moves of a plan were cordoned and noted as on their way together, and a move whose turn came after the authority had lapsed was skipped: neither ordered nor taken back. The machine stayed cordoned, and counted for a pool that never got it, until another owner took over. Ruled out: that the next list clears it (the list shows no new minion, so it stays). Now every planned move goes through the same path, which takes it back where it may not be ordered. The test failed before ({'m-0': ...} left on its way).

--- a/packages/geraniumshored/src/geraniumshored/node/machinist.py
+++ b/packages/geraniumshored/src/geraniumshored/node/machinist.py
@@ -239,8 +239,7 @@
             for move in moves:
                 self._cordon(move)
         for move in moves:
-            if self._may_order():
-                self._move(move)
+            self._move(move)
 
     def _idle(self, machine: MachineListing, standby: str | None) -> bool:
         if not machine.up:
@@ -256,7 +255,10 @@
         self._set_cordoned(minion_id, True)
 
     def _move(self, move: Move) -> None:
-        """Order a move, again and again in the same words while there is no answer."""
+        """Order a move, again and again in the same words while there is no answer.
+
+        Without the authority to order it, the move is taken back.
+        """
         machine = self._machine_by_name[move.machine]
         moved: bool | None = None
         while moved is None and self._may_order():
--- a/tests/cover/test_machinist.py
+++ b/tests/cover/test_machinist.py
@@ -127,6 +127,20 @@
     assert bench.machines.orders == [("move", "m-0")] * 3
 
 
+def test_a_planned_move_is_taken_back_if_authority_ends_before_its_order():
+    bench = Bench()
+    bench.pass_time(5)
+    bench.machinist._list()
+    bench.machinist._pools = SimpleNamespace(  # type: ignore[assignment]
+        plan=lambda *_: [Move("m-0", "spare")]
+    )
+    bench.fleet.now += TIMES.ttl + 0.1
+    bench.machinist._plan_moves()
+    assert bench.machines.orders == []
+    assert bench.machinist._moving == {}
+    assert not bench.fleet.scheduler.view_by_id["i-0"].cordoned
+
+
 def test_a_new_owner_does_not_maintain_again():
     bench = Bench()
     bench.waves[1] = UpkeepWave(1, ("m-0", "m-1"), 30, 2), 0.0
