Search a full pool once a pass, not once a waiting job

Cause: with 450 jobs waiting, each pass tried every job on every minion of the pool again: 33 ms a pass on 60 minions, at each answer, so the owner's time went into finding no room while ends and looks queued. Now a pass remembers the sizes that found no room; what is larger is not tried; and the work left in a job is worked out once a step.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
@@ -87,6 +87,17 @@
             return Resources()
         return self.listing.capacity.minus(self.used)
 
+    def has_room(self, room: Resources) -> bool:
+        """Tell whether there is as much capacity that nothing uses or may use."""
+        if self.listing is None:
+            return False
+        capacity, used = self.listing.capacity, self.used
+        return (
+            room.cpu_milli <= capacity.cpu_milli - used.cpu_milli
+            and room.memory_mb <= capacity.memory_mb - used.memory_mb
+            and room.accelerators <= capacity.accelerators - used.accelerators
+        )
+
     def attach(self, run: Run) -> None:
         """Count a run as there."""
         self.runs[run.task] = run
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/placer.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/placer.py
@@ -11,6 +11,7 @@
 from geraniumshore_scheduler.internal.records import Placed
 from geraniumshore_scheduler.internal.runs import OpenJob, Run, RunState
 from geraniumshore_scheduler.internal.settlement import Settlement
+from geraniumshore_scheduler.internal.shortage import Shortage
 from geraniumshore_scheduler.internal.spread import choose_minion
 from geraniumshore_scheduler.internal.stragglers import is_straggler
 
@@ -72,11 +73,17 @@
         for service, jobs in jobs_by_service.items():
             views = views_by_service.get(service, [])
             jobs.sort(key=lambda job: self._order.rank(job, now))
+            shortage = Shortage()
             for job in jobs:
-                self._place_job(job, views, strays, now)
+                self._place_job(job, views, shortage, strays, now)
 
     def _place_job(
-        self, job: OpenJob, views: list[MinionView], strays: set[str], now: float
+        self,
+        job: OpenJob,
+        views: list[MinionView],
+        shortage: Shortage,
+        strays: set[str],
+        now: float,
     ) -> None:
         full = job.unplaced = set()
         for task in list(job.waiting):
@@ -96,9 +103,14 @@
                 continue
             if not self._within_cap(job, step.size):
                 return
+            if shortage.covers(step.room):
+                full.add(step_key)
+                continue
             view = choose_minion(step, task, allowed, job.failed_on.get(task, ()))
             if view is None:
                 full.add(step_key)
+                if allowed is views and not step.label and not step.most_per_minion:
+                    shortage.note(step.room)
                 continue
             self._start(job, task, view, self._take_run_number(), now)
 
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
@@ -99,6 +99,7 @@
     first_start_after_s: float | None = None
     next_occurrence: int = 0
     unplaced: set[tuple[int, int]] = field(default_factory=set)
+    _work_left_s: float | None = None
 
     @property
     def occurrences(self) -> int:
@@ -121,6 +122,7 @@
 
     def open_steps(self, occurrence: int) -> None:
         """Let the tasks of all steps wait whose dependencies are done."""
+        self._work_left_s = None
         for number, step in enumerate(self.job.steps):
             if (occurrence, number) in self.opened:
                 continue
@@ -146,10 +148,12 @@
 
     def work_left_s(self) -> float:
         """Return the longest chain of work left, from the declared estimates."""
-        occurrence = max(0, self.next_occurrence - 1)
-        return longest_chain_s(
-            self.job.steps, lambda number: self._step_done(occurrence, number)
-        )
+        if self._work_left_s is None:
+            occurrence = max(0, self.next_occurrence - 1)
+            self._work_left_s = longest_chain_s(
+                self.job.steps, lambda number: self._step_done(occurrence, number)
+            )
+        return self._work_left_s
 
     def _step_done(self, occurrence: int, number: int) -> bool:
         count = self.job.steps[number].count
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/spread.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/spread.py
@@ -15,9 +15,10 @@
     step: Step, task: TaskKey, views: Iterable[MinionView]
 ) -> Iterable[MinionView]:
     """Yield the minions with room for a task that its step's rules allow."""
+    room = step.room
     for view in views:
         listing = view.listing
-        if listing is None or not step.room.fits_in(view.free):
+        if listing is None or not view.has_room(room):
             continue
         if step.label and step.label not in listing.labels:
             continue
