Announce orders to machines in the log instead of waiting after every takeover

Cause: a new owner gave no order to any machine for ttl + duty lease (4 s), since the former one might have ordered the same machine just before. Ruled out: shorter waits (orders of two owners must lie lease_ms apart where no fence is checked), and reading it from a minion's age (a refused order leaves no trace). Now an owner writes down which machines it is about to order, and sends within a second of that. What a former owner has not announced it cannot order any more; what it has waits its lease out.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/__init__.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/__init__.py
@@ -14,6 +14,11 @@
 from geraniumshore_scheduler.internal.advice import AdviceBook, AdviceRequest, StepKey
 from geraniumshore_scheduler.internal.authority import Authority, OwnershipTimes
 from geraniumshore_scheduler.internal.job_book import BookedJob, JobBook
+from geraniumshore_scheduler.internal.machine_orders import (
+    ANNOUNCED_S,
+    AnnouncedOrder,
+    MachineOrders,
+)
 from geraniumshore_scheduler.internal.maintenance import (
     Upkeep,
     WaveBook,
@@ -57,6 +62,7 @@
     PoolRates,
 )
 from geraniumshore_scheduler.internal.records import (
+    MACHINE_ORDERS_KEY,
     OWNER_KEY,
     JobState,
     OwnerRecord,
@@ -64,10 +70,12 @@
     Progress,
     RecordKind,
     decode_job,
+    decode_machine_orders,
     decode_maintained,
     decode_owner,
     decode_progress,
     encode_job,
+    encode_machine_orders,
     encode_maintained,
     encode_owner,
     encode_progress,
@@ -79,8 +87,10 @@
 from geraniumshore_scheduler.internal.scheduler import Scheduler
 
 __all__ = [
+    "ANNOUNCED_S",
     "AdviceBook",
     "AdviceRequest",
+    "AnnouncedOrder",
     "Authority",
     "Batch",
     "BookedJob",
@@ -97,14 +107,16 @@
     "JobBook",
     "JobOrder",
     "JobState",
+    "MACHINE_ORDERS_KEY",
     "MachineListing",
+    "MachineOrders",
     "MinionGoneError",
     "MinionListing",
     "MinionReport",
     "MinionView",
     "Move",
-    "OpenJob",
     "OWNER_KEY",
+    "OpenJob",
     "OwnerRecord",
     "OwnerReplacedError",
     "OwnershipTimes",
@@ -138,10 +150,12 @@
     "UpkeepWave",
     "WaveBook",
     "decode_job",
+    "decode_machine_orders",
     "decode_maintained",
     "decode_owner",
     "decode_progress",
     "encode_job",
+    "encode_machine_orders",
     "encode_maintained",
     "encode_owner",
     "encode_progress",
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/authority.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/authority.py
@@ -44,14 +44,12 @@
     log was begun that showed no newer one. Membership of the group alone confirms
     nothing: who was dropped and joined again would not know of an owner in between. So
     an owner's orders have ended ``ttl`` + ``grace`` after a newer epoch was opened. All
-    times come from one clock that also counts while the machine is suspended. With
-    ``after_own_process`` the owner before was a process of this host that has ended.
+    times come from one clock that also counts while the machine is suspended.
     """
 
     epoch: int
     taken_at: float
     confirmed_at: float
-    after_own_process: bool = False
 
     def confirm(self, read_begun_at: float) -> None:
         """Note a read of the log that showed no newer epoch."""
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_book.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_book.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from itertools import islice
 
+from geraniumshore_scheduler.internal.machine_orders import AnnouncedOrder
 from geraniumshore_scheduler.internal.model import Job
 from geraniumshore_scheduler.internal.records import (
     JobState,
@@ -12,6 +13,7 @@
     Progress,
     RecordKind,
     decode_job,
+    decode_machine_orders,
     decode_maintained,
     decode_owner,
     decode_progress,
@@ -50,9 +52,9 @@
     def __init__(self) -> None:
         self.job_by_id: dict[str, BookedJob] = {}
         self.owner: OwnerRecord | None = None
-        self.former_owner: OwnerRecord | None = None
         self.opened_at_by_epoch: dict[int, float] = {}
         self.maintained_by_wave: dict[int, tuple[str, ...]] = {}
+        self.order_by_machine: dict[str, AnnouncedOrder] = {}
         self._orphans: dict[tuple[RecordKind, str], tuple[int, bytes]] = {}
         self._pending_by_queue: dict[str, int] = {}
 
@@ -74,6 +76,9 @@
             if job_id.isdigit():
                 self.maintained_by_wave[int(job_id)] = decode_maintained(value)
             return None
+        if kind is RecordKind.MACHINES:
+            self.order_by_machine = decode_machine_orders(value, now)
+            return None
         booked = self.job_by_id.get(job_id)
         if not value:
             self._drop(kind, job_id)
@@ -112,7 +117,7 @@
     def _note_owner(self, owner: OwnerRecord, now: float) -> None:
         """Note the owner, and when its epoch had certainly begun."""
         if self.owner is None or owner.epoch > self.owner.epoch:
-            self.former_owner, self.owner = self.owner, owner
+            self.owner = owner
             self.opened_at_by_epoch[owner.epoch] = now
 
     def _accept(self, job: Job, now: float) -> BookedJob:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from pydantic import TypeAdapter, ValidationError
 
 from geraniumshore_scheduler.errors import Finding, InvalidInputError
+from geraniumshore_scheduler.internal.machine_orders import AnnouncedOrder
 from geraniumshore_scheduler.internal.model import Job, TaskKey
 
 __all__ = [
+    "MACHINE_ORDERS_KEY",
     "OWNER_KEY",
     "JobState",
     "OwnerRecord",
@@ -19,10 +21,12 @@
     "Progress",
     "RecordKind",
     "decode_job",
+    "decode_machine_orders",
     "decode_maintained",
     "decode_owner",
     "decode_progress",
     "encode_job",
+    "encode_machine_orders",
     "encode_maintained",
     "encode_owner",
     "encode_progress",
@@ -40,6 +44,7 @@
     PROGRESS = "s"
     OWNER = "o"
     WAVE = "w"
+    MACHINES = "m"
 
 
 class JobState(enum.Enum):
@@ -122,7 +127,9 @@
 _PROGRESS = TypeAdapter(Progress)
 _OWNER = TypeAdapter(OwnerRecord)
 _MACHINES = TypeAdapter(tuple[str, ...])
+_ORDERS = TypeAdapter(dict[str, tuple[str, float]])
 OWNER_KEY = f"{RecordKind.OWNER.value}/owner"
+MACHINE_ORDERS_KEY = f"{RecordKind.MACHINES.value}/orders"
 
 
 def job_key(kind: RecordKind, job_id: str) -> str:
@@ -185,6 +192,29 @@
         raise InvalidInputError([Finding("wave record", str(error))]) from error
 
 
+def encode_machine_orders(
+    order_by_machine: Mapping[str, AnnouncedOrder], now: float
+) -> bytes:
+    """Encode announced orders by their age in seconds: clocks of hosts differ."""
+    rows = {
+        machine: (order.host, round(max(0.0, now - order.at), 3))
+        for machine, order in order_by_machine.items()
+    }
+    return _ORDERS.dump_json(rows)
+
+
+def decode_machine_orders(value: bytes, now: float) -> dict[str, AnnouncedOrder]:
+    """Decode announced orders that are read now. Raises InvalidInputError."""
+    try:
+        rows = _ORDERS.validate_json(value)
+    except ValidationError as error:
+        raise InvalidInputError([Finding("machine orders", str(error))]) from error
+    return {
+        machine: AnnouncedOrder(host, now - age)
+        for machine, (host, age) in rows.items()
+    }
+
+
 def encode_progress(progress: Progress) -> bytes:
     """Encode a job's progress."""
     return _PROGRESS.dump_json(progress, exclude_defaults=True)
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -140,9 +140,14 @@
         self._next_batch += 1
         return batch
 
-    def record(self, key: str, value: bytes) -> None:
-        """Let the next batch carry one more record."""
+    def record(self, key: str, value: bytes) -> int:
+        """Let the next batch carry one more record; return the batch's number."""
         self._records[key] = value
+        return self._next_batch
+
+    def is_durable(self, batch: int) -> bool:
+        """Tell whether a batch is in the log."""
+        return batch <= self._durable_batch
 
     def on_durable(self, batch: Batch) -> None:
         """Note that a batch is in the log."""
--- a/packages/geraniumshored/src/geraniumshored/node/machinist.py
+++ b/packages/geraniumshored/src/geraniumshored/node/machinist.py
@@ -4,10 +4,13 @@
 
 import logging
 import threading
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from geraniumshore_scheduler import (
+    ANNOUNCED_S,
+    MACHINE_ORDERS_KEY,
     MachineListing,
+    MachineOrders,
     Move,
     OwnerReplacedError,
     PlatformUnavailableError,
@@ -16,6 +19,7 @@
     UnknownOutcomeError,
     Upkeep,
     WaveBook,
+    encode_machine_orders,
     encode_maintained,
     wave_key,
 )
@@ -34,13 +38,15 @@
 # The list of machines is read so often while something is under way, and at rest.
 BUSY_LIST_S = 0.5
 IDLE_LIST_S = 2.0
+# How often to look whether an announcement is in the log, which takes some 20 ms.
+RECORD_PAUSE_S = 0.005
 
 
 class Machinist:
     """One owner's orders to machines.
 
-    No fence may guard them, so they are given only while the group surely counts this
-    process as the owner, and not before a former owner's are ``duty_lease_s`` past.
+    No fence may guard them, so they are given only while the log surely counts this
+    process as the owner, and after it says which machines they are for.
     """
 
     def __init__(
@@ -49,6 +55,7 @@
         platform: Platform,
         operators: OperatorsView,
         maintained_by_wave: Mapping[int, tuple[str, ...]],
+        orders: MachineOrders,
         scheduler: Scheduler,
         lock: threading.RLock,
         stopped: threading.Event,
@@ -60,6 +67,7 @@
         self._platform = platform
         self._operators = operators
         self._maintained_by_wave = maintained_by_wave
+        self._orders = orders
         self._scheduler = scheduler
         self._lock = lock
         self._stopped = stopped
@@ -93,14 +101,37 @@
                 logger.exception("fault in the decisions on machines")
 
     def _may_order(self) -> bool:
-        authority = self._scheduler.authority
-        now = self._now()
-        # A former owner gives such orders until ``ttl`` after this epoch was opened.
-        wait_s = self._settings.times.ttl + self._settings.duty_lease_s
-        if now < authority.taken_at + wait_s and not authority.after_own_process:
+        with self._lock:
+            times = self._settings.times
+            return self._scheduler.authority.holds_unfenced(self._now(), times)
+
+    def _may_order_to(self, machine: str) -> bool:
+        """Tell whether an order to a machine may be sent; announce it if need be."""
+        if not self._may_order():
             return False
+        if not self._orders.may_send(machine, self._now()):
+            self._announce([machine])
+        return self._may_order() and self._orders.may_send(machine, self._now())
+
+    def _announce(self, machines: Iterable[str]) -> None:
+        """Write down in the log which machines are about to be ordered."""
+        announced_at = self._now()
+        free = [m for m in machines if self._orders.is_free(m, announced_at)]
+        if not free:
+            return
+        announced = self._orders.announce(free, announced_at)
         with self._lock:
-            return authority.holds_unfenced(now, self._settings.times)
+            batch = self._scheduler.record(
+                MACHINE_ORDERS_KEY, encode_machine_orders(announced, announced_at)
+            )
+        self._on_change()
+        while self._now() < announced_at + ANNOUNCED_S:
+            with self._lock:
+                if self._scheduler.is_durable(batch):
+                    self._orders.note_written(free, announced_at)
+                    return
+            if self._stopped.wait(RECORD_PAUSE_S):
+                return
 
     def _step(self) -> None:
         self._list()
@@ -165,8 +196,9 @@
                 )
             )
         self._on_change()
+        self._announce(upkeep.machine for upkeep in orders)
         for upkeep in orders:
-            if self._may_order():
+            if self._may_order_to(upkeep.machine):
                 self._maintain(upkeep)
 
     def _maintain(self, upkeep: Upkeep) -> None:
@@ -215,6 +247,11 @@
             now = self._now()
             standby = self._scheduler.standby_pool()
             held = self._waves.due_machines() | set(self._moving)
+            held.update(
+                name
+                for name in self._machine_by_name
+                if not self._orders.is_free(name, now)
+            )
             idle_by_pool: dict[str, list[MachineListing]] = {}
             size_by_pool: dict[str, int] = {}
             coming: dict[str, int] = {}
@@ -238,6 +275,7 @@
             )
             for move in moves:
                 self._cordon(move)
+        self._announce(move.machine for move in moves)
         for move in moves:
             self._move(move)
 
@@ -261,7 +299,7 @@
         """
         machine = self._machine_by_name[move.machine]
         moved: bool | None = None
-        while moved is None and self._may_order():
+        while moved is None and self._may_order_to(move.machine):
             try:
                 moved = self._platform.machines.move(
                     move.machine, move.pool, self._scheduler.authority.epoch
--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -14,6 +14,7 @@
     BookedJob,
     GeraniumshoreError,
     HoldRequest,
+    MachineOrders,
     OwnerRecord,
     OwnerReplacedError,
     PaceOrder,
@@ -100,6 +101,7 @@
             opened_at_by_epoch=self._jobs.book.opened_at_by_epoch,
         )
         self._session_by_minion: dict[str, MinionSession] = {}
+        self._machine_orders = MachineOrders(host_of(member), settings.duty_lease_s)
         self._number = 0
         self._dropped_at = now()
 
@@ -142,6 +144,7 @@
                     self._platform,
                     self._operators,
                     self._jobs.book.maintained_by_wave,
+                    self._machine_orders,
                     self._scheduler,
                     self._lock,
                     self._stopped,
@@ -174,12 +177,9 @@
             self._jobs.on_job = self._on_job
             with self._lock:
                 now = self._now()
-                former = self._jobs.book.former_owner
                 self.authority.taken_at = now
                 self.authority.confirm(opened_at)
-                self.authority.after_own_process = former is not None and host_of(
-                    former.member
-                ) == host_of(self._member)
+                self._machine_orders.take_over(self._jobs.book.order_by_machine)
                 if self._operators.configuration is not None:
                     self._scheduler.set_configuration(self._operators.configuration)
                 self._scheduler.set_listings(self._minions.listing_by_id, now)
