Work within shares goes first, and a team at its cap holds no machines

Cause: a team that sent four to five times its usual filled the pool of its queue, and jobs that only waited for its cap counted as a backlog: its pool took spare machines that it could not use, and never counted as quiet, so idle ones stayed. Now jobs beyond a team's weight (in jobs a second, two seconds' worth at once) wait behind those within, and a team's work asks for machines up to its cap.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/ordering.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/ordering.py
@@ -15,6 +15,10 @@
 OVERHEAD_S = 0.15
 # A job that ends after so many times its objective has no worth left for its caller.
 LATE_FACTOR = 3.0
+# Classes of jobs of one priority: on time, late, the same beyond their team's share,
+# and last those whose worth is gone.
+BEYOND_SHARE = 2
+HOPELESS = 4
 
 
 class JobOrder(ABC):
@@ -38,8 +42,8 @@
 
     In a burst, first come first served would spend the room on jobs that are late
     already and so make all later ones late too; so would a job that can only just
-    make it, if something takes longer than expected. Lasting tasks go first: they are
-    down until they are placed.
+    make it, if something takes longer than expected. Jobs beyond their team's share
+    go behind those within. Lasting tasks go first: they are down until they are placed.
     """
 
     def rank(self, job: OpenJob, now: float) -> Any:
@@ -48,9 +52,10 @@
             return (job.priority, -1, job.arrived_at)
         work_left = CHAIN_MARGIN * job.work_left_s() + OVERHEAD_S
         latest_start = job.objective_at - work_left
+        behind = BEYOND_SHARE if job.beyond_share else 0
         if now <= latest_start:
-            return (job.priority, 0, latest_start)
+            return (job.priority, behind, latest_start)
         last_end = job.arrived_at + LATE_FACTOR * job.objective_s
         if now + job.work_left_s() <= last_end:
-            return (job.priority, 1, job.arrived_at)
-        return (job.priority, 2, job.arrived_at)
+            return (job.priority, behind + 1, job.arrived_at)
+        return (job.priority, HOPELESS, job.arrived_at)
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pool_meter.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pool_meter.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from functools import reduce
 
@@ -26,10 +26,15 @@
 ONSET_S = 0.4
 
 
+# Stands for a part of a team's cap that has no limit.
+UNLIMITED = 1 << 60
+
+
 @dataclass(frozen=True, slots=True)
 class _Arrival:
     at: float
     until: float
+    team: str | None
     work: Resources
     busy: Resources
 
@@ -49,19 +54,33 @@
             for step in job.steps
             if not step.lasting
         )
-        arrival = _Arrival(at, at + duration, work, _scaled(work, 1 / duration))
+        busy = _scaled(work, 1 / duration)
+        arrival = _Arrival(at, at + duration, job.team, work, busy)
         self._jobs.setdefault(job.service, []).append(arrival)
 
-    def busy(self, service: str, now: float) -> Resources:
-        """Return what the work keeps busy that came for a service."""
+    def busy(
+        self, service: str, cap_by_team: Mapping[str, Resources], now: float
+    ) -> Resources:
+        """Return what the work keeps busy that came for a service.
+
+        A team at its cap keeps no more busy than that, whatever it sends.
+        """
         jobs = [job for job in self._jobs.get(service, ()) if job.until > now]
         self._jobs[service] = jobs
-        usual = _sum(job.busy for job in jobs)
+        busy_by_team: dict[str | None, list[Resources]] = {}
+        for job in jobs:
+            busy_by_team.setdefault(job.team, []).append(job.busy)
+        usual = _sum(
+            _at_most(_sum(busy), cap_by_team.get(team or ""))
+            for team, busy in busy_by_team.items()
+        )
         latest = jobs[-ONSET_JOBS:]
         if len(latest) < ONSET_JOBS or now - latest[0].at > ONSET_S:
             return usual
         span = max(now - latest[0].at, ONSET_S / ONSET_JOBS)
         onset = _scaled(_sum(job.work for job in latest), 1 / span)
+        if len({job.team for job in latest}) == 1:
+            onset = _at_most(onset, cap_by_team.get(latest[0].team or ""))
         return Resources(*map(max, usual, onset))
 
 
@@ -82,21 +101,44 @@
         )
         self._machine = max(capacities, default=Resources(1, 1, 1))
 
-    def load(self, pool: str, offered: Resources, used: bool, now: float) -> PoolLoad:
-        """Return one pool's load."""
-        backlog = parallel = lasting = 0.0
-        jobs = self._jobs.get(pool, [])
-        for job in jobs:
+    def load(
+        self,
+        pool: str,
+        offered: Resources,
+        room_by_team: Mapping[str, Resources],
+        used: bool,
+        now: float,
+    ) -> PoolLoad:
+        """Return one pool's load.
+
+        ``room_by_team`` is what teams with a cap may still start: work beyond it waits
+        for the team's other work, and no machine helps it.
+        """
+        lasting = 0.0
+        lacking = False
+        parallel_by_team: dict[str | None, float] = {}
+        backlog_by_team: dict[str | None, float] = {}
+        for job in self._jobs.get(pool, []):
+            team = job.job.team
             for task in job.waiting:
                 if (task.occurrence, task.step) not in job.unplaced:
                     continue
+                lacking = True
                 step = job.job.steps[task.step]
                 share = self._share(step.room)
                 if step.lasting:
                     lasting += 1 if step.most_per_minion == 1 else share
-                else:
-                    parallel += share
-                    backlog += share * step.estimate_ms / MS
+                    continue
+                parallel_by_team[team] = parallel_by_team.get(team, 0.0) + share
+                work = share * step.estimate_ms / MS
+                backlog_by_team[team] = backlog_by_team.get(team, 0.0) + work
+        backlog = parallel = 0.0
+        for team, wanted in parallel_by_team.items():
+            room = room_by_team.get(team or "")
+            allowed = wanted if room is None else max(0.0, self._least_share(room))
+            part = min(1.0, allowed / wanted) if wanted else 1.0
+            parallel += part * wanted
+            backlog += part * backlog_by_team[team]
         return PoolLoad(
             pool,
             room=self._room(pool, now),
@@ -104,7 +146,7 @@
             backlog=backlog,
             parallel=parallel,
             lasting=lasting,
-            busy=bool(jobs),
+            busy=lacking,
             used=used,
         )
 
@@ -136,5 +178,14 @@
     return reduce(Resources.plus, amounts, Resources())
 
 
+def _at_most(amount: Resources, limit: Resources | None) -> Resources:
+    """Return the part of an amount that stays within a limit in every respect."""
+    if limit is None:
+        return amount
+    pairs = zip(amount, limit, strict=True)
+    part = min((most / wanted for wanted, most in pairs if wanted), default=1.0)
+    return _scaled(amount, max(0.0, min(1.0, part)))
+
+
 def _scaled(amount: Resources, factor: float) -> Resources:
     return Resources(*(int(part * factor) for part in amount))
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_book.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_book.py
@@ -18,6 +18,7 @@
 from geraniumshore_scheduler.internal.pool_meter import Arrivals
 from geraniumshore_scheduler.internal.records import JobState
 from geraniumshore_scheduler.internal.runs import OpenJob, Run, RunState
+from geraniumshore_scheduler.internal.team_shares import TeamShares
 
 __all__ = ["AVOID_S", "RunBook"]
 
@@ -57,6 +58,7 @@
         self._opened_at_by_epoch = opened_at_by_epoch or {}
         self._used_services: set[str] = set()
         self._arrivals = Arrivals()
+        self._shares = TeamShares()
         self._gone_life_by_id: dict[str, int] = {}
         self._team_use: dict[str, Resources] = {}
         self._dirty: dict[str, None] = {}
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
@@ -81,6 +81,7 @@
     the order in which they became so. ``retry_at`` delays single tasks; ``unplaced``
     names the occurrences and steps for whose tasks no minion had room.
     ``first_start_after_s`` is how long the job waited, as this owner saw it.
+    ``beyond_share`` jobs came faster than their team's share allows.
     """
 
     job: Job
@@ -96,6 +97,7 @@
     failed_on: dict[TaskKey, set[str]] = field(default_factory=dict)
     retry_at: dict[TaskKey, float] = field(default_factory=dict)
     needs_advice: bool = False
+    beyond_share: bool = False
     first_start_after_s: float | None = None
     next_occurrence: int = 0
     unplaced: set[tuple[int, int]] = field(default_factory=set)
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -11,7 +11,11 @@
 from geraniumshore_scheduler.internal.advice import AdviceRequest, StepKey
 from geraniumshore_scheduler.internal.job_book import BookedJob
 from geraniumshore_scheduler.internal.minion_view import MinionView
-from geraniumshore_scheduler.internal.model import Configuration, MinionListing
+from geraniumshore_scheduler.internal.model import (
+    Configuration,
+    MinionListing,
+    Resources,
+)
 from geraniumshore_scheduler.internal.orders import (
     Batch,
     Decision,
@@ -19,7 +23,7 @@
     StopOrder,
 )
 from geraniumshore_scheduler.internal.placer import Placer
-from geraniumshore_scheduler.internal.pool_meter import PoolMeter
+from geraniumshore_scheduler.internal.pool_meter import UNLIMITED, PoolMeter
 from geraniumshore_scheduler.internal.pools import PoolLoad
 from geraniumshore_scheduler.internal.records import (
     RecordKind,
@@ -45,6 +49,9 @@
         job = booked.job
         self._used_services.add(job.service)
         self._arrivals.note(job, booked.accepted_at)
+        beyond_share = self._shares.is_beyond(
+            job.team, self._weights(), booked.accepted_at
+        )
         if job.job_id in self.job_by_id or booked.state.final:
             return
         opened = OpenJob(
@@ -56,6 +63,7 @@
             priority=0,
             objective_s=0.0,
             max_attempts=1,
+            beyond_share=beyond_share,
         )
         self._classify(opened)
         self.job_by_id[job.job_id] = opened
@@ -173,13 +181,38 @@
     def pool_loads(self, now: float) -> list[PoolLoad]:
         """Return what each pool's tasks ask for and what it has."""
         meter = PoolMeter(self.view_by_id.values(), self.job_by_id.values())
+        cap_by_team = self._caps()
+        room_by_team = {
+            name: cap.minus(self._team_use.get(name, Resources()))
+            for name, cap in cap_by_team.items()
+        }
         return [
             meter.load(
-                pool, self._arrivals.busy(pool, now), pool in self._used_services, now
+                pool,
+                self._arrivals.busy(pool, cap_by_team, now),
+                room_by_team,
+                pool in self._used_services,
+                now,
             )
             for pool in self._pools()
         ]
 
+    def _weights(self) -> dict[str, float]:
+        if self.configuration is None:
+            return {}
+        teams = self.configuration.team_by_name
+        return {name: team.weight for name, team in teams.items()}
+
+    def _caps(self) -> dict[str, Resources]:
+        """Return the caps of the teams that have one, unlimited parts as such."""
+        if self.configuration is None:
+            return {}
+        return {
+            name: Resources(*(part or UNLIMITED for part in team.cap))
+            for name, team in self.configuration.team_by_name.items()
+            if any(team.cap)
+        }
+
     def _pools(self) -> list[str]:
         if self.configuration is None:
             return []
--- a/tests/cover/test_pools_for_turns.py
+++ b/tests/cover/test_pools_for_turns.py
@@ -15,7 +15,7 @@
     Resources,
     Step,
 )
-from tests.common.schedule_parts import CAPACITY, SMALL, Fleet, job
+from tests.common.schedule_parts import CAPACITY, SMALL, Fleet, configuration, job
 
 RATES = PoolRates(lead_s=2, clear_s=1, least=0.4, stay_s=2, idle_s=1, keep_share=0.5)
 
@@ -134,3 +134,35 @@
     assert load.offered == pytest.approx(6 / 0.25)
     (load,) = fleet.scheduler.pool_loads(0.9)
     assert load.offered == pytest.approx(6)
+
+
+def at_its_cap() -> Fleet:
+    """Return a fleet whose team sends five times what its cap lets run."""
+    fleet = Fleet(minions=3, config=configuration(cap=Resources(16_000, 0, 0)))
+    for number in range(5):
+        added = job(f"{number:016x}", Step(16, SMALL, 1000), team="team")
+        fleet.add(added)
+    fleet.plan()
+    return fleet
+
+
+def test_a_team_at_its_cap_asks_for_no_machines():
+    (load,) = at_its_cap().scheduler.pool_loads(0.0)
+    assert load.offered == pytest.approx(1.0)
+    assert load.backlog == load.parallel == 0.0
+
+
+def test_jobs_that_wait_for_their_team_s_cap_do_not_hold_idle_machines():
+    fleet = at_its_cap()
+    assert fleet.scheduler.has_work()
+    (load,) = fleet.scheduler.pool_loads(0.0)
+    assert not load.busy
+
+
+def test_a_backlog_counts_as_far_as_its_team_may_still_run_it():
+    fleet = Fleet(minions=1, config=configuration(cap=Resources(20_000, 0, 0)))
+    fleet.add(job("a" * 16, Step(48, SMALL, 1000), team="team"))
+    fleet.plan()
+    (load,) = fleet.scheduler.pool_loads(0.0)
+    assert load.busy
+    assert load.parallel == pytest.approx(4 / 16)
