--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_book.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_book.py
@@ -17,6 +17,7 @@
     decode_maintained,
     decode_owner,
     decode_progress,
+    encode_progress,
     split_key,
 )
 
@@ -46,6 +47,15 @@
         return self.progress.state
 
 
+@dataclass(frozen=True, slots=True)
+class _Orphan:
+    """A record whose job's first record has not been read, or is gone."""
+
+    offset: int
+    value: bytes
+    read_at: float
+
+
 class JobBook:
     """All jobs whose records stand in the log. Not safe for use by several threads."""
 
@@ -55,7 +65,7 @@
         self.opened_at_by_epoch: dict[int, float] = {}
         self.maintained_by_wave: dict[int, tuple[str, ...]] = {}
         self.order_by_machine: dict[str, AnnouncedOrder] = {}
-        self._orphans: dict[tuple[RecordKind, str], tuple[int, bytes]] = {}
+        self._orphans: dict[tuple[RecordKind, str], _Orphan] = {}
         self._pending_by_queue: dict[str, int] = {}
 
     def fold(self, key: str, value: bytes, offset: int, now: float) -> BookedJob | None:
@@ -81,14 +91,14 @@
             return None
         booked = self.job_by_id.get(job_id)
         if not value:
-            self._drop(kind, job_id)
+            self._drop(kind, job_id, now)
             return None
         if kind is RecordKind.ACCEPTED:
             if booked is None:
                 return self._accept(decode_job(value), now)
             return None
         if booked is None:
-            self._orphans[kind, job_id] = offset, value
+            self._orphans[kind, job_id] = _Orphan(offset, value, now)
             return None
         self._count(booked, -1)
         if kind is RecordKind.CANCELLED:
@@ -110,6 +120,19 @@
         )
         return list(islice(ids, most))
 
+    def expired_orphans(self, read_before: float, most: int) -> list[str]:
+        """Return dropped jobs whose progress is left, read before a moment.
+
+        An owner that ends while it drops a job leaves its progress: a job's first
+        record goes first, or the job would seem to be a new one.
+        """
+        ids = (
+            job_id
+            for (kind, job_id), orphan in self._orphans.items()
+            if kind is RecordKind.PROGRESS and orphan.read_at < read_before
+        )
+        return list(islice(ids, most))
+
     def pending(self, queue: str) -> int:
         """Return how many accepted jobs of a queue have not begun."""
         return self._pending_by_queue.get(queue, 0)
@@ -128,15 +151,20 @@
             orphan = self._orphans.pop((kind, job.job_id), None)
             if orphan is not None:
                 key = f"{kind.value}/{job.job_id}"
-                self.fold(key, orphan[1], orphan[0], now)
+                self.fold(key, orphan.value, orphan.offset, now)
         return booked
 
-    def _drop(self, kind: RecordKind, job_id: str) -> None:
+    def _drop(self, kind: RecordKind, job_id: str, now: float) -> None:
         self._orphans.pop((kind, job_id), None)
         if kind is RecordKind.ACCEPTED:
             booked = self.job_by_id.pop(job_id, None)
             if booked is not None:
                 self._count(booked, -1)
+                if booked.progress_offset >= 0:
+                    # Its progress is dropped next, if the owner lives so long.
+                    value = encode_progress(booked.progress)
+                    left = _Orphan(booked.progress_offset, value, now)
+                    self._orphans[RecordKind.PROGRESS, job_id] = left
 
     def _count(self, booked: BookedJob, change: int) -> None:
         if booked.state is JobState.QUEUED:
--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -262,24 +262,25 @@
             return
         self._dropped_at = now
         with self._jobs.lock:
-            ids = self._jobs.book.expired(
-                now - self._settings.status_kept_s, MOST_DROPPED
-            )
-        if not ids:
+            old = now - self._settings.status_kept_s
+            ids = self._jobs.book.expired(old, MOST_DROPPED)
+            orphans = self._jobs.book.expired_orphans(old, MOST_DROPPED)
+        if not ids and not orphans:
             return
         kinds = (RecordKind.ACCEPTED, RecordKind.CANCELLED)
         records = [
             Record(job_key(kind, job_id), b"") for job_id in ids for kind in kinds
         ]
         try:
-            self._platform.store.append(Stream.ACCEPTED, records)
+            if records:
+                self._platform.store.append(Stream.ACCEPTED, records)
         except (PlatformUnavailableError, UnknownOutcomeError) as error:
             log_event(logger, "old jobs not dropped yet", cause=str(error))
             return
         with self._lock:
-            for job_id in ids:
+            for job_id in (*ids, *orphans):
                 self._scheduler.record(job_key(RecordKind.PROGRESS, job_id), b"")
-        log_event(logger, "old jobs dropped", jobs=len(ids))
+        log_event(logger, "old jobs dropped", jobs=len(ids), orphans=len(orphans))
 
     def _decide(self) -> None:
         with self._lock:
