A fault soak: real nodes, random faults from outside, promises checked from outside

Checked: no task twice, none over capacity, none before its turn, none of a refused job, none that nobody sent; no job lost, none shown done early; refusals carry Retry-After; orders of two holders to a machine a lease apart. Traced to the stand-in: an answer that was to be cut had an empty body, so it came whole, as a 503 that says the order was not carried out.

--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,10 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
+SEEDS ?= 1 50
 PROJECTS := packages/geraniumshore-scheduler packages/geraniumshore packages/geraniumshored packages/geraniumshore-cli packages/geraniumshore-standins
 
-.PHONY: setup test nocover quality demo bench format check proto schema
+.PHONY: setup test nocover quality soak demo bench format check proto schema
 
 setup: $(STAMP)
 
@@ -23,6 +24,9 @@
 quality: setup
 	$(BIN)/python -m pytest tests/quality
 
+soak: setup
+	$(BIN)/python -m geraniumshore_standins.platform_soak $(SEEDS)
+
 demo: setup
 	$(BIN)/python -m geraniumshore_standins.platform_demo
 	$(BIN)/python -m geraniumshore_standins.demo
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/proxy.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/proxy.py
@@ -194,6 +194,26 @@
         thread = threading.Thread(target=self._loop.run_forever, daemon=True)
         thread.start()
 
+    def open_hop(self, port: int, target: str) -> None:
+        """Listen on a port and forward to ``host:port``."""
+        address, _, target_port = target.partition(":")
+        seeded = random.Random(self._random.random())
+        hop = _Hop(port, address, int(target_port), seeded)
+        self._run(hop.listen())
+        self._hop_by_port[port] = hop
+
+    def set_faults(self, port: int, faults: HopFaults) -> None:
+        """Switch a hop's faults."""
+        self._run(self._hop_by_port[port].set_faults(faults))
+
+    def silence(self, port: int) -> None:
+        """Let the connections of a hop that are open now go silent for good."""
+        self._loop.call_soon_threadsafe(self._hop_by_port[port].silence)
+
+    def reset(self, port: int) -> None:
+        """Reset the connections of a hop that are open now."""
+        self._loop.call_soon_threadsafe(self._hop_by_port[port].reset)
+
     def handle(self, call: Call) -> Answer:
         """Answer one call of the control."""
         match (call.method, call.path):
@@ -208,21 +228,18 @@
 
     def _open(self, call: Call) -> Answer:
         document = call.document()
-        address, _, port = document["target"].partition(":")
-        seeded = random.Random(self._random.random())
-        hop = _Hop(int(document["port"]), address, int(port), seeded)
-        self._run(hop.listen())
-        self._hop_by_port[hop.port] = hop
-        return Answer.json({"port": hop.port})
+        port = int(document["port"])
+        self.open_hop(port, document["target"])
+        return Answer.json({"port": port})
 
     def _control(self, hop: _Hop, method: str, what: str, call: Call) -> Answer:
         match (method, what):
             case ("PUT", "faults"):
-                self._run(hop.set_faults(HopFaults(**call.document())))
+                self.set_faults(hop.port, HopFaults(**call.document()))
             case ("POST", "silence"):
-                self._loop.call_soon_threadsafe(hop.silence)
+                self.silence(hop.port)
             case ("POST", "reset"):
-                self._loop.call_soon_threadsafe(hop.reset)
+                self.reset(hop.port)
             case ("GET", "state"):
                 pass
             case _:
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/nodes.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/nodes.py
@@ -72,6 +72,11 @@
     def __exit__(self, *_: object) -> None:
         self.close()
 
+    @property
+    def folder(self) -> Path:
+        """Where settings and logs are while the fleet runs."""
+        return Path(self._folder.name)
+
     def close(self) -> None:
         """End everything."""
         for node in self.node_by_name.values():
@@ -89,16 +94,15 @@
         settings = {
             "node": name,
             "data_centre": "a",
-            "store": f"127.0.0.1:{self.world.store_port}",
+            "store": self.store_address(name),
             "machines": f"127.0.0.1:{self.world.machines_port}",
             "leaving_s": 2,
             **addresses,
             **self._settings,
         }
-        folder = Path(self._folder.name)
-        path = folder / f"{name}.json"
+        path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings))
-        log = folder / f"{name}-{time.monotonic_ns()}.log"
+        log = self.folder / f"{name}-{time.monotonic_ns()}.log"
         with log.open("wb") as output:
             process = subprocess.Popen(
                 [sys.executable, "-m", "geraniumshored.entry"],
@@ -110,6 +114,10 @@
         self.node_by_name[name] = node
         return node
 
+    def store_address(self, name: str) -> str:
+        """Return where a node finds the store."""
+        return f"127.0.0.1:{self.world.store_port}"
+
     def start(self, nodes: int = 2, minions: int = 3) -> None:
         """Start minions and nodes, and wait until one node owns the schedule."""
         self.world.configure(configuration_document(self.service))
--- /dev/null
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/soak_promises.py
@@ -0,0 +1,131 @@
+"""What must hold whatever goes wrong, checked from what callers and minions saw."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass, field
+
+__all__ = ["CallerView", "SoakEvent", "broken_promises", "unfinished_tasks"]
+
+SoakEvent = tuple[float, str, str, int, str, str]
+
+# Orders of two owners to one machine lie so far apart, as the nodes' setting says.
+DUTY_LEASE_S = 3.0
+# Every node that says anything of a job knows it so long after its acceptance.
+VISIBLE_S = 3.0
+
+
+@dataclass(slots=True)
+class CallerView:
+    """What callers know of one job.
+
+    ``refused`` means that every try was refused as not run. ``tasks_by_step`` counts
+    the tasks of each step; every step waits for the one before it.
+    """
+
+    tasks_by_step: tuple[int, ...]
+    accepted_at: float | None = None
+    refused: bool = False
+    cancelled: bool = False
+    states: list[tuple[float, str]] = field(default_factory=list)
+
+
+def broken_promises(
+    events: Iterable[SoakEvent],
+    view_by_job: Mapping[str, CallerView],
+    machine_orders: Iterable[tuple[float, str, str, int]] = (),
+) -> Iterator[str]:
+    """Yield what minions and callers saw that must not be."""
+    running: dict[str, str] = {}
+    done_at: dict[tuple[str, int], float] = {}
+    noted: dict[str, float] = {}
+    starts: dict[str, list[float]] = defaultdict(list)
+    done_tasks: dict[str, float] = {}
+    for at, kind, task, run, minion, how in events:
+        job_id = task.partition(".")[0]
+        if kind == "start":
+            starts[task].append(at)
+            if task in running:
+                yield f"TWICE {task} at {at:.2f} on {running[task]} and {minion}"
+            running[task] = minion
+            yield from _unasked(task, at, view_by_job.get(job_id), done_tasks)
+        elif kind == "end":
+            if running.get(task) == minion:
+                del running[task]
+            if how == "done":
+                done_at[task, run] = at
+                done_tasks.setdefault(task, at)
+        elif kind == "noted" and how == "done":
+            noted[task] = min(noted.get(task, at), done_at.get((task, run), at))
+        elif kind == "over capacity":
+            yield f"LIMIT {task} at {at:.2f} on {minion}"
+    for task, ended_at in noted.items():
+        for at in starts[task]:
+            if at > ended_at:
+                yield f"TWICE {task} at {at:.2f}, done at {ended_at:.2f}"
+    for job_id, view in view_by_job.items():
+        yield from _false_states(job_id, view, done_tasks)
+    yield from _quarrels(machine_orders)
+
+
+def unfinished_tasks(
+    job_id: str, tasks_by_step: tuple[int, ...], done: Mapping[str, float]
+) -> list[str]:
+    """Return the tasks of a job that no minion has ended as done."""
+    names = (
+        f"{job_id}.0.{step}.{position}"
+        for step, count in enumerate(tasks_by_step)
+        for position in range(count)
+    )
+    return [name for name in names if name not in done]
+
+
+def _unasked(
+    task: str, at: float, view: CallerView | None, done: Mapping[str, float]
+) -> Iterator[str]:
+    job_id, _, step, _ = task.split(".")
+    if view is None:
+        yield f"UNASKED {task} at {at:.2f}"
+        return
+    if view.refused:
+        yield f"REFUSED {task} at {at:.2f}"
+    missing = unfinished_tasks(job_id, view.tasks_by_step[: int(step)], done)
+    if missing:
+        yield f"ORDER {task} at {at:.2f} before {missing[0]}"
+
+
+def _false_states(
+    job_id: str, view: CallerView, done: Mapping[str, float]
+) -> Iterator[str]:
+    for at, state in view.states:
+        if state == "done":
+            missing = [
+                task
+                for task in unfinished_tasks(job_id, view.tasks_by_step, {})
+                if done.get(task, at + 1) > at
+            ]
+            if missing:
+                yield f"MIXED {job_id} shown done at {at:.2f} without {missing[0]}"
+        elif state == "failed" or (state == "cancelled" and not view.cancelled):
+            yield f"MIXED {job_id} shown {state} at {at:.2f} without cause"
+        elif (
+            state == "unknown"
+            and view.accepted_at is not None
+            and at > view.accepted_at + VISIBLE_S
+        ):
+            yield f"LOST {job_id} unknown at {at:.2f}"
+
+
+def _quarrels(
+    machine_orders: Iterable[tuple[float, str, str, int]],
+) -> Iterator[str]:
+    last: dict[str, tuple[float, str]] = {}
+    holder_by_token: dict[tuple[str, int], str] = {}
+    for at, machine, holder, token in machine_orders:
+        before = last.get(machine)
+        if before and before[1] != holder and at - before[0] < DUTY_LEASE_S:
+            yield f"ONE {machine} at {at:.2f}: {before[1]} at {before[0]:.2f}, {holder}"
+        if holder_by_token.setdefault((machine, token), holder) != holder:
+            yield f"ONE {machine} at {at:.2f}: two holders with token {token}"
+        last[machine] = at, holder
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/world.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/world.py
@@ -22,6 +22,8 @@
 STORE_THREADS = 64
 MINION_THREADS = 8
 UPKEEP_S = 0.5
+# A caller cannot tell from an answer that ends half way whether it was carried out.
+NO_ANSWER = Answer(200, b"lost", cut=True)
 MOVE_S = 0.5
 
 
@@ -52,6 +54,10 @@
 
     ``store_faults`` is asked before each store call: it returns None, a status to
     refuse with, or ``"lost"`` for a call that is carried out and not answered.
+    ``order_delay`` is asked before each call to a minion: it returns None, or after how
+    many seconds the call is carried out, without an answer. ``advertise`` turns a
+    minion's port into the one that its entry names; ``clock_rate`` draws the speed of
+    a new minion's clock.
     """
 
     def __init__(
@@ -63,7 +69,12 @@
         self.lock = threading.RLock()
         self.now = now
         self.store_faults: Callable[[Call], int | str | None] = lambda _: None
+        self.order_delay: Callable[[str], float | None] = lambda _: None
+        self.advertise: Callable[[int], int] = lambda port: port
+        self.clock_rate: Callable[[], float] = lambda: 1.0
         self.events: list[tuple[float, str, str, int, str, str]] = []
+        # Orders to machines that were taken: when, which, by whom, with which token.
+        self.machine_orders: list[tuple[float, str, str, int]] = []
         self.machine_by_name: dict[str, _Machine] = {}
         self.cpu_by_job: dict[str, int] = {}
         self._take_port = take_port
@@ -134,11 +145,14 @@
             minion_id,
             born=int(time.time() * 1000) + self._lives,
             started_at=self.now(),
+            rate=self.clock_rate(),
             observe=observe,
             cpu_of=lambda task: self.cpu_by_job.get(task.partition(".")[0], 1000),
         )
         port = self._take_port()
-        minion = StandInMinion(model, machine.pool, machine.name, machine.rack, port)
+        minion = StandInMinion(
+            model, machine.pool, machine.name, machine.rack, self.advertise(port)
+        )
         self._servers.append(
             serve_in_thread(
                 lambda call: self._serve_minion(minion, call), port, MINION_THREADS
@@ -193,14 +207,20 @@
         expected = call.headers.get("geraniumshore-expect-instance")
         if expected not in (None, minion.model.minion_id):
             return Answer.json({}, 421)
+        delay = self.order_delay(name)
+        if delay is not None:
+            late = threading.Timer(delay, self._carry_out, [minion, name, document])
+            late.daemon = True
+            late.start()
+            return NO_ANSWER
         with self.lock:
             if minion.state == "gone":
-                return Answer(503, cut=True)
+                return NO_ANSWER
             reply = minion.model.call(name, document, self.now())
         deadline = self.now() + float(document.get("wait_ms", 0)) / 1000
         while name == "hold" and reply.status == 200 and self.now() < deadline:
             if self._closed.is_set() or minion.state == "gone":
-                return Answer(503, cut=True)
+                return NO_ANSWER
             if reply.document["ended"]:
                 break
             time.sleep(POLL_S)
@@ -208,6 +228,13 @@
                 reply = minion.model.hold({"fence": document["fence"]}, self.now())
         return _answer(reply)
 
+    def _carry_out(
+        self, minion: StandInMinion, name: str, document: dict[str, Any]
+    ) -> None:
+        with self.lock:
+            if minion.state != "gone" and not self._closed.is_set():
+                minion.model.call(name, document, self.now())
+
     def _serve_store(self, call: Call) -> Answer:
         fault = self.store_faults(call)
         if isinstance(fault, int):
@@ -225,7 +252,7 @@
             time.sleep(POLL_S)
             reply = self._store_reply(call)
         if fault == "lost":
-            return Answer(200, b"lost", cut=True)
+            return NO_ANSWER
         return _answer(reply)
 
     def _store_reply(self, call: Call) -> Reply:
@@ -270,6 +297,9 @@
             machine = self.machine_by_name.get(document["machine"])
             if machine is None:
                 return Answer.json({}, 400)
+            holder = call.headers.get("geraniumshore-lease-holder", "")
+            token = int(call.headers.get("geraniumshore-fencing-token", 0))
+            self.machine_orders.append((self.now(), machine.name, holder, token))
             if call.path[-1] == "machine-move":
                 return self._move(machine, document["pool"])
             return self._maintain(machine, document["wave"])
