--- a/packages/geraniumshore-cli/src/geraniumshore_cli/internal/main.py
+++ b/packages/geraniumshore-cli/src/geraniumshore_cli/internal/main.py
@@ -15,6 +15,7 @@
     member_commands,
     release_commands,
     report_commands,
+    schedule_commands,
 )
 from geraniumshore_cli.internal.call_command import call
 from geraniumshore_cli.internal.client import Client
@@ -44,6 +45,7 @@
 app.command(member_commands.app)
 app.command(fleet_commands.app)
 app.command(report_commands.app)
+app.command(schedule_commands.app)
 keys_app = App(name="keys", help="Keys of teams and operators.")
 app.command(keys_app)
 
--- /dev/null
+++ b/packages/geraniumshore-cli/src/geraniumshore_cli/internal/schedule_commands.py
@@ -0,0 +1,188 @@
+"""``geraniumshore schedule ...``: the schedule on the platform, read from its store."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import asdict, fields, is_dataclass
+from pathlib import Path
+from typing import Annotated, Any
+
+from cyclopts import App, Parameter
+
+from geraniumshore_cli.internal.output import ExitCode, show, show_table
+from geraniumshore_scheduler import (
+    PlatformUnavailableError,
+    UnknownOutcomeError,
+)
+from geraniumshored.node.survey import NodeRow, QueueRow, Survey, WaveRow
+from geraniumshored.platform import (
+    HttpPlatform,
+    PlatformSettings,
+    load_platform_settings,
+    settings_path,
+)
+
+__all__ = ["app"]
+
+app = App(
+    name="schedule",
+    help="""The schedule on the platform, read from its store without taking part.
+
+    Addresses come from a node's settings file: --settings, or GERANIUMSHORE_NODE_FILE.
+    """,
+)
+settings_app = App(name="settings", help="A node's settings file.")
+app.command(settings_app)
+
+AsJson = Annotated[bool, Parameter(name="--json", negative="", help="Print JSON.")]
+Settings = Annotated[Path | None, Parameter(help="A node's settings file.")]
+
+MINION_COLUMNS = ("minion_id", "service", "rack", "draining", "address")
+MACHINE_COLUMNS = ("machine", "pool", "up", "data_centre", "minion_id")
+
+
+@app.command
+def nodes(*, settings: Settings = None, as_json: AsJson = False) -> int:
+    """List the nodes in the group: which one owns the schedule, which are strong."""
+    return _with_survey(
+        settings, lambda s: _show_rows(_columns(NodeRow), s.nodes(), as_json)
+    )
+
+
+@app.command
+def queues(*, settings: Settings = None, as_json: AsJson = False) -> int:
+    """List the queues with their jobs by state."""
+    return _with_survey(
+        settings, lambda s: _show_rows(_columns(QueueRow), s.queues(), as_json)
+    )
+
+
+@app.command
+def jobs(
+    queue: str | None = None, *, settings: Settings = None, as_json: AsJson = False
+) -> int:
+    """List the jobs, of one queue or of all, with their failures."""
+
+    def shown(survey: Survey) -> None:
+        rows = [
+            {
+                "job": booked.job.job_id,
+                "queue": booked.job.queue,
+                "team": booked.job.team,
+                "state": booked.state.value,
+                "placed": len(booked.progress.placed),
+                "failures": sum(booked.progress.failures.values()),
+            }
+            for booked in survey.jobs(queue)
+        ]
+        _show_rows(
+            ("job", "queue", "team", "state", "placed", "failures"), rows, as_json
+        )
+
+    return _with_survey(settings, shown)
+
+
+@app.command
+def minions(*, settings: Settings = None, as_json: AsJson = False) -> int:
+    """List the minions that the platform lists."""
+
+    def shown(survey: Survey) -> None:
+        rows = [
+            {column: getattr(minion, column) for column in MINION_COLUMNS}
+            for minion in survey.minions()
+        ]
+        _show_rows(MINION_COLUMNS, rows, as_json)
+
+    return _with_survey(settings, shown)
+
+
+@app.command
+def machines(*, settings: Settings = None, as_json: AsJson = False) -> int:
+    """List the machines with their pools."""
+
+    def shown(survey: Survey) -> None:
+        rows = [
+            {column: getattr(machine, column) for column in MACHINE_COLUMNS}
+            for machine in survey.machines
+        ]
+        _show_rows(MACHINE_COLUMNS, rows, as_json)
+
+    return _with_survey(settings, shown, with_machines=True)
+
+
+@app.command
+def waves(*, settings: Settings = None, as_json: AsJson = False) -> int:
+    """List the waves of upkeep and how far they are."""
+    return _with_survey(
+        settings, lambda s: _show_rows(_columns(WaveRow), s.waves(), as_json)
+    )
+
+
+@app.command
+def caps(*, settings: Settings = None, as_json: AsJson = False) -> int:
+    """List the teams with their share, in jobs a second, and their cap."""
+
+    def shown(survey: Survey) -> None:
+        teams = survey.configuration.team_by_name if survey.configuration else {}
+        rows = [
+            {"team": name, "weight": team.weight, **team.cap._asdict()}
+            for name, team in sorted(teams.items())
+        ]
+        columns = ("team", "weight", "cpu_milli", "memory_mb", "accelerators")
+        _show_rows(columns, rows, as_json)
+
+    return _with_survey(settings, shown)
+
+
+@settings_app.command
+def check(path: Path) -> int:
+    """Check a settings file whole; print every finding with its place."""
+    load_platform_settings(path)
+    print(f"{path.name} is valid")
+    return ExitCode.DONE
+
+
+@settings_app.command
+def explain(path: Path, *, as_json: AsJson = False) -> int:
+    """Show each setting with its value and whether the file sets it."""
+    loaded = load_platform_settings(path)
+    rows = [
+        {
+            "setting": name,
+            "value": getattr(loaded, name),
+            "from": "file" if name in loaded.model_fields_set else "default",
+        }
+        for name in PlatformSettings.model_fields
+    ]
+    _show_rows(("setting", "value", "from"), rows, as_json)
+    return ExitCode.DONE
+
+
+def _with_survey(
+    settings: Path | None,
+    shown: Callable[[Survey], object],
+    with_machines: bool = False,
+) -> int:
+    loaded = load_platform_settings(settings or settings_path())
+    try:
+        survey = Survey.from_platform(HttpPlatform(loaded), with_machines)
+    except (PlatformUnavailableError, UnknownOutcomeError) as error:
+        print(f"the store gave no answer: {error}", file=sys.stderr)
+        return ExitCode.UNKNOWN
+    shown(survey)
+    for finding in survey.findings:
+        print(finding, file=sys.stderr)
+    return ExitCode.REFUSED if survey.findings else ExitCode.DONE
+
+
+def _columns(row: type[Any]) -> tuple[str, ...]:
+    return tuple(column.name for column in fields(row))
+
+
+def _show_rows(columns: Sequence[str], rows: Iterable[Any], as_json: bool) -> None:
+    documents = [asdict(row) if is_dataclass(row) else row for row in rows]  # type: ignore[arg-type]
+    if as_json:
+        show(documents)
+        return
+    show_table(columns, ([row[column] for column in columns] for row in documents))
--- /dev/null
+++ b/packages/geraniumshored/src/geraniumshored/node/survey.py
@@ -0,0 +1,164 @@
+"""The state of the schedule as the store has it, for operators."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, field
+
+from geraniumshore_scheduler import (
+    BookedJob,
+    Configuration,
+    InvalidInputError,
+    JobBook,
+    MachineListing,
+    MinionListing,
+    UpkeepWave,
+)
+from geraniumshored.node.members import host_of, is_strong
+from geraniumshored.node.ports import Platform, Record, Stream
+
+__all__ = ["NodeRow", "QueueRow", "Survey", "WaveRow"]
+
+
+@dataclass(frozen=True, slots=True)
+class QueueRow:
+    """One queue and its jobs by state."""
+
+    queue: str
+    service: str
+    priority: int
+    queued: int
+    running: int
+    done: int
+    failed: int
+    cancelled: int
+
+
+@dataclass(frozen=True, slots=True)
+class NodeRow:
+    """One member of the group; the owner decides, the others stand by."""
+
+    host: str
+    member: str
+    owns: bool
+    strong: bool
+    epoch: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class WaveRow:
+    """One wave of upkeep; ``begun`` machines have been ordered theirs."""
+
+    wave: int
+    machines: int
+    begun: int
+    most_at_once: int
+    within_s: float
+
+
+@dataclass(slots=True)
+class Survey:
+    """What the store holds at one moment, read without taking part.
+
+    ``findings`` names the records that could not be decoded.
+    """
+
+    configuration: Configuration | None = None
+    book: JobBook = field(default_factory=JobBook)
+    wave_by_number: dict[int, UpkeepWave] = field(default_factory=dict)
+    minion_by_id: dict[str, MinionListing] = field(default_factory=dict)
+    machines: tuple[MachineListing, ...] = ()
+    members: frozenset[str] = frozenset()
+    findings: list[str] = field(default_factory=list)
+
+    @classmethod
+    def from_platform(cls, platform: Platform, machines: bool = False) -> Survey:
+        """Read everything; the list of machines only where it is asked for.
+
+        Raises PlatformUnavailableError or UnknownOutcomeError.
+        """
+        survey = cls()
+        use_by_stream: dict[Stream, Callable[[Platform, Record], None]] = {
+            Stream.OPERATORS: survey._use_operator_record,
+            Stream.MINIONS: survey._use_minion,
+            Stream.ACCEPTED: survey._use_job_record,
+            Stream.PROGRESS: survey._use_job_record,
+        }
+        for stream, use in use_by_stream.items():
+            for record in platform.store.newest(stream).records:
+                try:
+                    use(platform, record)
+                except InvalidInputError as error:
+                    survey.findings.append(f"{stream.value} {record.key}: {error}")
+        survey.members = platform.store.members()
+        if machines:
+            survey.machines = platform.machines.list()
+        return survey
+
+    def _use_operator_record(self, platform: Platform, record: Record) -> None:
+        decoded = platform.decode_operator_record(record)
+        if isinstance(decoded, Configuration):
+            self.configuration = decoded
+        elif isinstance(decoded, UpkeepWave):
+            self.wave_by_number[decoded.number] = decoded
+
+    def _use_minion(self, platform: Platform, record: Record) -> None:
+        listing = platform.decode_minion(record)
+        self.minion_by_id[listing.minion_id] = listing
+
+    def _use_job_record(self, _: Platform, record: Record) -> None:
+        self.book.fold(record.key, record.value, record.offset, 0.0)
+
+    def jobs(self, queue: str | None = None) -> Iterator[BookedJob]:
+        """Yield the jobs that the store knows, of one queue or of all."""
+        for booked in self.book.job_by_id.values():
+            if queue is None or booked.job.queue == queue:
+                yield booked
+
+    def queues(self) -> Iterator[QueueRow]:
+        """Yield the configured queues and those that only have jobs left."""
+        states: dict[str, Counter[str]] = {}
+        for booked in self.jobs():
+            states.setdefault(booked.job.queue, Counter())[booked.state.value] += 1
+        configured = {} if self.configuration is None else self._queue_by_name()
+        for name in sorted({*configured, *states}):
+            service, priority = configured.get(name, ("", -1))
+            count = states.get(name, Counter())
+            columns = ("queued", "running", "done", "failed", "cancelled")
+            yield QueueRow(name, service, priority, *(count[c] for c in columns))
+
+    def nodes(self) -> Iterator[NodeRow]:
+        """Yield the members; an owner that has left the group is listed too."""
+        owner = self.book.owner
+        owning = None if owner is None else owner.member
+        for member in sorted(self.members | ({owning} if owning else set())):
+            epoch = owner.epoch if owner is not None and member == owning else None
+            yield NodeRow(
+                host_of(member), member, member == owning, is_strong(member), epoch
+            )
+
+    def waves(self) -> Iterator[WaveRow]:
+        """Yield the announced waves."""
+        for number, wave in sorted(self.wave_by_number.items()):
+            begun = set(self.book.maintained_by_wave.get(number, ()))
+            yield WaveRow(
+                number,
+                len(wave.machines),
+                len(begun & set(wave.machines)),
+                wave.most_at_once,
+                wave.within_s,
+            )
+
+    def minions(self) -> Iterable[MinionListing]:
+        """Return the listed minions by service."""
+        return sorted(
+            self.minion_by_id.values(), key=lambda m: (m.service, m.minion_id)
+        )
+
+    def _queue_by_name(self) -> dict[str, tuple[str, int]]:
+        assert self.configuration is not None
+        return {
+            queue.name: (queue.service, queue.priority)
+            for queue in self.configuration.queues
+        }
