Count what a former owner took down against the limit of a wave

Machines that the log says have begun their upkeep count as done. Now machines that the list shows in upkeep count as down, and so does every machine that a former process announced within its window, as the list may be older.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/machine_orders.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/machine_orders.py
@@ -42,6 +42,7 @@
     host: str
     duty_lease_s: float
     order_by_machine: dict[str, AnnouncedOrder] = field(default_factory=dict)
+    _former: dict[str, AnnouncedOrder] = field(default_factory=dict)
     _sendable_until: dict[str, float] = field(default_factory=dict)
 
     @property
@@ -52,6 +53,18 @@
     def take_over(self, order_by_machine: Mapping[str, AnnouncedOrder]) -> None:
         """Take in what the log says of former owners."""
         self.order_by_machine = dict(order_by_machine)
+        self._former = dict(order_by_machine)
+
+    def formerly_ordered(self, now: float) -> set[str]:
+        """Return the machines that a former owner may have ordered just now.
+
+        That includes a former process of this host.
+        """
+        return {
+            machine
+            for machine, order in self._former.items()
+            if now < order.at + self.kept_s
+        }
 
     def is_free(self, machine: str, now: float) -> bool:
         """Tell whether no other host's order to a machine may be too close."""
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/maintenance.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/maintenance.py
@@ -4,7 +4,7 @@
 
 import enum
 import math
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
 from geraniumshore_scheduler.internal.minion_view import MinionView
@@ -59,6 +59,19 @@
         stages = (Stage.ORDERED, Stage.DOWN)
         return sum(u.stage in stages for u in self.upkeep_by_machine.values())
 
+    def taken_down_by_others(
+        self, machine_by_name: Mapping[str, MachineListing], maybe_down: Collection[str]
+    ) -> int:
+        """Count the machines that are down, or may be, by a former owner's orders."""
+        return sum(
+            upkeep.stage not in (Stage.ORDERED, Stage.DOWN)
+            and (
+                machine in maybe_down
+                or (machine in machine_by_name and machine_by_name[machine].in_upkeep)
+            )
+            for machine, upkeep in self.upkeep_by_machine.items()
+        )
+
     @property
     def done(self) -> bool:
         """Whether every machine has begun its upkeep."""
@@ -157,13 +170,16 @@
         job_by_id: Mapping[str, OpenJob],
         standby_pools: Iterable[str],
         now: float,
+        maybe_down: Collection[str] = (),
     ) -> Iterator[Upkeep]:
         """Empty machines that are due; yield those to order the upkeep of.
 
-        The order counts as given: ``on_answer`` must follow.
+        The order counts as given: ``on_answer`` must follow. ``maybe_down`` names the
+        machines that a former owner may have taken down since the list was read.
         """
         off = set(standby_pools)
         for wave in self._waves.values():
+            others_down = wave.taken_down_by_others(machine_by_name, maybe_down)
             self._begin(wave, machine_by_name, view_by_id, off, now)
             last_call = now > wave.end_at - LAST_CALL_S
             for upkeep in wave.upkeep_by_machine.values():
@@ -174,7 +190,7 @@
                     continue
                 view = view_by_id.get(listed.minion_id or "")
                 empty = self._empty(view, job_by_id, view_by_id, last_call)
-                if empty and wave.down < wave.wave.most_at_once:
+                if empty and wave.down + others_down < wave.wave.most_at_once:
                     upkeep.stage = Stage.ORDERED
                     upkeep.minion_id = listed.minion_id
                     yield upkeep
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/model.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/model.py
@@ -261,7 +261,10 @@
 
 @dataclass(frozen=True, slots=True)
 class MachineListing:
-    """A machine of the platform. ``minion_id`` is its present minion's, if any."""
+    """A machine of the platform. ``minion_id`` is its present minion's, if any.
+
+    One that is ``in_upkeep`` is not up.
+    """
 
     machine: str
     pool: str
@@ -270,6 +273,7 @@
     labels: tuple[str, ...]
     capacity: Resources
     minion_id: str | None
+    in_upkeep: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/geraniumshored/src/geraniumshored/node/machinist.py
+++ b/packages/geraniumshored/src/geraniumshored/node/machinist.py
@@ -193,6 +193,7 @@
                     self._scheduler.job_by_id,
                     [standby] if standby else [],
                     self._now(),
+                    self._orders.formerly_ordered(self._now()),
                 )
             )
         self._on_change()
--- a/packages/geraniumshored/src/geraniumshored/platform/documents.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/documents.py
@@ -352,6 +352,7 @@
             labels=machine.labels,
             capacity=machine.capacity.resources(),
             minion_id=machine.id or None,
+            in_upkeep=machine.state == "upkeep",
         )
         for machine in page.machines
     )
--- a/tests/cover/test_machinist.py
+++ b/tests/cover/test_machinist.py
@@ -189,3 +189,16 @@
     for _ in range(3):
         bench.machinist._step()
     assert bench.machines.orders == [("maintain", "m-1")]
+
+
+def test_a_new_owner_keeps_the_wave_s_limit_beside_a_former_one_s_last_orders():
+    bench = Bench()
+    bench.waves[1] = UpkeepWave(1, ("m-0", "m-1"), 30, 1), 0.0
+    bench.recorded[1] = ("m-0",)
+    bench.pass_time(5)
+    bench.orders.take_over({"m-0": AnnouncedOrder("h", bench.fleet.now)})
+    bench.machinist._step()
+    assert bench.machines.orders == []
+    bench.pass_time(bench.orders.kept_s)
+    bench.machinist._step()
+    assert bench.machines.orders == [("maintain", "m-1")]
--- a/tests/cover/test_maintenance_waves.py
+++ b/tests/cover/test_maintenance_waves.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from geraniumshore_scheduler import (
     MachineListing,
     Step,
@@ -38,7 +40,12 @@
     }
 
 
-def plan(book: WaveBook, fleet: Fleet, listed: dict[str, MachineListing]):
+def plan(
+    book: WaveBook,
+    fleet: Fleet,
+    listed: dict[str, MachineListing],
+    maybe_down: frozenset[str] = frozenset(),
+):
     return list(
         book.plan(
             listed,
@@ -46,6 +53,7 @@
             fleet.scheduler.job_by_id,
             ["spare"],
             fleet.now,
+            maybe_down,
         )
     )
 
@@ -138,3 +146,20 @@
     assert list(book.news()) == []
     book.follow({first.machine: listed[first.machine]})
     assert list(book.news()) == [(1, True)]
+
+
+def test_what_a_former_owner_took_down_counts_against_the_wave_s_limit():
+    fleet = Fleet(minions=3)
+    listed = machines(fleet)
+    down, *others = sorted(listed)
+    book = WaveBook()
+    book.announce(UpkeepWave(1, tuple(listed), 30, 1), 0.0, done=[down])
+    listed[down] = replace(listed[down], up=False, in_upkeep=True)
+    book.follow(listed)
+    assert plan(book, fleet, listed) == []
+    listed[down] = replace(listed[down], up=True, in_upkeep=False)
+    book.follow(listed)
+    # The list may be older than its last order.
+    assert plan(book, fleet, listed, frozenset({down})) == []
+    (order,) = plan(book, fleet, listed)
+    assert order.machine in others
