--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/soak.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/soak.py
@@ -36,6 +36,10 @@
 NOT_RUN = (429, 503)
 # A caller does not hand a job in for longer than this.
 SUBMIT_S = 20.0
+# Machines are away so long for their upkeep, and so many of a wave at once.
+UPKEEP_S = 2.0
+WAVE_CAP = 2
+WAVE_S = 8
 FINAL = ("done", "failed", "cancelled")
 
 
@@ -174,8 +178,11 @@
         for client in clients:
             client.start()
         nodes, machines = list(fleet.node_by_name), list(fleet.world.machine_by_name)
-        wave = {"wave": 1, "machines": machines, "cap": 2}
-        fleet.world.announce_wave({**wave, "finish_by_s": int(size.seconds)})
+        fleet.world.upkeep_s = UPKEEP_S
+        waves = threading.Thread(
+            target=_announce_waves, args=[fleet, machines, stop], daemon=True
+        )
+        waves.start()
         _inject(fleet, list(draw_faults(seed, size.seconds, nodes, machines)), report)
         stop.set()
         for client in clients:
@@ -191,8 +198,14 @@
         with fleet.world.lock:
             events = list(fleet.world.events)
             orders = list(fleet.world.machine_orders)
+            upkeeps = list(fleet.world.upkeeps)
         report.starts = sum(event[1] == "start" for event in events)
         report.findings.extend(broken_promises(events, view_by_job, orders))
+        report.findings.extend(
+            f"LIMIT {down} machines of wave {wave} in upkeep at {at:.2f}"
+            for at, wave, down in upkeeps
+            if down > WAVE_CAP
+        )
         if report.findings and logs is not None:
             report.logs = logs / f"seed-{seed}"
             shutil.copytree(fleet.folder, report.logs, dirs_exist_ok=True)
@@ -201,6 +214,18 @@
     return report
 
 
+def _announce_waves(
+    fleet: SoakFleet, machines: list[str], stop: threading.Event
+) -> None:
+    """Announce one wave after the other, so that owners change during them."""
+    wave = 0
+    while not stop.is_set():
+        wave += 1
+        document = {"wave": wave, "machines": machines, "cap": WAVE_CAP}
+        fleet.world.announce_wave({**document, "finish_by_s": WAVE_S})
+        stop.wait(WAVE_S)
+
+
 def _inject(fleet: SoakFleet, faults: list[Fault], report: SoakReport) -> None:
     """Begin and end each fault at its time."""
     report.faults = [str(fault) for fault in faults]
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/world.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/world.py
@@ -75,6 +75,9 @@
         self.events: list[tuple[float, str, str, int, str, str]] = []
         # Orders to machines that were taken: when, which, by whom, with which token.
         self.machine_orders: list[tuple[float, str, str, int]] = []
+        # Upkeeps that began: when, in which wave, how many of it were down with it.
+        self.upkeeps: list[tuple[float, int, int]] = []
+        self.upkeep_s = UPKEEP_S
         self.machine_by_name: dict[str, _Machine] = {}
         self.cpu_by_job: dict[str, int] = {}
         self._take_port = take_port
@@ -321,7 +324,10 @@
             return Answer.json({"reason": "busy"}, 409)
         self._end_minion(machine)
         machine.wave, machine.state = wave, "upkeep"
-        self._come_back(machine, UPKEEP_S)
+        down = [m for m in self.machine_by_name.values() if m.state == "upkeep"]
+        count = sum(other.wave == wave for other in down)
+        self.upkeeps.append((self.now(), wave, count))
+        self._come_back(machine, self.upkeep_s)
         return Answer.json({})
 
     def _come_back(self, machine: _Machine, after_s: float) -> None:
