A state machine over hosts of unequal strength; the stand-in's group drops silent members by time

Its first runs showed no owner after all strong hosts had gone at once: the stand-in listed the dead members until somebody joined, and weak hosts waited for them.

--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/log_model.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/log_model.py
@@ -45,6 +45,7 @@
 @dataclass(slots=True)
 class _Group:
     generation: int = 0
+    ttl_s: float = 0.0
     joined_at: dict[str, float] = field(default_factory=dict)
     member_by_partition: dict[int, str] = field(default_factory=dict)
 
@@ -140,10 +141,8 @@
     ) -> Reply:
         """Join a group or stay in it."""
         state = self._groups.setdefault(group, _Group())
-        lapsed = [m for m, at in state.joined_at.items() if now - at > ttl_s]
-        for other in lapsed:
-            if other != member:
-                self._remove(state, other)
+        state.ttl_s = ttl_s
+        self._drop_silent(state, now, spared=member)
         if member not in state.joined_at:
             state.joined_at[member] = now
             self._deal(state)
@@ -162,12 +161,20 @@
             self._remove(state, member)
         return Reply(200, {})
 
-    def owners(self, group: str) -> Reply:
-        """Return who holds which partition."""
+    def owners(self, group: str, now: float) -> Reply:
+        """Return who holds which partition; silent members are dropped by time."""
         state = self._groups.setdefault(group, _Group())
+        self._drop_silent(state, now)
         rows = [["members", n, m, 0] for n, m in state.member_by_partition.items()]
         return Reply(200, {"parts": rows})
 
+    def _drop_silent(
+        self, state: _Group, now: float, spared: str | None = None
+    ) -> None:
+        for member, at in list(state.joined_at.items()):
+            if member != spared and now - at > state.ttl_s:
+                self._remove(state, member)
+
     def _remove(self, state: _Group, member: str) -> None:
         del state.joined_at[member]
         self._deal(state)
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/world.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/world.py
@@ -276,7 +276,7 @@
             if name == "log-newest":
                 return self.log.newest(topic, part, query.get("depends_on"))
             if name == "log-owners":
-                return self.log.owners(query["group"])
+                return self.log.owners(query["group"], self.now())
             document = call.document()
             if name == "log-leave":
                 return self.log.leave(document["group"], document["member"])
--- a/tests/common/schedule_world.py
+++ b/tests/common/schedule_world.py
@@ -298,7 +298,7 @@
     def members(self) -> frozenset[str]:
         """Return the group's members."""
         self._reach()
-        rows = self._node.world.log.owners("g").document["parts"]
+        rows = self._node.world.log.owners("g", self._node.world.now).document["parts"]
         return frozenset(row[2] for row in rows)
 
     def join(self, member: str, generation: int) -> Membership:
--- /dev/null
+++ b/tests/cover/test_ownership_machine.py
@@ -0,0 +1,216 @@
+"""Hosts of unequal strength that come, go and are cut off, as a state machine.
+
+The group is the stand-in's model of the store. Whatever happened, after a calm time one
+host owns the schedule and keeps it: a strong one where enough of them live.
+"""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from geraniumshore_scheduler import OwnerRecord, PlatformUnavailableError
+from geraniumshore_standins.internal.users_platform import LogModel
+from geraniumshored.node.members import is_strong, member_name
+from geraniumshored.node.ownership import ENOUGH_STRONG, JOIN_PAUSE_S, Ownership
+from geraniumshored.node.ports import Membership
+
+STRONG, WEAK = 2.0, 0.5
+HOSTS = {"s0": STRONG, "s1": STRONG, "s2": STRONG, "w0": WEAK, "w1": WEAK, "w2": WEAK}
+TTL_S = 1.0
+# Weak hosts wait at their start, then look once a second; takeovers follow each other.
+CALM_S = 15.0
+STABLE_S = 5.0
+
+
+class Node:
+    """One process of a host, and its claims."""
+
+    def __init__(self, machine: GroupMachine, host: str) -> None:
+        self.machine = machine
+        self.cut = False
+        self.frozen_until = 0.0
+        self.owner: SimpleNamespace | None = None
+        self.next_step = machine.now
+        self.member = member_name(host, str(machine.processes), HOSTS[host])
+        self.ownership = Ownership(
+            self,  # type: ignore[arg-type]
+            host,
+            self.member,
+            SimpleNamespace(book=machine.book),  # type: ignore[arg-type]
+            self._make_owner,  # type: ignore[arg-type]
+            lambda: True,
+            lambda: machine.now,
+        )
+
+    # The store, as this node reaches it.
+
+    def _reach(self) -> LogModel:
+        if self.cut:
+            raise PlatformUnavailableError("cut off")
+        return self.machine.log
+
+    def join(self, member: str, generation: int) -> Membership:
+        reply = self._reach().join("g", member, TTL_S, generation, self.machine.now)
+        rows = reply.document["parts"]
+        first = any(number == 0 for _, number, _ in rows)
+        return Membership(reply.document["generation"], first)
+
+    def members(self) -> frozenset[str]:
+        return frozenset(str(row[2]) for row in self._parts())
+
+    def _parts(self) -> list[list[object]]:
+        reply = self._reach().owners("g", self.machine.now)
+        return list(reply.document["parts"])
+
+    def leave(self, member: str) -> None:
+        self._reach().leave("g", member)
+
+    def _make_owner(self, epoch: int) -> SimpleNamespace:
+        assert epoch not in self.machine.epochs, "two claims of one epoch"
+        self.machine.epochs.add(epoch)
+
+        def start() -> None:
+            known = self.machine.book.owner
+            if known is not None and known.epoch >= epoch:
+                owner.stopped = True
+                return
+            for other in self.machine.nodes.values():
+                if other.owner is not None:
+                    # Its next append or order is fenced.
+                    other.owner.stopped = True
+            self.machine.book.owner = OwnerRecord(self.member, epoch)
+            self.machine.taken_at = self.machine.now
+            self.owner = owner
+
+        def stop(_: str) -> None:
+            owner.stopped = True
+
+        owner = SimpleNamespace(start=start, stop=stop, stopped=False)
+        return owner
+
+    def step(self) -> None:
+        now = self.machine.now
+        if now < max(self.next_step, self.frozen_until):
+            return
+        try:
+            self.next_step = now + self.ownership._step()
+        except PlatformUnavailableError:
+            self.next_step = now + JOIN_PAUSE_S
+
+
+class GroupMachine(RuleBasedStateMachine):
+    """Runs the hosts in steps of the clock."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 100.0
+        self.taken_at = 0.0
+        self.processes = 0
+        self.log = LogModel()
+        self.book = SimpleNamespace(owner=None)
+        self.epochs: set[int] = set()
+        self.nodes: dict[str, Node] = {}
+        for host in HOSTS:
+            self._start(host)
+
+    def _start(self, host: str) -> None:
+        self.processes += 1
+        self.nodes[host] = Node(self, host)
+
+    def _run(self, seconds: float) -> None:
+        until = self.now + seconds
+        while self.now < until:
+            self.now += 0.05
+            for node in list(self.nodes.values()):
+                node.step()
+
+    @rule(seconds=st.floats(0.1, 4.0))
+    def time_passes(self, seconds: float) -> None:
+        self._run(seconds)
+
+    @rule(host=st.sampled_from(sorted(HOSTS)))
+    def kill(self, host: str) -> None:
+        self.nodes.pop(host, None)
+
+    @rule(host=st.sampled_from(sorted(HOSTS)))
+    def start_again(self, host: str) -> None:
+        if host not in self.nodes:
+            self._start(host)
+
+    @rule()
+    def all_strong_hosts_go(self) -> None:
+        for host, processors in HOSTS.items():
+            if processors == STRONG:
+                self.nodes.pop(host, None)
+
+    @rule()
+    def all_hosts_start(self) -> None:
+        for host in HOSTS:
+            self.start_again(host)
+
+    @rule()
+    def the_owner_starts_again(self) -> None:
+        for host, node in list(self.nodes.items()):
+            if node.owner is not None and not node.owner.stopped:
+                self._start(host)
+
+    @rule(host=st.sampled_from(sorted(HOSTS)), cut=st.booleans())
+    def cut_or_mend(self, host: str, cut: bool) -> None:
+        if host in self.nodes:
+            self.nodes[host].cut = cut
+
+    @rule(host=st.sampled_from(sorted(HOSTS)), seconds=st.floats(0.5, 4.0))
+    def freeze(self, host: str, seconds: float) -> None:
+        if host in self.nodes:
+            self.nodes[host].frozen_until = self.now + seconds
+
+    @rule()
+    def leave(self) -> None:
+        for host, node in list(self.nodes.items()):
+            if node.owner is not None and not node.owner.stopped and not node.cut:
+                node.ownership.leave()
+                del self.nodes[host]
+
+    @precondition(lambda self: self.nodes)
+    @rule()
+    def calm_brings_one_lasting_owner(self) -> None:
+        for node in self.nodes.values():
+            node.cut = False
+        self._run(CALM_S)
+        owners = [
+            node
+            for node in self.nodes.values()
+            if node.owner is not None and not node.owner.stopped
+        ]
+        assert len(owners) == 1
+        strong = sum(is_strong(node.member) for node in self.nodes.values())
+        if strong >= ENOUGH_STRONG:
+            assert is_strong(owners[0].member)
+        assert self.now - self.taken_at >= STABLE_S
+
+    @invariant()
+    def at_most_one_owner_is_not_fenced(self) -> None:
+        active = [
+            node
+            for node in self.nodes.values()
+            if node.owner is not None and not node.owner.stopped
+        ]
+        assert len(active) <= 1
+
+
+TestGroup = GroupMachine.TestCase
+TestGroup.settings = settings(
+    max_examples=40, stateful_step_count=20, deadline=None, derandomize=True
+)
+
+
+def test_strong_hosts_take_over_again_from_the_weak_ones_that_stood_in():
+    machine = GroupMachine()
+    machine.calm_brings_one_lasting_owner()
+    machine.all_strong_hosts_go()
+    machine.calm_brings_one_lasting_owner()
+    machine.all_hosts_start()
+    machine.calm_brings_one_lasting_owner()
