An epoch for each place in the group: two hosts could claim the same one

Cause: a frozen owner woke, was told of a newer fence, and claimed again as 'the owner's own host' since it had not read the log so far; the new owner, told of that claim, did the same. Ruled out: today's orders to machines (no machine was shared), late orders (none). Now an epoch is made of the generation and the lowest partition that the member holds in it, which no two members share; one that lost the schedule claims again only with a log that it has read since, and never twice in a generation.

--- a/packages/geraniumshored/src/geraniumshored/node/ownership.py
+++ b/packages/geraniumshored/src/geraniumshored/node/ownership.py
@@ -33,8 +33,8 @@
 
 # A node that has just started leaves the owner's host this time to start too.
 OWNER_BACK_S = 1.2
-# The claim of the owner's own host and that of the group's first member.
-CLAIMS_PER_GENERATION = 2
+# Each place in a generation has an epoch of its own; the store has 32 places.
+CLAIMS_PER_GENERATION = 128
 
 
 class Ownership:
@@ -65,6 +65,8 @@
         self._now = now
         self._started_at = now()
         self._generation = 0
+        self._claimed_generation = 0
+        self._lost_owner_at = float("-inf")
         self._owner: Owner | None = None
         self._lost = False
         self._aside_checked_at = now()
@@ -150,6 +152,7 @@
     def _follow(self, membership: Membership) -> None:
         if self._owner is not None and self._owner.stopped:
             self._owner = None
+            self._lost_owner_at = self._now()
         if self._owner is None:
             self._claim(membership)
 
@@ -158,14 +161,25 @@
 
         The owner's own host goes first when its process has been started again: it
         need not wait for its former orders to machines. Any other claim is that of the
-        group's first member, so no two have one epoch.
+        group's first member. Both may happen in one generation, by nodes that have read
+        the log to different offsets, so the epoch comes from the member's own place.
         """
         owner = self._jobs.book.owner
         back = owner is not None and host_of(owner.member) == self._host
         if not (back or membership.first) or not self._schedule_is_free(back):
             return
-        epoch = CLAIMS_PER_GENERATION * membership.generation + back
-        self._owner = self._make_owner(epoch)
+        place = membership.place
+        if place is None or place >= CLAIMS_PER_GENERATION:
+            return
+        if membership.generation == self._claimed_generation:
+            # Its epoch is used up; coming back makes a new generation.
+            self._store.leave(self._member)
+            self._generation = 0
+            return
+        self._claimed_generation = membership.generation
+        self._owner = self._make_owner(
+            CLAIMS_PER_GENERATION * membership.generation + place
+        )
         self._owner.start()
 
     def _schedule_is_free(self, back: bool) -> bool:
@@ -173,6 +187,9 @@
         owner = self._jobs.book.owner
         if now < self._regained_at + REGAINED_S:
             return False
+        if now - self._jobs.age(now) < self._lost_owner_at:
+            # Who took over stands in the log, but this node has not read so far.
+            return False
         if owner is None or owner.member == self._member:
             return True
         if not back and now < self._started_at + OWNER_BACK_S:
--- a/packages/geraniumshored/src/geraniumshored/node/ports.py
+++ b/packages/geraniumshored/src/geraniumshored/node/ports.py
@@ -87,13 +87,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Membership:
-    """A group's answer: its generation, and whether this member is the first to act.
+    """A group's answer: its generation, and the lowest of the member's places in it.
 
-    Exactly one member is; which one may change at any time.
+    No two members of a generation share a place; None is for a member without one.
+    Who has place 0 is the first to act. Places may change at any time, and the
+    generation with them.
     """
 
     generation: int
-    first: bool
+    place: int | None
+
+    @property
+    def first(self) -> bool:
+        """Whether this member is the first to act."""
+        return self.place == 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/geraniumshored/src/geraniumshored/node/settings.py
+++ b/packages/geraniumshored/src/geraniumshored/node/settings.py
@@ -14,9 +14,8 @@
     """One node. All times are in seconds.
 
     ``leaving_s`` is how long a process may go on after SIGTERM. ``duty_lease_s`` is how
-    long another owner's orders to machines must be past.
-    ``processors``
-    is what the host gives this process, in cores.
+    far orders of two owners to one machine must lie apart. ``processors`` is what the
+    host gives this process, in cores.
     """
 
     node: str
--- a/packages/geraniumshored/src/geraniumshored/platform/store.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/store.py
@@ -37,10 +37,8 @@
 JOIN_SECONDS = 0.8
 MS = 1000
 GROUP = "geraniumshore"
-# The topic serves only for its partitions to be dealt out; each member gets some, and
-# whoever holds this one is the first to act.
+# The topic serves only for its partitions to be dealt out; each member gets some.
 GROUP_TOPIC = "members"
-FIRST_PARTITION = 0
 
 # The topic and the partition of each stream.
 PLACE_BY_STREAM = {
@@ -126,11 +124,10 @@
                 "generation": generation,
             },
         ).document()
-        first = any(
-            row[0] == GROUP_TOPIC and row[1] == FIRST_PARTITION
-            for row in document.get("parts") or []
+        held = (
+            int(row[1]) for row in document.get("parts") or [] if row[0] == GROUP_TOPIC
         )
-        return Membership(int(document["generation"]), first)
+        return Membership(int(document["generation"]), min(held, default=None))
 
     def members(self) -> frozenset[str]:
         """Return who holds some partition of the group's topic."""
--- a/tests/common/schedule_world.py
+++ b/tests/common/schedule_world.py
@@ -306,8 +306,8 @@
         self._reach()
         world = self._node.world
         reply = world.log.join("g", member, TTL_S, generation, world.now)
-        first = any(row[1] == 0 for row in reply.document["parts"])
-        return Membership(reply.document["generation"], first)
+        places = (row[1] for row in reply.document["parts"])
+        return Membership(reply.document["generation"], min(places, default=None))
 
     def leave(self, member: str) -> None:
         """Leave the group."""
@@ -333,6 +333,7 @@
         self.world = world
         self.frozen_until = 0.0
         self.book = JobBook()
+        self.read_at = world.now
         self.on_job: Callable[[BookedJob, RecordKind], None] | None = None
         self.offsets = {Stream.ACCEPTED: 0, Stream.PROGRESS: 0}
         self.store = SimStore(self)
@@ -348,6 +349,10 @@
             lambda: world.now,
         )
 
+    def age(self, now: float) -> float:
+        """Return for how long the book may have missed records."""
+        return now - self.read_at
+
     def _make_owner(self, epoch: int) -> SimOwner:
         self.owner = SimOwner(self, epoch)
         return self.owner
@@ -372,6 +377,7 @@
 
     def read(self) -> None:
         """Fold what is new in the log."""
+        self.read_at = self.world.now
         for stream in self.offsets:
             topic, part = PLACE_BY_STREAM[stream]
             raw = self.world.log.read(topic, part, self.offsets[stream]).raw
--- a/tests/cover/test_ownership.py
+++ b/tests/cover/test_ownership.py
@@ -23,7 +23,8 @@
 
     def __init__(self) -> None:
         self.listed: set[str] = set()
-        self.first = True
+        self.place: int | None = 0
+        self.generation = 7
         self.joins = 0
         self.left: list[str] = []
 
@@ -35,7 +36,7 @@
 
     def join(self, member: str, generation: int) -> Membership:
         self.joins += 1
-        return Membership(7, self.first)
+        return Membership(self.generation, self.place)
 
 
 class Bench:
@@ -47,13 +48,14 @@
         self.book = SimpleNamespace(
             owner=None if owner is None else OwnerRecord(owner, 3)
         )
+        self.log_age = 0.0
         self.claims: list[int] = []
         self.owners: list[SimpleNamespace] = []
         self.ownership = Ownership(
             self.store,  # type: ignore[arg-type]
             "h1",
             member_name("h1", "new", processors),
-            SimpleNamespace(book=self.book),  # type: ignore[arg-type]
+            SimpleNamespace(book=self.book, age=lambda _: self.log_age),  # type: ignore[arg-type]
             self._make_owner,
             lambda: True,
             lambda: self.now,
@@ -79,7 +81,7 @@
 
 def test_others_do_not_claim():
     bench = Bench(member_name("h2", "old", 1.0))
-    bench.store.first = False
+    bench.store.place = 3
     assert bench.step(10) == []
 
 
@@ -100,8 +102,47 @@
 
 def test_the_owner_s_host_claims_at_once_in_an_epoch_of_its_own():
     bench = Bench(member_name("h1", "old", 1.0))
-    bench.store.first = False
-    assert bench.step() == [7 * CLAIMS_PER_GENERATION + 1]
+    bench.store.place = 3
+    assert bench.step() == [7 * CLAIMS_PER_GENERATION + 3]
+
+
+def test_two_hosts_that_claim_in_one_generation_do_so_in_different_epochs():
+    # Each has read of its own last claim only.
+    claims = []
+    for place in (0, 3):
+        bench = Bench(member_name("h1", "old", 1.0))
+        bench.store.place = place
+        claims.extend(bench.step())
+    assert len(set(claims)) == 2
+
+
+def test_a_member_without_a_place_does_not_claim():
+    bench = Bench(member_name("h1", "old", 1.0))
+    bench.store.place = None
+    assert bench.step(10) == []
+
+
+def test_who_lost_the_schedule_reads_the_log_before_it_claims_again():
+    bench = Bench()
+    bench.step()
+    bench.book.owner = OwnerRecord(member_name("h1", "new", 1.0), bench.claims[0])
+    bench.owners[0].stopped = True
+    bench.store.generation = 8
+    bench.log_age = 0.5
+    assert len(bench.step(0.25)) == 1
+    assert len(bench.step(0.5)) == 2
+
+
+def test_an_epoch_is_never_claimed_twice():
+    bench = Bench()
+    bench.step()
+    bench.owners[0].stopped = True
+    bench.step()
+    bench.step(1)
+    assert len(bench.claims) == 1
+    assert bench.store.left
+    bench.store.generation = 8
+    assert len(bench.step(1)) == 2
 
 
 def test_a_weak_host_leaves_the_places_to_others_at_first():
--- a/tests/cover/test_ownership_machine.py
+++ b/tests/cover/test_ownership_machine.py
@@ -23,6 +23,8 @@
 # Weak hosts wait at their start, then look once a second; takeovers follow each other.
 CALM_S = 15.0
 STABLE_S = 5.0
+# How far a node's reading lags behind the log.
+READ_EACH_S = 0.3
 
 
 class Node:
@@ -33,18 +35,24 @@
         self.cut = False
         self.frozen_until = 0.0
         self.owner: SimpleNamespace | None = None
+        # The log as this node has read it; a cut or frozen node lags behind.
+        self.book = SimpleNamespace(owner=machine.book.owner)
+        self.read_at = machine.now
         self.next_step = machine.now
         self.member = member_name(host, str(machine.processes), HOSTS[host])
         self.ownership = Ownership(
             self,  # type: ignore[arg-type]
             host,
             self.member,
-            SimpleNamespace(book=machine.book),  # type: ignore[arg-type]
+            self,  # type: ignore[arg-type]
             self._make_owner,  # type: ignore[arg-type]
             lambda: True,
             lambda: machine.now,
         )
 
+    def age(self, now: float) -> float:
+        return now - self.read_at
+
     # The store, as this node reaches it.
 
     def _reach(self) -> LogModel:
@@ -55,8 +63,8 @@
     def join(self, member: str, generation: int) -> Membership:
         reply = self._reach().join("g", member, TTL_S, generation, self.machine.now)
         rows = reply.document["parts"]
-        first = any(number == 0 for _, number, _ in rows)
-        return Membership(reply.document["generation"], first)
+        place = min((number for _, number, _ in rows), default=None)
+        return Membership(reply.document["generation"], place)
 
     def members(self) -> frozenset[str]:
         return frozenset(str(row[2]) for row in self._parts())
@@ -93,12 +101,16 @@
 
     def step(self) -> None:
         now = self.machine.now
-        if now < max(self.next_step, self.frozen_until):
+        if now < self.frozen_until:
             return
-        try:
-            self.next_step = now + self.ownership._step()
-        except PlatformUnavailableError:
-            self.next_step = now + JOIN_PAUSE_S
+        if now >= self.next_step:
+            try:
+                self.next_step = now + self.ownership._step()
+            except PlatformUnavailableError:
+                self.next_step = now + JOIN_PAUSE_S
+        if not self.cut and now >= self.read_at + READ_EACH_S:
+            self.book.owner = self.machine.book.owner
+            self.read_at = now
 
 
 class GroupMachine(RuleBasedStateMachine):
