--- a/tests/common/schedule_world.py
+++ b/tests/common/schedule_world.py
@@ -56,6 +56,8 @@
 )
 
 STEP_S = 0.05
+# A node reads the log so late at most; a long read of the real store comes back sooner.
+MOST_READ_LATE_S = 0.3
 TTL_S = 1.0
 GRACE_S = 3.0
 LEASE_S = 6.0
@@ -333,7 +335,8 @@
         self.world = world
         self.frozen_until = 0.0
         self.book = JobBook()
-        self.read_at = world.now
+        self.read_at = self._next_read = world.now
+        self._read_rng = random.Random(f"{name} {world.now}")
         self.on_job: Callable[[BookedJob, RecordKind], None] | None = None
         self.offsets = {Stream.ACCEPTED: 0, Stream.PROGRESS: 0}
         self.store = SimStore(self)
@@ -362,7 +365,9 @@
         world = self.world
         if world.now < self.frozen_until:
             return
-        if world.linked(self.name, "store"):
+        if world.linked(self.name, "store") and world.now >= self._next_read:
+            # Nodes read the log late, each at its own time.
+            self._next_read = world.now + self._read_rng.uniform(0, MOST_READ_LATE_S)
             self.read()
             if self.owner is not None:
                 self.owner.on_progress_read(world.now)
