Scheduler: one copy each of decoding, task names, caps, places and advice that holds

Found in a last read of the change; behaviour stays. Records are decoded by one function, not five with the same handler; names of tasks are read by TaskKey.parse, the key of a job's record made by job_key, as elsewhere. What a cap of 0 means stands in Team.limit, not in the check of the cap and again in the meter of pools. Writing down where a run is, and whether advice still holds, were each there twice. Work done for nothing: each accepted job built a dict of all teams' weights; it now looks at its own team.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/advice.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/advice.py
@@ -41,6 +41,10 @@
     life: int
     expires_at: float
 
+    def holds(self, view: MinionView, now: float) -> bool:
+        """Tell whether the answer still stands for the minion's present life."""
+        return self.life == view.life and self.expires_at > now + LEAST_VALID_S
+
 
 @dataclass(slots=True)
 class AdviceBook:
@@ -52,8 +56,7 @@
         self, step: StepKey, views: Iterable[MinionView], now: float
     ) -> AdviceRequest | None:
         """Return what to ask, minions with most room first; None if all is known."""
-        known = self._tickets.get(step, {})
-        unknown = [view for view in views if not self._is_known(known, view, now)]
+        unknown = [view for view in views if self._answer(step, view, now) is None]
         if not unknown:
             return None
         unknown.sort(key=lambda view: (-view.free.cpu_milli, view.minion_id))
@@ -76,10 +79,8 @@
 
     def ticket(self, step: StepKey, view: MinionView, now: float) -> str | None:
         """Return a ticket that is good for a start now."""
-        known = self._tickets.get(step, {}).get(view.minion_id)
-        if known is None or known.life != view.life:
-            return None
-        return known.ticket if known.expires_at > now + LEAST_VALID_S else None
+        answer = self._answer(step, view, now)
+        return None if answer is None else answer.ticket
 
     def drop_ticket(self, step: StepKey, minion_id: str) -> None:
         """Forget a ticket that a minion did not accept."""
@@ -96,9 +97,7 @@
         """Yield the minions with a good ticket."""
         return (view for view in views if self.ticket(step, view, now) is not None)
 
-    @staticmethod
-    def _is_known(known: Mapping[str, _Ticket], view: MinionView, now: float) -> bool:
-        ticket = known.get(view.minion_id)
-        if ticket is None or ticket.life != view.life:
-            return False
-        return ticket.expires_at > now + LEAST_VALID_S
+    def _answer(self, step: StepKey, view: MinionView, now: float) -> _Ticket | None:
+        """Return what is known of a minion, None where it is to be asked."""
+        answer = self._tickets.get(step, {}).get(view.minion_id)
+        return answer if answer is not None and answer.holds(view, now) else None
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_book.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_book.py
@@ -18,6 +18,7 @@
     decode_owner,
     decode_progress,
     encode_progress,
+    job_key,
     split_key,
 )
 
@@ -150,7 +151,7 @@
         for kind in (RecordKind.CANCELLED, RecordKind.PROGRESS):
             orphan = self._orphans.pop((kind, job.job_id), None)
             if orphan is not None:
-                key = f"{kind.value}/{job.job_id}"
+                key = job_key(kind, job.job_id)
                 self.fold(key, orphan.value, orphan.offset, now)
         return booked
 
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/model.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/model.py
@@ -64,7 +64,13 @@
     position: int
 
     def __str__(self) -> str:
-        return f"{self.job_id}.{self.occurrence}.{self.step}.{self.position}"
+        return f"{self.job_id}.{self.within_job}"
+
+    @classmethod
+    def parse(cls, name: str) -> TaskKey:
+        """Return the key of a name. Raises ValueError for one of another form."""
+        job_id, occurrence, step, position = name.split(".")
+        return cls(job_id, int(occurrence), int(step), int(position))
 
     @property
     def within_job(self) -> str:
@@ -161,6 +167,10 @@
     standby: bool
 
 
+# Stands for a part of a team's cap that has no limit.
+UNLIMITED = 1 << 60
+
+
 @dataclass(frozen=True, slots=True)
 class Team:
     """A tenant with its share and its cap; a cap of 0 means no limit."""
@@ -170,6 +180,11 @@
     weight: float
     cap: Resources
 
+    @property
+    def limit(self) -> Resources:
+        """The cap as amounts that may be compared, also where there is no limit."""
+        return Resources(*(part or UNLIMITED for part in self.cap))
+
 
 @dataclass(frozen=True, slots=True)
 class Configuration:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/placer.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/placer.py
@@ -8,7 +8,6 @@
 from geraniumshore_scheduler.internal.minion_view import MinionView
 from geraniumshore_scheduler.internal.model import TaskKey
 from geraniumshore_scheduler.internal.orders import StartOrder, StopOrder
-from geraniumshore_scheduler.internal.records import Placed
 from geraniumshore_scheduler.internal.runs import OpenJob, Run, RunState
 from geraniumshore_scheduler.internal.settlement import Settlement
 from geraniumshore_scheduler.internal.shortage import Shortage
@@ -167,14 +166,10 @@
     def _order_start(self, job: OpenJob, run: Run) -> None:
         view = self.view_by_id[run.minion_id]
         assert view.listing is not None
-        name = run.task.within_job
-        job.progress.placed[name] = [
-            Placed(run.minion_id, run.number, self.authority.epoch)
-        ]
+        self._write_down(job, run)
         job.begun()
         if job.first_start_after_s is None:
             job.first_start_after_s = round(run.since - job.arrived_at, 3)
-        self._dirty[job.job.job_id] = None
         self._starts.append(
             StartOrder(
                 run,
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pool_meter.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pool_meter.py
@@ -26,10 +26,6 @@
 ONSET_S = 0.4
 
 
-# Stands for a part of a team's cap that has no limit.
-UNLIMITED = 1 << 60
-
-
 @dataclass(frozen=True, slots=True)
 class _Arrival:
     at: float
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
@@ -5,6 +5,7 @@
 import enum
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from typing import TypeVar
 
 from pydantic import TypeAdapter, ValidationError
 
@@ -123,6 +124,7 @@
         return self.done.get(f"{occurrence}.{step}", 0).bit_count() >= count
 
 
+T = TypeVar("T")
 _JOB = TypeAdapter(Job)
 _PROGRESS = TypeAdapter(Progress)
 _OWNER = TypeAdapter(OwnerRecord)
@@ -155,10 +157,7 @@
 
 def decode_job(value: bytes) -> Job:
     """Decode an accepted job. Raises InvalidInputError."""
-    try:
-        return _JOB.validate_json(value)
-    except ValidationError as error:
-        raise InvalidInputError([Finding("job record", str(error))]) from error
+    return _decode(_JOB, value, "job record")
 
 
 def encode_owner(owner: OwnerRecord) -> bytes:
@@ -168,10 +167,7 @@
 
 def decode_owner(value: bytes) -> OwnerRecord:
     """Decode the owner of the schedule. Raises InvalidInputError."""
-    try:
-        return _OWNER.validate_json(value)
-    except ValidationError as error:
-        raise InvalidInputError([Finding("owner record", str(error))]) from error
+    return _decode(_OWNER, value, "owner record")
 
 
 def wave_key(number: int) -> str:
@@ -186,10 +182,7 @@
 
 def decode_maintained(value: bytes) -> tuple[str, ...]:
     """Decode the machines of a wave. Raises InvalidInputError."""
-    try:
-        return _MACHINES.validate_json(value)
-    except ValidationError as error:
-        raise InvalidInputError([Finding("wave record", str(error))]) from error
+    return _decode(_MACHINES, value, "wave record")
 
 
 def encode_machine_orders(
@@ -205,10 +198,7 @@
 
 def decode_machine_orders(value: bytes, now: float) -> dict[str, AnnouncedOrder]:
     """Decode announced orders that are read now. Raises InvalidInputError."""
-    try:
-        rows = _ORDERS.validate_json(value)
-    except ValidationError as error:
-        raise InvalidInputError([Finding("machine orders", str(error))]) from error
+    rows = _decode(_ORDERS, value, "machine orders")
     return {
         machine: AnnouncedOrder(host, now - age)
         for machine, (host, age) in rows.items()
@@ -222,7 +212,11 @@
 
 def decode_progress(value: bytes) -> Progress:
     """Decode a job's progress. Raises InvalidInputError."""
+    return _decode(_PROGRESS, value, "progress record")
+
+
+def _decode(adapter: TypeAdapter[T], value: bytes, what: str) -> T:
     try:
-        return _PROGRESS.validate_json(value)
+        return adapter.validate_json(value)
     except ValidationError as error:
-        raise InvalidInputError([Finding("progress record", str(error))]) from error
+        raise InvalidInputError([Finding(what, str(error))]) from error
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_book.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_book.py
@@ -16,7 +16,7 @@
     StopOrder,
 )
 from geraniumshore_scheduler.internal.pool_meter import Arrivals
-from geraniumshore_scheduler.internal.records import JobState
+from geraniumshore_scheduler.internal.records import JobState, Placed
 from geraniumshore_scheduler.internal.runs import OpenJob, Run, RunState
 from geraniumshore_scheduler.internal.team_shares import TeamShares
 
@@ -86,8 +86,7 @@
 
     def _adopt(self, job: OpenJob, now: float) -> None:
         for name, places in job.progress.placed.items():
-            occurrence, step, index = (int(part) for part in name.split("."))
-            task = TaskKey(job.job.job_id, occurrence, step, index)
+            task = TaskKey.parse(f"{job.job.job_id}.{name}")
             if job.progress.is_done(task):
                 continue
             for place in places:
@@ -95,7 +94,7 @@
                     task,
                     place.run,
                     place.minion_id,
-                    job.job.steps[step],
+                    job.job.steps[task.step],
                     job.job.team,
                     RunState.ADOPTED,
                     now,
@@ -127,6 +126,13 @@
             use = self._team_use.get(run.team, Resources())
             self._team_use[run.team] = use.plus(run.step.size)
 
+    def _write_down(self, job: OpenJob, run: Run) -> None:
+        """Let the log say that this owner runs a task, or will, on its minion."""
+        job.progress.placed[run.task.within_job] = [
+            Placed(run.minion_id, run.number, self.authority.epoch)
+        ]
+        self._dirty[run.task.job_id] = None
+
     def _detach(self, run: Run) -> OpenJob | None:
         view = self.view_by_id.get(run.minion_id)
         if view is not None:
@@ -229,11 +235,8 @@
         team = self.configuration.team_by_name.get(team_name)
         if team is None:
             return True
-        use = self._team_use.get(team_name, Resources()).plus(size)
-        return all(
-            limit == 0 or amount <= limit
-            for amount, limit in zip(use, team.cap, strict=True)
-        )
+        use = self._team_use.get(team_name, Resources())
+        return size.fits_in(team.limit.minus(use))
 
     def _decide(
         self,
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -13,6 +13,7 @@
 from geraniumshore_scheduler.internal.minion_view import MinionView
 from geraniumshore_scheduler.internal.model import (
     Configuration,
+    Job,
     MinionListing,
     Resources,
 )
@@ -23,7 +24,7 @@
     StopOrder,
 )
 from geraniumshore_scheduler.internal.placer import Placer
-from geraniumshore_scheduler.internal.pool_meter import UNLIMITED, PoolMeter
+from geraniumshore_scheduler.internal.pool_meter import PoolMeter
 from geraniumshore_scheduler.internal.pools import PoolLoad
 from geraniumshore_scheduler.internal.records import (
     RecordKind,
@@ -49,9 +50,7 @@
         job = booked.job
         self._used_services.add(job.service)
         self._arrivals.note(job, booked.accepted_at)
-        beyond_share = self._shares.is_beyond(
-            job.team, self._weights(), booked.accepted_at
-        )
+        beyond_share = self._is_beyond_share(job, booked.accepted_at)
         if job.job_id in self.job_by_id or booked.state.final:
             return
         opened = OpenJob(
@@ -197,18 +196,20 @@
             for pool in self._pools()
         ]
 
-    def _weights(self) -> dict[str, float]:
+    def _is_beyond_share(self, job: Job, accepted_at: float) -> bool:
         if self.configuration is None:
-            return {}
-        teams = self.configuration.team_by_name
-        return {name: team.weight for name, team in teams.items()}
+            return False
+        team = self.configuration.team_by_name.get(job.team or "")
+        return team is not None and self._shares.is_beyond(
+            team.name, team.weight, accepted_at
+        )
 
     def _caps(self) -> dict[str, Resources]:
-        """Return the caps of the teams that have one, unlimited parts as such."""
+        """Return the limits of the teams that have a cap."""
         if self.configuration is None:
             return {}
         return {
-            name: Resources(*(part or UNLIMITED for part in team.cap))
+            name: team.limit
             for name, team in self.configuration.team_by_name.items()
             if any(team.cap)
         }
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/settlement.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/settlement.py
@@ -14,7 +14,7 @@
 )
 from geraniumshore_scheduler.internal.orders import PaceOrder, StartOutcome, StopOrder
 from geraniumshore_scheduler.internal.pacing import FULL_PACE, plan_paces
-from geraniumshore_scheduler.internal.records import JobState, Placed
+from geraniumshore_scheduler.internal.records import JobState
 from geraniumshore_scheduler.internal.run_book import AVOID_S, RunBook
 from geraniumshore_scheduler.internal.runs import OpenJob, Run, RunState
 
@@ -178,11 +178,10 @@
 
     def _credit(self, end: EndedRun, view: MinionView, now: float) -> None:
         """Take in that a run succeeded which was given up as lost."""
-        job_id, *numbers = end.task.split(".")
-        job = self.job_by_id.get(job_id)
+        job = self.job_by_id.get(end.task.partition(".")[0])
         if job is None:
             return
-        task = TaskKey(job_id, *(int(number) for number in numbers))
+        task = TaskKey.parse(end.task)
         if job.progress.is_done(task) or job.job.steps[task.step].gang:
             return
         self._decide("late success", end.task, view.minion_id, {"run": end.run})
@@ -289,10 +288,7 @@
         job = self.job_by_id.get(run.task.job_id)
         if job is None:
             return
-        job.progress.placed[run.task.within_job] = [
-            Placed(run.minion_id, run.number, self.authority.epoch)
-        ]
-        self._dirty[run.task.job_id] = None
+        self._write_down(job, run)
         view.grants_after_batch = self._next_batch
 
     def _settle_missing(self, run: Run, asked: HoldRequest, now: float) -> None:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/team_shares.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/team_shares.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 __all__ = ["TeamShares"]
@@ -29,12 +28,12 @@
 
     _bucket_by_team: dict[str, _Bucket] = field(default_factory=dict)
 
-    def is_beyond(
-        self, team: str | None, weight_by_team: Mapping[str, float], at: float
-    ) -> bool:
-        """Count one job that came at ``at``; tell whether it is beyond the share."""
-        weight = weight_by_team.get(team or "", 0.0)
-        if team is None or weight <= 0:
+    def is_beyond(self, team: str, weight: float, at: float) -> bool:
+        """Count one job that came at ``at``; tell whether it is beyond the share.
+
+        A team without a weight has no share to go beyond.
+        """
+        if weight <= 0:
             return False
         most = weight * BURST_S
         bucket = self._bucket_by_team.setdefault(team, _Bucket(most, at))
--- a/tests/cover/test_hot_teams.py
+++ b/tests/cover/test_hot_teams.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from geraniumshore_scheduler import ByObjective, Resources, Step
 from geraniumshore_scheduler.internal.team_shares import BURST_S, TeamShares
 from tests.common.schedule_parts import CAPACITY, SMALL, Fleet, configuration, job
@@ -10,7 +12,7 @@
 
 
 def beyond(shares: TeamShares, team: str, count: int, at: float) -> int:
-    return sum(shares.is_beyond(team, WEIGHTS, at) for _ in range(count))
+    return sum(shares.is_beyond(team, WEIGHTS[team], at) for _ in range(count))
 
 
 def test_what_a_team_sends_beyond_its_weight_is_beyond_its_share():
@@ -22,10 +24,18 @@
     assert beyond(shares, "hot", 6, 1.0) == 1
 
 
-def test_without_a_team_or_a_weight_nothing_is_beyond():
+@pytest.mark.parametrize("team", [None, "new"])
+def test_without_a_known_team_nothing_is_beyond(team):
+    fleet = Fleet(minions=1, config=configuration())
+    for number in range(99):
+        fleet.add(job(f"{number:016x}", Step(1, SMALL, 500), team=team))
+    jobs = fleet.scheduler.job_by_id.values()
+    assert not any(open_job.beyond_share for open_job in jobs)
+
+
+def test_without_a_weight_nothing_is_beyond():
     shares = TeamShares()
-    assert not any(shares.is_beyond(None, WEIGHTS, 0.0) for _ in range(99))
-    assert not any(shares.is_beyond("new", WEIGHTS, 0.0) for _ in range(99))
+    assert not any(shares.is_beyond("idle", 0.0, 0.0) for _ in range(99))
 
 
 def test_jobs_beyond_their_team_s_share_wait_behind_those_within():
