--- a/packages/geraniumshore-cli/src/geraniumshore_cli/internal/fleet_commands.py
+++ b/packages/geraniumshore-cli/src/geraniumshore_cli/internal/fleet_commands.py
@@ -4,9 +4,9 @@
 
 from dataclasses import asdict
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Any
 
-from cyclopts import App, Parameter
+from cyclopts import App
 from pydantic import TypeAdapter
 from result import Err
 
@@ -20,13 +20,12 @@
     preview,
 )
 from geraniumshore_cli.internal.client import Client
-from geraniumshore_cli.internal.output import ExitCode, show, show_table
+from geraniumshore_cli.internal.output import AsJson, ExitCode, show, show_table
 
 __all__ = ["app", "preview_of", "show_preview"]
 
 app = App(name="fleet", help="Hosts, pools and maintenance waves.")
 
-AsJson = Annotated[bool, Parameter(name="--json", negative="", help="Print JSON.")]
 _CONFIGURATION: TypeAdapter[Configuration] = TypeAdapter(Configuration)
 
 
--- a/packages/geraniumshore-cli/src/geraniumshore_cli/internal/jobs_commands.py
+++ b/packages/geraniumshore-cli/src/geraniumshore_cli/internal/jobs_commands.py
@@ -15,6 +15,7 @@
 from geraniumshore import JobPhase
 from geraniumshore_cli.internal.client import Client, Reply
 from geraniumshore_cli.internal.output import (
+    AsJson,
     ExitCode,
     report_refusal,
     show,
@@ -30,7 +31,6 @@
 
 app = App(name="jobs", help="Jobs: submit, follow, cancel, settle.")
 
-AsJson = Annotated[bool, Parameter(name="--json", negative="", help="Print JSON.")]
 Wait = Annotated[bool, Parameter(negative="", help="Return when the job has ended.")]
 
 
--- a/packages/geraniumshore-cli/src/geraniumshore_cli/internal/main.py
+++ b/packages/geraniumshore-cli/src/geraniumshore_cli/internal/main.py
@@ -4,9 +4,8 @@
 
 import os
 import sys
-from typing import Annotated
 
-from cyclopts import App, Parameter
+from cyclopts import App
 
 from geraniumshore import InvalidInputError, UnknownOutcomeError, make_key
 from geraniumshore_cli.internal import (
@@ -20,11 +19,7 @@
 from geraniumshore_cli.internal.call_command import call
 from geraniumshore_cli.internal.client import Client
 from geraniumshore_cli.internal.member_commands import status_of
-from geraniumshore_cli.internal.output import (
-    ExitCode,
-    show,
-    show_table,
-)
+from geraniumshore_cli.internal.output import AsJson, ExitCode, show, show_table
 
 __all__ = ["main"]
 
@@ -49,8 +44,6 @@
 keys_app = App(name="keys", help="Keys of teams and operators.")
 app.command(keys_app)
 
-AsJson = Annotated[bool, Parameter(name="--json", negative="", help="Print JSON.")]
-
 
 @keys_app.command
 def make(key_id: str, *, team: str) -> int:
--- a/packages/geraniumshore-cli/src/geraniumshore_cli/internal/member_commands.py
+++ b/packages/geraniumshore-cli/src/geraniumshore_cli/internal/member_commands.py
@@ -11,6 +11,7 @@
 from geraniumshore import UnknownOutcomeError
 from geraniumshore_cli.internal.client import Client
 from geraniumshore_cli.internal.output import (
+    AsJson,
     ExitCode,
     report_refusal,
     show,
@@ -31,8 +32,6 @@
 
 app = App(name="members", help="The entry hosts in the view.")
 
-AsJson = Annotated[bool, Parameter(name="--json", negative="", help="Print JSON.")]
-
 
 @app.default
 def list_members(*, as_json: AsJson = False) -> int:
--- a/packages/geraniumshore-cli/src/geraniumshore_cli/internal/output.py
+++ b/packages/geraniumshore-cli/src/geraniumshore_cli/internal/output.py
@@ -6,14 +6,17 @@
 import sys
 from collections.abc import Iterable, Sequence
 from enum import IntEnum
-from typing import Any
+from typing import Annotated, Any
 
+from cyclopts import Parameter
 from rich.console import Console
 from rich.table import Table
 
 from geraniumshore_cli.internal.client import Reply
 
-__all__ = ["ExitCode", "report_refusal", "show", "show_table"]
+__all__ = ["AsJson", "ExitCode", "report_refusal", "show", "show_table"]
+
+AsJson = Annotated[bool, Parameter(name="--json", negative="", help="Print JSON.")]
 
 
 class ExitCode(IntEnum):
--- a/packages/geraniumshore-cli/src/geraniumshore_cli/internal/release_commands.py
+++ b/packages/geraniumshore-cli/src/geraniumshore_cli/internal/release_commands.py
@@ -15,6 +15,7 @@
 from geraniumshore_cli.internal.client import Client
 from geraniumshore_cli.internal.fleet_commands import preview_of, show_preview
 from geraniumshore_cli.internal.output import (
+    AsJson,
     ExitCode,
     report_refusal,
     show,
@@ -29,7 +30,6 @@
 app = App(name="release", help="Release notes: what is added, changed, withdrawn.")
 
 NotePath = Annotated[Path, Parameter(help="Release note, in JSON.")]
-AsJson = Annotated[bool, Parameter(name="--json", negative="", help="Print JSON.")]
 
 
 @app.command
--- a/packages/geraniumshore-cli/src/geraniumshore_cli/internal/report_commands.py
+++ b/packages/geraniumshore-cli/src/geraniumshore_cli/internal/report_commands.py
@@ -9,13 +9,12 @@
 
 from geraniumshore_cli.internal.burn_report import gather_burn_report
 from geraniumshore_cli.internal.client import Client
-from geraniumshore_cli.internal.output import ExitCode, show
+from geraniumshore_cli.internal.output import AsJson, ExitCode, show
 
 __all__ = ["app"]
 
 app = App(name="report", help="Reports on service levels and on the fleet.")
 
-AsJson = Annotated[bool, Parameter(name="--json", negative="", help="Print JSON.")]
 HtmlPath = Annotated[Path | None, Parameter(help="Write one self-contained page.")]
 
 
--- a/packages/geraniumshore-cli/src/geraniumshore_cli/internal/schedule_commands.py
+++ b/packages/geraniumshore-cli/src/geraniumshore_cli/internal/schedule_commands.py
@@ -10,7 +10,7 @@
 
 from cyclopts import App, Parameter
 
-from geraniumshore_cli.internal.output import ExitCode, show, show_table
+from geraniumshore_cli.internal.output import AsJson, ExitCode, show, show_table
 from geraniumshore_scheduler import (
     PlatformUnavailableError,
     UnknownOutcomeError,
@@ -35,7 +35,6 @@
 settings_app = App(name="settings", help="A node's settings file.")
 app.command(settings_app)
 
-AsJson = Annotated[bool, Parameter(name="--json", negative="", help="Print JSON.")]
 Settings = Annotated[Path | None, Parameter(help="A node's settings file.")]
 
 MINION_COLUMNS = ("minion_id", "service", "rack", "draining", "address")
