Daemon: one copy each of a JSON post, a closing server, an order to a machine

Found in a last read of the change; behaviour stays. Four clients of the platform built the same POST; HttpClient.post_json does. The front of the first build and that of the platform set up the same server, but for limits; closing_server does. Upkeeps and moves told refused from unanswered in two copies; _order does. The survey used its own copy of Configuration.queue_by_name, and Ownership was handed a host that its member names.

--- a/packages/geraniumshored/src/geraniumshored/internal/closing.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/closing.py
@@ -1,16 +1,58 @@
-"""Ends callers' connections with their next answer while a process stops."""
+"""HTTP servers whose connections end with their next answer while a process stops."""
 
 from __future__ import annotations
 
 import threading
+from collections.abc import Callable, Iterable
 
 from waitress.channel import HTTPChannel
+from waitress.server import BaseWSGIServer, create_server
 from waitress.task import WSGITask
 
-__all__ = ["closing_channel"]
+from geraniumshored.internal.http_types import StartResponse, WsgiEnviron
+from geraniumshored.internal.sockets import SOCKET_OPTIONS
 
+__all__ = ["closing_server"]
 
-def closing_channel(stopping: threading.Event) -> type[HTTPChannel]:
+MAX_CONNECTIONS = 2_000
+
+
+def closing_server(
+    application: Callable[[WsgiEnviron, StartResponse], Iterable[bytes]],
+    host: str,
+    port: int,
+    threads: int,
+    max_body_bytes: int,
+    idle_seconds: int,
+    stopping: threading.Event,
+) -> BaseWSGIServer:
+    """Listen; ``run`` serves. Raises OSError where the port is taken.
+
+    Bodies stay in memory, up to ``max_body_bytes``.
+    """
+    server = create_server(
+        application,
+        host=host,
+        port=port,
+        threads=threads,
+        channel_timeout=idle_seconds,
+        connection_limit=MAX_CONNECTIONS,
+        asyncore_use_poll=True,
+        max_request_body_size=max_body_bytes,
+        inbuf_overflow=max_body_bytes,
+        outbuf_overflow=max_body_bytes,
+        ident="geraniumshore",
+        # Servers of one process do not serve each other's connections.
+        map={},
+    )
+    # One address gives one socket.
+    assert isinstance(server, BaseWSGIServer)
+    server.adj.socket_options = SOCKET_OPTIONS
+    server.channel_class = _closing_channel(stopping)
+    return server
+
+
+def _closing_channel(stopping: threading.Event) -> type[HTTPChannel]:
     """Return a channel whose answers end the connection once ``stopping`` is set.
 
     A caller that keeps its connection would otherwise send its next request into the
--- a/packages/geraniumshored/src/geraniumshored/internal/front.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/front.py
@@ -8,10 +8,10 @@
 from collections.abc import Iterable
 
 from waitress.channel import HTTPChannel
-from waitress.server import BaseWSGIServer, create_server
+from waitress.server import BaseWSGIServer
 
 from geraniumshored.internal.calls import CallHandler
-from geraniumshored.internal.closing import closing_channel
+from geraniumshored.internal.closing import closing_server
 from geraniumshored.internal.http_types import (
     HttpAnswer,
     HttpRequest,
@@ -25,14 +25,12 @@
 from geraniumshored.internal.operators import OperatorHandler
 from geraniumshored.internal.runtime import Runtime
 from geraniumshored.internal.settings import Listen
-from geraniumshored.internal.sockets import SOCKET_OPTIONS
 
 __all__ = ["Front"]
 
 logger = logging.getLogger(__name__)
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
-MAX_CONNECTIONS = 2_000
 IDLE_CALLER_SECONDS = 120
 SENT_POLL_SECONDS = 0.02
 
@@ -57,26 +55,17 @@
 
     def start(self, listen: Listen, threads: int) -> None:
         """Listen. Raises OSError where the port is taken."""
-        server = create_server(
+        server = closing_server(
             self.application,
-            host=listen.address,
-            port=listen.port,
-            threads=threads,
-            channel_timeout=IDLE_CALLER_SECONDS,
-            connection_limit=MAX_CONNECTIONS,
-            asyncore_use_poll=True,
-            max_request_body_size=MAX_BODY_BYTES,
-            inbuf_overflow=MAX_BODY_BYTES,
-            outbuf_overflow=MAX_BODY_BYTES,
-            ident="geraniumshore",
+            listen.address,
+            listen.port,
+            threads,
+            MAX_BODY_BYTES,
+            IDLE_CALLER_SECONDS,
+            self._stopping,
         )
-        # One address gives one socket.
-        assert isinstance(server, BaseWSGIServer)
-        adjustments = server.adj
-        adjustments.socket_options = SOCKET_OPTIONS
         # Reading on while a call is open shows whether its caller is still there.
-        adjustments.channel_request_lookahead = 1
-        server.channel_class = closing_channel(self._stopping)
+        server.adj.channel_request_lookahead = 1
         self._server = server
         self._thread = threading.Thread(target=server.run, name="http", daemon=True)
         self._thread.start()
--- a/packages/geraniumshored/src/geraniumshored/node/appender.py
+++ b/packages/geraniumshored/src/geraniumshored/node/appender.py
@@ -5,6 +5,7 @@
 import enum
 import logging
 import threading
+import time
 from collections.abc import Callable
 from concurrent.futures import Future, TimeoutError as FutureTimeout
 from dataclasses import dataclass, field
@@ -126,4 +127,4 @@
                 log_event(logger, "append unanswered", cause=str(error))
             if self._now() + RETRY_S >= deadline:
                 return AppendOutcome.UNKNOWN
-            threading.Event().wait(RETRY_S)
+            time.sleep(RETRY_S)
--- a/packages/geraniumshored/src/geraniumshored/node/machinist.py
+++ b/packages/geraniumshored/src/geraniumshored/node/machinist.py
@@ -133,6 +133,17 @@
             if self._stopped.wait(RECORD_PAUSE_S):
                 return
 
+    @staticmethod
+    def _order(what: str, machine: str, order: Callable[[], bool]) -> bool | None:
+        """Give an order once; tell whether it was taken, None without an answer."""
+        try:
+            return order()
+        except PlatformUnavailableError:
+            return False
+        except UnknownOutcomeError as error:
+            log_event(logger, f"{what} unanswered", machine=machine, cause=str(error))
+            return None
+
     def _step(self) -> None:
         self._list()
         self._plan_waves()
@@ -203,17 +214,14 @@
                 self._maintain(upkeep)
 
     def _maintain(self, upkeep: Upkeep) -> None:
-        begun: bool | None = None
-        try:
-            begun = self._platform.machines.maintain(
-                upkeep.machine, upkeep.wave, self._scheduler.authority.epoch
-            )
-        except PlatformUnavailableError:
-            begun = False
-        except UnknownOutcomeError as error:
-            log_event(
-                logger, "upkeep unanswered", machine=upkeep.machine, cause=str(error)
-            )
+        epoch = self._scheduler.authority.epoch
+        begun = self._order(
+            "upkeep",
+            upkeep.machine,
+            lambda: self._platform.machines.maintain(
+                upkeep.machine, upkeep.wave, epoch
+            ),
+        )
         self._metrics.count("upkeeps", str(begun))
         log_event(
             logger,
@@ -300,17 +308,13 @@
         """
         machine = self._machine_by_name[move.machine]
         moved: bool | None = None
+        epoch = self._scheduler.authority.epoch
         while moved is None and self._may_order_to(move.machine):
-            try:
-                moved = self._platform.machines.move(
-                    move.machine, move.pool, self._scheduler.authority.epoch
-                )
-            except PlatformUnavailableError:
-                moved = False
-            except UnknownOutcomeError as error:
-                log_event(
-                    logger, "move unanswered", machine=move.machine, cause=str(error)
-                )
+            moved = self._order(
+                "move",
+                move.machine,
+                lambda: self._platform.machines.move(move.machine, move.pool, epoch),
+            )
         self._metrics.count("moves", str(moved))
         log_event(
             logger,
--- a/packages/geraniumshored/src/geraniumshored/node/node.py
+++ b/packages/geraniumshored/src/geraniumshored/node/node.py
@@ -56,7 +56,6 @@
         self._member = member
         self._ownership = Ownership(
             platform.store,
-            settings.node,
             member,
             self._jobs,
             self._make_owner,
--- a/packages/geraniumshored/src/geraniumshored/node/ownership.py
+++ b/packages/geraniumshored/src/geraniumshored/node/ownership.py
@@ -48,7 +48,6 @@
     def __init__(
         self,
         store: Store,
-        host: str,
         member: str,
         jobs: JobsView,
         make_owner: Callable[[int], Owner],
@@ -56,8 +55,8 @@
         now: Callable[[], float],
     ) -> None:
         self._store = store
-        self._host = host
         self._member = member
+        self._host = host_of(member)
         self._weak = not is_strong(member)
         self._jobs = jobs
         self._make_owner = make_owner
@@ -141,9 +140,12 @@
         log_event(logger, "left to stronger hosts", generation=self._generation)
         if self._owner is not None:
             self._owner.stop("stronger hosts are back")
+        self._go_outside()
+        return True
+
+    def _go_outside(self) -> None:
         self._store.leave(self._member)
         self._generation = 0
-        return True
 
     @staticmethod
     def _enough_strong(members: frozenset[str]) -> bool:
@@ -173,8 +175,7 @@
             return
         if membership.generation == self._claimed_generation:
             # Its epoch is used up; coming back makes a new generation.
-            self._store.leave(self._member)
-            self._generation = 0
+            self._go_outside()
             return
         self._claimed_generation = membership.generation
         self._owner = self._make_owner(
--- a/packages/geraniumshored/src/geraniumshored/node/survey.py
+++ b/packages/geraniumshored/src/geraniumshored/node/survey.py
@@ -121,9 +121,10 @@
         states: dict[str, Counter[str]] = {}
         for booked in self.jobs():
             states.setdefault(booked.job.queue, Counter())[booked.state.value] += 1
-        configured = {} if self.configuration is None else self._queue_by_name()
+        configured = self.configuration.queue_by_name if self.configuration else {}
         for name in sorted({*configured, *states}):
-            service, priority = configured.get(name, ("", -1))
+            queue = configured.get(name)
+            service, priority = (queue.service, queue.priority) if queue else ("", -1)
             count = states.get(name, Counter())
             columns = ("queued", "running", "done", "failed", "cancelled")
             yield QueueRow(name, service, priority, *(count[c] for c in columns))
@@ -155,10 +156,3 @@
         return sorted(
             self.minion_by_id.values(), key=lambda m: (m.service, m.minion_id)
         )
-
-    def _queue_by_name(self) -> dict[str, tuple[str, int]]:
-        assert self.configuration is not None
-        return {
-            queue.name: (queue.service, queue.priority)
-            for queue in self.configuration.queues
-        }
--- a/packages/geraniumshored/src/geraniumshored/node/views.py
+++ b/packages/geraniumshored/src/geraniumshored/node/views.py
@@ -221,30 +221,31 @@
 
     def __init__(self, platform: Platform, now: Callable[[], float]) -> None:
         super().__init__(platform, Stream.MINIONS, now)
+        # Others read this one while the follower's thread folds into the other.
         self.listing_by_id: dict[str, MinionListing] = {}
+        self._folding: dict[str, MinionListing] = {}
         self.on_change: Callable[[], None] | None = None
 
     def _pause_s(self) -> float:
         return self.FOLLOW_PAUSE_S if self.on_change is None else self.OWNER_PAUSE_S
 
     def _reset(self) -> None:
-        self.listing_by_id = {}
+        self._folding = {}
 
     def _apply(self, record: Record) -> None:
-        listings = dict(self.listing_by_id)
-        if record.value:
-            try:
-                listings[record.key] = self._platform.decode_minion(record)
-            except InvalidInputError:
-                listings.pop(record.key, None)
-                raise
-            finally:
-                self.listing_by_id = listings
-        else:
-            listings.pop(record.key, None)
-            self.listing_by_id = listings
+        # An entry that cannot be read names no minion to use.
+        listing = None
+        try:
+            if record.value:
+                listing = self._platform.decode_minion(record)
+        finally:
+            if listing is None:
+                self._folding.pop(record.key, None)
+            else:
+                self._folding[record.key] = listing
 
     def _folded(self) -> None:
+        self.listing_by_id = dict(self._folding)
         if self.on_change is not None:
             self.on_change()
 
--- a/packages/geraniumshored/src/geraniumshored/platform/advice.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/advice.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import json
-
 from geraniumshore_scheduler import (
     AdviceRequest,
     InvalidInputError,
@@ -12,7 +10,7 @@
 )
 from geraniumshored.node.ports import Advised, Advisers
 from geraniumshored.platform.documents import decode_advice
-from geraniumshored.platform.http import JSON_HEADERS, HttpClient
+from geraniumshored.platform.http import HttpClient
 
 __all__ = ["HttpAdvisers"]
 
@@ -32,13 +30,8 @@
         if not self._address:
             raise PlatformUnavailableError("the settings name no service for advice")
         document = {"step": str(request.step), "workers": list(request.life_by_minion)}
-        reply = self._http.request(
-            self._address,
-            "POST",
-            "/v1/advise",
-            ADVICE_SECONDS,
-            json.dumps(document).encode(),
-            JSON_HEADERS,
+        reply = self._http.post_json(
+            self._address, "/v1/advise", document, ADVICE_SECONDS
         )
         if reply.status != 200:
             raise PlatformUnavailableError(f"the advice got {reply.status}")
--- a/packages/geraniumshored/src/geraniumshored/platform/consumers.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/consumers.py
@@ -8,12 +8,9 @@
 import time
 from collections.abc import Callable, Iterable
 
-from waitress.server import BaseWSGIServer, create_server
-
 from geraniumshore_scheduler import Job, Queue
-from geraniumshored.internal.closing import closing_channel
+from geraniumshored.internal.closing import closing_server
 from geraniumshored.internal.http_types import HttpAnswer, StartResponse, WsgiEnviron
-from geraniumshored.internal.sockets import SOCKET_OPTIONS
 from geraniumshored.node.intake import Answer, Caller, Intake, JobDecoder, Verdict
 from geraniumshored.node.metrics import NodeMetrics
 from geraniumshored.platform.documents import decode_job_request
@@ -24,7 +21,6 @@
 
 # Each call that waits for the store holds a thread.
 THREADS = 24
-MAX_CONNECTIONS = 2_000
 IDLE_CALLER_SECONDS = 60
 MAX_BODY_BYTES = 4 * 1024 * 1024
 DEFAULT_PATIENCE_MS = 3_000
@@ -92,24 +88,15 @@
         threads: int,
     ) -> None:
         host, _, port = address.partition(":")
-        server = create_server(
+        server = closing_server(
             application,
-            host=host,
-            port=int(port),
-            threads=threads,
-            channel_timeout=IDLE_CALLER_SECONDS,
-            connection_limit=MAX_CONNECTIONS,
-            asyncore_use_poll=True,
-            max_request_body_size=MAX_BODY_BYTES,
-            inbuf_overflow=MAX_BODY_BYTES,
-            outbuf_overflow=MAX_BODY_BYTES,
-            ident="geraniumshore",
-            map={},
+            host,
+            int(port),
+            threads,
+            MAX_BODY_BYTES,
+            IDLE_CALLER_SECONDS,
+            self._stopping,
         )
-        # One address gives one socket.
-        assert isinstance(server, BaseWSGIServer)
-        server.adj.socket_options = SOCKET_OPTIONS
-        server.channel_class = closing_channel(self._stopping)
         threading.Thread(target=server.run, name=f"http-{port}", daemon=True).start()
 
     def _serve_callers(
--- a/packages/geraniumshored/src/geraniumshored/platform/http.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/http.py
@@ -16,7 +16,7 @@
 from geraniumshore_scheduler import PlatformUnavailableError, UnknownOutcomeError
 from geraniumshored.internal.sockets import has_input, watch_for_silence
 
-__all__ = ["JSON_HEADERS", "HttpClient", "HttpReply"]
+__all__ = ["HttpClient", "HttpReply"]
 
 JSON_HEADERS = {"Content-Type": "application/json"}
 
@@ -94,6 +94,20 @@
             self._give_back(address, connection)
         return HttpReply(response.status, data)
 
+    def post_json(
+        self,
+        address: str,
+        path: str,
+        document: object,
+        timeout: float,
+        headers: Mapping[str, str] | None = None,
+    ) -> HttpReply:
+        """Send a JSON document; raises as ``request`` does."""
+        body = json.dumps(document).encode()
+        return self.request(
+            address, "POST", path, timeout, body, {**JSON_HEADERS, **(headers or {})}
+        )
+
     def _connect(self, address: str) -> http.client.HTTPConnection:
         host, _, port = address.partition(":")
         self.connects += 1
--- a/packages/geraniumshored/src/geraniumshored/platform/machines.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/machines.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 from urllib.parse import quote
 
@@ -15,7 +14,7 @@
 )
 from geraniumshored.node.ports import Machines
 from geraniumshored.platform.documents import decode_machines
-from geraniumshored.platform.http import JSON_HEADERS, HttpClient
+from geraniumshored.platform.http import HttpClient
 
 __all__ = ["HttpMachines"]
 
@@ -62,17 +61,12 @@
         )
 
     def _order(self, path: str, document: dict[str, Any], epoch: int) -> bool:
-        reply = self._http.request(
-            self._address,
-            "POST",
-            path,
-            CALL_SECONDS,
-            json.dumps(document).encode(),
-            {
-                **JSON_HEADERS,
-                "Geraniumshore-Lease-Holder": self._node,
-                "Geraniumshore-Fencing-Token": str(epoch),
-            },
+        headers = {
+            "Geraniumshore-Lease-Holder": self._node,
+            "Geraniumshore-Fencing-Token": str(epoch),
+        }
+        reply = self._http.post_json(
+            self._address, path, document, CALL_SECONDS, headers
         )
         if reply.status == 200:
             return True
--- a/packages/geraniumshored/src/geraniumshored/platform/minions.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/minions.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
 from geraniumshore_scheduler import (
@@ -20,7 +19,7 @@
 )
 from geraniumshored.node.ports import Minions
 from geraniumshored.platform.documents import decode_report
-from geraniumshored.platform.http import JSON_HEADERS, HttpClient, HttpReply
+from geraniumshored.platform.http import HttpClient, HttpReply
 
 __all__ = ["HttpMinions"]
 
@@ -116,14 +115,8 @@
         document: dict[str, Any],
         timeout: float = ORDER_SECONDS,
     ) -> HttpReply:
-        reply = self._http.request(
-            address,
-            "POST",
-            f"/v1/{call}",
-            timeout,
-            json.dumps(document).encode(),
-            {**JSON_HEADERS, "Geraniumshore-Expect-Instance": minion_id},
-        )
+        headers = {"Geraniumshore-Expect-Instance": minion_id}
+        reply = self._http.post_json(address, f"/v1/{call}", document, timeout, headers)
         if reply.status == 421:
             raise MinionGoneError(f"{address} is no longer {minion_id}")
         if reply.status == 409 and reply.document().get("reason") == "fence":
--- a/packages/geraniumshored/src/geraniumshored/platform/store.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/store.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import base64
-import json
 import struct
 from collections.abc import Sequence
 from urllib.parse import quote, urlencode
@@ -24,7 +23,7 @@
     Stream,
     Writer,
 )
-from geraniumshored.platform.http import JSON_HEADERS, HttpClient, HttpReply
+from geraniumshored.platform.http import HttpClient, HttpReply
 
 __all__ = ["LogStore"]
 
@@ -144,14 +143,7 @@
         self._post("/v1/log-leave", {"group": GROUP, "member": member})
 
     def _post(self, path: str, document: dict[str, object]) -> HttpReply:
-        reply = self._http.request(
-            self._address,
-            "POST",
-            path,
-            JOIN_SECONDS,
-            json.dumps(document).encode(),
-            JSON_HEADERS,
-        )
+        reply = self._http.post_json(self._address, path, document, JOIN_SECONDS)
         _require_ok(reply)
         return reply
 
--- a/tests/common/schedule_world.py
+++ b/tests/common/schedule_world.py
@@ -344,7 +344,6 @@
         self._next_join = world.rng.uniform(0, JOIN_PAUSE_S)
         self.ownership = Ownership(
             self.store,  # type: ignore[arg-type]
-            name,
             member_name(name, "1", 1.0),
             self,  # type: ignore[arg-type]
             self._make_owner,  # type: ignore[arg-type]
--- a/tests/cover/test_ownership.py
+++ b/tests/cover/test_ownership.py
@@ -53,7 +53,6 @@
         self.owners: list[SimpleNamespace] = []
         self.ownership = Ownership(
             self.store,  # type: ignore[arg-type]
-            "h1",
             member_name("h1", "new", processors),
             SimpleNamespace(book=self.book, age=lambda _: self.log_age),  # type: ignore[arg-type]
             self._make_owner,
--- a/tests/cover/test_ownership_machine.py
+++ b/tests/cover/test_ownership_machine.py
@@ -42,7 +42,6 @@
         self.member = member_name(host, str(machine.processes), HOSTS[host])
         self.ownership = Ownership(
             self,  # type: ignore[arg-type]
-            host,
             self.member,
             self,  # type: ignore[arg-type]
             self._make_owner,  # type: ignore[arg-type]
