Plan a task anew whose start came due without authority

Cause: after an outage longer than ttl + grace the batch of an owner can get through before its first read of the log. Now such a start is given up as not sent. The test with a real node failed first. A start for which no session is left goes the same way; it could be taken for sent.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/settlement.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/settlement.py
@@ -106,14 +106,19 @@
         if view is None or view.runs.get(run.task) is not run:
             return None
         if run.stop_wanted or not view.accepts(now) or view.life != run.life:
-            run.state = RunState.PLANNED
-            self._free(run, now, "not sent")
+            self.on_start_not_sent(run, now)
             return None
         run.state = RunState.SENT
         run.since = now
         view.granted_at = now
         return view.lease_until_ms(now, self.times)
 
+    def on_start_not_sent(self, run: Run, now: float) -> None:
+        """Note that a start was not sent and will not be: its task may go elsewhere."""
+        view = self.view_by_id.get(run.minion_id)
+        if view is not None and view.runs.get(run.task) is run:
+            self._free(run, now, "not sent")
+
     def on_start_answer(self, run: Run, outcome: str, now: float) -> None:
         """Take in how a start was answered."""
         view = self.view_by_id.get(run.minion_id)
--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -368,7 +368,7 @@
             session.send(order)
         elif isinstance(order, StartOrder):
             with self._lock:
-                self._scheduler.on_start_sent(order.run, self._now())
+                self._scheduler.on_start_not_sent(order.run, self._now())
 
     # Called by sessions.
 
@@ -442,6 +442,8 @@
     def _start_run(self, order: StartOrder) -> None:
         with self._lock:
             if not self.may_send():
+                # Nobody else would send it once the authority is back.
+                self._scheduler.on_start_not_sent(order.run, self._now())
                 return
             until_ms = self._scheduler.on_start_sent(order.run, self._now())
         if until_ms is None:
--- a/tests/common/schedule_world.py
+++ b/tests/common/schedule_world.py
@@ -520,9 +520,10 @@
 
     def _start(self, order: StartOrder) -> None:
         assert self.scheduler is not None
+        now = self.world.now
         if not self._may_send():
+            self.scheduler.on_start_not_sent(order.run, now)
             return
-        now = self.world.now
         until_ms = self.scheduler.on_start_sent(order.run, now)
         if until_ms is None:
             return
--- a/tests/cover/test_platform_whole_path.py
+++ b/tests/cover/test_platform_whole_path.py
@@ -18,6 +18,10 @@
     configuration_document,
 )
 
+# Longer than an owner gives orders without having read the log: ttl and grace.
+AWAY_S = 4.0
+UNREAD_S = 1.0
+
 
 @pytest.fixture
 def fleet():
@@ -225,3 +229,32 @@
         )
         # The owner's own record goes with its next batch, after the job's.
         wait_for(lambda: not job_keys(fleet, job_id(1)), "no record is left", 10)
+
+
+def test_a_start_that_comes_due_without_authority_is_made_later():
+    # The store takes the batch that places the task again before the owner has read
+    # the log again: it may not send the start yet.
+    began = recorded_at = float("inf")
+
+    def faults(call):
+        nonlocal began, recorded_at
+        now = time.monotonic()
+        places = call.path[-1] == "log-append" and call.query.get("part") == "1"
+        if places:
+            began = min(began, now)
+        if now < began:
+            return None
+        if now < began + AWAY_S:
+            return 503
+        if places:
+            recorded_at = min(recorded_at, now)
+            return None
+        return 503 if now < recorded_at + UNREAD_S else None
+
+    with PlatformFleet() as fleet:
+        fleet.start(nodes=1, minions=2)
+        fleet.world.store_faults = faults
+        assert fleet.submit("n0", job_id(1), document(tasks=1)).status == 200
+        fleet.wait_for_state("n0", job_id(1), "done")
+        assert recorded_at < float("inf")
+    assert set(runs(fleet, job_id(1)).values()) == {1}
--- a/tests/cover/test_scheduler_decisions.py
+++ b/tests/cover/test_scheduler_decisions.py
@@ -213,3 +213,15 @@
         fleet.report("i-0", fleet.running("i-0", percent=second))
         fleet.plan()
     assert not order.run.stop_wanted
+
+
+def test_a_start_that_was_not_sent_is_planned_anew():
+    fleet = Fleet(minions=1)
+    fleet.add(job("a" * 16, Step(1, SMALL, 500)))
+    batch = fleet.scheduler.plan(fleet.now, 0.0)
+    fleet.scheduler.on_durable(batch)
+    (order,) = batch.starts
+    fleet.scheduler.on_start_not_sent(order.run, fleet.now)
+    (again,) = fleet.plan()
+    assert again.run.task == order.run.task
+    assert again.run.number > order.run.number
