--- a/tests/cover/test_scheduler_decisions.py
+++ b/tests/cover/test_scheduler_decisions.py
@@ -219,6 +219,7 @@
     fleet = Fleet(minions=1)
     fleet.add(job("a" * 16, Step(1, SMALL, 500)))
     batch = fleet.scheduler.plan(fleet.now, 0.0)
+    assert batch is not None
     fleet.scheduler.on_durable(batch)
     (order,) = batch.starts
     fleet.scheduler.on_start_not_sent(order.run, fleet.now)
