--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
@@ -88,7 +88,10 @@
         return self.listing.capacity.minus(self.used)
 
     def has_room(self, room: Resources) -> bool:
-        """Tell whether there is as much capacity that nothing uses or may use."""
+        """Tell whether ``free`` covers ``room``, without building a new value.
+
+        A pass over a full pool asks this of each minion for each waiting task.
+        """
         if self.listing is None:
             return False
         capacity, used = self.listing.capacity, self.used
--- a/tests/common/schedule_world.py
+++ b/tests/common/schedule_world.py
@@ -74,7 +74,10 @@
 
 @dataclass(frozen=True)
 class Rates:
-    """How often something goes wrong, a step (a call, for the last three)."""
+    """How often something goes wrong, a step (a call, for the last three of them).
+
+    The longest cuts from the store and from a minion are in seconds.
+    """
 
     store_cut: float = 0.004
     freeze: float = 0.003
@@ -84,9 +87,23 @@
     lost_request: float = 0.03
     lost_answer: float = 0.04
     late_order: float = 0.05
+    longest_store_cut: float = 9.0
+    longest_minion_cut: float = 12.0
 
 
 QUIET = Rates(0, 0, 0, 0, 0, 0, 0, 0)
+# An owner stays cut off from the store for longer than its successor waits for it to
+# end, and the successor from minions that the former owner still reaches.
+LONG_CUTS = Rates(
+    store_cut=0.002,
+    freeze=0,
+    minion_cut=0.006,
+    dark=0,
+    crash=0,
+    late_order=0,
+    longest_store_cut=40.0,
+    longest_minion_cut=20.0,
+)
 
 
 class World:
@@ -222,12 +239,13 @@
         rng, rates = self.rng, self.rates
         for node in self.nodes:
             if rng.random() < rates.store_cut:
-                self.cut_until[node.name, "store"] = self.now + rng.uniform(0.5, 9)
+                until = self.now + rng.uniform(0.5, rates.longest_store_cut)
+                self.cut_until[node.name, "store"] = until
             if rng.random() < rates.freeze:
                 node.frozen_until = self.now + rng.uniform(0.5, 6)
             for minion_id in self.minion_by_id:
                 if rng.random() < rates.minion_cut:
-                    until = self.now + rng.uniform(0.5, 12)
+                    until = self.now + rng.uniform(0.5, rates.longest_minion_cut)
                     self.cut_until[node.name, minion_id] = until
         for minion_id, model in list(self.minion_by_id.items()):
             if rng.random() < rates.dark:
--- a/tests/cover/test_schedule_machine.py
+++ b/tests/cover/test_schedule_machine.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.common.schedule_world import QUIET, World
+from tests.common.schedule_world import LONG_CUTS, QUIET, World
 
 SECONDS = 45.0
 # 1154: a node that the group had dropped joined again, took that for a confirmation of
@@ -19,6 +19,13 @@
     assert world.events["start"] > 20
 
 
+@pytest.mark.parametrize("seed", range(12))
+def test_promises_hold_under_long_cuts(seed):
+    world = World(seed, LONG_CUTS)
+    world.run(SECONDS)
+    assert world.events["start"] > 20
+
+
 def test_all_jobs_end_without_faults():
     world = World(1, QUIET)
     world.run(SECONDS)
--- a/tests/nocover/test_schedule_mutations.py
+++ b/tests/nocover/test_schedule_mutations.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from itertools import product
+
 import pytest
 
 from geraniumshore_scheduler import (
@@ -11,7 +13,13 @@
     Scheduler,
     StartOutcome,
 )
-from tests.common.schedule_world import BrokenPromiseError, SimOwner, World
+from tests.common.schedule_world import (
+    LONG_CUTS,
+    BrokenPromiseError,
+    Rates,
+    SimOwner,
+    World,
+)
 
 SEEDS = 400
 SECONDS = 45.0
@@ -67,7 +75,7 @@
 
 
 def capacity_ignored(patch):
-    patch.setattr(MinionView, "free", property(lambda view: view.listing.capacity))
+    patch.setattr(MinionView, "has_room", lambda view, room: view.listing is not None)
 
 
 @pytest.mark.parametrize(
@@ -85,9 +93,9 @@
 )
 def test_the_machine_notices(mutation, monkeypatch):
     mutation(monkeypatch)
-    for seed in range(SEEDS):
+    for seed, rates in product(range(SEEDS), (Rates(), LONG_CUTS)):
         try:
-            World(seed).run(SECONDS)
+            World(seed, rates).run(SECONDS)
         except BrokenPromiseError:
             return
     pytest.fail(f"{SEEDS} seeds hold without the rule")
