Make appends and joins again while their answers are overdue

A store that loses a third of its answers held the owner up for 2 s with each lost one, as an append was made again only after its timeout; lost answers of joins took 1.05 s to the next join, longer than the group keeps a silent member, so that the owner changed again and again.

--- a/packages/geraniumshored/src/geraniumshored/entry.py
+++ b/packages/geraniumshored/src/geraniumshored/entry.py
@@ -8,8 +8,10 @@
 import threading
 
 from geraniumshore_scheduler import InvalidInputError
+from geraniumshored.node.clock import steady_seconds
 from geraniumshored.node.logs import configure_node_logs, log_event
 from geraniumshored.node.node import Node
+from geraniumshored.node.overdue import RepeatingStore
 from geraniumshored.platform import (
     ConsumerFront,
     HttpPlatform,
@@ -40,7 +42,9 @@
     signal.signal(signal.SIGINT, lambda *_: stop.set())
     reload = threading.Event()
     signal.signal(signal.SIGHUP, lambda *_: reload.set())
-    node = Node(settings.node_settings(), HttpPlatform(settings), JsonJobDecoder())
+    platform = HttpPlatform(settings)
+    platform.store = RepeatingStore(platform.store, steady_seconds)
+    node = Node(settings.node_settings(), platform, JsonJobDecoder())
     front = ConsumerFront(node.intake, node.metrics, node.ready)
     node.metrics.gauge("log_lines_dropped", lambda: writer.dropped)
     front.start(settings.front, settings.ready, settings.metrics)
