Take a wave as announced when it was, not when a node read of it

An announcement of upkeep says how long the wave lasts. A node counted from its own reading: 8 s too late after a cut from the store, and anew after each start of a process.

Now a node knows the earliest and the latest time of the announcement, and the owner records the wave's end by the time of day.

Tests: test_late_readers (a view that loses the store), test_maintenance_waves (bounds, record, a clock that jumped), test_machinist (a new process goes by the former owner's record). Tests of WaveBook and Machinist take the new types.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_book.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_book.py
@@ -12,11 +12,12 @@
     OwnerRecord,
     Progress,
     RecordKind,
+    WaveProgress,
     decode_job,
     decode_machine_orders,
-    decode_maintained,
     decode_owner,
     decode_progress,
+    decode_wave_progress,
     encode_progress,
     job_key,
     split_key,
@@ -64,7 +65,7 @@
         self.job_by_id: dict[str, BookedJob] = {}
         self.owner: OwnerRecord | None = None
         self.opened_at_by_epoch: dict[int, float] = {}
-        self.maintained_by_wave: dict[int, tuple[str, ...]] = {}
+        self.progress_by_wave: dict[int, WaveProgress] = {}
         self.order_by_machine: dict[str, AnnouncedOrder] = {}
         self._orphans: dict[tuple[RecordKind, str], _Orphan] = {}
         self._pending_by_queue: dict[str, int] = {}
@@ -85,7 +86,7 @@
             return None
         if kind is RecordKind.WAVE:
             if job_id.isdigit():
-                self.maintained_by_wave[int(job_id)] = decode_maintained(value)
+                self.progress_by_wave[int(job_id)] = decode_wave_progress(value)
             return None
         if kind is RecordKind.MACHINES:
             self.order_by_machine = decode_machine_orders(value, now)
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/maintenance.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/maintenance.py
@@ -15,7 +15,7 @@
 )
 from geraniumshore_scheduler.internal.runs import OpenJob, Run
 
-__all__ = ["Upkeep", "WaveBook", "may_interrupt"]
+__all__ = ["AnnouncedWave", "Upkeep", "WaveBook", "may_interrupt"]
 
 # How long it takes to empty a machine and to maintain it, for spreading a wave over
 # its time: a few steps' tasks end, lasting tasks start elsewhere, then the upkeep.
@@ -46,6 +46,31 @@
     minion_id: str | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class AnnouncedWave:
+    """A wave, and between which times it was announced, as far as a node knows.
+
+    ``latest`` is when the node read of it, ``earliest`` when it had last read all that
+    there was: minus infinity for a process that has read nothing before.
+    """
+
+    wave: UpkeepWave
+    earliest: float
+    latest: float
+
+    def announced_at(self, recorded_end: float | None) -> float:
+        """Return when to take the wave as announced.
+
+        A node that was cut off, or has just started, reads of it late. A former owner's
+        record of the wave's end tells more, within what the node knows by itself; it
+        depends on clocks that may jump. Without one, too early is better than too late.
+        """
+        if recorded_end is None:
+            return self.latest if math.isinf(self.earliest) else self.earliest
+        by_record = recorded_end - self.wave.within_s
+        return min(max(by_record, self.earliest), self.latest)
+
+
 @dataclass(slots=True)
 class _Wave:
     wave: UpkeepWave
@@ -109,10 +134,13 @@
 
     def announce(
         self, wave: UpkeepWave, announced_at: float, done: Iterable[str] = ()
-    ) -> None:
-        """Take on a wave; ``done`` has the machines that a former owner maintained."""
+    ) -> bool:
+        """Take on a wave; tell whether it is new.
+
+        ``done`` has the machines that a former owner maintained.
+        """
         if wave.number in self._waves:
-            return
+            return False
         upkeep_by_machine = {m: Upkeep(m, wave.number) for m in wave.machines}
         for machine in done:
             if machine in upkeep_by_machine:
@@ -120,6 +148,7 @@
         self._waves[wave.number] = _Wave(
             wave, announced_at + wave.within_s, upkeep_by_machine
         )
+        return True
 
     @property
     def busy(self) -> bool:
@@ -139,6 +168,10 @@
             if upkeep.stage not in (Stage.DUE, Stage.DONE)
         }
 
+    def end_at(self, number: int) -> float:
+        """Return until when all upkeep of a wave is to have begun."""
+        return self._waves[number].end_at
+
     def maintained(self, number: int) -> list[str]:
         """Return the machines of a wave whose upkeep has begun, for the log."""
         wave = self._waves[number]
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import TypeVar
 
@@ -21,16 +21,17 @@
     "Placed",
     "Progress",
     "RecordKind",
+    "WaveProgress",
     "decode_job",
     "decode_machine_orders",
-    "decode_maintained",
     "decode_owner",
     "decode_progress",
+    "decode_wave_progress",
     "encode_job",
     "encode_machine_orders",
-    "encode_maintained",
     "encode_owner",
     "encode_progress",
+    "encode_wave_progress",
     "job_key",
     "split_key",
     "wave_key",
@@ -48,6 +49,19 @@
     MACHINES = "m"
 
 
+@dataclass(frozen=True, slots=True)
+class WaveProgress:
+    """How far a wave of upkeep is, for the next owner.
+
+    ``begun`` has the machines whose upkeep has begun. ``end_wall_ms`` is until when all
+    are to have begun, in milliseconds since 1970: a process that starts later reads the
+    announcement, and nothing there says how old it is.
+    """
+
+    begun: tuple[str, ...] = ()
+    end_wall_ms: int | None = None
+
+
 class JobState(enum.Enum):
     """Where a job stands, as callers see it."""
 
@@ -128,7 +142,7 @@
 _JOB = TypeAdapter(Job)
 _PROGRESS = TypeAdapter(Progress)
 _OWNER = TypeAdapter(OwnerRecord)
-_MACHINES = TypeAdapter(tuple[str, ...])
+_WAVE = TypeAdapter(WaveProgress)
 _ORDERS = TypeAdapter(dict[str, tuple[str, float]])
 OWNER_KEY = f"{RecordKind.OWNER.value}/owner"
 MACHINE_ORDERS_KEY = f"{RecordKind.MACHINES.value}/orders"
@@ -175,14 +189,14 @@
     return f"{RecordKind.WAVE.value}/{number}"
 
 
-def encode_maintained(machines: Iterable[str]) -> bytes:
-    """Encode the machines of a wave whose upkeep has begun."""
-    return _MACHINES.dump_json(tuple(machines))
+def encode_wave_progress(progress: WaveProgress) -> bytes:
+    """Encode how far a wave is."""
+    return _WAVE.dump_json(progress)
 
 
-def decode_maintained(value: bytes) -> tuple[str, ...]:
-    """Decode the machines of a wave. Raises InvalidInputError."""
-    return _decode(_MACHINES, value, "wave record")
+def decode_wave_progress(value: bytes) -> WaveProgress:
+    """Decode how far a wave is. Raises InvalidInputError."""
+    return _decode(_WAVE, value, "wave record")
 
 
 def encode_machine_orders(
--- a/packages/geraniumshored/src/geraniumshored/node/machinist.py
+++ b/packages/geraniumshored/src/geraniumshored/node/machinist.py
@@ -9,6 +9,7 @@
 from geraniumshore_scheduler import (
     ANNOUNCED_S,
     MACHINE_ORDERS_KEY,
+    AnnouncedWave,
     MachineListing,
     MachineOrders,
     Move,
@@ -19,10 +20,12 @@
     UnknownOutcomeError,
     Upkeep,
     WaveBook,
+    WaveProgress,
     encode_machine_orders,
-    encode_maintained,
+    encode_wave_progress,
     wave_key,
 )
+from geraniumshored.node.clock import wall_ms
 from geraniumshored.node.logs import log_event
 from geraniumshored.node.metrics import NodeMetrics
 from geraniumshored.node.ports import Platform, Stream
@@ -33,6 +36,7 @@
 
 logger = logging.getLogger(__name__)
 
+MS = 1000.0
 # Decisions on machines are taken so often: a move takes over a second anyway.
 TICK_S = 0.1
 # The list of machines is read so often while something is under way, and at rest.
@@ -54,7 +58,7 @@
         settings: NodeSettings,
         platform: Platform,
         operators: OperatorsView,
-        maintained_by_wave: Mapping[int, tuple[str, ...]],
+        progress_by_wave: Mapping[int, WaveProgress],
         orders: MachineOrders,
         scheduler: Scheduler,
         lock: threading.RLock,
@@ -66,7 +70,7 @@
         self._settings = settings
         self._platform = platform
         self._operators = operators
-        self._maintained_by_wave = maintained_by_wave
+        self._progress_by_wave = progress_by_wave
         self._orders = orders
         self._scheduler = scheduler
         self._lock = lock
@@ -192,9 +196,8 @@
 
     def _plan_waves(self) -> None:
         with self._lock:
-            for wave, announced_at in list(self._operators.wave_by_number.values()):
-                done = self._maintained_by_wave.get(wave.number, ())
-                self._waves.announce(wave, announced_at, done)
+            for announced in list(self._operators.wave_by_number.values()):
+                self._take_on(announced)
             standby = self._scheduler.standby_pool()
             orders = list(self._waves.unanswered())
             orders.extend(
@@ -213,6 +216,23 @@
             if self._may_order_to(upkeep.machine):
                 self._maintain(upkeep)
 
+    def _take_on(self, announced: AnnouncedWave) -> None:
+        wave = announced.wave
+        progress = self._progress_by_wave.get(wave.number, WaveProgress())
+        end_at = None
+        if progress.end_wall_ms is not None:
+            end_at = self._now() + (progress.end_wall_ms - wall_ms()) / MS
+        announced_at = announced.announced_at(end_at)
+        if self._waves.announce(wave, announced_at, progress.begun):
+            self._record_progress(wave.number)
+
+    def _record_progress(self, number: int) -> None:
+        left_s = self._waves.end_at(number) - self._now()
+        progress = WaveProgress(
+            tuple(self._waves.maintained(number)), wall_ms() + int(left_s * MS)
+        )
+        self._scheduler.record(wave_key(number), encode_wave_progress(progress))
+
     def _maintain(self, upkeep: Upkeep) -> None:
         epoch = self._scheduler.authority.epoch
         begun = self._order(
@@ -234,10 +254,7 @@
         with self._lock:
             self._waves.on_answer(upkeep, begun)
             if begun:
-                maintained = self._waves.maintained(upkeep.wave)
-                self._scheduler.record(
-                    wave_key(upkeep.wave), encode_maintained(maintained)
-                )
+                self._record_progress(upkeep.wave)
                 if upkeep.minion_id is not None:
                     self._ending[upkeep.machine] = upkeep.minion_id
                 self._listed_at = float("-inf")
--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -143,7 +143,7 @@
                     self._settings,
                     self._platform,
                     self._operators,
-                    self._jobs.book.maintained_by_wave,
+                    self._jobs.book.progress_by_wave,
                     self._machine_orders,
                     self._scheduler,
                     self._lock,
--- a/packages/geraniumshored/src/geraniumshored/node/survey.py
+++ b/packages/geraniumshored/src/geraniumshored/node/survey.py
@@ -14,6 +14,7 @@
     MachineListing,
     MinionListing,
     UpkeepWave,
+    WaveProgress,
 )
 from geraniumshored.node.members import host_of, is_strong
 from geraniumshored.node.ports import Platform, Record, Stream
@@ -142,7 +143,8 @@
     def waves(self) -> Iterator[WaveRow]:
         """Yield the announced waves."""
         for number, wave in sorted(self.wave_by_number.items()):
-            begun = set(self.book.maintained_by_wave.get(number, ()))
+            progress = self.book.progress_by_wave.get(number, WaveProgress())
+            begun = set(progress.begun)
             yield WaveRow(
                 number,
                 len(wave.machines),
--- a/packages/geraniumshored/src/geraniumshored/node/views.py
+++ b/packages/geraniumshored/src/geraniumshored/node/views.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from geraniumshore_scheduler import (
+    AnnouncedWave,
     BookedJob,
     Configuration,
     GeraniumshoreError,
@@ -169,7 +170,7 @@
     def __init__(self, platform: Platform, now: Callable[[], float]) -> None:
         super().__init__(platform, Stream.OPERATORS, now)
         self.configuration: Configuration | None = None
-        self.wave_by_number: dict[int, tuple[UpkeepWave, float]] = {}
+        self.wave_by_number: dict[int, AnnouncedWave] = {}
         self.on_configuration: Callable[[Configuration], None] = lambda _: None
 
     def _reset(self) -> None:
@@ -181,8 +182,10 @@
         decoded = self._platform.decode_operator_record(record)
         if isinstance(decoded, UpkeepWave):
             seen = self.wave_by_number.get(decoded.number)
-            if seen is None or seen[0] != decoded:
-                self.wave_by_number[decoded.number] = decoded, self._now()
+            if seen is None or seen.wave != decoded:
+                self.wave_by_number[decoded.number] = AnnouncedWave(
+                    decoded, self._read_before, self._now()
+                )
                 log_event(
                     logger,
                     "wave announced",
@@ -194,6 +197,11 @@
         elif decoded is not None:
             self._use(decoded)
 
+    @property
+    def _read_before(self) -> float:
+        """When all records of before had been read."""
+        return float("-inf") if self._read_at is None else self._read_at
+
     def _folded(self) -> None:
         """Configurations are told one by one."""
 
--- /dev/null
+++ b/tests/cover/test_late_readers.py
@@ -0,0 +1,65 @@
+"""A node that is cut off from the store while operators announce a wave of upkeep."""
+
+from __future__ import annotations
+
+from contextlib import suppress
+from types import SimpleNamespace
+
+from geraniumshore_scheduler import PlatformUnavailableError, UpkeepWave
+from geraniumshored.node.ports import Page, Record, Stream
+from geraniumshored.node.views import OperatorsView
+
+WAVE = UpkeepWave(7, ("m-0",), 24, 1)
+
+
+class FakeStore:
+    """A store that a node loses for a while."""
+
+    def __init__(self) -> None:
+        self.reachable = True
+        self.records: list[Record] = []
+
+    def newest(self, stream: Stream) -> Page:
+        return self.read(stream, 0, 0)
+
+    def read(self, stream: Stream, offset: int, wait_ms: int) -> Page:
+        if not self.reachable:
+            raise PlatformUnavailableError("cut off")
+        return Page(tuple(self.records[offset:]), len(self.records))
+
+
+def follow():
+    """Return a view, its store and the clock."""
+    store, clock = FakeStore(), SimpleNamespace(now=0.0)
+    platform = SimpleNamespace(store=store, decode_operator_record=lambda _: WAVE)
+    view = OperatorsView(platform, lambda: clock.now)  # type: ignore[arg-type]
+    return view, store, clock
+
+
+def read(view: OperatorsView) -> None:
+    with suppress(PlatformUnavailableError):
+        view._step()
+
+
+def test_a_wave_may_be_as_old_as_the_last_whole_read():
+    view, store, clock = follow()
+    clock.now = 2.5
+    read(view)
+    store.reachable = False
+    clock.now = 3.6
+    store.records.append(Record("wave/7", b"wave"))
+    read(view)
+    store.reachable = True
+    clock.now = 11.5
+    read(view)
+    announced = view.wave_by_number[7]
+    assert (announced.earliest, announced.latest) == (2.5, 11.5)
+
+
+def test_a_process_that_has_just_started_does_not_know_how_old_a_wave_is():
+    view, store, clock = follow()
+    store.records.append(Record("wave/7", b"wave"))
+    clock.now = 11.5
+    read(view)
+    announced = view.wave_by_number[7]
+    assert (announced.earliest, announced.latest) == (float("-inf"), 11.5)
--- a/tests/cover/test_machinist.py
+++ b/tests/cover/test_machinist.py
@@ -6,9 +6,12 @@
 from dataclasses import replace
 from types import SimpleNamespace
 
+import pytest
+
 from geraniumshore_scheduler import (
     ANNOUNCED_S,
     AnnouncedOrder,
+    AnnouncedWave,
     MachineListing,
     MachineOrders,
     Move,
@@ -16,6 +19,9 @@
     UnknownOutcomeError,
     Upkeep,
     UpkeepWave,
+    WaveProgress,
+    decode_wave_progress,
+    wave_key,
 )
 from geraniumshored.node.machinist import Machinist
 from geraniumshored.node.metrics import NodeMetrics
@@ -61,8 +67,8 @@
     def __init__(self, minions: int = 2) -> None:
         self.fleet = Fleet(minions)
         self.machines = FakeMachines(self.fleet)
-        self.waves: dict[int, tuple[UpkeepWave, float]] = {}
-        self.recorded: dict[int, tuple[str, ...]] = {}
+        self.waves: dict[int, AnnouncedWave] = {}
+        self.recorded: dict[int, WaveProgress] = {}
         self.orders = MachineOrders("h", SETTINGS.duty_lease_s)
         self.log_answers = True
         platform = SimpleNamespace(
@@ -126,7 +132,7 @@
 
 def test_nothing_is_ordered_that_the_log_does_not_announce():
     bench = Bench()
-    bench.waves[1] = UpkeepWave(1, ("m-0",), 30, 1), 0.0
+    bench.waves[1] = AnnouncedWave(UpkeepWave(1, ("m-0",), 30, 1), 0.0, 0.0)
     bench.log_answers = False
     bench.pass_time(5)
     bench.machinist._list()
@@ -183,8 +189,9 @@
 
 def test_a_new_owner_does_not_maintain_again():
     bench = Bench()
-    bench.waves[1] = UpkeepWave(1, ("m-0", "m-1"), 30, 2), 0.0
-    bench.recorded[1] = ("m-0",)
+    wave = UpkeepWave(1, ("m-0", "m-1"), 30, 2)
+    bench.waves[1] = AnnouncedWave(wave, 0.0, 0.0)
+    bench.recorded[1] = WaveProgress(("m-0",))
     bench.pass_time(5)
     for _ in range(3):
         bench.machinist._step()
@@ -193,8 +200,9 @@
 
 def test_a_new_owner_keeps_the_wave_s_limit_beside_a_former_one_s_last_orders():
     bench = Bench()
-    bench.waves[1] = UpkeepWave(1, ("m-0", "m-1"), 30, 1), 0.0
-    bench.recorded[1] = ("m-0",)
+    wave = UpkeepWave(1, ("m-0", "m-1"), 30, 1)
+    bench.waves[1] = AnnouncedWave(wave, 0.0, 0.0)
+    bench.recorded[1] = WaveProgress(("m-0",))
     bench.pass_time(5)
     bench.orders.take_over({"m-0": AnnouncedOrder("h", bench.fleet.now)})
     bench.machinist._step()
@@ -202,3 +210,19 @@
     bench.pass_time(bench.orders.kept_s)
     bench.machinist._step()
     assert bench.machines.orders == [("maintain", "m-1")]
+
+
+def test_a_new_process_goes_by_the_end_that_a_former_owner_recorded():
+    former = Bench()
+    wave = UpkeepWave(1, ("m-0", "m-1"), 30, 1)
+    former.waves[1] = AnnouncedWave(wave, former.fleet.now, former.fleet.now)
+    former.log_answers = False
+    former.pass_time(20)
+    former.machinist._plan_waves()
+    value = former.fleet.scheduler._records[wave_key(1)]
+    new = Bench()
+    new.recorded[1] = decode_wave_progress(value)
+    new.waves[1] = AnnouncedWave(wave, float("-inf"), new.fleet.now)
+    new.machinist._plan_waves()
+    left_s = new.machinist._waves.end_at(1) - new.fleet.now
+    assert left_s == pytest.approx(10, abs=1)
--- a/tests/cover/test_maintenance_waves.py
+++ b/tests/cover/test_maintenance_waves.py
@@ -4,7 +4,10 @@
 
 from dataclasses import replace
 
+import pytest
+
 from geraniumshore_scheduler import (
+    AnnouncedWave,
     MachineListing,
     Step,
     UpkeepWave,
@@ -163,3 +166,27 @@
     assert plan(book, fleet, listed, frozenset({down})) == []
     (order,) = plan(book, fleet, listed)
     assert order.machine in others
+
+
+WAVE = UpkeepWave(1, ("m-0",), 24, 1)
+NEVER = float("-inf")
+
+
+def test_a_node_that_was_cut_off_takes_a_wave_as_old_as_it_may_be():
+    # It had last read everything at 2.5 s, and reads of the wave at 11.5 s.
+    assert AnnouncedWave(WAVE, 2.5, 11.5).announced_at(None) == 2.5
+
+
+def test_a_new_process_without_a_record_has_only_what_it_reads():
+    assert AnnouncedWave(WAVE, NEVER, 11.5).announced_at(None) == 11.5
+
+
+def test_a_recorded_end_tells_a_new_process_how_old_a_wave_is():
+    assert AnnouncedWave(WAVE, NEVER, 11.5).announced_at(27.6) == pytest.approx(3.6)
+
+
+@pytest.mark.parametrize(("recorded", "announced"), [(20.0, 2.5), (60.0, 4.5)])
+def test_a_clock_that_jumped_does_not_move_a_wave_that_was_followed(
+    recorded, announced
+):
+    assert AnnouncedWave(WAVE, 2.5, 4.5).announced_at(recorded) == announced
