Give starts to a minion beside those without an answer; end an owner's threads with it

Up to three starts are given at a time now, stops and paces in their order by a thread of their own.

Found beside it, by reading: a thread that waits for orders never ended when its owner lost the schedule, so each loss left a thread for each minion. An owner closes its sessions when it stops.

Ruled out: more starters than three (a dark rack would hold threads for each start); avoiding a minion for less than 0.5 s (not tried).

Test: test_orders_without_answers: starts beside unanswered ones, paces in order, no threads left. All three failed first.

--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -122,6 +122,9 @@
             self._jobs.on_progress_read = None
             self._minions.on_change = None
             self._wake.set()
+            # Their threads wait for orders, and would stay with the process.
+            for session in list(self._session_by_minion.values()):
+                session.close()
             log_event(logger, "ownership lost", epoch=self.authority.epoch, cause=why)
 
     def _on_progress_read(self, begun_at: float) -> None:
--- a/packages/geraniumshored/src/geraniumshored/node/sessions.py
+++ b/packages/geraniumshored/src/geraniumshored/node/sessions.py
@@ -1,4 +1,4 @@
-"""Two threads for each minion: one looks, the other gives orders."""
+"""Threads for each minion: one looks, one stops and paces runs, some start them."""
 
 from __future__ import annotations
 
@@ -23,6 +23,9 @@
 
 # A minion that did not answer is looked at again after this time.
 SILENT_PAUSE_S = 0.25
+# So many starts are open at a time: one without an answer would else hold up a whole
+# burst for as long as it takes to time out.
+MOST_STARTERS = 3
 
 Order = StartOrder | StopOrder | PaceOrder
 
@@ -53,29 +56,52 @@
 
 
 class MinionSession:
-    """Two threads for one minion: one looks, the other gives orders."""
+    """Gives orders to one minion and looks at it.
+
+    Stops and paces keep their order. Starts are independent of each other: they are
+    numbered, and no stop is given before its start has been answered or timed out.
+    """
 
     def __init__(self, owner: SessionOwner, minion_id: str) -> None:
         self._owner = owner
         self._minion_id = minion_id
         self._orders: queue.SimpleQueue[Order | None] = queue.SimpleQueue()
+        self._starts: queue.SimpleQueue[Order | None] = queue.SimpleQueue()
+        self._lock = threading.Lock()
+        self._starters = 0
+        self._unfinished_starts = 0
         self._closed = threading.Event()
 
     def start(self) -> None:
         """Begin to look and to give orders."""
-        for target, name in ((self._look, "look"), (self._give, "orders")):
-            threading.Thread(
-                target=target, name=f"{name}-{self._minion_id}", daemon=True
-            ).start()
+        self._begin(self._look, "look")
+        self._begin(lambda: self._give(self._orders), "orders")
 
     def close(self) -> None:
-        """End both threads."""
+        """End all threads."""
         self._closed.set()
         self._orders.put(None)
+        with self._lock:
+            for _ in range(self._starters):
+                self._starts.put(None)
 
     def send(self, order: Order) -> None:
         """Queue an order."""
-        self._orders.put(order)
+        if not isinstance(order, StartOrder):
+            self._orders.put(order)
+            return
+        self._starts.put(order)
+        with self._lock:
+            self._unfinished_starts += 1
+            busy = self._unfinished_starts > self._starters
+            if busy and self._starters < MOST_STARTERS:
+                self._starters += 1
+                self._begin(self._give_starts, f"starts-{self._starters}")
+
+    def _begin(self, target: Callable[[], None], name: str) -> None:
+        threading.Thread(
+            target=target, name=f"{name}-{self._minion_id}", daemon=True
+        ).start()
 
     def _open(self) -> bool:
         return not (self._closed.is_set() or self._owner.stopped)
@@ -86,12 +112,24 @@
             if pause:
                 self._closed.wait(pause)
 
-    def _give(self) -> None:
+    def _give_starts(self) -> None:
+        self._give(self._starts, self._note_started)
+
+    def _note_started(self) -> None:
+        with self._lock:
+            self._unfinished_starts -= 1
+
+    def _give(
+        self,
+        orders: queue.SimpleQueue[Order | None],
+        note_given: Callable[[], None] = lambda: None,
+    ) -> None:
         while self._open():
-            order = self._orders.get()
+            order = orders.get()
             if order is None:
                 return
             self._guard(lambda order=order: self._owner.carry_out(order))  # type: ignore[misc]
+            note_given()
 
     def _guard(self, call: Callable[[], float | None]) -> float | None:
         try:
--- /dev/null
+++ b/tests/cover/test_orders_without_answers.py
@@ -0,0 +1,127 @@
+"""A minion that leaves some orders unanswered, in a burst of starts."""
+
+from __future__ import annotations
+
+import threading
+import time
+from dataclasses import replace
+from types import SimpleNamespace
+
+import pytest
+
+from geraniumshore_scheduler import JobBook, PaceOrder, StartOrder
+from geraniumshore_standins.internal.fleet import wait_for
+from geraniumshored.node.members import member_name
+from geraniumshored.node.metrics import NodeMetrics
+from geraniumshored.node.owner import Owner
+from geraniumshored.node.sessions import MOST_STARTERS, MinionSession, SessionOwner
+from geraniumshored.node.settings import NodeSettings
+from tests.common.schedule_parts import TIMES, listing
+
+LONG_S = 30.0
+
+
+class HoldingOwner(SessionOwner):
+    """Holds the orders that it is told to hold, as a minion without answers does."""
+
+    def __init__(self, held) -> None:
+        self.held = held
+        self.let_go = threading.Event()
+        self.done: list[object] = []
+        self.all_done = threading.Event()
+        self.awaited = 0
+
+    @property
+    def stopped(self) -> bool:
+        return self.let_go.is_set()
+
+    def stop(self, why: str) -> None:
+        raise NotImplementedError
+
+    def look(self, minion_id: str) -> float:
+        self.let_go.wait(LONG_S)
+        return 0.0
+
+    def carry_out(self, order) -> None:
+        if order in self.held:
+            self.let_go.wait(LONG_S)
+            return
+        self.done.append(order)
+        if len(self.done) == self.awaited:
+            self.all_done.set()
+
+    def gone(self, minion_id: str) -> None:
+        raise NotImplementedError
+
+
+def start(number: int) -> StartOrder:
+    run = SimpleNamespace(number=number, minion_id="i-0", task="task")
+    return StartOrder(run, "a:1", "spec", "", 1, None)  # type: ignore[arg-type]
+
+
+def pace(percent: int) -> PaceOrder:
+    return PaceOrder("i-0", "a:1", "task", 1, percent, 1)
+
+
+@pytest.fixture
+def give():
+    """Return a function that sends orders, of which some get no answer."""
+    owners: list[HoldingOwner] = []
+
+    def send(orders, held):
+        owner = HoldingOwner(held)
+        owners.append(owner)
+        owner.awaited = len(orders) - len(held)
+        session = MinionSession(owner, "i-0")
+        session.start()
+        for order in orders:
+            session.send(order)
+        assert owner.all_done.wait(LONG_S)
+        return owner.done
+
+    yield send
+    for owner in owners:
+        owner.let_go.set()
+
+
+def test_starts_go_on_beside_those_without_an_answer(give):
+    starts = [start(number) for number in range(12)]
+    done = give(starts, starts[: MOST_STARTERS - 1])
+    assert sorted(order.run.number for order in done) == list(
+        range(MOST_STARTERS - 1, 12)
+    )
+
+
+def test_paces_keep_their_order_and_do_not_wait_for_starts(give):
+    starts = [start(number) for number in range(MOST_STARTERS)]
+    paces = [pace(percent) for percent in (100, 50, 75, 100)]
+    assert give([*starts, *paces], starts) == paces
+
+
+def threads_of(minion_id: str) -> list[str]:
+    return [t.name for t in threading.enumerate() if t.name.endswith(minion_id)]
+
+
+def test_an_owner_that_stops_leaves_no_threads():
+    minion_id = "i-left"
+    entry = replace(listing(0), minion_id=minion_id)
+    jobs = SimpleNamespace(book=JobBook(), on_job=None, on_progress_read=None)
+    owner = Owner(
+        NodeSettings("n", "a", TIMES, 6, 3, 120, 1.0),
+        SimpleNamespace(),  # type: ignore[arg-type]
+        (
+            SimpleNamespace(),  # type: ignore[arg-type]
+            SimpleNamespace(listing_by_id={minion_id: entry}),
+            jobs,
+        ),
+        member_name("n", "1", 1.0),
+        128,
+        NodeMetrics(),
+        time.monotonic,
+    )
+    owner._on_minions()
+    for number in range(MOST_STARTERS):
+        owner._session_by_minion[minion_id].send(start(number))
+    assert threads_of(minion_id)
+    owner.stop("test")
+    wait_for(lambda: not threads_of(minion_id), "its threads have ended", LONG_S)
