Count what a former owner may have stopped as missing

A run that was told to stop is listed as running until it ends, up to 0.9 s. A new owner took it as at work, so that with its own stops one task more of a step was away than may be.

Ruled out: upkeep and moves of a former owner (given only to machines without lasting tasks).

Now such a run counts as missing until the time of a stop has passed since its minion first answered the new owner. The time is a setting, filled from the platform's bounds.

Test: test_what_a_former_owner_may_have_stopped_counts_as_missing, failed first.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/authority.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/authority.py
@@ -16,7 +16,7 @@
     guards, to ride out an outage of the store. ``longest_lease`` is the
     platform's upper bound on a lease, and ``clock_rate`` how far a steady clock may be
     off. ``order_delay`` is how late an order without an answer may still be carried
-    out.
+    out. ``longest_stop`` is how long a run goes on after its stop was accepted.
     """
 
     ttl: float
@@ -24,6 +24,7 @@
     longest_lease: float
     clock_rate: float = 0.02
     order_delay: float = 12.0
+    longest_stop: float = 1.0
 
     @property
     def lapse(self) -> float:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/maintenance.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/maintenance.py
@@ -109,7 +109,8 @@
 
     Every other task of the step that is not at work counts as missing, whatever the
     cause, and so does one on a minion that does not answer: it may be gone since its
-    last report. A step without a budget gives up one task at a time.
+    last report. A run that a former owner may have stopped counts as missing until it
+    would have ended. A step without a budget gives up one task at a time.
     """
     if not run.step.lasting:
         return True
@@ -121,11 +122,15 @@
         other = job.runs.get(task)
         view = None if other is None else view_by_id.get(other.minion_id)
         reached = view is not None and view.reached
-        if other is None or not (reached and other.at_work) or other.stop_wanted:
+        if other is None or not reached or not _stays_at_work(other):
             missing += 1
     return missing < max(1, run.step.may_miss or 0)
 
 
+def _stays_at_work(run: Run) -> bool:
+    return run.at_work and not (run.stop_wanted or run.maybe_stopped)
+
+
 @dataclass(slots=True)
 class WaveBook:
     """All waves that were announced, and how far each of their machines is."""
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
@@ -33,8 +33,9 @@
 
     ``granted_at`` is when a lease was last sent, answered or not. A lease that got no
     answer, though the minion answered later, may be carried out late: it counts until
-    ``late_grant_until``. ``unlisted`` means that the platform's list lacks the minion,
-    which may live all the same. No lease is sent before the batch
+    ``late_grant_until``. ``answered_since`` is when it first answered this owner: it
+    takes no orders of a former one since. ``unlisted`` means that the platform's list
+    lacks the minion, which may live all the same. No lease is sent before the batch
     ``grants_after_batch`` is durable, which says that this owner sends them.
     """
 
@@ -46,6 +47,7 @@
     granted_at: float | None = None
     unanswered_grant_at: float | None = None
     late_grant_until: float = 0.0
+    answered_since: float | None = None
     runs: dict[TaskKey, Run] = field(default_factory=dict)
     strays: dict[str, int] = field(default_factory=dict)
     used: Resources = Resources()
@@ -138,6 +140,12 @@
             renewed_until = max(renewed_until, self.granted_at)
         return max(renewed_until + times.lapse, self.late_grant_until)
 
+    def may_be_stopping(self, run: Run, now: float, times: OwnershipTimes) -> bool:
+        """Tell whether a former owner may have stopped a run that still goes on."""
+        if run.foreign_until is None or self.answered_since is None:
+            return False
+        return now < self.answered_since + times.longest_stop
+
     def release_acks(self, durable_batch: int) -> None:
         """Let the ends be acknowledged that are recorded."""
         while self.unacked and self.unacked[0][1] <= durable_batch:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
@@ -35,7 +35,8 @@
 
     ``life`` is None while it is not known. ``stop_wanted`` asks for its end.
     ``foreign_until`` is until when a former owner may have renewed its lease.
-    ``percent`` is its progress, for a lasting task how far it is at work.
+    ``percent`` is its progress, for a lasting task how far it is at work;
+    ``maybe_stopped`` says that a former owner may have stopped it.
     """
 
     task: TaskKey
@@ -54,6 +55,7 @@
     pace: int = 100
     progressed_at: float = 0.0
     at_work: bool = False
+    maybe_stopped: bool = False
     foreign_until: float | None = None
 
     @property
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/settlement.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/settlement.py
@@ -68,6 +68,8 @@
         if view.life is not None and report.life < view.life:
             return
         view.note_answer(same_life, self.times)
+        if view.answered_since is None:
+            view.answered_since = now
         if not same_life:
             self._begin_life(view, report.life, now)
         view.clock_ms, view.clock_at = report.clock_ms, now
@@ -264,6 +266,7 @@
         run.percent = row.percent
         run.measured = row.measured
         run.at_work = row.percent >= 100
+        run.maybe_stopped = view.may_be_stopping(run, now, self.times)
         job = self.job_by_id.get(run.task.job_id)
         if job is not None and row.checkpoint and run.step.checkpointing:
             job.progress.checkpoints[run.task.within_job] = row.checkpoint
--- a/packages/geraniumshored/src/geraniumshored/platform/settings.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/settings.py
@@ -36,6 +36,7 @@
     advice: str = ""
     group_ttl_ms: Annotated[int, Field(ge=1)] = 1000
     longest_lease_ms: Annotated[int, Field(ge=1)] = 6000
+    longest_stop_ms: Annotated[int, Field(ge=0)] = 1000
     leaving_s: Annotated[float, Field(ge=0)] = 6.0
     duty_lease_ms: Annotated[int, Field(ge=0)] = 3000
     status_kept_s: Annotated[int, Field(ge=1)] = 120
@@ -51,6 +52,7 @@
                 ttl=self.group_ttl_ms / MS,
                 grace=GRACE_S,
                 longest_lease=self.longest_lease_ms / MS,
+                longest_stop=self.longest_stop_ms / MS,
             ),
             leaving_s=self.leaving_s,
             duty_lease_s=self.duty_lease_ms / MS,
--- a/tests/cover/test_maintenance_waves.py
+++ b/tests/cover/test_maintenance_waves.py
@@ -8,13 +8,21 @@
 
 from geraniumshore_scheduler import (
     AnnouncedWave,
+    BookedJob,
     MachineListing,
     Step,
     UpkeepWave,
     WaveBook,
     may_interrupt,
 )
-from tests.common.schedule_parts import CAPACITY, SMALL, Fleet, job
+from tests.common.schedule_parts import (
+    CAPACITY,
+    SMALL,
+    TIMES,
+    Fleet,
+    job,
+    listing,
+)
 
 LASTING = Step(3, SMALL, 500, lasting=True, most_per_minion=1, may_miss=1)
 
@@ -86,6 +94,24 @@
     assert interruptible(fleet)[1:] == [False, False]
 
 
+def test_what_a_former_owner_may_have_stopped_counts_as_missing():
+    former = lasting_fleet()
+    progress = former.scheduler.job_by_id["a" * 16].progress
+    fleet = Fleet(minions=0, epoch=6)
+    fleet.scheduler.set_listings({f"i-{n}": listing(n) for n in range(4)}, 0.0)
+    taken_over = BookedJob(job("a" * 16, LASTING), 0.0, progress=progress)
+    fleet.scheduler.add_job(taken_over, 0.0)
+    rows = {minion: fleet.running(minion) for minion in fleet.scheduler.view_by_id}
+    for minion, running in rows.items():
+        fleet.report(minion, running)
+    assert interruptible(fleet) == [False, False, False]
+    # A stop that the former owner gave would have ended its run by now.
+    fleet.now += TIMES.longest_stop
+    for minion, running in rows.items():
+        fleet.report(minion, running)
+    assert interruptible(fleet) == [True, True, True]
+
+
 def test_a_machine_is_emptied_before_its_upkeep():
     fleet = lasting_fleet()
     book = WaveBook()
