--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/wsgi.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/wsgi.py
@@ -12,6 +12,7 @@
 from urllib.parse import parse_qs
 
 from waitress.server import BaseWSGIServer, MultiSocketServer, create_server
+from waitress.wasyncore import close_all
 
 __all__ = ["Answer", "Call", "Handler", "application_of", "serve", "serve_in_thread"]
 
@@ -78,17 +79,30 @@
     handler: Handler, port: int, threads: int
 ) -> BaseWSGIServer | MultiSocketServer:
     """Serve on loopback from a thread; close the returned server to end it."""
+    socket_by_descriptor: dict[int, Any] = {}
     server = create_server(
-        application_of(handler), host="127.0.0.1", port=port, threads=threads
+        application_of(handler),
+        map=socket_by_descriptor,
+        host="127.0.0.1",
+        port=port,
+        threads=threads,
+        # Without it no descriptor may be above 1,023.
+        asyncore_use_poll=True,
     )
-    threading.Thread(target=_run_until_closed, args=[server], daemon=True).start()
+    threading.Thread(
+        target=_run_until_closed, args=[server, socket_by_descriptor], daemon=True
+    ).start()
     return server
 
 
-def _run_until_closed(server: BaseWSGIServer | MultiSocketServer) -> None:
+def _run_until_closed(
+    server: BaseWSGIServer | MultiSocketServer, socket_by_descriptor: dict[int, Any]
+) -> None:
     # Closing a server from another thread ends its loop with an error on the socket.
     with contextlib.suppress(OSError):
         server.run()
+    # It leaves the connections open: a soak of some 20 seeds would run out of them.
+    close_all(socket_by_descriptor, ignore_all=True)
 
 
 def _read_call(environ: WsgiEnviron) -> Call:
