Log what was made again, how often and why

A repeated append or join that got its answer left no line, while its cut attempts were dropped without a word. One line for each such call; test_the_log_tells_what_was_made_again. No decision changes.

--- a/packages/geraniumshored/src/geraniumshored/node/overdue.py
+++ b/packages/geraniumshored/src/geraniumshored/node/overdue.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import logging
 import threading
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
@@ -13,6 +14,7 @@
 from typing import Any, Generic, TypeVar
 
 from geraniumshore_scheduler import PlatformUnavailableError, UnknownOutcomeError
+from geraniumshored.node.logs import log_event
 from geraniumshored.node.ports import (
     Appended,
     Membership,
@@ -25,6 +27,8 @@
 
 __all__ = ["RepeatedCall", "RepeatingStore"]
 
+logger = logging.getLogger(__name__)
+
 T = TypeVar("T")
 
 # An answer is overdue after this time, some ten times what one takes as a rule.
@@ -58,20 +62,23 @@
     """One call that may be carried out several times; its first answer is taken.
 
     While an answer is overdue, ``probe`` tells whether the other side answers at all,
-    and how fast.
+    and how fast. ``name`` says in the log what was made again.
     """
 
     def __init__(
         self,
+        name: str,
         attempt: Callable[[], T],
         probe: Callable[[], object],
         now: Callable[[], float],
     ) -> None:
+        self._name = name
         self._attempt = attempt
         self._probe = probe
         self._now = now
         self._outcomes: SimpleQueue[_Outcome[T]] = SimpleQueue()
         self._open = 0
+        self._made = 0
         self._began_at = 0.0
         self._repeat_at = NEVER
         self._probe_at = NEVER
@@ -96,6 +103,7 @@
             if outcome.probe:
                 self._note_probe(outcome)
             elif outcome.error is None:
+                self._note_repeats()
                 return outcome.result  # type: ignore[return-value]
             else:
                 self._note_failure(outcome.error)
@@ -106,6 +114,7 @@
             self._repeat_at = NEVER
             if self._open < MOST_OPEN:
                 self._open += 1
+                self._made += 1
                 self._began_at = now
                 self._probe_at = now + OVERDUE_S
                 self._begin(self._attempt, probe=False)
@@ -113,6 +122,17 @@
             self._probe_at = NEVER
             self._begin(self._probe, probe=True)
 
+    def _note_repeats(self) -> None:
+        if self._made > 1:
+            cause = None if self._unanswered is None else str(self._unanswered)
+            log_event(
+                logger,
+                "answer overdue",
+                call=self._name,
+                attempts=self._made,
+                cause=cause,
+            )
+
     def _note_probe(self, outcome: _Outcome[T]) -> None:
         now = self._now()
         if outcome.error is not None:
@@ -162,7 +182,9 @@
     ) -> Appended:
         """Append records; see ``Store``."""
         return self._repeat(
-            lambda: self._store.append(stream, records, writer), APPEND_S
+            f"append {stream.value}",
+            lambda: self._store.append(stream, records, writer),
+            APPEND_S,
         )
 
     def read(self, stream: Stream, offset: int, wait_ms: int) -> Page:
@@ -175,7 +197,9 @@
 
     def join(self, member: str, generation: int) -> Membership:
         """Join the group, or stay in it."""
-        return self._repeat(lambda: self._store.join(member, generation), JOIN_S)
+        return self._repeat(
+            "join", lambda: self._store.join(member, generation), JOIN_S
+        )
 
     def members(self) -> frozenset[str]:
         """Return the group's members."""
@@ -185,6 +209,6 @@
         """Leave the group."""
         self._store.leave(member)
 
-    def _repeat(self, attempt: Callable[[], T], within_s: float) -> T:
-        call = RepeatedCall(attempt, self._store.members, self._now)
+    def _repeat(self, name: str, attempt: Callable[[], T], within_s: float) -> T:
+        call = RepeatedCall(name, attempt, self._store.members, self._now)
         return call.make(self._now() + within_s)
--- a/tests/cover/test_lost_answers.py
+++ b/tests/cover/test_lost_answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import threading
 import time
 from collections import Counter
@@ -50,7 +51,7 @@
             raise outcome
         return outcome
 
-    call = RepeatedCall(attempt, probe, time.monotonic)
+    call = RepeatedCall("test", attempt, probe, time.monotonic)
     return call.make(time.monotonic() + give_up_s)
 
 
@@ -58,6 +59,14 @@
     assert make([held, "second"]) == "second"
 
 
+def test_the_log_tells_what_was_made_again(held, caplog):
+    with caplog.at_level(logging.INFO):
+        make([held, "second"])
+    (line,) = [r for r in caplog.records if r.getMessage() == "answer overdue"]
+    fields = line.__dict__["fields"]
+    assert (fields["call"], fields["attempts"]) == ("test", 2)
+
+
 def test_lost_answers_in_a_row_are_not_waited_for(held):
     assert make([held, held, held, "fourth"]) == "fourth"
 
@@ -98,7 +107,7 @@
         attempts["made"] += 1
         return slow()
 
-    call = RepeatedCall(attempt, slow, time.monotonic)
+    call = RepeatedCall("test", attempt, slow, time.monotonic)
     assert call.make(time.monotonic() + LONG_S) == "slow"
     assert attempts["made"] == 1
 
@@ -114,7 +123,7 @@
         time.sleep(3 * OVERDUE_S)
         return "first"
 
-    call = RepeatedCall(attempt, lambda: None, time.monotonic)
+    call = RepeatedCall("test", attempt, lambda: None, time.monotonic)
     assert call.make(time.monotonic() + LONG_S) == "first"
 
 
