Views, minions, machine orders: times that are not known yet are infinite; one check of an announcement's age

Found by reading the whole change. A view's time of its last read was None or a time, and three places turned None into another value; it starts at minus infinity. The time since when a minion answers this owner starts at infinity, and a check for None that no caller could meet is gone. Whether an announcement still matters stood three times in MachineOrders. The advice adapter spelled out milliseconds. Behaviour as before; tests unchanged.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/machine_orders.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/machine_orders.py
@@ -50,6 +50,9 @@
         """How long an announcement matters to others."""
         return ANNOUNCED_S + self.duty_lease_s + HANDOVER_MARGIN_S
 
+    def _matters(self, order: AnnouncedOrder, now: float) -> bool:
+        return now < order.at + self.kept_s
+
     def take_over(self, order_by_machine: Mapping[str, AnnouncedOrder]) -> None:
         """Take in what the log says of former owners."""
         self.order_by_machine = dict(order_by_machine)
@@ -63,7 +66,7 @@
         return {
             machine
             for machine, order in self._former.items()
-            if now < order.at + self.kept_s
+            if self._matters(order, now)
         }
 
     def is_free(self, machine: str, now: float) -> bool:
@@ -71,7 +74,7 @@
         order = self.order_by_machine.get(machine)
         if order is None or order.host == self.host:
             return True
-        return now >= order.at + self.kept_s
+        return not self._matters(order, now)
 
     def announce(
         self, machines: Iterable[str], now: float
@@ -82,7 +85,7 @@
         self.order_by_machine = {
             machine: order
             for machine, order in self.order_by_machine.items()
-            if now < order.at + self.kept_s
+            if self._matters(order, now)
         }
         return self.order_by_machine
 
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -47,7 +48,7 @@
     granted_at: float | None = None
     unanswered_grant_at: float | None = None
     late_grant_until: float = 0.0
-    answered_since: float | None = None
+    answered_since: float = math.inf
     runs: dict[TaskKey, Run] = field(default_factory=dict)
     strays: dict[str, int] = field(default_factory=dict)
     used: Resources = Resources()
@@ -142,9 +143,8 @@
 
     def may_be_stopping(self, run: Run, now: float, times: OwnershipTimes) -> bool:
         """Tell whether a former owner may have stopped a run that still goes on."""
-        if run.foreign_until is None or self.answered_since is None:
-            return False
-        return now < self.answered_since + times.longest_stop
+        former = run.foreign_until is not None
+        return former and now < self.answered_since + times.longest_stop
 
     def release_acks(self, durable_batch: int) -> None:
         """Let the ends be acknowledged that are recorded."""
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/settlement.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/settlement.py
@@ -68,8 +68,7 @@
         if view.life is not None and report.life < view.life:
             return
         view.note_answer(same_life, self.times)
-        if view.answered_since is None:
-            view.answered_since = now
+        view.answered_since = min(view.answered_since, now)
         if not same_life:
             self._begin_life(view, report.life, now)
         view.clock_ms, view.clock_at = report.clock_ms, now
--- a/packages/geraniumshored/src/geraniumshored/node/views.py
+++ b/packages/geraniumshored/src/geraniumshored/node/views.py
@@ -45,9 +45,10 @@
         self._stream = stream
         self._now = now
         self._offset: int | None = None
-        self._read_at: float | None = None
+        # When all records of before had been read.
+        self._read_at = float("-inf")
         self._reading_since: float | None = None
-        self._asked_at: float | None = None
+        self._asked_at = float("-inf")
         self._broken = False
         self._pause = threading.Event()
         self._thread = threading.Thread(
@@ -60,7 +61,7 @@
 
     def age(self, now: float) -> float:
         """Return for how long the view may have missed records."""
-        return float("inf") if self._read_at is None else now - self._read_at
+        return now - self._read_at
 
     @property
     def offset(self) -> int:
@@ -184,7 +185,7 @@
             seen = self.wave_by_number.get(decoded.number)
             if seen is None or seen.wave != decoded:
                 self.wave_by_number[decoded.number] = AnnouncedWave(
-                    decoded, self._read_before, self._now()
+                    decoded, self._read_at, self._now()
                 )
                 log_event(
                     logger,
@@ -197,11 +198,6 @@
         elif decoded is not None:
             self._use(decoded)
 
-    @property
-    def _read_before(self) -> float:
-        """When all records of before had been read."""
-        return float("-inf") if self._read_at is None else self._read_at
-
     def _folded(self) -> None:
         """Configurations are told one by one."""
 
@@ -351,7 +347,7 @@
         A read that waits for records at the stream's end already would have returned.
         """
         with self._read:
-            while (self._read_at or 0.0) < since:
+            while self._read_at < since:
                 reading_since = self._reading_since
                 now = self._now()
                 if reading_since is not None and now > reading_since + self.ANSWER_S:
@@ -381,7 +377,7 @@
         with self._read:
             self._read.notify_all()
         on_read = self._view.on_progress_read
-        if on_read is not None and self._confirming and self._asked_at is not None:
+        if on_read is not None and self._confirming:
             on_read(self._asked_at)
 
     def _reset(self) -> None:
--- a/packages/geraniumshored/src/geraniumshored/platform/advice.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/advice.py
@@ -16,6 +16,7 @@
 
 # An answer takes some time for each minion that is named.
 ADVICE_SECONDS = 5.0
+MS = 1000
 
 
 class HttpAdvisers(Advisers):
@@ -39,4 +40,4 @@
             ticket_by_minion, valid_ms = decode_advice(reply.body)
         except InvalidInputError as error:
             raise UnknownOutcomeError(f"unreadable advice: {error}") from error
-        return Advised(ticket_by_minion, valid_ms / 1000)
+        return Advised(ticket_by_minion, valid_ms / MS)
