Sessions: starts to a minion by the library's pool in place of one of our own

Found by reading the whole change: a queue, two counters and a lock grew threads when all were busy, which ThreadPoolExecutor does. Stops and paces keep their one thread. Starts that wait are dropped when the session closes, as before.

--- a/packages/geraniumshored/src/geraniumshored/node/sessions.py
+++ b/packages/geraniumshored/src/geraniumshored/node/sessions.py
@@ -7,6 +7,7 @@
 import threading
 from abc import ABC, abstractmethod
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 
 from geraniumshore_scheduler import (
     MinionGoneError,
@@ -66,42 +67,33 @@
         self._owner = owner
         self._minion_id = minion_id
         self._orders: queue.SimpleQueue[Order | None] = queue.SimpleQueue()
-        self._starts: queue.SimpleQueue[Order | None] = queue.SimpleQueue()
+        self._starters = ThreadPoolExecutor(MOST_STARTERS, f"starts-{minion_id}")
+        # Nothing is handed to the starters once they are shut down.
         self._lock = threading.Lock()
-        self._starters = 0
-        self._unfinished_starts = 0
         self._closed = threading.Event()
 
     def start(self) -> None:
         """Begin to look and to give orders."""
-        self._begin(self._look, "look")
-        self._begin(lambda: self._give(self._orders), "orders")
+        for target, name in ((self._look, "look"), (self._give, "orders")):
+            threading.Thread(
+                target=target, name=f"{name}-{self._minion_id}", daemon=True
+            ).start()
 
     def close(self) -> None:
         """End all threads."""
-        self._closed.set()
-        self._orders.put(None)
         with self._lock:
-            for _ in range(self._starters):
-                self._starts.put(None)
+            self._closed.set()
+            self._starters.shutdown(wait=False, cancel_futures=True)
+        self._orders.put(None)
 
     def send(self, order: Order) -> None:
         """Queue an order."""
         if not isinstance(order, StartOrder):
             self._orders.put(order)
             return
-        self._starts.put(order)
         with self._lock:
-            self._unfinished_starts += 1
-            busy = self._unfinished_starts > self._starters
-            if busy and self._starters < MOST_STARTERS:
-                self._starters += 1
-                self._begin(self._give_starts, f"starts-{self._starters}")
-
-    def _begin(self, target: Callable[[], None], name: str) -> None:
-        threading.Thread(
-            target=target, name=f"{name}-{self._minion_id}", daemon=True
-        ).start()
+            if not self._closed.is_set():
+                self._starters.submit(self._carry_out, order)
 
     def _open(self) -> bool:
         return not (self._closed.is_set() or self._owner.stopped)
@@ -112,24 +104,16 @@
             if pause:
                 self._closed.wait(pause)
 
-    def _give_starts(self) -> None:
-        self._give(self._starts, self._note_started)
-
-    def _note_started(self) -> None:
-        with self._lock:
-            self._unfinished_starts -= 1
-
-    def _give(
-        self,
-        orders: queue.SimpleQueue[Order | None],
-        note_given: Callable[[], None] = lambda: None,
-    ) -> None:
+    def _give(self) -> None:
         while self._open():
-            order = orders.get()
+            order = self._orders.get()
             if order is None:
                 return
-            self._guard(lambda order=order: self._owner.carry_out(order))  # type: ignore[misc]
-            note_given()
+            self._carry_out(order)
+
+    def _carry_out(self, order: Order) -> None:
+        if self._open():
+            self._guard(lambda: self._owner.carry_out(order))
 
     def _guard(self, call: Callable[[], float | None]) -> float | None:
         try:
