--- a/packages/geraniumshore-cli/src/geraniumshore_cli/internal/schedule_commands.py
+++ b/packages/geraniumshore-cli/src/geraniumshore_cli/internal/schedule_commands.py
@@ -85,29 +85,19 @@
 @app.command
 def minions(*, settings: Settings = None, as_json: AsJson = False) -> int:
     """List the minions that the platform lists."""
-
-    def shown(survey: Survey) -> None:
-        rows = [
-            {column: getattr(minion, column) for column in MINION_COLUMNS}
-            for minion in survey.minions()
-        ]
-        _show_rows(MINION_COLUMNS, rows, as_json)
-
-    return _with_survey(settings, shown)
+    return _with_survey(
+        settings, lambda s: _show_fields(MINION_COLUMNS, s.minions(), as_json)
+    )
 
 
 @app.command
 def machines(*, settings: Settings = None, as_json: AsJson = False) -> int:
     """List the machines with their pools."""
-
-    def shown(survey: Survey) -> None:
-        rows = [
-            {column: getattr(machine, column) for column in MACHINE_COLUMNS}
-            for machine in survey.machines
-        ]
-        _show_rows(MACHINE_COLUMNS, rows, as_json)
-
-    return _with_survey(settings, shown, with_machines=True)
+    return _with_survey(
+        settings,
+        lambda s: _show_fields(MACHINE_COLUMNS, s.machines, as_json),
+        with_machines=True,
+    )
 
 
 @app.command
@@ -179,6 +169,11 @@
     return tuple(column.name for column in fields(row))
 
 
+def _show_fields(columns: Sequence[str], items: Iterable[Any], as_json: bool) -> None:
+    rows = ({column: getattr(item, column) for column in columns} for item in items)
+    _show_rows(columns, rows, as_json)
+
+
 def _show_rows(columns: Sequence[str], rows: Iterable[Any], as_json: bool) -> None:
     documents = [asdict(row) if is_dataclass(row) else row for row in rows]  # type: ignore[arg-type]
     if as_json:
