Pools: machines are emptied for pools whose work can still be in time

Only idle machines moved, and a pool with any waiting task gave none up. Now pools are compared by what their timely work wants for each machine that they have; machines of the richer one take no more work, and move when their tasks have ended, unless the need has passed.

Ruled out: preempting tasks (their work is lost and charged to callers); sharing by all waiting work (the stale backlog wins).

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/__init__.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/__init__.py
@@ -57,8 +57,11 @@
 )
 from geraniumshore_scheduler.internal.pacing import Pace, plan_paces
 from geraniumshore_scheduler.internal.pools import (
+    Empty,
+    Keep,
     Move,
     PoolLoad,
+    PoolOrder,
     PoolPolicy,
     PoolRates,
 )
@@ -101,7 +104,9 @@
     "Configuration",
     "Decision",
     "EndedRun",
+    "Empty",
     "Finding",
+    "Keep",
     "FirstCome",
     "GeraniumshoreError",
     "HoldRequest",
@@ -128,6 +133,7 @@
     "Placed",
     "PlatformUnavailableError",
     "PoolLoad",
+    "PoolOrder",
     "PoolPolicy",
     "PoolRates",
     "Progress",
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/ordering.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/ordering.py
@@ -28,6 +28,10 @@
     def rank(self, job: OpenJob, now: float) -> Any:
         """Return a value to sort by."""
 
+    @abstractmethod
+    def is_timely(self, job: OpenJob, now: float) -> bool:
+        """Tell whether a job that is started now can still meet its objective."""
+
 
 class FirstCome(JobOrder):
     """The baseline: whoever came first."""
@@ -36,6 +40,10 @@
         """Return the time of arrival."""
         return (job.priority, job.arrived_at)
 
+    def is_timely(self, job: OpenJob, now: float) -> bool:
+        """Return true: the baseline knows no objectives."""
+        return True
+
 
 class ByObjective(JobOrder):
     """Jobs that can still meet their objective go first, the most urgent of them first.
@@ -50,8 +58,7 @@
         """Rank by priority, then by what is still to be saved, then by urgency."""
         if job.job.lasting:
             return (job.priority, -1, job.arrived_at)
-        work_left = CHAIN_MARGIN * job.work_left_s() + OVERHEAD_S
-        latest_start = job.objective_at - work_left
+        latest_start = self._latest_start(job)
         behind = BEYOND_SHARE if job.beyond_share else 0
         if now <= latest_start:
             return (job.priority, behind, latest_start)
@@ -59,3 +66,12 @@
         if now + job.work_left_s() <= last_end:
             return (job.priority, behind + 1, job.arrived_at)
         return (job.priority, HOPELESS, job.arrived_at)
+
+    def is_timely(self, job: OpenJob, now: float) -> bool:
+        """Tell whether the work that is left fits in before the objective."""
+        return job.job.lasting or now <= self._latest_start(job)
+
+    @staticmethod
+    def _latest_start(job: OpenJob) -> float:
+        work_left = CHAIN_MARGIN * job.work_left_s() + OVERHEAD_S
+        return job.objective_at - work_left
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pool_meter.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pool_meter.py
@@ -8,6 +8,7 @@
 
 from geraniumshore_scheduler.internal.minion_view import MinionView
 from geraniumshore_scheduler.internal.model import Job, Resources
+from geraniumshore_scheduler.internal.ordering import JobOrder
 from geraniumshore_scheduler.internal.pools import PoolLoad
 from geraniumshore_scheduler.internal.runs import OpenJob, longest_chain_s
 
@@ -80,10 +81,26 @@
         return Resources(*map(max, usual, onset))
 
 
+@dataclass(slots=True)
+class _Waiting:
+    """Tasks that found no minion: machines for all at once, and machine-seconds."""
+
+    parallel: float = 0.0
+    backlog: float = 0.0
+
+    def add(self, share: float, estimate_s: float) -> None:
+        """Add a task that takes a share of a machine."""
+        self.parallel += share
+        self.backlog += share * estimate_s
+
+
 class PoolMeter:
     """Adds up what minions have and what jobs wait for, by pool."""
 
-    def __init__(self, views: Iterable[MinionView], jobs: Iterable[OpenJob]) -> None:
+    def __init__(
+        self, views: Iterable[MinionView], jobs: Iterable[OpenJob], order: JobOrder
+    ) -> None:
+        self._order = order
         self._views: dict[str, list[MinionView]] = {}
         for view in views:
             if view.listing is not None:
@@ -112,10 +129,13 @@
         """
         lasting = 0.0
         lacking = False
-        parallel_by_team: dict[str | None, float] = {}
-        backlog_by_team: dict[str | None, float] = {}
+        all_by_team: dict[str | None, _Waiting] = {}
+        timely_by_team: dict[str | None, _Waiting] = {}
         for job in self._jobs.get(pool, []):
             team = job.job.team
+            counts = [all_by_team.setdefault(team, _Waiting())]
+            if self._order.is_timely(job, now):
+                counts.append(timely_by_team.setdefault(team, _Waiting()))
             for task in job.waiting:
                 if (task.occurrence, task.step) not in job.unplaced:
                     continue
@@ -125,27 +145,39 @@
                 if step.lasting:
                     lasting += 1 if step.most_per_minion == 1 else share
                     continue
-                parallel_by_team[team] = parallel_by_team.get(team, 0.0) + share
-                work = share * step.estimate_ms / MS
-                backlog_by_team[team] = backlog_by_team.get(team, 0.0) + work
-        backlog = parallel = 0.0
-        for team, wanted in parallel_by_team.items():
-            room = room_by_team.get(team or "")
-            allowed = wanted if room is None else max(0.0, self._least_share(room))
-            part = min(1.0, allowed / wanted) if wanted else 1.0
-            parallel += part * wanted
-            backlog += part * backlog_by_team[team]
+                for count in counts:
+                    count.add(share, step.estimate_ms / MS)
+        everything = self._within_caps(all_by_team, room_by_team)
+        timely = self._within_caps(timely_by_team, room_by_team)
         return PoolLoad(
             pool,
             room=self._room(pool, now),
             offered=self._share(offered),
-            backlog=backlog,
-            parallel=parallel,
+            backlog=everything.backlog,
+            parallel=everything.parallel,
             lasting=lasting,
+            timely_backlog=timely.backlog,
+            timely_parallel=timely.parallel,
             busy=lacking,
             used=used,
         )
 
+    def _within_caps(
+        self,
+        waiting_by_team: Mapping[str | None, _Waiting],
+        room_by_team: Mapping[str, Resources],
+    ) -> _Waiting:
+        """Return the sum of what waits, as far as the teams' caps let it run."""
+        total = _Waiting()
+        for team, waiting in waiting_by_team.items():
+            room = room_by_team.get(team or "")
+            wanted = waiting.parallel
+            allowed = wanted if room is None else max(0.0, self._least_share(room))
+            part = min(1.0, allowed / wanted) if wanted else 1.0
+            total.parallel += part * wanted
+            total.backlog += part * waiting.backlog
+        return total
+
     def _room(self, pool: str, now: float) -> float:
         """Return what the tasks that end by themselves have, or could have."""
         room = 0.0
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pools.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pools.py
@@ -7,12 +7,21 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 
+from geraniumshore_scheduler.internal.contention import Contender, share_by_want
 from geraniumshore_scheduler.internal.model import MachineListing
 
-__all__ = ["Move", "PoolLoad", "PoolPolicy", "PoolRates"]
+__all__ = [
+    "Empty",
+    "Keep",
+    "Move",
+    "PoolLoad",
+    "PoolOrder",
+    "PoolPolicy",
+    "PoolRates",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,7 +32,8 @@
     the work that came of late, in machines that it keeps busy. ``backlog`` is the work
     of the tasks that wait and for which no minion has room, in seconds of a machine;
     all at once they would fill ``parallel`` machines. ``lasting`` machines are wanted
-    for lasting tasks that found no minion. ``busy`` pools have tasks that wait,
+    for lasting tasks that found no minion. ``timely_backlog`` and ``timely_parallel``
+    count only jobs that can still be done in time. ``busy`` pools have tasks that wait,
     ``used`` ones have had some job.
     """
 
@@ -33,6 +43,8 @@
     backlog: float = 0.0
     parallel: float = 0.0
     lasting: float = 0.0
+    timely_backlog: float = 0.0
+    timely_parallel: float = 0.0
     busy: bool = False
     used: bool = True
 
@@ -45,6 +57,23 @@
     pool: str
 
 
+@dataclass(frozen=True, slots=True)
+class Empty:
+    """Gives a machine no more work, so that it can move soon."""
+
+    machine: str
+
+
+@dataclass(frozen=True, slots=True)
+class Keep:
+    """Gives a machine work again that was being emptied."""
+
+    machine: str
+
+
+PoolOrder = Move | Empty | Keep
+
+
 @dataclass(frozen=True, slots=True)
 class PoolRates:
     """When to move; times in seconds, amounts in machines.
@@ -86,11 +115,15 @@
         coming_by_pool: dict[str, int],
         standby: str | None,
         now: float,
-    ) -> Iterator[Move]:
+        busy_by_pool: Mapping[str, Sequence[MachineListing]] | None = None,
+        emptying: Mapping[str, MachineListing] | None = None,
+    ) -> Iterator[PoolOrder]:
         """Yield the moves to make now.
 
         ``idle_by_pool`` has the machines on which nothing runs and which may be moved;
         ``coming_by_pool`` counts the machines on their way to a pool.
+        ``busy_by_pool`` has those that may be emptied, those that are free soonest
+        first, and ``emptying`` those that are being emptied, by name.
         """
         load_by_pool = {load.pool: load for load in loads}
         for load in load_by_pool.values():
@@ -106,7 +139,11 @@
                 )
                 spares.extend(releasable)
         taken: set[str] = set()
-        yield from self._fill(load_by_pool, coming_by_pool, spares, taken)
+        given = dict(coming_by_pool)
+        yield from self._fill(load_by_pool, given, spares, taken)
+        yield from self._share(
+            load_by_pool, given, idle_by_pool, busy_by_pool or {}, emptying or {}, now
+        )
         if standby is None:
             return
         for machine in spares:
@@ -130,12 +167,14 @@
     def _fill(
         self,
         load_by_pool: dict[str, PoolLoad],
-        coming_by_pool: dict[str, int],
+        given: dict[str, int],
         spares: list[MachineListing],
         taken: set[str],
     ) -> Iterator[Move]:
-        """Give spare machines to the pool that lacks most, one at a time."""
-        given = dict(coming_by_pool)
+        """Give spare machines to the pool that lacks most, one at a time.
+
+        ``given`` counts the machines that come to each pool.
+        """
         for machine in spares:
             needs = {
                 pool: self.lacking(load, given.get(pool, 0))
@@ -149,6 +188,45 @@
             taken.add(machine.machine)
             yield Move(machine.machine, pool)
 
+    def _share(
+        self,
+        load_by_pool: dict[str, PoolLoad],
+        given: dict[str, int],
+        idle_by_pool: dict[str, Sequence[MachineListing]],
+        busy_by_pool: Mapping[str, Sequence[MachineListing]],
+        emptying: Mapping[str, MachineListing],
+        now: float,
+    ) -> Iterator[PoolOrder]:
+        """Share machines that are busy, where timely work waits for want of them."""
+        idle = {m.machine for machines in idle_by_pool.values() for m in machines}
+        contenders = [
+            Contender(pool, self._timely_want(load), load.room + given.get(pool, 0))
+            for pool, load in load_by_pool.items()
+        ]
+        movable_by_pool = {
+            pool: [m for m in machines if self._has_stayed(m, now)]
+            for pool, machines in busy_by_pool.items()
+        }
+        transfers = share_by_want(contenders, list(emptying.values()), movable_by_pool)
+        for transfer in transfers:
+            name = transfer.machine.machine
+            if name not in emptying:
+                yield Empty(name)
+            elif transfer.pool == transfer.machine.pool:
+                yield Keep(name)
+            elif name in idle:
+                yield Move(name, transfer.pool)
+
+    def _timely_want(self, load: PoolLoad) -> float:
+        """Return how many machines a pool's timely work would fill."""
+        backlog = load.timely_backlog / self.rates.clear_s
+        waiting = min(load.timely_parallel, backlog)
+        return load.lasting + max(load.offered, min(load.room, load.offered) + waiting)
+
+    def _has_stayed(self, machine: MachineListing, now: float) -> bool:
+        joined_at = self._joined_at.get(machine.machine, float("-inf"))
+        return now - joined_at >= self.rates.stay_s
+
     def _releasable(
         self,
         load: PoolLoad,
@@ -164,8 +242,7 @@
         kept = max(self.rates.spare * load.offered, onset)
         room = load.room
         for machine in idle:
-            joined_at = self._joined_at.get(machine.machine, float("-inf"))
-            if now - joined_at < self.rates.stay_s:
+            if not self._has_stayed(machine, now):
                 continue
             if size <= 1 or room - 1 < kept:
                 return
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -179,7 +179,9 @@
 
     def pool_loads(self, now: float) -> list[PoolLoad]:
         """Return what each pool's tasks ask for and what it has."""
-        meter = PoolMeter(self.view_by_id.values(), self.job_by_id.values())
+        meter = PoolMeter(
+            self.view_by_id.values(), self.job_by_id.values(), self._order
+        )
         cap_by_team = self._caps()
         room_by_team = {
             name: cap.minus(self._team_use.get(name, Resources()))
--- a/packages/geraniumshored/src/geraniumshored/node/machinist.py
+++ b/packages/geraniumshored/src/geraniumshored/node/machinist.py
@@ -10,11 +10,14 @@
     ANNOUNCED_S,
     MACHINE_ORDERS_KEY,
     AnnouncedWave,
+    Empty,
+    Keep,
     MachineListing,
     MachineOrders,
     Move,
     OwnerReplacedError,
     PlatformUnavailableError,
+    PoolOrder,
     PoolPolicy,
     Scheduler,
     UnknownOutcomeError,
@@ -84,6 +87,8 @@
         self._listed_at = float("-inf")
         # Moves that were ordered, until the list shows a new minion in the pool.
         self._moving: dict[str, tuple[Move, str | None]] = {}
+        # Machines that take no work, to move once they are free, and their minions.
+        self._emptying: dict[str, str | None] = {}
         # Minions that an order ends, by machine, until the list no longer has them. The
         # platform says yes also where the same was done before, to an earlier minion.
         self._ending: dict[str, str] = {}
@@ -272,13 +277,15 @@
         with self._lock:
             now = self._now()
             standby = self._scheduler.standby_pool()
-            held = self._waves.due_machines() | set(self._moving)
+            upkeep = self._waves.due_machines()
+            held = upkeep | set(self._moving)
             held.update(
                 name
                 for name in self._machine_by_name
                 if not self._orders.is_free(name, now)
             )
             idle_by_pool: dict[str, list[MachineListing]] = {}
+            busy_by_pool: dict[str, list[MachineListing]] = {}
             size_by_pool: dict[str, int] = {}
             coming: dict[str, int] = {}
             for machine in self._machine_by_name.values():
@@ -287,20 +294,28 @@
                     coming[pool] = coming.get(pool, 0) + 1
                     continue
                 size_by_pool[machine.pool] = size_by_pool.get(machine.pool, 0) + 1
-                if machine.machine not in held and self._idle(machine, standby):
+                if machine.machine in upkeep:
+                    # Its wave empties it now.
+                    self._emptying.pop(machine.machine, None)
+                elif machine.machine in held:
+                    self._keep(machine.machine)
+                elif self._idle(machine, standby):
                     idle_by_pool.setdefault(machine.pool, []).append(machine)
-            moves = list(
-                self._pools.plan(
-                    self._scheduler.pool_loads(now),
-                    idle_by_pool,  # type: ignore[arg-type]
-                    size_by_pool,
-                    coming,
-                    standby,
-                    now,
-                )
+                elif machine.machine not in self._emptying and self._may_empty(machine):
+                    busy_by_pool.setdefault(machine.pool, []).append(machine)
+            for machines in busy_by_pool.values():
+                machines.sort(key=self._free_in_s)
+            orders = self._pools.plan(
+                self._scheduler.pool_loads(now),
+                idle_by_pool,  # type: ignore[arg-type]
+                size_by_pool,
+                coming,
+                standby,
+                now,
+                busy_by_pool,
+                self._still_emptying(),
             )
-            for move in moves:
-                self._cordon(move)
+            moves = [move for order in orders if (move := self._take_up(order))]
         self._announce(move.machine for move in moves)
         for move in moves:
             self._move(move)
@@ -313,6 +328,53 @@
         view = self._scheduler.view_by_id.get(machine.minion_id or "")
         return view is not None and view.reached and not view.runs and not view.strays
 
+    def _may_empty(self, machine: MachineListing) -> bool:
+        """Tell whether all that runs on a machine ends by itself, and soon."""
+        view = self._scheduler.view_by_id.get(machine.minion_id or "")
+        return (
+            machine.up
+            and view is not None
+            and view.accepts(self._now())
+            and not any(run.step.lasting for run in view.runs.values())
+        )
+
+    def _free_in_s(self, machine: MachineListing) -> float:
+        """Return when a machine's tasks should have ended, from their estimates."""
+        view = self._scheduler.view_by_id[machine.minion_id or ""]
+        return max(
+            run.step.estimate_ms / MS * (1 - run.percent / 100)
+            for run in view.runs.values()
+        )
+
+    def _still_emptying(self) -> dict[str, MachineListing]:
+        """Return the machines that are being emptied and that the list still has."""
+        listed = self._machine_by_name
+        self._emptying = {
+            name: minion_id
+            for name, minion_id in self._emptying.items()
+            if name in listed and listed[name].minion_id == minion_id
+        }
+        return {name: listed[name] for name in self._emptying}
+
+    def _take_up(self, order: PoolOrder) -> Move | None:
+        """Note what was decided on a machine; return the move to order."""
+        if isinstance(order, Empty):
+            minion_id = self._machine_by_name[order.machine].minion_id
+            self._emptying[order.machine] = minion_id
+            self._set_cordoned(minion_id, True)
+        elif isinstance(order, Keep):
+            self._keep(order.machine)
+        else:
+            self._emptying.pop(order.machine, None)
+            self._cordon(order)
+            return order
+        return None
+
+    def _keep(self, machine: str) -> None:
+        """Let a machine that was being emptied take work again."""
+        if machine in self._emptying:
+            self._set_cordoned(self._emptying.pop(machine), False)
+
     def _cordon(self, move: Move) -> None:
         minion_id = self._machine_by_name[move.machine].minion_id
         self._moving[move.machine] = move, minion_id
