--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/ordering.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/ordering.py
@@ -30,7 +30,7 @@
 
     @abstractmethod
     def is_timely(self, job: OpenJob, now: float) -> bool:
-        """Tell whether a job that is started now can still meet its objective."""
+        """Tell whether a job that is started now can still be of worth."""
 
 
 class FirstCome(JobOrder):
@@ -62,16 +62,19 @@
         behind = BEYOND_SHARE if job.beyond_share else 0
         if now <= latest_start:
             return (job.priority, behind, latest_start)
-        last_end = job.arrived_at + LATE_FACTOR * job.objective_s
-        if now + job.work_left_s() <= last_end:
+        if now + job.work_left_s() <= self._last_end(job):
             return (job.priority, behind + 1, job.arrived_at)
         return (job.priority, HOPELESS, job.arrived_at)
 
     def is_timely(self, job: OpenJob, now: float) -> bool:
-        """Tell whether the work that is left fits in before the objective."""
-        return job.job.lasting or now <= self._latest_start(job)
+        """Tell whether the work that is left fits in before its worth is gone."""
+        return job.job.lasting or now + job.work_left_s() <= self._last_end(job)
 
     @staticmethod
     def _latest_start(job: OpenJob) -> float:
         work_left = CHAIN_MARGIN * job.work_left_s() + OVERHEAD_S
         return job.objective_at - work_left
+
+    @staticmethod
+    def _last_end(job: OpenJob) -> float:
+        return job.arrived_at + LATE_FACTOR * job.objective_s
