Scheduler: decide on what changed; looks after their ends are recorded; threads used again

By function (cProfile on the stand-ins, 60 minions, 8 jobs a second): passes over all runs for stragglers and stops at each wake, passes over the jobs of services in which nothing had changed, a look every 20 ms at a minion whose ends were not yet in the log (such a look returns at once and can acknowledge nothing), a thread for each append and join.

Now: a service is placed when room, work, caps, advice or minions of it changed, all services every 0.25 s; stops are looked for on minions that have some; stragglers every 0.25 s; a look waits up to 0.3 s for the ends of the one before to be recorded; attempts of store calls run in threads that wait for the next one (never behind one that hangs).

Ruled out: longer looks at idle minions (a dark rack would be noticed a second later).

Tests: what must start at once after each kind of change; test_a_full_pool_is_searched_once asks for no search at all where nothing changed, and for one once the time for all services has come.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/maintenance.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/maintenance.py
@@ -317,5 +317,5 @@
             if job is None or run.stop_wanted:
                 continue
             if may_interrupt(run, job, view_by_id):
-                run.stop_wanted = True
+                view.want_stop(run)
         return not view.runs or (last_call and not lasting)
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
@@ -38,6 +38,8 @@
     takes no orders of a former one since. ``unlisted`` means that the platform's list
     lacks the minion, which may live all the same. No lease is sent before the batch
     ``grants_after_batch`` is durable, which says that this owner sends them.
+    ``stopping`` says that stops may have to be sent. ``ends_since`` is when it last
+    listed a new end.
     """
 
     minion_id: str
@@ -62,6 +64,8 @@
     reached: bool = False
     unlisted: bool = False
     grants_after_batch: int = 0
+    stopping: bool = False
+    ends_since: float | None = None
 
     @property
     def draining(self) -> bool:
@@ -115,6 +119,11 @@
             del self.runs[run.task]
             self.used = self.used.minus(run.room)
 
+    def want_stop(self, run: Run) -> None:
+        """Ask for the end of a run that counts as there."""
+        run.stop_wanted = True
+        self.stopping = True
+
     def lease_until_ms(self, now: float, times: OwnershipTimes) -> int:
         """Return the end of the longest lease from now, on the minion's clock."""
         return int(self.clock_ms + (now - self.clock_at + times.longest_lease) * MS)
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/placer.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/placer.py
@@ -20,6 +20,10 @@
 STOP_AGAIN_S = 0.4
 # A minion on which a task stands still gets no work for this time.
 STRAGGLER_AVOID_S = 3.0
+# The work of all services is gone through so often.
+PLACE_ALL_S = 0.25
+# Tasks that stand still are looked for so often: it takes seconds to see one.
+STRAGGLER_CHECK_S = 0.25
 # A draining minion's tasks are stopped when this much time is left, for their
 # checkpoints and ends to be read.
 EVACUATE_MS = 600
@@ -38,16 +42,19 @@
             closing = left is not None and left < EVACUATE_MS
             for run in view.runs.values():
                 if run.step.lasting or (closing and run.percent < NEARLY_DONE_PERCENT):
-                    run.stop_wanted = True
+                    view.want_stop(run)
 
     def _give_up_stragglers(self, now: float) -> None:
+        if now < self._stragglers_checked_at + STRAGGLER_CHECK_S:
+            return
+        self._stragglers_checked_at = now
         for view in self.view_by_id.values():
             if not view.reached:
                 continue
             for run in view.runs.values():
                 if run.stop_wanted or not is_straggler(run, now):
                     continue
-                run.stop_wanted = True
+                view.want_stop(run)
                 self._decide(
                     "straggler", str(run.task), view.minion_id, {"percent": run.percent}
                 )
@@ -58,23 +65,40 @@
                 view.avoid_until = max(view.avoid_until, longer)
 
     def _place(self, now: float) -> None:
+        """Place the work of services in which something has changed.
+
+        All are gone through now and then, for what only time brings about.
+        """
+        place_all = now >= self._placed_all_at + PLACE_ALL_S
+        changed = self._changed_services
+        if not place_all and not changed:
+            return
+        if place_all:
+            self._placed_all_at = now
         jobs_by_service: dict[str, list[OpenJob]] = {}
         for job in self.job_by_id.values():
-            if job.waiting:
+            if job.waiting and (place_all or job.service in changed):
                 jobs_by_service.setdefault(job.service, []).append(job)
         if not jobs_by_service:
+            self._changed_services = set()
             return
         views_by_service: dict[str, list[MinionView]] = {}
+        strays: set[str] = set()
         for view in self.view_by_id.values():
-            if view.listing is not None and view.accepts(now):
-                views_by_service.setdefault(view.listing.service, []).append(view)
-        strays = {name for view in self.view_by_id.values() for name in view.strays}
+            strays.update(view.strays)
+            listing = view.listing
+            if listing is None or listing.service not in jobs_by_service:
+                continue
+            if view.accepts(now):
+                views_by_service.setdefault(listing.service, []).append(view)
         for service, jobs in jobs_by_service.items():
             views = views_by_service.get(service, [])
             jobs.sort(key=lambda job: self._order.rank(job, now))
             shortage = Shortage()
             for job in jobs:
                 self._place_job(job, views, shortage, strays, now)
+        # What was placed takes room away, which lets nothing else start.
+        self._changed_services = set()
 
     def _place_job(
         self,
@@ -86,7 +110,7 @@
     ) -> None:
         full = job.unplaced = set()
         for task in list(job.waiting):
-            step_key = (task.occurrence, task.step)
+            step_key = task[1:3]
             if step_key in full or job.retry_at.get(task, 0.0) > now:
                 continue
             if strays and str(task) in strays:
@@ -204,17 +228,21 @@
         for view in self.view_by_id.values():
             if not view.reached or view.listing is None:
                 continue
+            for name, number in view.strays.items():
+                self._stop(view, name, number)
+            if not view.stopping:
+                continue
+            view.stopping = False
             for run in view.runs.values():
                 doubtful = run.state is RunState.DOUBTFUL
                 if not (run.stop_wanted or doubtful):
                     continue
+                view.stopping = True
                 if run.state is RunState.PLANNED or run.state is RunState.SENT:
                     continue
                 if run.stop_sent_at is None or now > run.stop_sent_at + STOP_AGAIN_S:
                     run.stop_sent_at = now
-                    self._stop(view, str(run.task), run.number)
-            for name, number in view.strays.items():
-                self._stop(view, name, number)
+                    self._stop(view, run.name, run.number)
 
     def _stop(self, view: MinionView, task: str, number: int) -> None:
         assert view.listing is not None
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pool_meter.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pool_meter.py
@@ -183,18 +183,19 @@
         room = 0.0
         for view in self._views.get(pool, []):
             if view.accepts(now):
-                ending = (r.room for r in view.runs.values() if not r.step.lasting)
-                had = sum(self._share(amount) for amount in ending)
-                room += had + max(0.0, self._least_share(view.free))
+                for run in view.runs.values():
+                    if not run.step.lasting:
+                        room += self._share(run.step.room)
+                room += max(0.0, self._least_share(view.free))
         return room
 
     def _share(self, amount: Resources) -> float:
         """Return the part of a machine that an amount takes."""
-        return max(
-            wanted / had
-            for wanted, had in zip(amount, self._machine, strict=True)
-            if had
-        )
+        share = 0.0
+        for wanted, had in zip(amount, self._machine, strict=True):
+            if had and wanted > share * had:
+                share = wanted / had
+        return share
 
     def _least_share(self, amount: Resources) -> float:
         return min(
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pools.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pools.py
@@ -33,8 +33,8 @@
     of the tasks that wait and for which no minion has room, in seconds of a machine;
     all at once they would fill ``parallel`` machines. ``lasting`` machines are wanted
     for lasting tasks that found no minion. ``timely_backlog`` and ``timely_parallel``
-    count only jobs that would still be of worth to their callers. ``busy`` pools have tasks that wait,
-    ``used`` ones have had some job.
+    count only jobs that would still be of worth to their callers. ``busy`` pools have
+    tasks that wait, ``used`` ones have had some job.
     """
 
     pool: str
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_book.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_book.py
@@ -57,10 +57,20 @@
         self._order = order or ByObjective()
         self._opened_at_by_epoch = opened_at_by_epoch or {}
         self._used_services: set[str] = set()
+        # Jobs with occurrences whose time has not come.
+        self._recurring: dict[str, OpenJob] = {}
+        # Services in which something changed that may let a task start.
+        self._changed_services: set[str] = set()
+        # Services in which work waits for room under a team's cap.
+        self._services_by_capped_team: dict[str, set[str]] = {}
+        self._placed_all_at = float("-inf")
+        self._stragglers_checked_at = float("-inf")
         self._arrivals = Arrivals()
         self._shares = TeamShares()
         self._gone_life_by_id: dict[str, int] = {}
         self._team_use: dict[str, Resources] = {}
+        # Limits of the teams that have a cap.
+        self._limit_by_team: dict[str, Resources] = {}
         self._dirty: dict[str, None] = {}
         self._advice = AdviceBook()
         self._records: dict[str, bytes] = {}
@@ -120,7 +130,9 @@
     def _attach(self, job: OpenJob, run: Run) -> None:
         job.runs[run.task] = run
         job.waiting.pop(run.task, None)
-        view = self.view_by_id.setdefault(run.minion_id, MinionView(run.minion_id))
+        view = self.view_by_id.get(run.minion_id)
+        if view is None:
+            view = self.view_by_id[run.minion_id] = MinionView(run.minion_id)
         view.attach(run)
         if run.team is not None:
             use = self._team_use.get(run.team, Resources())
@@ -137,7 +149,10 @@
         view = self.view_by_id.get(run.minion_id)
         if view is not None:
             view.detach(run)
+            self._note_room(view)
         if run.team is not None:
+            blocked = self._services_by_capped_team.pop(run.team, None)
+            self._changed_services.update(blocked or ())
             use = self._team_use.get(run.team, Resources())
             self._team_use[run.team] = use.minus(run.step.size)
         job_id = run.task.job_id
@@ -162,6 +177,12 @@
         self._dirty[run.task.job_id] = None
         if run.task not in job.runs and not job.progress.is_done(run.task):
             job.waiting[run.task] = None
+            self._changed_services.add(job.service)
+
+    def _note_room(self, view: MinionView) -> None:
+        """Note that a minion may have room for work that waits."""
+        if view.listing is not None:
+            self._changed_services.add(view.listing.service)
 
     def _begin_life(self, view: MinionView, life: int, now: float) -> None:
         """All runs of a former life are over."""
@@ -181,7 +202,7 @@
 
     def _run_named(self, view: MinionView, task: str, number: int) -> Run | None:
         for run in view.runs.values():
-            if run.number == number and str(run.task) == task:
+            if run.number == number and run.name == task:
                 return run
         return None
 
@@ -195,6 +216,7 @@
             job.progress.mark_done(member)
             job.waiting.pop(member, None)
         job.open_steps(task.occurrence)
+        self._changed_services.add(job.service)
         if job.finished():
             self._finish(job, JobState.DONE, now)
 
@@ -219,7 +241,13 @@
         self._advice.forget_job(job_id)
         self._final[job_id] = job
         for run in job.runs.values():
-            run.stop_wanted = True
+            self._want_stop(run)
+
+    def _want_stop(self, run: Run) -> None:
+        run.stop_wanted = True
+        view = self.view_by_id.get(run.minion_id)
+        if view is not None:
+            view.want_stop(run)
 
     def _blame(self, view: MinionView, now: float) -> None:
         view.faults += 1
@@ -229,14 +257,15 @@
             self._decide("minion avoided", "", view.minion_id, {"faults": view.faults})
 
     def _within_cap(self, job: OpenJob, size: Resources) -> bool:
-        team_name = job.job.team
-        if team_name is None or self.configuration is None:
+        team = job.job.team
+        limit = self._limit_by_team.get(team or "")
+        if limit is None:
             return True
-        team = self.configuration.team_by_name.get(team_name)
-        if team is None:
+        use = self._team_use.get(team or "", Resources())
+        if size.plus(use).fits_in(limit):
             return True
-        use = self._team_use.get(team_name, Resources())
-        return size.fits_in(team.limit.minus(use))
+        self._services_by_capped_team.setdefault(team or "", set()).add(job.service)
+        return False
 
     def _decide(
         self,
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
@@ -57,6 +57,12 @@
     at_work: bool = False
     maybe_stopped: bool = False
     foreign_until: float | None = None
+    # The task's name, as minions spell it.
+    name: str = ""
+
+    def __post_init__(self) -> None:
+        """Spell the name once: each look compares it."""
+        self.name = str(self.task)
 
     @property
     def room(self) -> Resources:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -42,6 +42,12 @@
     def set_configuration(self, configuration: Configuration) -> None:
         """Use a newer configuration."""
         self.configuration = configuration
+        self._limit_by_team = {
+            name: team.limit
+            for name, team in configuration.team_by_name.items()
+            if any(team.cap)
+        }
+        self._placed_all_at = float("-inf")
         for job in self.job_by_id.values():
             self._classify(job)
 
@@ -65,8 +71,11 @@
             beyond_share=beyond_share,
         )
         self._classify(opened)
+        self._changed_services.add(opened.service)
         self.job_by_id[job.job_id] = opened
         self._adopt(opened, now)
+        if opened.next_occurrence < opened.occurrences:
+            self._recurring[job.job_id] = opened
         for occurrence in range(opened.occurrences):
             if job.occurrences == 0 or self._begun_before(opened, occurrence):
                 opened.next_occurrence = max(opened.next_occurrence, occurrence + 1)
@@ -84,14 +93,18 @@
         if job.runs:
             self._final[job_id] = job
         for run in job.runs.values():
-            run.stop_wanted = True
+            self._want_stop(run)
 
     def set_listings(self, listing_by_id: dict[str, MinionListing], now: float) -> None:
         """Use a newer list of minions. A missing entry does not mean a dead minion."""
         for minion_id, listing in listing_by_id.items():
             if listing.life <= self._gone_life_by_id.get(minion_id, -1):
                 continue
-            view = self.view_by_id.setdefault(minion_id, MinionView(minion_id))
+            view = self.view_by_id.get(minion_id)
+            if view is None:
+                view = self.view_by_id[minion_id] = MinionView(minion_id)
+            if view.listing != listing or view.unlisted:
+                self._changed_services.add(listing.service)
             view.listing = listing
             if view.life is not None and listing.life > view.life:
                 self._begin_life(view, listing.life, now)
@@ -109,6 +122,9 @@
     ) -> None:
         """Take in which minions may run a step."""
         self._advice.note(request, ticket_by_minion, valid_s, asked_at)
+        job = self.job_by_id.get(request.step.job_id)
+        if job is not None:
+            self._changed_services.add(job.service)
 
     def advice_wanted(self, now: float) -> AdviceRequest | None:
         """Return the next question on a waiting step, the most urgent job's first."""
@@ -177,20 +193,26 @@
         decisions, self.decisions = self.decisions, []
         return decisions
 
+    def set_cordoned(self, minion_id: str, cordoned: bool) -> None:
+        """Keep new work off a minion, or let it take work again."""
+        view = self.view_by_id.get(minion_id)
+        if view is not None:
+            view.cordoned = cordoned
+            self._note_room(view)
+
     def pool_loads(self, now: float) -> list[PoolLoad]:
         """Return what each pool's tasks ask for and what it has."""
         meter = PoolMeter(
             self.view_by_id.values(), self.job_by_id.values(), self._order
         )
-        cap_by_team = self._caps()
         room_by_team = {
-            name: cap.minus(self._team_use.get(name, Resources()))
-            for name, cap in cap_by_team.items()
+            name: limit.minus(self._team_use.get(name, Resources()))
+            for name, limit in self._limit_by_team.items()
         }
         return [
             meter.load(
                 pool,
-                self._arrivals.busy(pool, cap_by_team, now),
+                self._arrivals.busy(pool, self._limit_by_team, now),
                 room_by_team,
                 pool in self._used_services,
                 now,
@@ -206,16 +228,6 @@
             team.name, team.weight, accepted_at
         )
 
-    def _caps(self) -> dict[str, Resources]:
-        """Return the limits of the teams that have a cap."""
-        if self.configuration is None:
-            return {}
-        return {
-            name: team.limit
-            for name, team in self.configuration.team_by_name.items()
-            if any(team.cap)
-        }
-
     def _pools(self) -> list[str]:
         if self.configuration is None:
             return []
@@ -237,10 +249,13 @@
         return any(job.waiting for job in self.job_by_id.values())
 
     def _open_occurrences(self, wall_ms: float) -> None:
-        for job in self.job_by_id.values():
-            if job.next_occurrence < job.occurrences:
-                for occurrence in list(job.due_occurrences(wall_ms)):
-                    job.open_steps(occurrence)
+        for job_id, job in list(self._recurring.items()):
+            if job_id not in self.job_by_id or job.next_occurrence >= job.occurrences:
+                del self._recurring[job_id]
+                continue
+            for occurrence in list(job.due_occurrences(wall_ms)):
+                job.open_steps(occurrence)
+                self._changed_services.add(job.service)
 
     def _values_to_record(self) -> dict[str, bytes]:
         values, self._records = self._records, {}
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/settlement.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/settlement.py
@@ -22,6 +22,9 @@
 
 # A task that could not be started waits this long.
 RETRY_S = 0.2
+# A look waits this long for the ends of the one before to be recorded, which takes some
+# 30 ms.
+RECORDING_S = 0.3
 # A look waits this long for an end.
 LOOK_WAIT_MS = 1000
 
@@ -33,6 +36,21 @@
     minion said so, or its lease has lapsed by any clock.
     """
 
+    def is_recording(self, minion_id: str, now: float) -> bool:
+        """Tell whether a look had better wait for the ends of the one before.
+
+        Until they are in the log a look can acknowledge nothing and returns at once. A
+        store that takes its time must not keep leases from being renewed.
+        """
+        view = self.view_by_id.get(minion_id)
+        return (
+            view is not None
+            and view.reached
+            and bool(view.unacked)
+            and view.ends_since is not None
+            and now < view.ends_since + RECORDING_S
+        )
+
     def hold_request(self, minion_id: str, now: float) -> HoldRequest | None:
         """Return the next look at a minion; None where there is none to be made.
 
@@ -67,6 +85,7 @@
         same_life = view.life == report.life
         if view.life is not None and report.life < view.life:
             return
+        accepted = view.accepts(now)
         view.note_answer(same_life, self.times)
         view.answered_since = min(view.answered_since, now)
         if not same_life:
@@ -76,6 +95,8 @@
         self._take_ends(view, report.ended, now)
         self._take_running(view, asked, report.running, report.ended, now)
         self._set_paces(view)
+        if not accepted and view.accepts(now):
+            self._note_room(view)
 
     def on_silence(self, asked: HoldRequest) -> None:
         """Note that a minion did not answer a look."""
@@ -127,6 +148,7 @@
             return
         if outcome == StartOutcome.NO_ANSWER:
             run.state = RunState.DOUBTFUL
+            view.stopping = True
             view.note_unanswered_grant(run.since)
             view.avoid_until = max(view.avoid_until, now + AVOID_S)
             self._decide("start unanswered", str(run.task), run.minion_id)
@@ -159,7 +181,7 @@
         if run is not None and run.state is RunState.DOUBTFUL:
             run.state = RunState.RUNNING
             run.confirmed_at = now
-            run.stop_wanted = True
+            view.want_stop(run)
 
     def on_pace_unanswered(self, order: PaceOrder) -> None:
         """Take a run as working at full pace, so that the next look sets it again."""
@@ -181,6 +203,7 @@
             elif end.how == "done":
                 self._credit(end, view, now)
             view.unacked.append((end.number, self._next_batch))
+            view.ends_since = now
 
     def _credit(self, end: EndedRun, view: MinionView, now: float) -> None:
         """Take in that a run succeeded which was given up as lost."""
@@ -193,7 +216,7 @@
         self._decide("late success", end.task, view.minion_id, {"run": end.run})
         other = job.runs.get(task)
         if other is not None:
-            other.stop_wanted = True
+            self._want_stop(other)
         self._succeed(job, task, now)
 
     def _end(self, view: MinionView, run: Run, end: EndedRun, now: float) -> None:
@@ -214,6 +237,7 @@
         still_open = job.job.job_id in self.job_by_id
         if still_open and not job.progress.is_done(run.task):
             job.waiting[run.task] = None
+            self._changed_services.add(job.service)
 
     def _count_failure(
         self, job: OpenJob, run: Run, view: MinionView, now: float
@@ -241,13 +265,13 @@
         row_by_name = {row.task: row for row in running}
         ended_names = {(end.task, end.run) for end in ended}
         for run in list(view.runs.values()):
-            row = row_by_name.pop(str(run.task), None)
+            row = row_by_name.pop(run.name, None)
             if row is not None and row.run == run.number:
                 self._update(run, row, view, now)
                 continue
             if row is not None:
                 row_by_name[row.task] = row
-            if (str(run.task), run.number) in ended_names:
+            if (run.name, run.number) in ended_names:
                 continue
             self._settle_missing(run, asked, now)
         view.strays = {row.task: row.run for row in row_by_name.values()}
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/spread.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/spread.py
@@ -43,6 +43,8 @@
     if not eligible:
         return None
     shunned = set(avoided)
+    if not (shunned or step.lasting or step.data_rack):
+        return min(eligible, key=_least_free_first)
     by_rack = _step_by_rack(task, views) if step.lasting else Counter[str]()
 
     def rank(view: MinionView) -> tuple[bool, bool, int, int, str]:
@@ -52,13 +54,17 @@
             view.minion_id in shunned,
             bool(step.data_rack) and rack != step.data_rack,
             by_rack[rack],
-            view.free.cpu_milli,
-            view.minion_id,
+            *_least_free_first(view),
         )
 
     return min(eligible, key=rank)
 
 
+def _least_free_first(view: MinionView) -> tuple[int, str]:
+    assert view.listing is not None
+    return view.listing.capacity.cpu_milli - view.used.cpu_milli, view.minion_id
+
+
 def _of_step(view: MinionView, task: TaskKey) -> int:
     return sum(1 for other in view.runs if other[:3] == task[:3])
 
--- a/packages/geraniumshored/src/geraniumshored/node/machinist.py
+++ b/packages/geraniumshored/src/geraniumshored/node/machinist.py
@@ -193,9 +193,7 @@
                 self._set_cordoned(minion_id, False)
 
     def _set_cordoned(self, minion_id: str | None, cordoned: bool) -> None:
-        view = self._scheduler.view_by_id.get(minion_id or "")
-        if view is not None:
-            view.cordoned = cordoned
+        self._scheduler.set_cordoned(minion_id or "", cordoned)
 
     # Upkeep.
 
--- a/packages/geraniumshored/src/geraniumshored/node/overdue.py
+++ b/packages/geraniumshored/src/geraniumshored/node/overdue.py
@@ -24,6 +24,7 @@
     Stream,
     Writer,
 )
+from geraniumshored.node.workers import WorkerThreads
 
 __all__ = ["RepeatedCall", "RepeatingStore"]
 
@@ -46,6 +47,13 @@
 # A join that comes later than this leaves no time for the next one.
 JOIN_S = 0.8
 NEVER = float("inf")
+# Threads that wait for the next call: a join, and the appends of owner and callers.
+MOST_IDLE_WORKERS = 6
+
+
+def start_thread(run: Callable[[], None]) -> None:
+    """Run an attempt in a thread of its own."""
+    threading.Thread(target=run, name="attempt", daemon=True).start()
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,7 +70,8 @@
     """One call that may be carried out several times; its first answer is taken.
 
     While an answer is overdue, ``probe`` tells whether the other side answers at all,
-    and how fast. ``name`` says in the log what was made again.
+    and how fast. ``name`` says in the log what was made again. ``start`` lets attempts
+    run beside the caller.
     """
 
     def __init__(
@@ -71,11 +80,13 @@
         attempt: Callable[[], T],
         probe: Callable[[], object],
         now: Callable[[], float],
+        start: Callable[[Callable[[], None]], object] = start_thread,
     ) -> None:
         self._name = name
         self._attempt = attempt
         self._probe = probe
         self._now = now
+        self._start = start
         self._outcomes: SimpleQueue[_Outcome[T]] = SimpleQueue()
         self._open = 0
         self._made = 0
@@ -162,8 +173,7 @@
             took_s = self._now() - began
             self._outcomes.put(_Outcome(took_s, probe, result, failure))
 
-        name = "probe" if probe else "attempt"
-        threading.Thread(target=run, name=name, daemon=True).start()
+        self._start(run)
 
 
 class RepeatingStore(Store):
@@ -176,6 +186,7 @@
     def __init__(self, store: Store, now: Callable[[], float]) -> None:
         self._store = store
         self._now = now
+        self._workers = WorkerThreads("attempt", MOST_IDLE_WORKERS)
 
     def append(
         self, stream: Stream, records: Sequence[Record], writer: Writer | None = None
@@ -210,5 +221,7 @@
         self._store.leave(member)
 
     def _repeat(self, name: str, attempt: Callable[[], T], within_s: float) -> T:
-        call = RepeatedCall(name, attempt, self._store.members, self._now)
+        call = RepeatedCall(
+            name, attempt, self._store.members, self._now, self._workers.run
+        )
         return call.make(self._now() + within_s)
--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -56,7 +56,8 @@
 LINGER_S = 0.01
 # An append that failed is made again after this time.
 RETRY_S = 0.05
-# While ends wait to be recorded, the next look comes after this time.
+# Whether the ends of a look are recorded, which goes before the next one, is seen so
+# often.
 UNRECORDED_PAUSE_S = 0.02
 # Without news, a look that did not wait is made again after this time.
 IDLE_PAUSE_S = 0.5
@@ -386,7 +387,10 @@
         if not self.may_send():
             return SILENT_PAUSE_S
         with self._lock:
-            request = self._scheduler.hold_request(minion_id, self._now())
+            now = self._now()
+            if self._scheduler.is_recording(minion_id, now):
+                return UNRECORDED_PAUSE_S
+            request = self._scheduler.hold_request(minion_id, now)
         if request is None:
             return SILENT_PAUSE_S
         try:
--- a/tests/cover/test_placing_while_full.py
+++ b/tests/cover/test_placing_while_full.py
@@ -7,10 +7,18 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from geraniumshore_scheduler import Resources, Step
+from geraniumshore_scheduler import EndedRun, Resources, Step
+from geraniumshore_scheduler.internal.placer import PLACE_ALL_S
 from geraniumshore_scheduler.internal.shortage import Shortage
 from geraniumshore_scheduler.internal.spread import choose_minion
-from tests.common.schedule_parts import SMALL, Fleet, job
+from tests.common.schedule_parts import (
+    CAPACITY,
+    SMALL,
+    Fleet,
+    configuration,
+    job,
+    listing,
+)
 
 sizes = st.builds(
     Resources, st.integers(500, 9_000), st.integers(500, 20_000), st.just(0)
@@ -61,4 +69,91 @@
         "geraniumshore_scheduler.internal.placer.choose_minion", wraps=choose_minion
     ) as searched:
         fleet.plan()
+        assert searched.call_count == 0, "nothing has changed"
+        fleet.now += PLACE_ALL_S
+        fleet.plan()
     assert searched.call_count == 1
+
+
+def full_fleet() -> Fleet:
+    """Return one minion that is full, and a job of one task that waits for it."""
+    fleet = Fleet(1)
+    for number in range(2):
+        fleet.add(job(f"{number:016x}", Step(1, CAPACITY, 640)))
+    fleet.plan()
+    return fleet
+
+
+def end_of_run(fleet: Fleet, how: str = "done") -> tuple[EndedRun, ...]:
+    (run,) = fleet.scheduler.view_by_id["i-0"].runs.values()
+    return (EndedRun(1, run.name, run.number, how, ""),)
+
+
+def test_an_end_lets_the_next_task_start_at_once():
+    fleet = full_fleet()
+    fleet.report("i-0", ended=end_of_run(fleet))
+    assert len(fleet.plan()) == 1
+
+
+def test_a_task_that_failed_starts_again_at_once():
+    fleet = full_fleet()
+    (first,) = (r.number for r in fleet.scheduler.view_by_id["i-0"].runs.values())
+    fleet.report("i-0", ended=end_of_run(fleet, "failed"))
+    (start,) = fleet.plan()
+    # A start is due for either of the two that wait now.
+    assert start.run.number > first
+
+
+def test_the_next_step_starts_with_the_end_of_the_one_before():
+    fleet = Fleet(1)
+    first, then = Step(1, SMALL, 640), Step(1, SMALL, 640, depends_on=(0,))
+    fleet.add(job("a" * 16, first, then))
+    fleet.plan()
+    fleet.report("i-0", ended=end_of_run(fleet))
+    (start,) = fleet.plan()
+    assert start.run.task.step == 1
+
+
+def test_room_under_a_cap_is_used_in_every_service_at_once():
+    fleet = Fleet(2, configuration(cap=SMALL))
+    for number in range(2):
+        fleet.add(job(f"{number:016x}", Step(1, SMALL, 640), team="team"))
+    assert len(fleet.plan()) == 1
+    (busy,) = (v for v in fleet.scheduler.view_by_id.values() if v.runs)
+    (run,) = busy.runs.values()
+    fleet.report(busy.minion_id, ended=(EndedRun(1, run.name, run.number, "done", ""),))
+    assert len(fleet.plan()) == 1
+
+
+def test_a_minion_that_answers_again_is_used_at_once():
+    fleet = Fleet(1)
+    fleet.scheduler.on_silence(fleet.ask("i-0"))
+    fleet.add(job("a" * 16, Step(1, SMALL, 640)))
+    assert fleet.plan() == ()
+    fleet.report("i-0")
+    assert len(fleet.plan()) == 1
+
+
+def test_a_new_minion_is_used_at_once():
+    fleet = full_fleet()
+    fleet.scheduler.set_listings({f"i-{n}": listing(n) for n in range(2)}, fleet.now)
+    fleet.report("i-1")
+    assert len(fleet.plan()) == 1
+
+
+def test_a_minion_that_takes_work_again_is_used_at_once():
+    fleet = Fleet(1)
+    fleet.scheduler.set_cordoned("i-0", True)
+    fleet.add(job("a" * 16, Step(1, SMALL, 640)))
+    assert fleet.plan() == ()
+    fleet.scheduler.set_cordoned("i-0", False)
+    assert len(fleet.plan()) == 1
+
+
+def test_what_only_time_brings_about_is_seen_soon():
+    fleet = Fleet(1)
+    fleet.scheduler.view_by_id["i-0"].avoid_until = 1.0
+    fleet.add(job("a" * 16, Step(1, SMALL, 640)))
+    assert fleet.plan() == ()
+    fleet.now = 1.0 + PLACE_ALL_S
+    assert len(fleet.plan()) == 1
