Faults: one record, message or unforeseen error ends no thread; an owner that goes on keeps the schedule

Follower, appender, group and advice threads caught the project's errors only: a decoder, fold or call that raised another ended that thread for good, in every node that read the same record. A progress record that places a task which its job lacks failed each takeover (IndexError in the adoption), so the failure went round the hosts; an end of such a task, or a report with 1e999, broke a look. Now each loop logs the fault (metric errors_logged) and goes on; a job on which taking on or placing fails is set aside and named ("job set aside"); an owner gives up after 20 decisions in a row have failed.

A claim now also wants the log to be silent for 1 s, as long as the group keeps a silent member. An owner that leaves by itself says so in the log (o/left), so that nobody waits for it; the owner's own host does not wait either. Weak hosts wait no longer at their start where the last owner was a weak one.

Ruled out: a longer time to live in the group (takeovers after a kill would wait as long); a pool of threads of fixed size.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/__init__.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/__init__.py
@@ -68,6 +68,7 @@
 from geraniumshore_scheduler.internal.records import (
     MACHINE_ORDERS_KEY,
     OWNER_KEY,
+    OWNER_LEFT_KEY,
     JobState,
     OwnerRecord,
     Placed,
@@ -124,6 +125,7 @@
     "MinionView",
     "Move",
     "OWNER_KEY",
+    "OWNER_LEFT_KEY",
     "OpenJob",
     "OwnerRecord",
     "OwnerReplacedError",
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_book.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_book.py
@@ -8,6 +8,7 @@
 from geraniumshore_scheduler.internal.machine_orders import AnnouncedOrder
 from geraniumshore_scheduler.internal.model import Job
 from geraniumshore_scheduler.internal.records import (
+    OWNER_LEFT_KEY,
     JobState,
     OwnerRecord,
     Progress,
@@ -64,6 +65,8 @@
     def __init__(self) -> None:
         self.job_by_id: dict[str, BookedJob] = {}
         self.owner: OwnerRecord | None = None
+        # The newest epoch whose owner gave the schedule up by itself.
+        self.left_epoch = -1
         self.opened_at_by_epoch: dict[int, float] = {}
         self.progress_by_wave: dict[int, WaveProgress] = {}
         self.order_by_machine: dict[str, AnnouncedOrder] = {}
@@ -81,6 +84,9 @@
         if parts is None:
             return None
         kind, job_id = parts
+        if key == OWNER_LEFT_KEY:
+            self.left_epoch = max(self.left_epoch, decode_owner(value).epoch)
+            return None
         if kind is RecordKind.OWNER:
             self._note_owner(decode_owner(value), now)
             return None
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/placer.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/placer.py
@@ -77,7 +77,9 @@
             self._placed_all_at = now
         jobs_by_service: dict[str, list[OpenJob]] = {}
         for job in self.job_by_id.values():
-            if job.waiting and (place_all or job.service in changed):
+            if not job.waiting or job.set_aside:
+                continue
+            if place_all or job.service in changed:
                 jobs_by_service.setdefault(job.service, []).append(job)
         if not jobs_by_service:
             self._changed_services = set()
@@ -96,7 +98,10 @@
             jobs.sort(key=lambda job: self._order.rank(job, now))
             shortage = Shortage()
             for job in jobs:
-                self._place_job(job, views, shortage, strays, now)
+                try:
+                    self._place_job(job, views, shortage, strays, now)
+                except Exception as error:
+                    self._set_aside(job.job.job_id, error)
         # What was placed takes room away, which lets nothing else start.
         self._changed_services = set()
 
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
@@ -16,6 +16,7 @@
 __all__ = [
     "MACHINE_ORDERS_KEY",
     "OWNER_KEY",
+    "OWNER_LEFT_KEY",
     "JobState",
     "OwnerRecord",
     "Placed",
@@ -145,6 +146,8 @@
 _WAVE = TypeAdapter(WaveProgress)
 _ORDERS = TypeAdapter(dict[str, tuple[str, float]])
 OWNER_KEY = f"{RecordKind.OWNER.value}/owner"
+# The last owner that gave the schedule up by itself.
+OWNER_LEFT_KEY = f"{RecordKind.OWNER.value}/left"
 MACHINE_ORDERS_KEY = f"{RecordKind.MACHINES.value}/orders"
 
 
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_book.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_book.py
@@ -97,7 +97,7 @@
     def _adopt(self, job: OpenJob, now: float) -> None:
         for name, places in job.progress.placed.items():
             task = TaskKey.parse(f"{job.job.job_id}.{name}")
-            if job.progress.is_done(task):
+            if not job.has_task(task) or job.progress.is_done(task):
                 continue
             for place in places:
                 run = Run(
@@ -243,6 +243,18 @@
         for run in job.runs.values():
             self._want_stop(run)
 
+    def _set_aside(self, job_id: str, error: Exception) -> None:
+        """Start no more tasks of a job on which a decision failed.
+
+        Its runs stay known. The others go on, here and with later owners.
+        """
+        job = self.job_by_id.get(job_id)
+        if job is not None:
+            job.waiting.clear()
+            job.set_aside = True
+        cause = f"{type(error).__name__}: {error}"
+        self._decide("job set aside", job_id, details={"cause": cause})
+
     def _want_stop(self, run: Run) -> None:
         run.stop_wanted = True
         view = self.view_by_id.get(run.minion_id)
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
@@ -89,7 +89,8 @@
     the order in which they became so. ``retry_at`` delays single tasks; ``unplaced``
     names the occurrences and steps for whose tasks no minion had room.
     ``first_start_after_s`` is how long the job waited, as this owner saw it.
-    ``beyond_share`` jobs came faster than their team's share allows.
+    ``beyond_share`` jobs came faster than their team's share allows. ``set_aside`` ones
+    start no more tasks, as deciding on them failed.
     """
 
     job: Job
@@ -108,6 +109,7 @@
     beyond_share: bool = False
     first_start_after_s: float | None = None
     next_occurrence: int = 0
+    set_aside: bool = False
     unplaced: set[tuple[int, int]] = field(default_factory=set)
     _work_left_s: float | None = None
 
@@ -121,6 +123,15 @@
         """When the job should be done."""
         return self.arrived_at + self.objective_s
 
+    def has_task(self, task: TaskKey) -> bool:
+        """Tell whether the job has a task of that name."""
+        steps = self.job.steps
+        return (
+            0 <= task.occurrence < self.occurrences
+            and 0 <= task.step < len(steps)
+            and 0 <= task.position < steps[task.step].count
+        )
+
     def due_occurrences(self, wall_ms: float) -> Iterator[int]:
         """Yield the occurrences whose time has come, each once."""
         while self.next_occurrence < self.occurrences:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -52,7 +52,16 @@
             self._classify(job)
 
     def add_job(self, booked: BookedJob, now: float) -> None:
-        """Take on a job of the log, unless it has ended."""
+        """Take on a job of the log, unless it has ended.
+
+        A job on which this fails is set aside: every owner would fail in the same way.
+        """
+        try:
+            self._take_on_job(booked, now)
+        except Exception as error:
+            self._set_aside(booked.job.job_id, error)
+
+    def _take_on_job(self, booked: BookedJob, now: float) -> None:
         job = booked.job
         self._used_services.add(job.service)
         self._arrivals.note(job, booked.accepted_at)
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/settlement.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/settlement.py
@@ -210,8 +210,14 @@
         job = self.job_by_id.get(end.task.partition(".")[0])
         if job is None:
             return
-        task = TaskKey.parse(end.task)
-        if job.progress.is_done(task) or job.job.steps[task.step].gang:
+        try:
+            task = TaskKey.parse(end.task)
+        except ValueError:
+            # Only a run of ours has a name of that form.
+            return
+        if not job.has_task(task) or job.progress.is_done(task):
+            return
+        if job.job.steps[task.step].gang:
             return
         self._decide("late success", end.task, view.minion_id, {"run": end.run})
         other = job.runs.get(task)
--- a/packages/geraniumshored/src/geraniumshored/entry.py
+++ b/packages/geraniumshored/src/geraniumshored/entry.py
@@ -47,6 +47,7 @@
     node = Node(settings.node_settings(), platform, JsonJobDecoder())
     front = ConsumerFront(node.intake, node.metrics, node.ready)
     node.metrics.gauge("log_lines_dropped", lambda: writer.dropped)
+    node.metrics.gauge("errors_logged", lambda: writer.errors)
     front.start(settings.front, settings.ready, settings.metrics)
     node.start()
     log_event(logger, "started", front=settings.front, data_centre=settings.data_centre)
--- a/packages/geraniumshored/src/geraniumshored/node/appender.py
+++ b/packages/geraniumshored/src/geraniumshored/node/appender.py
@@ -90,7 +90,11 @@
                 del self._waiting[:MOST_IN_BATCH]
                 began = self._now()
                 self._open_since.append(began)
-            outcome = self._commit(batch)
+            try:
+                outcome = self._commit(batch)
+            except Exception:
+                logger.exception("fault while appending %d records", len(batch))
+                outcome = AppendOutcome.UNKNOWN
             with self._condition:
                 self._open_since.remove(began)
                 took = self._now() - began
--- a/packages/geraniumshored/src/geraniumshored/node/logs.py
+++ b/packages/geraniumshored/src/geraniumshored/node/logs.py
@@ -23,6 +23,7 @@
     """Hands lines to a thread that writes them, within a rate.
 
     ``dropped`` counts the lines that were not written; the next one that is says so.
+    ``errors`` counts the faults that were logged.
     """
 
     def __init__(self, node: str) -> None:
@@ -32,11 +33,14 @@
         self._tokens = BURST_LINES
         self._refilled_at = time.monotonic()
         self.dropped = 0
+        self.errors = 0
         self._untold = 0
         threading.Thread(target=self._write, name="log", daemon=True).start()
 
     def emit(self, record: logging.LogRecord) -> None:
         """Queue a line, or count it as dropped."""
+        if record.levelno >= logging.ERROR:
+            self.errors += 1
         if record.levelno < logging.WARNING and not self._take_token():
             self._drop()
             return
@@ -84,8 +88,13 @@
                     lines.append(self._lines.get_nowait())
                 except queue.Empty:
                     break
-            sys.stdout.write("\n".join(lines) + "\n")
-            sys.stdout.flush()
+            try:
+                sys.stdout.write("\n".join(lines) + "\n")
+                sys.stdout.flush()
+            except (OSError, ValueError):
+                # Nobody reads them any more; there is no other place to say so.
+                self.dropped += len(lines)
+                self._untold += len(lines)
 
 
 def configure_node_logs(node: str) -> LogWriter:
--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -65,6 +65,8 @@
 # again after a while.
 ADVICE_PAUSE_S = 0.02
 ADVICE_RETRY_S = 0.3
+# So many decisions in a row may fail before another process tries.
+MOST_FAULTS = 20
 # Records of ended jobs are dropped so often, so many at once.
 DROP_PAUSE_S = 2.0
 MOST_DROPPED = 200
@@ -252,12 +254,24 @@
     # Deciding.
 
     def _serve(self) -> None:
+        faults = 0
         while not self._stopped.is_set():
             self._wake.wait(TICK_S)
             self._wake.clear()
             time.sleep(LINGER_S)
-            self._decide()
-            self._drop_old_jobs()
+            try:
+                self._decide()
+                self._drop_old_jobs()
+                faults = 0
+            except OwnerReplacedError:
+                raise
+            except Exception:
+                # Leases go on meanwhile, and the next owner may fail in the same way.
+                faults += 1
+                if faults >= MOST_FAULTS:
+                    raise
+                logger.exception("fault in a decision")
+                self._stopped.wait(TICK_S)
 
     def _drop_old_jobs(self) -> None:
         """Drop the records of jobs that callers have had their time to ask for."""
@@ -336,34 +350,38 @@
     def _ask_advice(self) -> None:
         """Ask on one step after the other: the service takes one call at a time."""
         while not self._stopped.wait(ADVICE_PAUSE_S):
-            with self._lock:
-                request = self._scheduler.advice_wanted(self._now())
-            if request is None:
-                continue
-            asked_at = self._now()
             try:
-                advised = self._platform.advisers.advise(request)
-            except (PlatformUnavailableError, UnknownOutcomeError) as error:
-                log_event(
-                    logger,
-                    "advice unanswered",
-                    step=str(request.step),
-                    cause=str(error),
-                )
+                self._ask_once()
+            except Exception:
+                logger.exception("fault while asking for advice")
                 self._stopped.wait(ADVICE_RETRY_S)
-                continue
+
+    def _ask_once(self) -> None:
+        with self._lock:
+            request = self._scheduler.advice_wanted(self._now())
+        if request is None:
+            return
+        asked_at = self._now()
+        try:
+            advised = self._platform.advisers.advise(request)
+        except (PlatformUnavailableError, UnknownOutcomeError) as error:
             log_event(
-                logger,
-                "advice",
-                step=str(request.step),
-                asked=len(request.life_by_minion),
-                eligible=len(advised.ticket_by_minion),
+                logger, "advice unanswered", step=str(request.step), cause=str(error)
             )
-            with self._lock:
-                self._scheduler.on_advice(
-                    request, advised.ticket_by_minion, advised.valid_s, asked_at
-                )
-            self._wake.set()
+            self._stopped.wait(ADVICE_RETRY_S)
+            return
+        log_event(
+            logger,
+            "advice",
+            step=str(request.step),
+            asked=len(request.life_by_minion),
+            eligible=len(advised.ticket_by_minion),
+        )
+        with self._lock:
+            self._scheduler.on_advice(
+                request, advised.ticket_by_minion, advised.valid_s, asked_at
+            )
+        self._wake.set()
 
     def _send(self, minion_id: str, order: Order) -> None:
         with self._lock:
--- a/packages/geraniumshored/src/geraniumshored/node/ownership.py
+++ b/packages/geraniumshored/src/geraniumshored/node/ownership.py
@@ -6,11 +6,17 @@
 import threading
 from collections.abc import Callable
 
-from geraniumshore_scheduler import PlatformUnavailableError, UnknownOutcomeError
+from geraniumshore_scheduler import (
+    OWNER_LEFT_KEY,
+    OwnerRecord,
+    PlatformUnavailableError,
+    UnknownOutcomeError,
+    encode_owner,
+)
 from geraniumshored.node.logs import log_event
 from geraniumshored.node.members import host_of, is_strong
 from geraniumshored.node.owner import Owner
-from geraniumshored.node.ports import Membership, Store
+from geraniumshored.node.ports import Membership, Record, Store, Stream
 from geraniumshored.node.views import JobsView
 
 __all__ = ["Ownership"]
@@ -33,6 +39,9 @@
 
 # A node that has just started leaves the owner's host this time to start too.
 OWNER_BACK_S = 1.2
+# An owner that is no member counts as gone once the log has had no record of it for
+# this time: as long as the group keeps a silent member.
+OWNER_SILENT_S = 1.0
 # Each place in a generation has an epoch of its own; the store has 32 places.
 CLAIMS_PER_GENERATION = 128
 
@@ -80,8 +89,7 @@
     def leave(self) -> None:
         """Stop owning, then leave the group so that another node takes over at once."""
         self._leaving.set()
-        if self._owner is not None:
-            self._owner.stop("leaving")
+        self._give_up("leaving")
         try:
             self._store.leave(self._member)
         except (PlatformUnavailableError, UnknownOutcomeError) as error:
@@ -99,6 +107,9 @@
                 if not self._lost:
                     self._lost = True
                     log_event(logger, "group lost", cause=str(error))
+            except Exception:
+                pause = JOIN_PAUSE_S
+                logger.exception("fault while staying in the group")
 
     def _step(self) -> float:
         """Join or look for a place; return how long to wait before the next step."""
@@ -117,7 +128,8 @@
         return JOIN_PAUSE_S
 
     def _may_join(self) -> bool:
-        if self._weak and self._now() < self._started_at + WEAK_HOST_S:
+        fresh = self._now() < self._started_at + WEAK_HOST_S
+        if self._weak and fresh and not self._had_weak_owner():
             return False
         members = self._store.members()
         if self._weak:
@@ -125,6 +137,11 @@
         # Weak members leave for strong ones, so they take no place from them.
         return sum(map(is_strong, members)) < MOST_MEMBERS
 
+    def _had_weak_owner(self) -> bool:
+        """Tell whether the schedule was left to a weak host: strong ones are rare."""
+        owner = self._jobs.book.owner
+        return owner is not None and not is_strong(owner.member)
+
     def _steps_aside(self) -> bool:
         """Leave the group if this host is weak and strong ones have come back.
 
@@ -138,11 +155,23 @@
         if not self._enough_strong(self._store.members()):
             return False
         log_event(logger, "left to stronger hosts", generation=self._generation)
-        if self._owner is not None:
-            self._owner.stop("stronger hosts are back")
+        self._give_up("stronger hosts are back")
         self._go_outside()
         return True
 
+    def _give_up(self, why: str) -> None:
+        """Stop owning, and let the log say so: nobody needs to wait for this one."""
+        owner = self._owner
+        if owner is None or owner.stopped:
+            return
+        owner.stop(why)
+        left = OwnerRecord(self._member, owner.authority.epoch)
+        record = Record(OWNER_LEFT_KEY, encode_owner(left))
+        try:
+            self._store.append(Stream.PROGRESS, [record])
+        except (PlatformUnavailableError, UnknownOutcomeError) as error:
+            log_event(logger, "end of ownership not recorded", cause=str(error))
+
     def _go_outside(self) -> None:
         self._store.leave(self._member)
         self._generation = 0
@@ -195,4 +224,10 @@
             return True
         if not back and now < self._started_at + OWNER_BACK_S:
             return False
-        return owner.member not in self._store.members()
+        if owner.member in self._store.members():
+            return False
+        if back or self._jobs.book.left_epoch >= owner.epoch:
+            return True
+        # An owner short of processor time may join late, and goes on all the same.
+        self._jobs.hurry()
+        return now >= self._jobs.owner_seen_at + OWNER_SILENT_S
--- a/packages/geraniumshored/src/geraniumshored/node/views.py
+++ b/packages/geraniumshored/src/geraniumshored/node/views.py
@@ -11,7 +11,6 @@
     AnnouncedWave,
     BookedJob,
     Configuration,
-    GeraniumshoreError,
     InvalidInputError,
     JobBook,
     MinionListing,
@@ -103,7 +102,8 @@
                         cause=str(error),
                     )
                 self._pause.wait(RETRY_S)
-            except GeraniumshoreError:
+            except Exception:
+                # A node whose view stands still would mislead callers until it ends.
                 logger.exception("fault while following %s", self._stream.value)
                 self._pause.wait(RETRY_S)
 
@@ -163,6 +163,14 @@
                     offset=record.offset,
                     cause=str(error),
                 )
+            except Exception:
+                # Every node reads the same record, and the ones after it still count.
+                logger.exception(
+                    "record passed over: %s at %s of %s",
+                    record.key,
+                    record.offset,
+                    self._stream.value,
+                )
 
 
 class OperatorsView(Follower):
@@ -263,6 +271,8 @@
         self.on_job: Callable[[BookedJob, RecordKind], None] | None = None
         self.on_progress_read: Callable[[float], None] | None = None
         self._now = now
+        # When records of an owner last came; those of before this process say nothing.
+        self.owner_seen_at = float("-inf")
         self._followers = (
             _JobFollower(self, platform, Stream.ACCEPTED, now),
             _JobFollower(self, platform, Stream.PROGRESS, now),
@@ -285,11 +295,15 @@
     def refresh(self, wait_s: float) -> None:
         """Read on now, and wait for that, at most ``wait_s``."""
         asked_at = self._now()
-        for follower in self._followers:
-            follower.hurry()
+        self.hurry()
         for follower in self._followers:
             follower.wait_for_read(asked_at, asked_at + wait_s)
 
+    def hurry(self) -> None:
+        """Read on now."""
+        for follower in self._followers:
+            follower.hurry()
+
     def find(self, job_id: str) -> BookedJob | None:
         """Return a job of the log."""
         with self.lock:
@@ -372,6 +386,8 @@
 
     def _apply(self, record: Record) -> None:
         self._view.fold(record)
+        if self._stream is Stream.PROGRESS and self._offset is not None:
+            self._view.owner_seen_at = self._now()
 
     def _folded(self) -> None:
         with self._read:
--- a/packages/geraniumshored/src/geraniumshored/platform/documents.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/documents.py
@@ -327,7 +327,7 @@
             EndedRun(int(row[0]), str(row[1]), int(row[2]), str(row[3]), str(row[4]))
             for row in report.ended
         )
-    except (IndexError, TypeError, ValueError) as error:
+    except (IndexError, TypeError, ValueError, OverflowError) as error:
         raise InvalidInputError([Finding("report", str(error))]) from error
     return MinionReport(
         report.born, report.clock_ms, running, ended, report.remaining_ms
--- a/tests/cover/test_ownership.py
+++ b/tests/cover/test_ownership.py
@@ -4,7 +4,14 @@
 
 from types import SimpleNamespace
 
-from geraniumshore_scheduler import OwnerRecord
+from geraniumshore_scheduler import (
+    OWNER_KEY,
+    OWNER_LEFT_KEY,
+    JobBook,
+    OwnerRecord,
+    decode_owner,
+    encode_owner,
+)
 from geraniumshored.node.members import member_name
 from geraniumshored.node.ownership import (
     CLAIMS_PER_GENERATION,
@@ -12,10 +19,11 @@
     MOST_MEMBERS,
     OUTSIDE_PAUSE_S,
     OWNER_BACK_S,
+    OWNER_SILENT_S,
     WEAK_HOST_S,
     Ownership,
 )
-from geraniumshored.node.ports import Membership
+from geraniumshored.node.ports import Membership, Record
 
 
 class FakeStore:
@@ -27,6 +35,7 @@
         self.generation = 7
         self.joins = 0
         self.left: list[str] = []
+        self.appended: list[Record] = []
 
     def leave(self, member: str) -> None:
         self.left.append(member)
@@ -34,6 +43,9 @@
     def members(self):
         return frozenset(self.listed)
 
+    def append(self, stream, records, writer=None) -> None:
+        self.appended.extend(records)
+
     def join(self, member: str, generation: int) -> Membership:
         self.joins += 1
         return Membership(self.generation, self.place)
@@ -44,17 +56,23 @@
 
     def __init__(self, owner: str | None = None, processors: float = 1.0) -> None:
         self.now = 100.0
+        self.log_age = 0.0
         self.store = FakeStore()
         self.book = SimpleNamespace(
-            owner=None if owner is None else OwnerRecord(owner, 3)
+            owner=None if owner is None else OwnerRecord(owner, 3), left_epoch=-1
+        )
+        self.jobs = SimpleNamespace(
+            book=self.book,
+            age=lambda _: self.log_age,
+            owner_seen_at=float("-inf"),
+            hurry=lambda: None,
         )
-        self.log_age = 0.0
         self.claims: list[int] = []
         self.owners: list[SimpleNamespace] = []
         self.ownership = Ownership(
             self.store,  # type: ignore[arg-type]
             member_name("h1", "new", processors),
-            SimpleNamespace(book=self.book, age=lambda _: self.log_age),  # type: ignore[arg-type]
+            self.jobs,  # type: ignore[arg-type]
             self._make_owner,
             lambda: True,
             lambda: self.now,
@@ -62,7 +80,8 @@
 
     def _make_owner(self, epoch: int):
         self.claims.append(epoch)
-        owner = SimpleNamespace(start=lambda: None, stopped=False)
+        authority = SimpleNamespace(epoch=epoch)
+        owner = SimpleNamespace(start=lambda: None, stopped=False, authority=authority)
         owner.stop = lambda why: setattr(owner, "stopped", True)
         self.owners.append(owner)
         return owner
@@ -201,3 +220,61 @@
     assert len(bench.step(WEAK_HOST_S)) == 1
     bench.step(OUTSIDE_PAUSE_S)
     assert bench.store.left == []
+
+
+def test_an_owner_that_joins_late_but_goes_on_is_not_replaced():
+    bench = Bench(member_name("h2", "old", 0.12), processors=0.12)
+    bench.jobs.owner_seen_at = bench.now + WEAK_HOST_S
+    assert bench.step(WEAK_HOST_S) == []
+    for _ in range(5):
+        bench.jobs.owner_seen_at = bench.now
+        assert bench.step(OWNER_SILENT_S / 2) == []
+    assert len(bench.step(OWNER_SILENT_S)) == 1
+
+
+def test_nobody_waits_for_an_owner_that_has_left():
+    bench = Bench(member_name("h2", "old", 1.0))
+    bench.now += OWNER_BACK_S
+    bench.jobs.owner_seen_at = bench.now
+    bench.book.left_epoch = 2
+    assert bench.step() == [], "an earlier owner left"
+    bench.book.left_epoch = 3
+    assert len(bench.step()) == 1
+
+
+def test_the_owner_s_host_does_not_wait_for_its_own_former_process():
+    bench = Bench(member_name("h1", "old", 1.0))
+    bench.jobs.owner_seen_at = bench.now
+    assert len(bench.step()) == 1
+
+
+def test_an_owner_that_leaves_says_so_in_the_log():
+    bench = Bench()
+    (epoch,) = bench.step()
+    bench.ownership.leave()
+    (record,) = bench.store.appended
+    assert record.key == OWNER_LEFT_KEY
+    assert decode_owner(record.value).epoch == epoch
+    assert bench.owners[0].stopped
+    assert bench.store.left
+
+
+def test_a_node_that_owns_nothing_says_nothing_when_it_leaves():
+    bench = Bench(member_name("h2", "old", 1.0))
+    bench.ownership.leave()
+    assert bench.store.appended == []
+
+
+def test_a_weak_host_stands_in_at_once_where_a_weak_one_owned():
+    bench = Bench(member_name("h2", "old", 0.12), processors=0.12)
+    assert len(bench.step(OWNER_BACK_S)) == 1
+
+
+def test_the_log_tells_who_owns_and_which_owner_has_left():
+    book = JobBook()
+    record = encode_owner(OwnerRecord("h2/strong-1", 3))
+    assert book.left_epoch == -1
+    book.fold(OWNER_KEY, record, 0, 1.0)
+    book.fold(OWNER_LEFT_KEY, record, 1, 2.0)
+    assert book.owner == OwnerRecord("h2/strong-1", 3)
+    assert book.left_epoch == 3
--- a/tests/cover/test_ownership_machine.py
+++ b/tests/cover/test_ownership_machine.py
@@ -11,11 +11,16 @@
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from geraniumshore_scheduler import OwnerRecord, PlatformUnavailableError
+from geraniumshore_scheduler import (
+    OWNER_LEFT_KEY,
+    OwnerRecord,
+    PlatformUnavailableError,
+    decode_owner,
+)
 from geraniumshore_standins.internal.users_platform import LogModel
 from geraniumshored.node.members import is_strong, member_name
 from geraniumshored.node.ownership import ENOUGH_STRONG, JOIN_PAUSE_S, Ownership
-from geraniumshored.node.ports import Membership
+from geraniumshored.node.ports import Membership, Record, Stream
 
 STRONG, WEAK = 2.0, 0.5
 HOSTS = {"s0": STRONG, "s1": STRONG, "s2": STRONG, "w0": WEAK, "w1": WEAK, "w2": WEAK}
@@ -25,6 +30,8 @@
 STABLE_S = 5.0
 # How far a node's reading lags behind the log.
 READ_EACH_S = 0.3
+# After this time all nodes that are not cut off have read what was written before.
+LOG_READ_BY_ALL_S = 0.5
 
 
 class Node:
@@ -36,8 +43,12 @@
         self.frozen_until = 0.0
         self.owner: SimpleNamespace | None = None
         # The log as this node has read it; a cut or frozen node lags behind.
-        self.book = SimpleNamespace(owner=machine.book.owner)
+        self.book = SimpleNamespace(
+            owner=machine.book.owner, left_epoch=machine.book.left_epoch
+        )
         self.read_at = machine.now
+        self.owner_seen_at = float("-inf")
+        self.joins_late_until = 0.0
         self.next_step = machine.now
         self.member = member_name(host, str(machine.processes), HOSTS[host])
         self.ownership = Ownership(
@@ -52,6 +63,18 @@
     def age(self, now: float) -> float:
         return now - self.read_at
 
+    def hurry(self) -> None:
+        self.read_at = min(self.read_at, self.machine.now - READ_EACH_S)
+
+    @property
+    def owns(self) -> bool:
+        return self.owner is not None and not self.owner.stopped
+
+    @property
+    def writes(self) -> bool:
+        """Whether the log has records of this node as the owner just now."""
+        return self.owns and not self.cut and self.machine.now >= self.frozen_until
+
     # The store, as this node reaches it.
 
     def _reach(self) -> LogModel:
@@ -75,6 +98,13 @@
     def leave(self, member: str) -> None:
         self._reach().leave("g", member)
 
+    def append(self, stream: Stream, records: list[Record]) -> None:
+        self._reach()
+        (record,) = records
+        assert record.key == OWNER_LEFT_KEY
+        left = decode_owner(record.value).epoch
+        self.machine.book.left_epoch = max(self.machine.book.left_epoch, left)
+
     def _make_owner(self, epoch: int) -> SimpleNamespace:
         assert epoch not in self.machine.epochs, "two claims of one epoch"
         self.machine.epochs.add(epoch)
@@ -95,20 +125,26 @@
         def stop(_: str) -> None:
             owner.stopped = True
 
-        owner = SimpleNamespace(start=start, stop=stop, stopped=False)
+        authority = SimpleNamespace(epoch=epoch)
+        owner = SimpleNamespace(
+            start=start, stop=stop, stopped=False, authority=authority
+        )
         return owner
 
     def step(self) -> None:
         now = self.machine.now
         if now < self.frozen_until:
             return
-        if now >= self.next_step:
+        if now >= max(self.next_step, self.joins_late_until):
             try:
                 self.next_step = now + self.ownership._step()
             except PlatformUnavailableError:
                 self.next_step = now + JOIN_PAUSE_S
         if not self.cut and now >= self.read_at + READ_EACH_S:
             self.book.owner = self.machine.book.owner
+            self.book.left_epoch = self.machine.book.left_epoch
+            if self.machine.written_at > self.read_at:
+                self.owner_seen_at = now
             self.read_at = now
 
 
@@ -121,7 +157,8 @@
         self.taken_at = 0.0
         self.processes = 0
         self.log = LogModel()
-        self.book = SimpleNamespace(owner=None)
+        self.book = SimpleNamespace(owner=None, left_epoch=-1)
+        self.written_at = float("-inf")
         self.epochs: set[int] = set()
         self.nodes: dict[str, Node] = {}
         for host in HOSTS:
@@ -137,6 +174,8 @@
             self.now += 0.05
             for node in list(self.nodes.values()):
                 node.step()
+            if any(node.writes for node in self.nodes.values()):
+                self.written_at = self.now
 
     @rule(seconds=st.floats(0.1, 4.0))
     def time_passes(self, seconds: float) -> None:
@@ -165,7 +204,7 @@
     @rule()
     def the_owner_starts_again(self) -> None:
         for host, node in list(self.nodes.items()):
-            if node.owner is not None and not node.owner.stopped:
+            if node.owns:
                 self._start(host)
 
     @rule(host=st.sampled_from(sorted(HOSTS)), cut=st.booleans())
@@ -178,10 +217,22 @@
         if host in self.nodes:
             self.nodes[host].frozen_until = self.now + seconds
 
+    @rule(seconds=st.floats(0.5, 8.0))
+    def the_owner_is_short_of_processor_time(self, seconds: float) -> None:
+        """An owner that joins late but writes and reads keeps the schedule."""
+        for node in list(self.nodes.values()):
+            if node.owns and not node.cut and self.now >= node.frozen_until:
+                self._run(LOG_READ_BY_ALL_S)
+                if not node.writes or not is_strong(node.member):
+                    return
+                node.joins_late_until = self.now + seconds
+                self._run(seconds)
+                assert node.owns
+
     @rule()
     def leave(self) -> None:
         for host, node in list(self.nodes.items()):
-            if node.owner is not None and not node.owner.stopped and not node.cut:
+            if node.owns and not node.cut:
                 node.ownership.leave()
                 del self.nodes[host]
 
@@ -191,11 +242,7 @@
         for node in self.nodes.values():
             node.cut = False
         self._run(CALM_S)
-        owners = [
-            node
-            for node in self.nodes.values()
-            if node.owner is not None and not node.owner.stopped
-        ]
+        owners = [node for node in self.nodes.values() if node.owns]
         assert len(owners) == 1
         strong = sum(is_strong(node.member) for node in self.nodes.values())
         if strong >= ENOUGH_STRONG:
@@ -204,11 +251,7 @@
 
     @invariant()
     def at_most_one_owner_is_not_fenced(self) -> None:
-        active = [
-            node
-            for node in self.nodes.values()
-            if node.owner is not None and not node.owner.stopped
-        ]
+        active = [node for node in self.nodes.values() if node.owns]
         assert len(active) <= 1
 
 
