Leases: an owner writes down which minions are silent, and since when

The schedule changed hands at 15 s, and the new owner counted the leases of minions that it could not reach from its own takeover.

Ruled out: shorter leases; the word of owners that leave by themselves only (killed ones know as much).

Tests: test_dark_racks_and_takeovers.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/__init__.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/__init__.py
@@ -69,6 +69,7 @@
     MACHINE_ORDERS_KEY,
     OWNER_KEY,
     OWNER_LEFT_KEY,
+    SILENCES_KEY,
     JobState,
     OwnerRecord,
     Placed,
@@ -79,11 +80,13 @@
     decode_machine_orders,
     decode_owner,
     decode_progress,
+    decode_silences,
     decode_wave_progress,
     encode_job,
     encode_machine_orders,
     encode_owner,
     encode_progress,
+    encode_silences,
     encode_wave_progress,
     job_key,
     split_key,
@@ -91,6 +94,7 @@
 )
 from geraniumshore_scheduler.internal.runs import OpenJob, Run, RunState
 from geraniumshore_scheduler.internal.scheduler import Scheduler
+from geraniumshore_scheduler.internal.silence import Silence, Silences
 
 __all__ = [
     "ANNOUNCED_S",
@@ -126,6 +130,7 @@
     "Move",
     "OWNER_KEY",
     "OWNER_LEFT_KEY",
+    "SILENCES_KEY",
     "OpenJob",
     "OwnerRecord",
     "OwnerReplacedError",
@@ -147,6 +152,8 @@
     "RunState",
     "RunningTask",
     "Scheduler",
+    "Silence",
+    "Silences",
     "SequenceError",
     "Service",
     "StartOrder",
@@ -165,11 +172,13 @@
     "decode_machine_orders",
     "decode_owner",
     "decode_progress",
+    "decode_silences",
     "decode_wave_progress",
     "encode_job",
     "encode_machine_orders",
     "encode_owner",
     "encode_progress",
+    "encode_silences",
     "encode_wave_progress",
     "job_key",
     "may_interrupt",
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_book.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_book.py
@@ -9,6 +9,7 @@
 from geraniumshore_scheduler.internal.model import Job
 from geraniumshore_scheduler.internal.records import (
     OWNER_LEFT_KEY,
+    SILENCES_KEY,
     JobState,
     OwnerRecord,
     Progress,
@@ -18,11 +19,13 @@
     decode_machine_orders,
     decode_owner,
     decode_progress,
+    decode_silences,
     decode_wave_progress,
     encode_progress,
     job_key,
     split_key,
 )
+from geraniumshore_scheduler.internal.silence import Silence
 
 __all__ = ["BookedJob", "JobBook"]
 
@@ -70,6 +73,7 @@
         self.opened_at_by_epoch: dict[int, float] = {}
         self.progress_by_wave: dict[int, WaveProgress] = {}
         self.order_by_machine: dict[str, AnnouncedOrder] = {}
+        self.silence_by_minion: dict[str, Silence] = {}
         self._orphans: dict[tuple[RecordKind, str], _Orphan] = {}
         self._pending_by_queue: dict[str, int] = {}
 
@@ -94,6 +98,9 @@
             if job_id.isdigit():
                 self.progress_by_wave[int(job_id)] = decode_wave_progress(value)
             return None
+        if key == SILENCES_KEY:
+            self.silence_by_minion = decode_silences(value, now)
+            return None
         if kind is RecordKind.MACHINES:
             self.order_by_machine = decode_machine_orders(value, now)
             return None
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
@@ -39,7 +39,7 @@
     lacks the minion, which may live all the same. No lease is sent before the batch
     ``grants_after_batch`` is durable, which says that this owner sends them.
     ``stopping`` says that stops may have to be sent. ``ends_since`` is when it last
-    listed a new end.
+    listed a new end, ``silent_since`` when the first look was sent that got no answer.
     """
 
     minion_id: str
@@ -66,6 +66,7 @@
     grants_after_batch: int = 0
     stopping: bool = False
     ends_since: float | None = None
+    silent_since: float | None = None
 
     @property
     def draining(self) -> bool:
@@ -139,6 +140,7 @@
             late = self.unanswered_grant_at + times.order_delay + times.lapse
             self.late_grant_until = max(self.late_grant_until, late)
         self.unanswered_grant_at = None
+        self.silent_since = None
         self.reached = True
 
     def lapsed_at(self, run: Run, times: OwnershipTimes) -> float:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
@@ -12,11 +12,13 @@
 from geraniumshore_scheduler.errors import Finding, InvalidInputError
 from geraniumshore_scheduler.internal.machine_orders import AnnouncedOrder
 from geraniumshore_scheduler.internal.model import Job, TaskKey
+from geraniumshore_scheduler.internal.silence import Silence
 
 __all__ = [
     "MACHINE_ORDERS_KEY",
     "OWNER_KEY",
     "OWNER_LEFT_KEY",
+    "SILENCES_KEY",
     "JobState",
     "OwnerRecord",
     "Placed",
@@ -27,11 +29,13 @@
     "decode_machine_orders",
     "decode_owner",
     "decode_progress",
+    "decode_silences",
     "decode_wave_progress",
     "encode_job",
     "encode_machine_orders",
     "encode_owner",
     "encode_progress",
+    "encode_silences",
     "encode_wave_progress",
     "job_key",
     "split_key",
@@ -140,15 +144,19 @@
 
 
 T = TypeVar("T")
+# Ages are rounded to this, and must not come out longer than they are.
+MS_S = 0.001
 _JOB = TypeAdapter(Job)
 _PROGRESS = TypeAdapter(Progress)
 _OWNER = TypeAdapter(OwnerRecord)
 _WAVE = TypeAdapter(WaveProgress)
 _ORDERS = TypeAdapter(dict[str, tuple[str, float]])
+_SILENCES = TypeAdapter(dict[str, tuple[int, float]])
 OWNER_KEY = f"{RecordKind.OWNER.value}/owner"
 # The last owner that gave the schedule up by itself.
 OWNER_LEFT_KEY = f"{RecordKind.OWNER.value}/left"
 MACHINE_ORDERS_KEY = f"{RecordKind.MACHINES.value}/orders"
+SILENCES_KEY = f"{RecordKind.MACHINES.value}/silent"
 
 
 def job_key(kind: RecordKind, job_id: str) -> str:
@@ -222,6 +230,23 @@
     }
 
 
+def encode_silences(silence_by_minion: Mapping[str, Silence], now: float) -> bytes:
+    """Encode silent minions by the age of their last leases: clocks of hosts differ."""
+    rows = {
+        minion_id: (silence.epoch, round(max(0.0, now - silence.granted_at - MS_S), 3))
+        for minion_id, silence in silence_by_minion.items()
+    }
+    return _SILENCES.dump_json(rows)
+
+
+def decode_silences(value: bytes, now: float) -> dict[str, Silence]:
+    """Decode silent minions that are read now. Raises InvalidInputError."""
+    rows = _decode(_SILENCES, value, "silent minions")
+    return {
+        minion_id: Silence(epoch, now - age) for minion_id, (epoch, age) in rows.items()
+    }
+
+
 def encode_progress(progress: Progress) -> bytes:
     """Encode a job's progress."""
     return _PROGRESS.dump_json(progress, exclude_defaults=True)
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_book.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_book.py
@@ -16,8 +16,14 @@
     StopOrder,
 )
 from geraniumshore_scheduler.internal.pool_meter import Arrivals
-from geraniumshore_scheduler.internal.records import JobState, Placed
+from geraniumshore_scheduler.internal.records import (
+    SILENCES_KEY,
+    JobState,
+    Placed,
+    encode_silences,
+)
 from geraniumshore_scheduler.internal.runs import OpenJob, Run, RunState
+from geraniumshore_scheduler.internal.silence import Silences
 from geraniumshore_scheduler.internal.team_shares import TeamShares
 
 __all__ = ["AVOID_S", "RunBook"]
@@ -56,6 +62,7 @@
         self.paces: list[PaceOrder] = []
         self._order = order or ByObjective()
         self._opened_at_by_epoch = opened_at_by_epoch or {}
+        self._silences = Silences({})
         self._used_services: set[str] = set()
         # Jobs with occurrences whose time has not come.
         self._recurring: dict[str, OpenJob] = {}
@@ -108,14 +115,22 @@
                     job.job.team,
                     RunState.ADOPTED,
                     now,
-                    foreign_until=self._foreign_until(place.epoch),
+                    foreign_until=self._foreign_until(place),
                 )
                 self._attach(job, run)
 
-    def _foreign_until(self, epoch: int) -> float:
-        """Return until when the owner of an epoch may have renewed leases."""
-        later = [at for e, at in self._opened_at_by_epoch.items() if e > epoch]
-        return min(later, default=self.authority.taken_at) + self.times.former_owner
+    def _foreign_until(self, place: Placed) -> float:
+        """Return until when its last owner may have renewed a run's lease."""
+        later = [at for e, at in self._opened_at_by_epoch.items() if e > place.epoch]
+        until = min(later, default=self.authority.taken_at) + self.times.former_owner
+        last = self._silences.last_grant(place.minion_id, place.epoch)
+        return until if last is None else min(until, last)
+
+    def _record_silences(self, now: float) -> None:
+        """Let the log say which minions get no leases of this owner."""
+        relevant = {m for m, view in self.view_by_id.items() if view.runs}
+        silences = self._silences.to_record(relevant)
+        self._records[SILENCES_KEY] = encode_silences(silences, now)
 
     @staticmethod
     def _begun_before(job: OpenJob, occurrence: int) -> bool:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -32,6 +32,7 @@
     job_key,
 )
 from geraniumshore_scheduler.internal.runs import OpenJob
+from geraniumshore_scheduler.internal.silence import Silence, Silences
 
 __all__ = ["Scheduler"]
 
@@ -51,6 +52,10 @@
         for job in self.job_by_id.values():
             self._classify(job)
 
+    def take_over_silences(self, silence_by_minion: Mapping[str, Silence]) -> None:
+        """Take in which minions a former owner sent no leases; goes before its jobs."""
+        self._silences = Silences(silence_by_minion)
+
     def add_job(self, booked: BookedJob, now: float) -> None:
         """Take on a job of the log, unless it has ended.
 
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/settlement.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/settlement.py
@@ -17,6 +17,7 @@
 from geraniumshore_scheduler.internal.records import JobState
 from geraniumshore_scheduler.internal.run_book import AVOID_S, RunBook
 from geraniumshore_scheduler.internal.runs import OpenJob, Run, RunState
+from geraniumshore_scheduler.internal.silence import Silence
 
 __all__ = ["Settlement"]
 
@@ -25,6 +26,8 @@
 # A look waits this long for the ends of the one before to be recorded, which takes some
 # 30 ms.
 RECORDING_S = 0.3
+# A minion that is silent for longer is written down for the next owner.
+SILENCE_S = 1.0
 # A look waits this long for an end.
 LOOK_WAIT_MS = 1000
 
@@ -86,6 +89,11 @@
         if view.life is not None and report.life < view.life:
             return
         accepted = view.accepts(now)
+        if view.minion_id in self._silences:
+            # The log says that it gets no leases: that must be taken back first.
+            self._silences.forget(view.minion_id)
+            self._record_silences(now)
+            view.grants_after_batch = self._next_batch
         view.note_answer(same_life, self.times)
         view.answered_since = min(view.answered_since, now)
         if not same_life:
@@ -108,6 +116,22 @@
         if view.reached:
             view.reached = False
             self._decide("minion silent", "", view.minion_id, {"runs": len(view.runs)})
+        self._note_silence(view, asked.sent_at)
+
+    def _note_silence(self, view: MinionView, now: float) -> None:
+        """Write down a minion's last lease, once more than one answer is missing."""
+        if view.silent_since is None:
+            view.silent_since = now
+        if (
+            now < view.silent_since + SILENCE_S
+            or view.granted_at is None
+            or not view.runs
+            or view.minion_id in self._silences
+        ):
+            return
+        silence = Silence(self.authority.epoch, view.granted_at)
+        self._silences.note(view.minion_id, silence)
+        self._record_silences(now)
 
     def on_gone(self, minion_id: str, now: float) -> None:
         """Note that another minion answers at the address: this life is over."""
@@ -127,7 +151,13 @@
         view = self.view_by_id.get(run.minion_id)
         if view is None or view.runs.get(run.task) is not run:
             return None
-        if run.stop_wanted or not view.accepts(now) or view.life != run.life:
+        recorded = view.grants_after_batch <= self._durable_batch
+        if (
+            run.stop_wanted
+            or not view.accepts(now)
+            or view.life != run.life
+            or not recorded
+        ):
             self.on_start_not_sent(run, now)
             return None
         run.state = RunState.SENT
--- a/tests/common/schedule_world.py
+++ b/tests/common/schedule_world.py
@@ -354,6 +354,7 @@
         self.frozen_until = 0.0
         self.book = JobBook()
         self.read_at = self._next_read = world.now
+        self.owner_seen_at = float("-inf")
         self._read_rng = random.Random(f"{name} {world.now}")
         self.on_job: Callable[[BookedJob, RecordKind], None] | None = None
         self.offsets = {Stream.ACCEPTED: 0, Stream.PROGRESS: 0}
@@ -373,6 +374,10 @@
         """Return for how long the book may have missed records."""
         return now - self.read_at
 
+    def hurry(self) -> None:
+        """Read with the next step."""
+        self._next_read = self.world.now
+
     def _make_owner(self, epoch: int) -> SimOwner:
         self.owner = SimOwner(self, epoch)
         return self.owner
@@ -405,6 +410,8 @@
             raw = self.world.log.read(topic, part, self.offsets[stream]).raw
             assert raw is not None
             page = _decode_page(raw, self.offsets[stream])
+            if page.records and stream is Stream.PROGRESS:
+                self.owner_seen_at = self.world.now
             for record in page.records:
                 booked = self.book.fold(
                     record.key, record.value, record.offset, self.world.now
@@ -474,6 +481,7 @@
         )
         scheduler.set_configuration(configuration())
         scheduler.set_listings(self._listings(), self.world.now)
+        scheduler.take_over_silences(self.node.book.silence_by_minion)
         for booked in self.node.book.job_by_id.values():
             scheduler.add_job(booked, self.world.now)
         self.scheduler = scheduler
--- /dev/null
+++ b/tests/cover/test_dark_racks_and_takeovers.py
@@ -0,0 +1,159 @@
+"""A rack goes dark, then the schedule changes hands: its tasks do not wait twice."""
+
+from __future__ import annotations
+
+import pytest
+
+from geraniumshore_scheduler import (
+    SILENCES_KEY,
+    Authority,
+    BookedJob,
+    HoldRequest,
+    JobBook,
+    Placed,
+    RunningTask,
+    Scheduler,
+    Silence,
+    Step,
+    decode_silences,
+    encode_silences,
+)
+from geraniumshore_scheduler.internal.settlement import SILENCE_S
+from tests.common.schedule_parts import SMALL, TIMES, Fleet, configuration, job, listing
+
+LASTING = Step(1, SMALL, 500, lasting=True)
+
+
+def silent_look(fleet: Fleet) -> HoldRequest:
+    request = fleet.ask("i-0")
+    fleet.scheduler.on_silence(request)
+    return request
+
+
+def written(fleet: Fleet) -> dict[str, Silence]:
+    """Return what the next batch tells of silent minions; empty where nothing."""
+    batch = fleet.scheduler.plan(fleet.now, fleet.now * 1000)
+    if batch is None or SILENCES_KEY not in batch.value_by_key:
+        return {}
+    fleet.scheduler.on_durable(batch)
+    return decode_silences(batch.value_by_key[SILENCES_KEY], fleet.now)
+
+
+def go_dark() -> Fleet:
+    """Return a fleet whose minion was last granted a lease at 5 s and is silent."""
+    fleet = Fleet(1)
+    fleet.add(job("a" * 16, LASTING))
+    fleet.plan()
+    fleet.now = 5.0
+    fleet.report("i-0", fleet.running("i-0"))
+    fleet.now = 6.0
+    silent_look(fleet)
+    fleet.now = 7.5
+    silent_look(fleet)
+    return fleet
+
+
+def test_the_last_lease_of_a_silent_minion_is_written_down():
+    (silence,) = written(go_dark()).values()
+    assert silence.epoch == 5
+    assert 6.0 <= silence.granted_at < 6.01
+
+
+def test_one_lost_answer_writes_nothing_down():
+    fleet = Fleet(1)
+    fleet.add(job("a" * 16, LASTING))
+    fleet.plan()
+    fleet.now = 5.0
+    silent_look(fleet)
+    fleet.now += SILENCE_S / 2
+    silent_look(fleet)
+    assert written(fleet) == {}
+
+
+def test_a_minion_without_runs_is_not_written_down():
+    fleet = Fleet(1)
+    for fleet.now in (5.0, 6.5):
+        silent_look(fleet)
+    assert written(fleet) == {}
+
+
+def test_a_minion_that_answers_again_gets_a_lease_once_that_is_taken_back():
+    fleet = go_dark()
+    written(fleet)
+    fleet.now = 8.0
+    fleet.report("i-0", fleet.running("i-0"))
+    assert fleet.ask("i-0").until_ms is None
+    assert written(fleet) == {}
+    assert fleet.ask("i-0").until_ms is not None
+
+
+def test_no_start_goes_to_a_minion_before_its_silence_is_taken_back():
+    fleet = go_dark()
+    written(fleet)
+    fleet.now = 8.0
+    fleet.add(job("b" * 16, Step(1, SMALL, 500)))
+    fleet.report("i-0", fleet.running("i-0"))
+    batch = fleet.scheduler.plan(fleet.now, 0)
+    assert batch is not None
+    (order,) = batch.starts
+    assert fleet.scheduler.on_start_sent(order.run, fleet.now) is None
+    fleet.scheduler.on_durable(batch)
+    (order,) = fleet.scheduler.plan(fleet.now, 0).starts  # type: ignore[union-attr]
+    assert fleet.scheduler.on_start_sent(order.run, fleet.now) is not None
+
+
+def successor(
+    silences: dict[str, Silence], taken_at: float, epoch: int = 4
+) -> Scheduler:
+    """Return a new owner that knows one other minion, with a task on the silent one."""
+    scheduler = Scheduler(Authority(9, taken_at, taken_at), TIMES)
+    scheduler.set_configuration(configuration())
+    scheduler.set_listings({"i-0": listing(0)}, taken_at)
+    scheduler.take_over_silences(silences)
+    booked = BookedJob(job("a" * 16, LASTING), 0.0)
+    booked.progress.placed["0.0.0"] = [Placed("i-0", 1, 4)]
+    scheduler.add_job(booked, taken_at)
+    return scheduler
+
+
+def freed(scheduler: Scheduler, now: float) -> bool:
+    scheduler.authority.confirm(now)
+    scheduler.plan(now, 0)
+    return any(d.event == "run freed" for d in scheduler.take_decisions())
+
+
+def test_a_new_owner_counts_from_the_last_lease_not_from_its_takeover():
+    scheduler = successor({"i-0": Silence(4, 6.0)}, taken_at=12.0)
+    assert not freed(scheduler, 6.0 + TIMES.lapse - 0.1)
+    assert freed(scheduler, 6.0 + TIMES.lapse + 0.3)
+
+
+@pytest.mark.parametrize(
+    "silences", [{}, {"i-0": Silence(3, 6.0)}, {"i-1": Silence(4, 6.0)}]
+)
+def test_a_silence_of_another_owner_or_minion_shortens_nothing(silences):
+    scheduler = successor(silences, taken_at=12.0)
+    assert not freed(scheduler, 12.0 + TIMES.former_owner + TIMES.lapse - 0.1)
+    assert freed(scheduler, 12.0 + TIMES.former_owner + TIMES.lapse + 0.3)
+
+
+def test_a_silence_is_handed_on_from_owner_to_owner():
+    scheduler = successor({"i-0": Silence(4, 6.0)}, taken_at=9.0)
+    assert scheduler._silences.to_record({"i-0"}) == {"i-0": Silence(4, 6.0)}
+
+
+def test_what_is_read_late_is_never_taken_as_older_than_it_is():
+    value = encode_silences({"i-0": Silence(4, 6.0)}, 8.0)
+    book = JobBook()
+    book.fold(SILENCES_KEY, value, 0, now=108.5)
+    (silence,) = book.silence_by_minion.values()
+    # Written at 8 s, read half a second later on a clock that is 100 s ahead.
+    assert 106.5 <= silence.granted_at < 106.502
+
+
+def test_a_run_that_answers_its_new_owner_is_renewed_as_before():
+    fleet = go_dark()
+    row = RunningTask("a" * 16 + ".0.0.0", fleet.scheduler._next_run - 1, "", 100)
+    fleet.report("i-0", (row,))
+    written(fleet)
+    assert fleet.scheduler.view_by_id["i-0"].runs
--- a/tests/nocover/test_schedule_mutations.py
+++ b/tests/nocover/test_schedule_mutations.py
@@ -11,7 +11,9 @@
     MinionView,
     OwnershipTimes,
     Scheduler,
+    Silences,
     StartOutcome,
+    encode_silences,
 )
 from tests.common.schedule_world import (
     LONG_CUTS,
@@ -78,6 +80,18 @@
     patch.setattr(MinionView, "has_room", lambda view, room: view.listing is not None)
 
 
+def leases_before_a_silence_is_taken_back(patch):
+    patch.setattr(Silences, "forget", lambda *_: None)
+    patch.setattr(Silences, "__contains__", lambda *_: False)
+
+
+def silences_younger_than_their_leases(patch):
+    def older(silence_by_minion, now):
+        return encode_silences(silence_by_minion, now + 4.0)
+
+    patch.setattr("geraniumshore_scheduler.internal.run_book.encode_silences", older)
+
+
 @pytest.mark.parametrize(
     "mutation",
     [
@@ -88,6 +102,8 @@
         acknowledged_before_recorded,
         started_before_recorded,
         capacity_ignored,
+        leases_before_a_silence_is_taken_back,
+        silences_younger_than_their_leases,
     ],
     ids=lambda mutation: mutation.__name__,
 )
