Machines: no order leaves after the permission for it has run out

Moves and upkeep have no fence; the authority and the announcement were checked before the call, but connecting, a wait for the processor (0.12 of a core) or a suspension came between that check and the bytes. The client now looks at the clock that counts suspensions right before it sends, and sends nothing later than the earlier of the two ends; the move is taken back as one that was refused.

Ruled out: fenced calls (starts, stops, looks) need none: their leases end at a time of the minion's clock, and a newer fence refuses them. Between the look at the clock and the system call a suspension is still possible; the margin of announcements (0.5 s) is for that.

Tests: a pause of 1 s and 30 s between check and order (failed first: the order left); nothing sent after its time, the connection kept.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/authority.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/authority.py
@@ -62,4 +62,8 @@
 
     def holds_unfenced(self, now: float, times: OwnershipTimes) -> bool:
         """Tell whether orders may be sent that no fence guards."""
-        return now < self.confirmed_at + times.ttl
+        return now < self.unfenced_until(times)
+
+    def unfenced_until(self, times: OwnershipTimes) -> float:
+        """Return until when orders that no fence guards may be sent."""
+        return self.confirmed_at + times.ttl
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/machine_orders.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/machine_orders.py
@@ -96,4 +96,8 @@
 
     def may_send(self, machine: str, now: float) -> bool:
         """Tell whether an order to a machine may be sent now."""
-        return now < self._sendable_until.get(machine, float("-inf"))
+        return now < self.sendable_until(machine)
+
+    def sendable_until(self, machine: str) -> float:
+        """Return until when the announcement of orders to a machine is good."""
+        return self._sendable_until.get(machine, float("-inf"))
--- a/packages/geraniumshored/src/geraniumshored/node/machinist.py
+++ b/packages/geraniumshored/src/geraniumshored/node/machinist.py
@@ -122,6 +122,12 @@
             self._announce([machine])
         return self._may_order() and self._orders.may_send(machine, self._now())
 
+    def _send_by(self, machine: str) -> float:
+        """Return until when an order to a machine may leave this process."""
+        with self._lock:
+            ends_at = self._scheduler.authority.unfenced_until(self._settings.times)
+        return min(ends_at, self._orders.sendable_until(machine))
+
     def _announce(self, machines: Iterable[str]) -> None:
         """Write down in the log which machines are about to be ordered."""
         announced_at = self._now()
@@ -242,7 +248,7 @@
             "upkeep",
             upkeep.machine,
             lambda: self._platform.machines.maintain(
-                upkeep.machine, upkeep.wave, epoch
+                upkeep.machine, upkeep.wave, epoch, self._send_by(upkeep.machine)
             ),
         )
         self._metrics.count("upkeeps", str(begun))
@@ -390,7 +396,9 @@
             moved = self._order(
                 "move",
                 move.machine,
-                lambda: self._platform.machines.move(move.machine, move.pool, epoch),
+                lambda: self._platform.machines.move(
+                    move.machine, move.pool, epoch, self._send_by(move.machine)
+                ),
             )
         self._metrics.count("moves", str(moved))
         log_event(
--- a/packages/geraniumshored/src/geraniumshored/node/ports.py
+++ b/packages/geraniumshored/src/geraniumshored/node/ports.py
@@ -183,18 +183,22 @@
 
 
 class Machines(ABC):
-    """The platform's machines, which are moved between pools and maintained."""
+    """The platform's machines, which are moved between pools and maintained.
+
+    No fence may guard the orders, so none is sent after ``send_by``, a time of
+    ``steady_seconds``: PlatformUnavailableError is raised instead.
+    """
 
     @abstractmethod
     def list(self) -> tuple[MachineListing, ...]:
         """Return all machines."""
 
     @abstractmethod
-    def move(self, machine: str, pool: str, epoch: int) -> bool:
+    def move(self, machine: str, pool: str, epoch: int, send_by: float) -> bool:
         """Move a machine; tell whether it was done. All that runs there ends."""
 
     @abstractmethod
-    def maintain(self, machine: str, wave: int, epoch: int) -> bool:
+    def maintain(self, machine: str, wave: int, epoch: int, send_by: float) -> bool:
         """Begin a machine's upkeep; tell whether it was done."""
 
 
--- a/packages/geraniumshored/src/geraniumshored/platform/http.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/http.py
@@ -16,6 +16,7 @@
 
 from geraniumshore_scheduler import PlatformUnavailableError, UnknownOutcomeError
 from geraniumshored.internal.sockets import has_input, watch_for_silence
+from geraniumshored.node.clock import steady_seconds
 
 __all__ = ["HttpClient", "HttpReply"]
 
@@ -180,11 +181,14 @@
         timeout: float,
         body: bytes | None = None,
         headers: Mapping[str, str] | None = None,
+        send_by: float | None = None,
     ) -> HttpReply:
         """Send a request and read its whole answer.
 
-        Raises PlatformUnavailableError where no byte was sent, UnknownOutcomeError
-        where no whole answer came within ``timeout`` seconds.
+        Nothing is sent after ``send_by``, a time of ``steady_seconds``: connecting may
+        take its time, and a process may be suspended at any point. Raises
+        PlatformUnavailableError where no byte was sent, UnknownOutcomeError where no
+        whole answer came within ``timeout`` seconds.
         """
         self.calls += 1
         connection = self._take(address) or self._connect(address)
@@ -197,6 +201,9 @@
             request += b"Content-Length: %d\r\n\r\n" % len(body) + body
         else:
             request += b"\r\n"
+        if send_by is not None and steady_seconds() >= send_by:
+            self._give_back(address, connection)
+            raise PlatformUnavailableError(f"{address}: too late to send {target}")
         try:
             reply = connection.exchange(request, timeout)
         except (OSError, EOFError, httptools.HttpParserError) as error:
@@ -217,12 +224,12 @@
         document: object,
         timeout: float,
         headers: Mapping[str, str] | None = None,
+        send_by: float | None = None,
     ) -> HttpReply:
         """Send a JSON document; raises as ``request`` does."""
         body = json.dumps(document).encode()
-        return self.request(
-            address, "POST", path, timeout, body, {**JSON_HEADERS, **(headers or {})}
-        )
+        all_headers = {**JSON_HEADERS, **(headers or {})}
+        return self.request(address, "POST", path, timeout, body, all_headers, send_by)
 
     def _connect(self, address: str) -> _Connection:
         self.connects += 1
--- a/packages/geraniumshored/src/geraniumshored/platform/machines.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/machines.py
@@ -48,25 +48,25 @@
             if not token:
                 return tuple(machines)
 
-    def move(self, machine: str, pool: str, epoch: int) -> bool:
+    def move(self, machine: str, pool: str, epoch: int, send_by: float) -> bool:
         """Move a machine."""
-        return self._order(
-            "/v1/machine-move", {"machine": machine, "pool": pool}, epoch
-        )
+        document = {"machine": machine, "pool": pool}
+        return self._order("/v1/machine-move", document, epoch, send_by)
 
-    def maintain(self, machine: str, wave: int, epoch: int) -> bool:
+    def maintain(self, machine: str, wave: int, epoch: int, send_by: float) -> bool:
         """Begin an upkeep."""
-        return self._order(
-            "/v1/machine-upkeep", {"machine": machine, "wave": wave}, epoch
-        )
+        document = {"machine": machine, "wave": wave}
+        return self._order("/v1/machine-upkeep", document, epoch, send_by)
 
-    def _order(self, path: str, document: dict[str, Any], epoch: int) -> bool:
+    def _order(
+        self, path: str, document: dict[str, Any], epoch: int, send_by: float
+    ) -> bool:
         headers = {
             "Geraniumshore-Lease-Holder": self._node,
             "Geraniumshore-Fencing-Token": str(epoch),
         }
         reply = self._http.post_json(
-            self._address, path, document, CALL_SECONDS, headers
+            self._address, path, document, CALL_SECONDS, headers, send_by
         )
         if reply.status == 200:
             return True
--- a/tests/cover/test_machinist.py
+++ b/tests/cover/test_machinist.py
@@ -15,6 +15,7 @@
     MachineListing,
     MachineOrders,
     Move,
+    PlatformUnavailableError,
     Step,
     UnknownOutcomeError,
     Upkeep,
@@ -35,6 +36,8 @@
     """Says yes to everything; the test decides what the list shows."""
 
     def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.paused_s = 0.0
         self.orders: list[tuple[str, str]] = []
         self.lost_answers = 0
         self.listed = {
@@ -47,18 +50,22 @@
     def list(self):
         return tuple(self.listed.values())
 
-    def _order(self, kind: str, machine: str) -> bool:
+    def _order(self, kind: str, machine: str, send_by: float) -> bool:
+        # The process may be suspended between its last check and the sending.
+        self.fleet.now += self.paused_s
+        if self.fleet.now >= send_by:
+            raise PlatformUnavailableError("too late to send")
         self.orders.append((kind, machine))
         if self.lost_answers:
             self.lost_answers -= 1
             raise UnknownOutcomeError("lost")
         return True
 
-    def move(self, machine: str, pool: str, epoch: int) -> bool:
-        return self._order("move", machine)
+    def move(self, machine: str, pool: str, epoch: int, send_by: float) -> bool:
+        return self._order("move", machine, send_by)
 
-    def maintain(self, machine: str, wave: int, epoch: int) -> bool:
-        return self._order("maintain", machine)
+    def maintain(self, machine: str, wave: int, epoch: int, send_by: float) -> bool:
+        return self._order("maintain", machine, send_by)
 
 
 class Bench:
@@ -187,6 +194,29 @@
     assert not bench.fleet.scheduler.view_by_id["i-0"].cordoned
 
 
+@pytest.mark.parametrize("paused_s", [TIMES.ttl, ANNOUNCED_S, 30.0])
+def test_a_pause_between_the_check_and_the_order_lets_nothing_out(paused_s):
+    bench = Bench()
+    bench.pass_time(5)
+    bench.machinist._list()
+    bench.machines.paused_s = paused_s
+    bench.machinist._move(Move("m-0", "spare"))
+    assert bench.machines.orders == []
+    assert bench.machinist._moving == {}
+
+
+def test_an_order_leaves_while_its_announcement_is_good_and_its_sender_owns():
+    bench = Bench()
+    bench.pass_time(5)
+    bench.machinist._list()
+    assert bench.machinist._may_order_to("m-0")
+    confirmed_at = bench.fleet.scheduler.authority.confirmed_at
+    send_by = bench.machinist._send_by("m-0")
+    assert send_by <= confirmed_at + TIMES.ttl
+    assert send_by == pytest.approx(bench.orders.sendable_until("m-0"), abs=0.1)
+    assert bench.machinist._send_by("m-1") == float("-inf")
+
+
 def test_a_new_owner_does_not_maintain_again():
     bench = Bench()
     wave = UpkeepWave(1, ("m-0", "m-1"), 30, 2)
--- a/tests/cover/test_platform_answers.py
+++ b/tests/cover/test_platform_answers.py
@@ -8,6 +8,7 @@
 import pytest
 
 from geraniumshore_scheduler import PlatformUnavailableError, UnknownOutcomeError
+from geraniumshored.node.clock import steady_seconds
 from geraniumshored.platform.http import HttpClient
 
 KEPT = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
@@ -154,3 +155,15 @@
     with pytest.raises(PlatformUnavailableError):
         HttpClient().post_json(server.address, "/v1/hold", {}, 1.0, {"Expect": name})
     assert not server.requests
+
+
+def test_nothing_is_sent_after_the_time_for_sending():
+    server, client = ScriptedServer([KEPT], [KEPT]), HttpClient()
+    now = steady_seconds()
+    client.post_json(server.address, "/v1/move", {}, 1.0, send_by=now + 60.0)
+    with pytest.raises(PlatformUnavailableError, match="too late"):
+        client.post_json(server.address, "/v1/move", {}, 1.0, send_by=now)
+    assert len(server.requests) == 1
+    # The connection is as it was, and serves the next request.
+    client.post_json(server.address, "/v1/move", {}, 1.0)
+    assert server.connections == 1
