Leases: an owner hands on when the ones before it ended, for minions it never reached

The owner left less than a second after that, and wrote nothing down; the second never reached the rack; the third, a process that had just started, did not know when the first had ended and counted from its own takeover (14.5 s + 3 + 10.4).

Now the second writes that end down like a last lease; it may lie ahead. Entries are by minion and epoch.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/__init__.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/__init__.py
@@ -94,7 +94,7 @@
 )
 from geraniumshore_scheduler.internal.runs import OpenJob, Run, RunState
 from geraniumshore_scheduler.internal.scheduler import Scheduler
-from geraniumshore_scheduler.internal.silence import Silence, Silences
+from geraniumshore_scheduler.internal.silence import Silences, SilentFor
 
 __all__ = [
     "ANNOUNCED_S",
@@ -152,8 +152,8 @@
     "RunState",
     "RunningTask",
     "Scheduler",
-    "Silence",
     "Silences",
+    "SilentFor",
     "SequenceError",
     "Service",
     "StartOrder",
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_book.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_book.py
@@ -25,7 +25,7 @@
     job_key,
     split_key,
 )
-from geraniumshore_scheduler.internal.silence import Silence
+from geraniumshore_scheduler.internal.silence import SilentFor
 
 __all__ = ["BookedJob", "JobBook"]
 
@@ -73,7 +73,8 @@
         self.opened_at_by_epoch: dict[int, float] = {}
         self.progress_by_wave: dict[int, WaveProgress] = {}
         self.order_by_machine: dict[str, AnnouncedOrder] = {}
-        self.silence_by_minion: dict[str, Silence] = {}
+        # After when owners sent no lease to minions that were silent.
+        self.last_grants: dict[SilentFor, float] = {}
         self._orphans: dict[tuple[RecordKind, str], _Orphan] = {}
         self._pending_by_queue: dict[str, int] = {}
 
@@ -99,7 +100,7 @@
                 self.progress_by_wave[int(job_id)] = decode_wave_progress(value)
             return None
         if key == SILENCES_KEY:
-            self.silence_by_minion = decode_silences(value, now)
+            self.last_grants = decode_silences(value, now)
             return None
         if kind is RecordKind.MACHINES:
             self.order_by_machine = decode_machine_orders(value, now)
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
@@ -12,7 +12,7 @@
 from geraniumshore_scheduler.errors import Finding, InvalidInputError
 from geraniumshore_scheduler.internal.machine_orders import AnnouncedOrder
 from geraniumshore_scheduler.internal.model import Job, TaskKey
-from geraniumshore_scheduler.internal.silence import Silence
+from geraniumshore_scheduler.internal.silence import SilentFor
 
 __all__ = [
     "MACHINE_ORDERS_KEY",
@@ -151,7 +151,7 @@
 _OWNER = TypeAdapter(OwnerRecord)
 _WAVE = TypeAdapter(WaveProgress)
 _ORDERS = TypeAdapter(dict[str, tuple[str, float]])
-_SILENCES = TypeAdapter(dict[str, tuple[int, float]])
+_SILENCES = TypeAdapter(list[tuple[str, int, float]])
 OWNER_KEY = f"{RecordKind.OWNER.value}/owner"
 # The last owner that gave the schedule up by itself.
 OWNER_LEFT_KEY = f"{RecordKind.OWNER.value}/left"
@@ -230,21 +230,19 @@
     }
 
 
-def encode_silences(silence_by_minion: Mapping[str, Silence], now: float) -> bytes:
+def encode_silences(last_grants: Mapping[SilentFor, float], now: float) -> bytes:
     """Encode silent minions by the age of their last leases: clocks of hosts differ."""
-    rows = {
-        minion_id: (silence.epoch, round(max(0.0, now - silence.granted_at - MS_S), 3))
-        for minion_id, silence in silence_by_minion.items()
-    }
+    rows = [
+        (*silent, round(now - granted_at - MS_S, 3))
+        for silent, granted_at in last_grants.items()
+    ]
     return _SILENCES.dump_json(rows)
 
 
-def decode_silences(value: bytes, now: float) -> dict[str, Silence]:
+def decode_silences(value: bytes, now: float) -> dict[SilentFor, float]:
     """Decode silent minions that are read now. Raises InvalidInputError."""
     rows = _decode(_SILENCES, value, "silent minions")
-    return {
-        minion_id: Silence(epoch, now - age) for minion_id, (epoch, age) in rows.items()
-    }
+    return {SilentFor(minion_id, epoch): now - age for minion_id, epoch, age in rows}
 
 
 def encode_progress(progress: Progress) -> bytes:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_book.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_book.py
@@ -23,7 +23,7 @@
     encode_silences,
 )
 from geraniumshore_scheduler.internal.runs import OpenJob, Run, RunState
-from geraniumshore_scheduler.internal.silence import Silences
+from geraniumshore_scheduler.internal.silence import Silences, SilentFor
 from geraniumshore_scheduler.internal.team_shares import TeamShares
 
 __all__ = ["AVOID_S", "RunBook"]
@@ -116,6 +116,7 @@
                     RunState.ADOPTED,
                     now,
                     foreign_until=self._foreign_until(place),
+                    foreign_epoch=place.epoch,
                 )
                 self._attach(job, run)
 
@@ -123,14 +124,15 @@
         """Return until when its last owner may have renewed a run's lease."""
         later = [at for e, at in self._opened_at_by_epoch.items() if e > place.epoch]
         until = min(later, default=self.authority.taken_at) + self.times.former_owner
-        last = self._silences.last_grant(place.minion_id, place.epoch)
+        silent = SilentFor(place.minion_id, place.epoch)
+        last = self._silences.last_grant(silent)
         return until if last is None else min(until, last)
 
     def _record_silences(self, now: float) -> None:
         """Let the log say which minions get no leases of this owner."""
         relevant = {m for m, view in self.view_by_id.items() if view.runs}
-        silences = self._silences.to_record(relevant)
-        self._records[SILENCES_KEY] = encode_silences(silences, now)
+        last_grants = self._silences.to_record(relevant)
+        self._records[SILENCES_KEY] = encode_silences(last_grants, now)
 
     @staticmethod
     def _begun_before(job: OpenJob, occurrence: int) -> bool:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
@@ -34,7 +34,8 @@
     """One run of a task, on one life of one minion.
 
     ``life`` is None while it is not known. ``stop_wanted`` asks for its end.
-    ``foreign_until`` is until when a former owner may have renewed its lease.
+    ``foreign_until`` is until when a former owner may have renewed its lease, the one
+    of ``foreign_epoch``.
     ``percent`` is its progress, for a lasting task how far it is at work;
     ``maybe_stopped`` says that a former owner may have stopped it.
     """
@@ -57,6 +58,7 @@
     at_work: bool = False
     maybe_stopped: bool = False
     foreign_until: float | None = None
+    foreign_epoch: int | None = None
     # The task's name, as minions spell it.
     name: str = ""
 
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -32,7 +32,7 @@
     job_key,
 )
 from geraniumshore_scheduler.internal.runs import OpenJob
-from geraniumshore_scheduler.internal.silence import Silence, Silences
+from geraniumshore_scheduler.internal.silence import Silences, SilentFor
 
 __all__ = ["Scheduler"]
 
@@ -52,9 +52,9 @@
         for job in self.job_by_id.values():
             self._classify(job)
 
-    def take_over_silences(self, silence_by_minion: Mapping[str, Silence]) -> None:
-        """Take in which minions a former owner sent no leases; goes before its jobs."""
-        self._silences = Silences(silence_by_minion)
+    def take_over_silences(self, last_grants: Mapping[SilentFor, float]) -> None:
+        """Take in which minions former owners sent no leases; goes before the jobs."""
+        self._silences = Silences(last_grants)
 
     def add_job(self, booked: BookedJob, now: float) -> None:
         """Take on a job of the log, unless it has ended.
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/settlement.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/settlement.py
@@ -17,7 +17,7 @@
 from geraniumshore_scheduler.internal.records import JobState
 from geraniumshore_scheduler.internal.run_book import AVOID_S, RunBook
 from geraniumshore_scheduler.internal.runs import OpenJob, Run, RunState
-from geraniumshore_scheduler.internal.silence import Silence
+from geraniumshore_scheduler.internal.silence import SilentFor
 
 __all__ = ["Settlement"]
 
@@ -122,16 +122,19 @@
         """Write down a minion's last lease, once more than one answer is missing."""
         if view.silent_since is None:
             view.silent_since = now
-        if (
-            now < view.silent_since + SILENCE_S
-            or view.granted_at is None
-            or not view.runs
-            or view.minion_id in self._silences
-        ):
+        if now < view.silent_since + SILENCE_S or not view.runs:
             return
-        silence = Silence(self.authority.epoch, view.granted_at)
-        self._silences.note(view.minion_id, silence)
-        self._record_silences(now)
+        last_grants: dict[SilentFor, float] = {}
+        if view.granted_at is not None:
+            own = SilentFor(view.minion_id, self.authority.epoch)
+            last_grants[own] = view.granted_at
+        for run in view.runs.values():
+            # Former owners, whose ends a process that starts later does not know.
+            if run.state is RunState.ADOPTED and run.foreign_until is not None:
+                former = SilentFor(view.minion_id, run.foreign_epoch or 0)
+                last_grants[former] = run.foreign_until
+        if self._silences.note(last_grants):
+            self._record_silences(now)
 
     def on_gone(self, minion_id: str, now: float) -> None:
         """Note that another minion answers at the address: this life is over."""
--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -186,7 +186,7 @@
                 self.authority.taken_at = now
                 self.authority.confirm(opened_at)
                 self._machine_orders.take_over(self._jobs.book.order_by_machine)
-                self._scheduler.take_over_silences(self._jobs.book.silence_by_minion)
+                self._scheduler.take_over_silences(self._jobs.book.last_grants)
                 if self._operators.configuration is not None:
                     self._scheduler.set_configuration(self._operators.configuration)
                 self._scheduler.set_listings(self._minions.listing_by_id, now)
--- a/tests/common/schedule_world.py
+++ b/tests/common/schedule_world.py
@@ -481,7 +481,7 @@
         )
         scheduler.set_configuration(configuration())
         scheduler.set_listings(self._listings(), self.world.now)
-        scheduler.take_over_silences(self.node.book.silence_by_minion)
+        scheduler.take_over_silences(self.node.book.last_grants)
         for booked in self.node.book.job_by_id.values():
             scheduler.add_job(booked, self.world.now)
         self.scheduler = scheduler
--- a/tests/cover/test_dark_racks_and_takeovers.py
+++ b/tests/cover/test_dark_racks_and_takeovers.py
@@ -13,7 +13,7 @@
     Placed,
     RunningTask,
     Scheduler,
-    Silence,
+    SilentFor,
     Step,
     decode_silences,
     encode_silences,
@@ -30,7 +30,7 @@
     return request
 
 
-def written(fleet: Fleet) -> dict[str, Silence]:
+def written(fleet: Fleet) -> dict[SilentFor, float]:
     """Return what the next batch tells of silent minions; empty where nothing."""
     batch = fleet.scheduler.plan(fleet.now, fleet.now * 1000)
     if batch is None or SILENCES_KEY not in batch.value_by_key:
@@ -54,9 +54,9 @@
 
 
 def test_the_last_lease_of_a_silent_minion_is_written_down():
-    (silence,) = written(go_dark()).values()
-    assert silence.epoch == 5
-    assert 6.0 <= silence.granted_at < 6.01
+    ((silent, granted_at),) = written(go_dark()).items()
+    assert silent == SilentFor("i-0", 5)
+    assert 6.0 <= granted_at < 6.01
 
 
 def test_one_lost_answer_writes_nothing_down():
@@ -102,9 +102,7 @@
     assert fleet.scheduler.on_start_sent(order.run, fleet.now) is not None
 
 
-def successor(
-    silences: dict[str, Silence], taken_at: float, epoch: int = 4
-) -> Scheduler:
+def successor(silences: dict[SilentFor, float], taken_at: float) -> Scheduler:
     """Return a new owner that knows one other minion, with a task on the silent one."""
     scheduler = Scheduler(Authority(9, taken_at, taken_at), TIMES)
     scheduler.set_configuration(configuration())
@@ -123,13 +121,13 @@
 
 
 def test_a_new_owner_counts_from_the_last_lease_not_from_its_takeover():
-    scheduler = successor({"i-0": Silence(4, 6.0)}, taken_at=12.0)
+    scheduler = successor({SilentFor("i-0", 4): 6.0}, taken_at=12.0)
     assert not freed(scheduler, 6.0 + TIMES.lapse - 0.1)
     assert freed(scheduler, 6.0 + TIMES.lapse + 0.3)
 
 
 @pytest.mark.parametrize(
-    "silences", [{}, {"i-0": Silence(3, 6.0)}, {"i-1": Silence(4, 6.0)}]
+    "silences", [{}, {SilentFor("i-0", 3): 6.0}, {SilentFor("i-1", 4): 6.0}]
 )
 def test_a_silence_of_another_owner_or_minion_shortens_nothing(silences):
     scheduler = successor(silences, taken_at=12.0)
@@ -138,17 +136,17 @@
 
 
 def test_a_silence_is_handed_on_from_owner_to_owner():
-    scheduler = successor({"i-0": Silence(4, 6.0)}, taken_at=9.0)
-    assert scheduler._silences.to_record({"i-0"}) == {"i-0": Silence(4, 6.0)}
+    scheduler = successor({SilentFor("i-0", 4): 6.0}, taken_at=9.0)
+    assert scheduler._silences.to_record({"i-0"}) == {SilentFor("i-0", 4): 6.0}
 
 
 def test_what_is_read_late_is_never_taken_as_older_than_it_is():
-    value = encode_silences({"i-0": Silence(4, 6.0)}, 8.0)
+    value = encode_silences({SilentFor("i-0", 4): 6.0}, 8.0)
     book = JobBook()
     book.fold(SILENCES_KEY, value, 0, now=108.5)
-    (silence,) = book.silence_by_minion.values()
+    (granted_at,) = book.last_grants.values()
     # Written at 8 s, read half a second later on a clock that is 100 s ahead.
-    assert 106.5 <= silence.granted_at < 106.502
+    assert 106.5 <= granted_at < 106.502
 
 
 def test_a_run_that_answers_its_new_owner_is_renewed_as_before():
@@ -157,3 +155,30 @@
     fleet.report("i-0", (row,))
     written(fleet)
     assert fleet.scheduler.view_by_id["i-0"].runs
+
+
+def look_in_vain(scheduler: Scheduler, now: float) -> None:
+    request = scheduler.hold_request("i-0", now)
+    assert request is not None
+    scheduler.on_silence(request)
+
+
+def test_an_owner_that_never_reached_a_minion_hands_on_when_the_former_one_ended():
+    scheduler = successor({}, taken_at=9.0)
+    for now in (9.5, 11.0):
+        scheduler.authority.confirm(now)
+        look_in_vain(scheduler, now)
+    batch = scheduler.plan(11.0, 0)
+    assert batch is not None
+    # Read by a process that has just started, and that takes over at 14 s.
+    known = decode_silences(batch.value_by_key[SILENCES_KEY], 11.1)
+    ends_at = 9.0 + TIMES.former_owner
+    assert ends_at <= known[SilentFor("i-0", 4)] <= ends_at + 0.11
+    third = successor(known, taken_at=14.0)
+    assert not freed(third, ends_at + TIMES.lapse)
+    assert freed(third, ends_at + TIMES.lapse + 0.3)
+
+
+def test_what_lies_ahead_is_not_taken_as_over():
+    value = encode_silences({SilentFor("i-0", 4): 12.0}, 10.0)
+    assert decode_silences(value, 10.0)[SilentFor("i-0", 4)] >= 12.0
--- a/tests/nocover/test_schedule_mutations.py
+++ b/tests/nocover/test_schedule_mutations.py
@@ -86,8 +86,8 @@
 
 
 def silences_younger_than_their_leases(patch):
-    def older(silence_by_minion, now):
-        return encode_silences(silence_by_minion, now + 4.0)
+    def older(last_grants, now):
+        return encode_silences(last_grants, now + 4.0)
 
     patch.setattr("geraniumshore_scheduler.internal.run_book.encode_silences", older)
 
