Pools: one order for each machine; the machines of a pass in a type of their own

Cause, found by reading the change: a machine that had been emptied and was idle by then counted among the spare ones as well, once its pool had been quiet for 0.8 s, and got two moves in one pass.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pools.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pools.py
@@ -18,6 +18,7 @@
     "Keep",
     "Move",
     "PoolLoad",
+    "PoolMachines",
     "PoolOrder",
     "PoolPolicy",
     "PoolRates",
@@ -74,6 +75,22 @@
 PoolOrder = Move | Empty | Keep
 
 
+@dataclass(frozen=True, slots=True)
+class PoolMachines:
+    """The machines as they stand, by pool and as far as they may be moved.
+
+    Nothing runs on ``idle`` ones. ``busy`` ones may be emptied; those that are free
+    soonest come first. ``coming`` counts those on their way to a pool, ``emptying``
+    names those that take no work, so that they can move.
+    """
+
+    size_by_pool: Mapping[str, int] = field(default_factory=dict)
+    idle_by_pool: Mapping[str, Sequence[MachineListing]] = field(default_factory=dict)
+    busy_by_pool: Mapping[str, Sequence[MachineListing]] = field(default_factory=dict)
+    coming_by_pool: Mapping[str, int] = field(default_factory=dict)
+    emptying_by_name: Mapping[str, MachineListing] = field(default_factory=dict)
+
+
 @dataclass(frozen=True, slots=True)
 class PoolRates:
     """When to move; times in seconds, amounts in machines.
@@ -110,27 +127,22 @@
     def plan(
         self,
         loads: Iterable[PoolLoad],
-        idle_by_pool: dict[str, Sequence[MachineListing]],
-        size_by_pool: dict[str, int],
-        coming_by_pool: dict[str, int],
+        machines: PoolMachines,
         standby: str | None,
         now: float,
-        busy_by_pool: Mapping[str, Sequence[MachineListing]] | None = None,
-        emptying: Mapping[str, MachineListing] | None = None,
     ) -> Iterator[PoolOrder]:
-        """Yield the moves to make now.
-
-        ``idle_by_pool`` has the machines on which nothing runs and which may be moved;
-        ``coming_by_pool`` counts the machines on their way to a pool.
-        ``busy_by_pool`` has those that may be emptied, those that are free soonest
-        first, and ``emptying`` those that are being emptied, by name.
-        """
+        """Yield what to do with machines now, at most one order for each of them."""
         load_by_pool = {load.pool: load for load in loads}
         for load in load_by_pool.values():
             if load.busy:
                 self._busy_at[load.pool] = now
+        size_by_pool = machines.size_by_pool
         pools = len(load_by_pool) + (standby is not None)
         onset = self.rates.keep_share * sum(size_by_pool.values()) / max(1, pools)
+        idle_by_pool = {
+            pool: [m for m in idle if m.machine not in machines.emptying_by_name]
+            for pool, idle in machines.idle_by_pool.items()
+        }
         spares = list(idle_by_pool.get(standby, ())) if standby is not None else []
         for pool, idle in idle_by_pool.items():
             if pool != standby and pool in load_by_pool:
@@ -139,11 +151,9 @@
                 )
                 spares.extend(releasable)
         taken: set[str] = set()
-        given = dict(coming_by_pool)
+        given = dict(machines.coming_by_pool)
         yield from self._fill(load_by_pool, given, spares, taken)
-        yield from self._share(
-            load_by_pool, given, idle_by_pool, busy_by_pool or {}, emptying or {}, now
-        )
+        yield from self._share(load_by_pool, given, machines, now)
         if standby is None:
             return
         for machine in spares:
@@ -192,20 +202,19 @@
         self,
         load_by_pool: dict[str, PoolLoad],
         given: dict[str, int],
-        idle_by_pool: dict[str, Sequence[MachineListing]],
-        busy_by_pool: Mapping[str, Sequence[MachineListing]],
-        emptying: Mapping[str, MachineListing],
+        machines: PoolMachines,
         now: float,
     ) -> Iterator[PoolOrder]:
         """Share machines that are busy, where timely work waits for want of them."""
-        idle = {m.machine for machines in idle_by_pool.values() for m in machines}
+        emptying = machines.emptying_by_name
+        idle = {m.machine for idle in machines.idle_by_pool.values() for m in idle}
         contenders = [
             Contender(pool, self._timely_want(load), load.room + given.get(pool, 0))
             for pool, load in load_by_pool.items()
         ]
         movable_by_pool = {
-            pool: [m for m in machines if self._has_stayed(m, now)]
-            for pool, machines in busy_by_pool.items()
+            pool: [m for m in busy if self._has_stayed(m, now)]
+            for pool, busy in machines.busy_by_pool.items()
         }
         transfers = share_by_want(contenders, list(emptying.values()), movable_by_pool)
         for transfer in transfers:
--- a/packages/geraniumshored/src/geraniumshored/node/machinist.py
+++ b/packages/geraniumshored/src/geraniumshored/node/machinist.py
@@ -4,6 +4,7 @@
 
 import logging
 import threading
+from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable, Mapping
 
 from geraniumshore_scheduler import (
@@ -17,6 +18,7 @@
     Move,
     OwnerReplacedError,
     PlatformUnavailableError,
+    PoolMachines,
     PoolOrder,
     PoolPolicy,
     Scheduler,
@@ -281,49 +283,38 @@
         with self._lock:
             now = self._now()
             standby = self._scheduler.standby_pool()
-            upkeep = self._waves.due_machines()
-            held = upkeep | set(self._moving)
-            held.update(
-                name
-                for name in self._machine_by_name
-                if not self._orders.is_free(name, now)
-            )
-            idle_by_pool: dict[str, list[MachineListing]] = {}
-            busy_by_pool: dict[str, list[MachineListing]] = {}
-            size_by_pool: dict[str, int] = {}
-            coming: dict[str, int] = {}
-            for machine in self._machine_by_name.values():
-                if machine.machine in self._moving:
-                    pool = self._moving[machine.machine][0].pool
-                    coming[pool] = coming.get(pool, 0) + 1
-                    continue
-                size_by_pool[machine.pool] = size_by_pool.get(machine.pool, 0) + 1
-                if machine.machine in upkeep:
-                    # Its wave empties it now.
-                    self._emptying.pop(machine.machine, None)
-                elif machine.machine in held:
-                    self._keep(machine.machine)
-                elif self._idle(machine, standby):
-                    idle_by_pool.setdefault(machine.pool, []).append(machine)
-                elif machine.machine not in self._emptying and self._may_empty(machine):
-                    busy_by_pool.setdefault(machine.pool, []).append(machine)
-            for machines in busy_by_pool.values():
-                machines.sort(key=self._free_in_s)
-            orders = self._pools.plan(
-                self._scheduler.pool_loads(now),
-                idle_by_pool,  # type: ignore[arg-type]
-                size_by_pool,
-                coming,
-                standby,
-                now,
-                busy_by_pool,
-                self._still_emptying(),
-            )
+            machines = self._sort_machines(standby, now)
+            loads = self._scheduler.pool_loads(now)
+            orders = self._pools.plan(loads, machines, standby, now)
             moves = [move for order in orders if (move := self._take_up(order))]
         self._announce(move.machine for move in moves)
         for move in moves:
             self._move(move)
 
+    def _sort_machines(self, standby: str | None, now: float) -> PoolMachines:
+        """Tell which machines may be moved, and which emptied for a move."""
+        in_upkeep = self._waves.due_machines()
+        coming = Counter(move.pool for move, _ in self._moving.values())
+        sizes: Counter[str] = Counter()
+        idle: dict[str, list[MachineListing]] = defaultdict(list)
+        busy: dict[str, list[MachineListing]] = defaultdict(list)
+        for name, machine in self._machine_by_name.items():
+            if name in self._moving:
+                continue
+            sizes[machine.pool] += 1
+            if name in in_upkeep:
+                # Its wave empties it now.
+                self._emptying.pop(name, None)
+            elif not self._orders.is_free(name, now):
+                self._keep(name)
+            elif self._idle(machine, standby):
+                idle[machine.pool].append(machine)
+            elif name not in self._emptying and self._may_empty(machine):
+                busy[machine.pool].append(machine)
+        for machines in busy.values():
+            machines.sort(key=self._free_in_s)
+        return PoolMachines(sizes, idle, busy, coming, self._still_emptying())
+
     def _idle(self, machine: MachineListing, standby: str | None) -> bool:
         if not machine.up:
             return False
@@ -346,8 +337,11 @@
         """Return when a machine's tasks should have ended, from their estimates."""
         view = self._scheduler.view_by_id[machine.minion_id or ""]
         return max(
-            run.step.estimate_ms / MS * (1 - run.percent / 100)
-            for run in view.runs.values()
+            (
+                run.step.estimate_ms / MS * (1 - run.percent / 100)
+                for run in view.runs.values()
+            ),
+            default=0.0,
         )
 
     def _still_emptying(self) -> dict[str, MachineListing]:
--- a/tests/cover/test_bursts_that_compete.py
+++ b/tests/cover/test_bursts_that_compete.py
@@ -8,6 +8,7 @@
     MachineListing,
     Move,
     PoolLoad,
+    PoolMachines,
     PoolPolicy,
     PoolRates,
     Step,
@@ -47,12 +48,10 @@
 
 
 def orders(policy, loads, busy, emptying=(), idle=None, now=10.0):
-    machines = {m.machine: m for m in emptying}
-    return list(
-        policy.plan(
-            loads, idle or {}, {"a": 8, "b": 2}, {}, "spare", now, busy, machines
-        )
+    machines = PoolMachines(
+        {"a": 8, "b": 2}, idle or {}, busy, {}, {m.machine: m for m in emptying}
     )
+    return list(policy.plan(loads, machines, "spare", now))
 
 
 def test_a_pool_with_stale_work_gives_machines_to_one_with_timely_work():
@@ -94,6 +93,13 @@
     assert Move("m0", "b") in moved
 
 
+def test_an_emptied_machine_gets_one_order_though_its_pool_is_quiet_by_now():
+    leaving = machine("m0", "a")
+    loads = [PoolLoad("a", room=9), timely("b", 0, 3)]
+    given = orders(PoolPolicy(RATES), loads, {}, [leaving], {"a": [leaving]})
+    assert given == [Move("m0", "b")]
+
+
 def test_a_machine_is_kept_when_the_other_pool_needs_it_no_more():
     loads = [timely("a", 7, 9), PoolLoad("b", room=2)]
     assert orders(PoolPolicy(RATES), loads, {}, [machine("m0", "a")]) == [Keep("m0")]
--- a/tests/cover/test_pools_for_turns.py
+++ b/tests/cover/test_pools_for_turns.py
@@ -10,6 +10,7 @@
     MachineListing,
     Move,
     PoolLoad,
+    PoolMachines,
     PoolPolicy,
     PoolRates,
     Resources,
@@ -25,7 +26,8 @@
 
 
 def moves(policy, loads, idle, sizes=None, coming=None, now=10.0):
-    return list(policy.plan(loads, idle, sizes or {}, coming or {}, "spare", now))
+    machines = PoolMachines(sizes or {}, idle, coming_by_pool=coming or {})
+    return list(policy.plan(loads, machines, "spare", now))
 
 
 def spares(count: int) -> dict[str, list[MachineListing]]:
