Leases: an owner's record says when the epochs before it began

A rolling restart every 2.5 s over a rack that went dark at 11 s beside a slow store: each owner left before it had written down that the rack was silent (two looks, 2.6 s), and the processes that followed had started after the first epoch's end. A lasting task ran elsewhere at 31.7 s.

Now the record that opens an epoch carries how long ago the former ones (of the last minute) had certainly begun; whoever reads it alone knows when they ended. A silent minion is written down when its first long look ends without an answer (1.7 s), not with the second.

Test: test_a_process_that_starts_during_a_rolling_restart_knows_when_epochs_ended, test_one_long_look_without_an_answer_is_silence_enough (both failed first).

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_book.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_book.py
@@ -8,6 +8,7 @@
 from geraniumshore_scheduler.internal.machine_orders import AnnouncedOrder
 from geraniumshore_scheduler.internal.model import Job
 from geraniumshore_scheduler.internal.records import (
+    MS_S,
     OWNER_LEFT_KEY,
     SILENCES_KEY,
     JobState,
@@ -30,6 +31,10 @@
 __all__ = ["BookedJob", "JobBook"]
 
 
+# Epochs that began longer ago say nothing of leases that may still stand.
+EPOCHS_KEPT_S = 60.0
+
+
 @dataclass(slots=True)
 class BookedJob:
     """A job and the newest records of it.
@@ -158,6 +163,17 @@
         if self.owner is None or owner.epoch > self.owner.epoch:
             self.owner = owner
             self.opened_at_by_epoch[owner.epoch] = now
+            for epoch, age in owner.opened_s_ago.items():
+                opened_at = min(now - age, self.opened_at_by_epoch.get(epoch, now))
+                self.opened_at_by_epoch[epoch] = opened_at
+
+    def opened_s_ago(self, now: float) -> dict[int, float]:
+        """Return how long ago the latest epochs had certainly begun, for the log."""
+        return {
+            epoch: round(now - opened_at - MS_S, 3)
+            for epoch, opened_at in self.opened_at_by_epoch.items()
+            if now - opened_at < EPOCHS_KEPT_S
+        }
 
     def _accept(self, job: Job, now: float) -> BookedJob:
         booked = BookedJob(job, now)
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
@@ -16,6 +16,7 @@
 
 __all__ = [
     "MACHINE_ORDERS_KEY",
+    "MS_S",
     "OWNER_KEY",
     "OWNER_LEFT_KEY",
     "SILENCES_KEY",
@@ -96,10 +97,15 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnerRecord:
-    """The process that owns the schedule from this record on."""
+    """The process that owns the schedule from this record on.
+
+    ``opened_s_ago`` says of former epochs when they had certainly begun, and so when
+    the ones before them ended: a process that starts later reads this record only.
+    """
 
     member: str
     epoch: int
+    opened_s_ago: dict[int, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/settlement.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/settlement.py
@@ -106,8 +106,8 @@
         if not accepted and view.accepts(now):
             self._note_room(view)
 
-    def on_silence(self, asked: HoldRequest) -> None:
-        """Note that a minion did not answer a look."""
+    def on_silence(self, asked: HoldRequest, now: float) -> None:
+        """Note that a minion did not answer a look; the wait for it ends now."""
         view = self.view_by_id.get(asked.minion_id)
         if view is None:
             return
@@ -116,12 +116,13 @@
         if view.reached:
             view.reached = False
             self._decide("minion silent", "", view.minion_id, {"runs": len(view.runs)})
-        self._note_silence(view, asked.sent_at)
+        if view.silent_since is None:
+            view.silent_since = asked.sent_at
+        self._note_silence(view, now)
 
     def _note_silence(self, view: MinionView, now: float) -> None:
-        """Write down a minion's last lease, once more than one answer is missing."""
-        if view.silent_since is None:
-            view.silent_since = now
+        """Write down a silent minion's last lease."""
+        assert view.silent_since is not None
         if now < view.silent_since + SILENCE_S or not view.runs:
             return
         last_grants: dict[SilentFor, float] = {}
--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -211,7 +211,9 @@
         The time at which this began is a lower bound for the log's confirmation.
         """
         writer = Writer(WRITER, self.authority.epoch, self._number)
-        owner = OwnerRecord(self._member, self.authority.epoch)
+        with self._jobs.lock:
+            opened_s_ago = self._jobs.book.opened_s_ago(self._now())
+        owner = OwnerRecord(self._member, self.authority.epoch, opened_s_ago)
         records = [Record(OWNER_KEY, encode_owner(owner))]
         while not self._stopped.is_set() and self._now() < deadline:
             try:
@@ -430,7 +432,7 @@
     def _silent(self, request: HoldRequest, error: GeraniumshoreError) -> None:
         self._metrics.count("looks", "unanswered")
         with self._lock:
-            self._scheduler.on_silence(request)
+            self._scheduler.on_silence(request, self._now())
         log_event(logger, "look unanswered", minion=request.minion_id, cause=str(error))
         self._wake.set()
 
