Tests: machines and rates of pools are made by one piece of code

Cause: two test files of pools built the same machine and the same rates, letter by letter. Moved to tests/common/schedule_parts; no assertion changes. Seen: the two files, the machinist's and the scheduler's decisions pass (59 tests); format, lint and types pass.

--- a/tests/common/schedule_parts.py
+++ b/tests/common/schedule_parts.py
@@ -9,9 +9,11 @@
     EndedRun,
     HoldRequest,
     Job,
+    MachineListing,
     MinionListing,
     MinionReport,
     OwnershipTimes,
+    PoolRates,
     Queue,
     Resources,
     RunningTask,
@@ -26,6 +28,14 @@
 CAPACITY = Resources(16_000, 32_000, 0)
 SMALL = Resources(1_000, 1_000, 0)
 NO_LIMIT = Resources()
+POOL_RATES = PoolRates(
+    lead_s=2, clear_s=1, least=0.4, stay_s=2, idle_s=1, keep_share=0.5
+)
+
+
+def machine(name: str, pool: str) -> MachineListing:
+    """Return a machine that is up in a pool."""
+    return MachineListing(name, pool, True, "a", ("a", "r1"), CAPACITY, f"i-{name}")
 
 
 def listing(number: int, rack: str = "r1", service: str = "s") -> MinionListing:
--- a/tests/cover/test_bursts_that_compete.py
+++ b/tests/cover/test_bursts_that_compete.py
@@ -5,29 +5,23 @@
 from geraniumshore_scheduler import (
     Empty,
     Keep,
-    MachineListing,
     Move,
     PoolLoad,
     PoolMachines,
     PoolPolicy,
-    PoolRates,
     Step,
 )
 from tests.common.schedule_parts import (
     CAPACITY,
+    POOL_RATES as RATES,
     SMALL,
     Fleet,
     configuration,
     job,
+    machine,
 )
 from tests.cover.test_machinist import Bench
 
-RATES = PoolRates(lead_s=2, clear_s=1, least=0.4, stay_s=2, idle_s=1, keep_share=0.5)
-
-
-def machine(name: str, pool: str) -> MachineListing:
-    return MachineListing(name, pool, True, "a", ("a", "r1"), CAPACITY, f"i-{name}")
-
 
 def stale(pool: str, room: float) -> PoolLoad:
     """Return a pool whose backlog is large and can no longer be in time."""
--- a/tests/cover/test_pools_for_turns.py
+++ b/tests/cover/test_pools_for_turns.py
@@ -12,17 +12,18 @@
     PoolLoad,
     PoolMachines,
     PoolPolicy,
-    PoolRates,
     Resources,
     Step,
 )
-from tests.common.schedule_parts import CAPACITY, SMALL, Fleet, configuration, job
-
-RATES = PoolRates(lead_s=2, clear_s=1, least=0.4, stay_s=2, idle_s=1, keep_share=0.5)
-
-
-def machine(name: str, pool: str) -> MachineListing:
-    return MachineListing(name, pool, True, "a", ("a", "r1"), CAPACITY, f"i-{name}")
+from tests.common.schedule_parts import (
+    CAPACITY,
+    POOL_RATES as RATES,
+    SMALL,
+    Fleet,
+    configuration,
+    job,
+    machine,
+)
 
 
 def moves(policy, loads, idle, sizes=None, coming=None, now=10.0):
