A daemon acts on a SIGTERM that another thread received

Cause: Daemon.run waited for the event without a timeout. Signal handlers run in the main thread only, which a signal to another thread does not wake.

--- a/packages/geraniumshored/src/geraniumshored/internal/daemon.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/daemon.py
@@ -45,6 +45,9 @@
 SERVICE_LEVELS_INTERVAL_SECONDS = 60.0
 LEAVE_TIMEOUT_SECONDS = 3.0
 SEND_TIMEOUT_SECONDS = 5.0
+# Signal handlers run in the main thread only, and a signal that another thread receives
+# does not wake it.
+SIGNAL_CHECK_SECONDS = 0.2
 
 
 class ExitStatus(IntEnum):
@@ -130,7 +133,8 @@
         """
         self._stop_requested = stop_requested
         self._start()
-        stop_requested.wait()
+        while not stop_requested.wait(SIGNAL_CHECK_SECONDS):
+            pass
         self._shut_down()
         return ExitStatus.EVICTED if self._evicted else ExitStatus.DONE
 
--- a/tests/cover/test_overload_and_leaving.py
+++ b/tests/cover/test_overload_and_leaving.py
@@ -159,12 +159,14 @@
     with Balancer(fleet.entry_by_name) as balancer, ThreadPoolExecutor(6) as pool:
         for number in range(6):
             pool.submit(load, balancer, number)
-        for entry in entries:
-            entry.kill(signal.SIGTERM)
-            assert entry.process.wait(EXIT_SECONDS) == 0
-            fleet.restart_entry(entry.name)
-            wait_for(entry.ready, f"ready {entry.name}")
-        stop.set()
+        try:
+            for entry in entries:
+                entry.kill(signal.SIGTERM)
+                assert entry.process.wait(EXIT_SECONDS) == 0
+                fleet.restart_entry(entry.name)
+                wait_for(entry.ready, f"ready {entry.name}")
+        finally:
+            stop.set()
     assert set(results) == {"200"}
     bodies = Counter(
         run["body"]
