Leases of 4 s: the tasks of a silent minion start elsewhere sooner

Change: the owner grants 4 s, which spans a poll interval, a restart of all processes and a takeover. Unanswered starts still wait for the longest lease.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/authority.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/authority.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 __all__ = ["Authority", "OwnershipTimes"]
@@ -14,8 +15,10 @@
     ``ttl`` is how long the group keeps a member without heartbeats, and how long an
     owner acts on its last read of the log. For another ``grace`` it sends orders that
     carry a fencing token, to bridge an outage of the store. ``longest_lease`` is the
-    platform's upper bound on a lease. ``clock_rate`` is the largest relative error of a
-    steady clock. ``order_delay`` is how late an unanswered order may still take effect.
+    platform's upper bound on a lease. ``lease`` is the length of the leases that an
+    owner grants, if that is shorter: the runs on a minion that falls silent are started
+    elsewhere only after it. ``clock_rate`` is the largest relative error of a steady
+    clock. ``order_delay`` is how late an unanswered order may still take effect.
     ``longest_stop`` is the longest that a run executes after its stop was accepted.
     """
 
@@ -25,12 +28,27 @@
     clock_rate: float = 0.02
     order_delay: float = 12.0
     longest_stop: float = 1.0
+    lease: float = math.inf
 
     @property
     def lapse(self) -> float:
-        """The longest that a lease lasts on this clock, if both clocks are wrong."""
+        """The longest that any lease lasts on this clock, if both clocks are wrong.
+
+        A minion that restarts may read a lease of its former incarnation as longer than
+        it was, up to the platform's bound.
+        """
         return self.longest_lease * (1 + 2 * self.clock_rate)
 
+    @property
+    def granted_lease(self) -> float:
+        """The length of the leases that an owner grants."""
+        return min(self.lease, self.longest_lease)
+
+    @property
+    def granted_lapse(self) -> float:
+        """The longest that a granted lease lasts where the minion did not restart."""
+        return self.granted_lease * (1 + 2 * self.clock_rate)
+
     @property
     def former_owner_overlap(self) -> float:
         """How long a former owner may send orders after a newer epoch was opened."""
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
@@ -132,9 +132,9 @@
         self.stopping = True
 
     def lease_until_ms(self, now: float, times: OwnershipTimes) -> int:
-        """Return the end of a lease of maximum length, on the minion's clock."""
+        """Return the end of a lease that is granted now, on the minion's clock."""
         return int(
-            self.clock_ms + (now - self.clock_at + times.longest_lease) * MS_PER_S
+            self.clock_ms + (now - self.clock_at + times.granted_lease) * MS_PER_S
         )
 
     def record_unanswered_grant(self, sent_at: float) -> None:
@@ -152,13 +152,21 @@
         self.responsive = True
 
     def lapsed_at(self, run: Run, times: OwnershipTimes) -> float:
-        """Return when a run's lease has certainly lapsed if no poll is answered."""
-        renewed_until = run.since
+        """Return when a run's lease has certainly lapsed if no poll is answered.
+
+        The incarnation of a confirmed run has no restart to survive, so this owner's
+        leases last there as long as they were granted for.
+        """
+        confirmed = run.confirmed_at is not None
+        ends = [self.late_grant_until]
         if run.foreign_until is not None:
-            renewed_until = run.foreign_until
+            ends.append(run.foreign_until + times.lapse)
+        elif not confirmed:
+            ends.append(run.since + times.lapse)
         if self.granted_at is not None:
-            renewed_until = max(renewed_until, self.granted_at)
-        return max(renewed_until + times.lapse, self.late_grant_until)
+            lapse = times.granted_lapse if confirmed else times.lapse
+            ends.append(self.granted_at + lapse)
+        return max(ends)
 
     def may_be_stopping(self, run: Run, now: float, times: OwnershipTimes) -> bool:
         """Return whether a former owner may have stopped a run that still executes."""
--- a/packages/geraniumshored/src/geraniumshored/platform/settings.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/settings.py
@@ -19,6 +19,9 @@
 # in that time keep runs alive for up to ``longest_lease`` more. A successor waits as
 # long before it restarts the runs of minions that it cannot reach.
 STORE_OUTAGE_GRACE_S = 2.0
+# The length of leases: a restart of all processes and a takeover, after the longest
+# interval between two polls. The runs of a minion that falls silent wait as long.
+LEASE_S = 4.0
 
 
 class PlatformSettings(BaseModel):
@@ -53,6 +56,7 @@
                 grace=STORE_OUTAGE_GRACE_S,
                 longest_lease=self.longest_lease_ms / MS_PER_SECOND,
                 longest_stop=self.longest_stop_ms / MS_PER_SECOND,
+                lease=LEASE_S,
             ),
             leaving_s=self.leaving_s,
             ownership_lease_s=self.duty_lease_ms / MS_PER_SECOND,
--- a/tests/common/schedule_simulation.py
+++ b/tests/common/schedule_simulation.py
@@ -62,6 +62,7 @@
 TTL_S = 1.0
 GRACE_S = 3.0
 LEASE_S = 6.0
+GRANTED_LEASE_S = 3.0
 MINION_CPU = 4000
 TASK_CPU = 1000
 MS_PER_SECOND = 1000.0
@@ -448,7 +449,7 @@
         self.node = node
         self.simulation = node.simulation
         self.authority = Authority(epoch, float("-inf"), float("-inf"))
-        self.times = OwnershipTimes(TTL_S, GRACE_S, LEASE_S)
+        self.times = OwnershipTimes(TTL_S, GRACE_S, LEASE_S, lease=GRANTED_LEASE_S)
         self.scheduler: Scheduler | None = None
         self.stopped = False
         self.number = 0
