The record of unresponsive minions is written again every 2 s

Change: while a minion with runs is unresponsive, its record is written again every 2 s, so a process that starts later is at most 2 s behind. Shown: test_a_process_that_starts_later_reads_a_record_of_seconds_ago; without the change its newest record is of 7.6 s at 15 s.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
@@ -32,6 +32,9 @@
 COMPLETION_RECORDING_WAIT_S = 0.3
 # A minion that has not answered for this long is recorded for the next owner.
 UNRESPONSIVE_AFTER_S = 1.0
+# Interval between records of unresponsive minions. A process that starts later takes
+# the newest one for as old as its own reading of it.
+UNRESPONSIVE_RECORD_INTERVAL_S = 2.0
 # How long a minion holds a poll open while no run completes.
 POLL_WAIT_MS = 1000
 
@@ -141,7 +144,9 @@
             if run.state is RunState.ADOPTED and run.foreign_until is not None:
                 former = MinionEpoch(view.minion_id, run.foreign_epoch or 0)
                 last_grants[former] = run.foreign_until
-        if self._unresponsive.add(last_grants):
+        added = self._unresponsive.add(last_grants)
+        record_due_at = self._unresponsive_recorded_at + UNRESPONSIVE_RECORD_INTERVAL_S
+        if added or now >= record_due_at:
             self._record_unresponsive(now)
 
     def on_minion_replaced(self, minion_id: str, now: float) -> None:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
@@ -67,6 +67,7 @@
         self._order = order or ByObjective()
         self._opened_at_by_epoch = opened_at_by_epoch or {}
         self._unresponsive = UnresponsiveMinions({})
+        self._unresponsive_recorded_at = float("-inf")
         self._used_services: set[str] = set()
         # Jobs with occurrences that are not due yet.
         self._recurring: dict[str, OpenJob] = {}
@@ -139,6 +140,7 @@
         """Add to the next batch which minions get no leases from this owner."""
         relevant = {m for m, view in self.view_by_id.items() if view.runs}
         last_grants = self._unresponsive.to_record(relevant)
+        self._unresponsive_recorded_at = now
         self._records[UNRESPONSIVE_KEY] = encode_unresponsive(last_grants, now)
 
     @staticmethod
--- a/tests/cover/test_unresponsive_minions_and_takeovers.py
+++ b/tests/cover/test_unresponsive_minions_and_takeovers.py
@@ -26,7 +26,10 @@
     encode_owner,
     encode_unresponsive,
 )
-from geraniumshore_scheduler.internal.reconciliation import UNRESPONSIVE_AFTER_S
+from geraniumshore_scheduler.internal.reconciliation import (
+    UNRESPONSIVE_AFTER_S,
+    UNRESPONSIVE_RECORD_INTERVAL_S,
+)
 from tests.common.schedule_parts import SMALL, TIMES, Fleet, configuration, job, listing
 
 LONG_RUNNING = Step(1, SMALL, 500, lasting=True)
@@ -161,6 +164,23 @@
     assert 106.5 <= granted_at < 106.502
 
 
+def test_a_process_that_starts_later_reads_a_record_of_seconds_ago():
+    fleet = fleet_with_unresponsive_minion()
+    batches = []
+    for fleet.now in (7.6, 9.0, 10.0, 12.0, 14.0):
+        poll_without_answer(fleet)
+        batch = fleet.scheduler.plan(fleet.now, 0)
+        if batch is not None and UNRESPONSIVE_KEY in batch.value_by_key:
+            fleet.scheduler.on_durable(batch)
+            batches.append((fleet.now, batch))
+    recorded_at, newest = batches[-1]
+    read_at = 15.0
+    assert read_at - recorded_at <= UNRESPONSIVE_RECORD_INTERVAL_S + 1.0
+    known = decode_unresponsive(newest.value_by_key[UNRESPONSIVE_KEY], read_at)
+    # The lease of 6 s counts from 8 s at the latest, not from the start of the process.
+    assert 6.0 <= known[MinionEpoch("i-0", 5)] <= 6.0 + read_at - recorded_at + 0.01
+
+
 def test_a_run_that_is_reported_again_is_kept():
     fleet = fleet_with_unresponsive_minion()
     row = RunningTask("a" * 16 + ".0.0.0", fleet.scheduler._next_run - 1, "", 100)
