Nodes that the store turns away are not ready, and refuse jobs at once

Cause: where the store turned all nodes of a data centre away, these stayed ready for 2 s after their last read and tried an append for each job; callers there used up their tries on them. Change: ready only while the last reads of all streams were answered; a job is refused as not run, without an append, once reads of the accepted jobs have failed for 0.4 s.

--- a/packages/geraniumshored/src/geraniumshored/node/job_requests.py
+++ b/packages/geraniumshored/src/geraniumshored/node/job_requests.py
@@ -129,6 +129,8 @@
         except InvalidInputError as error:
             answer = Answer(Verdict.MALFORMED, detail=str(error))
             return self._record_answer("submit", job_id, answer)
+        if not self._jobs.can_accept(self._now()):
+            return self._record_answer("submit", job_id, self._store_away_answer())
         record = Record(job_key(RecordKind.ACCEPTED, job_id), encode_job(job))
         answer = self._write(record, caller)
         if answer.verdict is Verdict.UNCERTAIN and self._jobs.find(job_id) is not None:
@@ -216,11 +218,7 @@
             self._jobs.fold(record)
             return Answer(Verdict.OK)
         if outcome is AppendOutcome.NOT_DONE:
-            return Answer(
-                Verdict.NOT_RUN,
-                retry_after_s=UNAVAILABLE_RETRY_AFTER_S,
-                detail="the store is away",
-            )
+            return self._store_away_answer()
         return Answer(Verdict.UNCERTAIN, detail="the store did not answer")
 
     def _unknown_job(self, call: str, job_id: str) -> Answer:
@@ -231,6 +229,14 @@
     def _is_current(self) -> bool:
         return self._jobs.age(self._now()) < MAX_LOG_AGE_S
 
+    @staticmethod
+    def _store_away_answer() -> Answer:
+        return Answer(
+            Verdict.NOT_RUN,
+            retry_after_s=UNAVAILABLE_RETRY_AFTER_S,
+            detail="the store is away",
+        )
+
     @staticmethod
     def _outdated_answer() -> Answer:
         return Answer(
--- a/packages/geraniumshored/src/geraniumshored/node/node.py
+++ b/packages/geraniumshored/src/geraniumshored/node/node.py
@@ -73,11 +73,18 @@
         self._ownership.start()
 
     def ready(self) -> bool:
-        """Return whether the balancer should send callers here."""
+        """Return whether the balancer should send callers here.
+
+        A node that cannot reach the store could only refuse them. The balancer ignores
+        a single probe, so short disconnections need no delay here.
+        """
         return (
             not self._stopping.is_set()
             and self._operators.configuration is not None
             and self._jobs.age(self._now()) < MAX_READY_LOG_AGE_S
+            and self._operators.connected
+            and self._minions.connected
+            and self._jobs.connected
         )
 
     def stop(self, announce: Callable[[], None], open_calls: Callable[[], int]) -> None:
--- a/packages/geraniumshored/src/geraniumshored/node/views.py
+++ b/packages/geraniumshored/src/geraniumshored/node/views.py
@@ -32,6 +32,9 @@
 READ_WAIT_MS = 1000
 # Delay before a failed read is retried.
 RETRY_S = 0.1
+# Reads that have failed for this long show that an append would fail too. A single lost
+# answer is made up for within it.
+STORE_AWAY_AFTER_S = 0.4
 
 
 class Follower(ABC):
@@ -48,7 +51,7 @@
         self._caught_up_at = float("-inf")
         self._open_read_started_at: float | None = None
         self._read_started_at = float("-inf")
-        self._disconnected = False
+        self._disconnected_since: float | None = None
         self._read_requested = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name=f"follow-{stream.value}", daemon=True
@@ -62,6 +65,16 @@
         """Return for how many seconds the view may have missed records."""
         return now - self._caught_up_at
 
+    def disconnected_s(self, now: float) -> float:
+        """Return for how many seconds reads have failed, 0 if the last one did not."""
+        since = self._disconnected_since
+        return 0.0 if since is None else max(0.0, now - since)
+
+    @property
+    def connected(self) -> bool:
+        """Whether the last read that ended was answered."""
+        return self._disconnected_since is None
+
     @property
     def offset(self) -> int:
         """The offset up to which the stream is folded."""
@@ -89,24 +102,29 @@
 
     def _run(self) -> None:
         while True:
-            try:
-                self._step()
-            except (PlatformUnavailableError, UnknownOutcomeError) as error:
-                if not self._disconnected:
-                    self._disconnected = True
-                    log_event(
-                        logger,
-                        "stream lost",
-                        stream=self._stream.value,
-                        offset=self._offset,
-                        cause=str(error),
-                    )
-                self._read_requested.wait(RETRY_S)
-            except Exception:
-                # If this thread ended, the node would answer from an outdated view.
-                logger.exception("fault while following %s", self._stream.value)
+            if not self.read_once():
                 self._read_requested.wait(RETRY_S)
 
+    def read_once(self) -> bool:
+        """Read and fold new records; return whether that succeeded."""
+        try:
+            self._step()
+            return True
+        except (PlatformUnavailableError, UnknownOutcomeError) as error:
+            if self._disconnected_since is None:
+                self._disconnected_since = self._now()
+                log_event(
+                    logger,
+                    "stream lost",
+                    stream=self._stream.value,
+                    offset=self._offset,
+                    cause=str(error),
+                )
+        except Exception:
+            # If the thread ended here, the node would answer from an outdated view.
+            logger.exception("fault while following %s", self._stream.value)
+        return False
+
     def _step(self) -> None:
         self._read_requested.clear()
         self._read_started_at = started_at = self._open_read_started_at = self._now()
@@ -132,8 +150,8 @@
                 return
             self._fold(page.records)
             self._offset += len(page.records)
-        if self._disconnected:
-            self._disconnected = False
+        if self._disconnected_since is not None:
+            self._disconnected_since = None
             log_event(
                 logger,
                 "stream regained",
@@ -288,10 +306,24 @@
         for follower in self._followers:
             follower.start()
 
+    def read_once(self) -> bool:
+        """Read each stream once; return whether all reads succeeded."""
+        accepted, progress = (follower.read_once() for follower in self._followers)
+        return accepted and progress
+
     def age(self, now: float) -> float:
         """Return for how many seconds the registry may have missed records."""
         return max(follower.age(now) for follower in self._followers)
 
+    @property
+    def connected(self) -> bool:
+        """Whether the last read of each stream was answered."""
+        return all(follower.connected for follower in self._followers)
+
+    def can_accept(self, now: float) -> bool:
+        """Return whether the store may accept jobs, as far as reads show."""
+        return self._followers[0].disconnected_s(now) < STORE_AWAY_AFTER_S
+
     @property
     def progress_offset(self) -> int:
         """The offset up to which the owner's records are folded."""
