Jobs that a restarted process reads count from when they were accepted

Cause: a process that has just started took all jobs in the log for accepted at that moment. Change: the time of day of the accepting node gives a job's age, within the bounds that the reads set; a takeover counts jobs in the order of their acceptance.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/__init__.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/__init__.py
@@ -20,7 +20,11 @@
     StepKey,
 )
 from geraniumshore_scheduler.internal.authority import Authority, OwnershipTimes
-from geraniumshore_scheduler.internal.job_registry import JobRegistry, RegisteredJob
+from geraniumshore_scheduler.internal.job_registry import (
+    JobRegistry,
+    Reading,
+    RegisteredJob,
+)
 from geraniumshore_scheduler.internal.machine_orders import (
     ANNOUNCEMENT_VALID_S,
     AnnouncedOrder,
@@ -160,6 +164,7 @@
     "Queue",
     "RecordKind",
     "RecordsTrimmedError",
+    "Reading",
     "RegisteredJob",
     "Resources",
     "Run",
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_registry.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_registry.py
@@ -28,8 +28,9 @@
 )
 from geraniumshore_scheduler.internal.unresponsive import MinionEpoch
 
-__all__ = ["RegisteredJob", "JobRegistry"]
+__all__ = ["JobRegistry", "Reading", "RegisteredJob"]
 
+MS_PER_S = 1000.0
 
 # Epochs that began earlier are left out of the owner's record: all leases from before
 # them have lapsed.
@@ -59,6 +60,28 @@
         return self.progress.state
 
 
+@dataclass(frozen=True, slots=True)
+class Reading:
+    """When the records of a read were appended, as far as the reader knows.
+
+    ``appended_after`` is the start of the last complete read before this one, on the
+    reader's steady clock; minus infinity for a process that has just started.
+    ``wall_ms`` is the reader's time of day.
+    """
+
+    appended_after: float
+    wall_ms: float
+
+    def accepted_at(self, job: Job, now: float) -> float:
+        """Return when a job was accepted, on the reader's steady clock.
+
+        The time of day of the accepting node decides only within the bounds that the
+        reads set, as clocks differ and jump.
+        """
+        age_s = (self.wall_ms - job.accepted_ms) / MS_PER_S
+        return min(now, max(self.appended_after, now - age_s))
+
+
 @dataclass(frozen=True, slots=True)
 class _Orphan:
     """A record of a job whose ACCEPTED record is deleted or not yet read."""
@@ -85,13 +108,19 @@
         self._pending_by_queue: dict[str, int] = {}
 
     def fold(
-        self, key: str, value: bytes, offset: int, now: float
+        self,
+        key: str,
+        value: bytes,
+        offset: int,
+        now: float,
+        reading: Reading | None = None,
     ) -> RegisteredJob | None:
         """Apply one record; return the job that it changed, if any.
 
         Records may repeat, and records with different keys may arrive in any order:
         they come from two streams, and pages of newest records are not a snapshot.
-        Raises InvalidInputError for a value that cannot be decoded.
+        Without ``reading`` a job counts as accepted when its record is applied. Raises
+        InvalidInputError for a value that cannot be decoded.
         """
         parts = split_key(key)
         if parts is None:
@@ -119,7 +148,7 @@
             return None
         if kind is RecordKind.ACCEPTED:
             if registered is None:
-                return self._accept(decode_job(value), now)
+                return self._accept(decode_job(value), now, reading)
             return None
         if registered is None:
             self._orphans[kind, job_id] = _Orphan(offset, value, now)
@@ -182,8 +211,9 @@
             if now - opened_at < EPOCH_RETENTION_S
         }
 
-    def _accept(self, job: Job, now: float) -> RegisteredJob:
-        registered = RegisteredJob(job, now)
+    def _accept(self, job: Job, now: float, reading: Reading | None) -> RegisteredJob:
+        accepted_at = now if reading is None else reading.accepted_at(job, now)
+        registered = RegisteredJob(job, accepted_at)
         self.job_by_id[job.job_id] = registered
         self._adjust_pending(registered, 1)
         for kind in (RecordKind.CANCELLED, RecordKind.PROGRESS):
--- a/packages/geraniumshored/src/geraniumshored/node/job_requests.py
+++ b/packages/geraniumshored/src/geraniumshored/node/job_requests.py
@@ -212,10 +212,11 @@
 
     def _write(self, record: Record, caller: Caller) -> Answer:
         wait_s = min(MAX_WAIT_S, caller.timeout_s - ANSWER_MARGIN_S)
-        outcome = self._appender.append(record, self._now() + wait_s)
+        began = self._now()
+        outcome = self._appender.append(record, began + wait_s)
         if outcome is AppendOutcome.DONE:
             # Later answers of this node use the record before it is read back.
-            self._jobs.fold(record)
+            self._jobs.fold(record, began)
             return Answer(Verdict.OK)
         if outcome is AppendOutcome.NOT_DONE:
             return self._store_away_answer()
--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -193,7 +193,9 @@
                 if self._operators.configuration is not None:
                     self._scheduler.set_configuration(self._operators.configuration)
                 self._scheduler.set_listings(self._minions.listing_by_id, now)
-                for registered in self._jobs.registry.job_by_id.values():
+                jobs = self._jobs.registry.job_by_id.values()
+                # Teams' shares count jobs in the order of their acceptance.
+                for registered in sorted(jobs, key=lambda job: job.accepted_at):
                     self._scheduler.add_job(registered, now)
         self._operators.on_configuration = self._on_configuration
         self._minions.on_change = self._on_minions
--- a/packages/geraniumshored/src/geraniumshored/node/views.py
+++ b/packages/geraniumshored/src/geraniumshored/node/views.py
@@ -15,12 +15,14 @@
     MaintenanceWave,
     MinionListing,
     PlatformUnavailableError,
+    Reading,
     RecordKind,
     RecordsTrimmedError,
     RegisteredJob,
     UnknownOutcomeError,
     split_key,
 )
+from geraniumshored.node.clock import wall_ms
 from geraniumshored.node.logs import log_event
 from geraniumshored.node.ports import Platform, Record, Stream
 
@@ -351,11 +353,15 @@
         with self.lock:
             return self.registry.pending(queue)
 
-    def fold(self, record: Record) -> None:
-        """Fold one record and notify the owner, if this process is the owner."""
+    def fold(self, record: Record, appended_after: float) -> None:
+        """Fold one record and notify the owner, if this process is the owner.
+
+        ``appended_after`` is a time before which the record was not in the log.
+        """
+        reading = Reading(appended_after, wall_ms())
         with self.lock:
             registered = self.registry.fold(
-                record.key, record.value, record.offset, self._now()
+                record.key, record.value, record.offset, self._now(), reading
             )
             parts = split_key(record.key)
             if registered is not None and parts is not None and self.on_job is not None:
@@ -426,7 +432,7 @@
         return self.OWNER_READ_INTERVAL_S
 
     def _apply(self, record: Record) -> None:
-        self._view.fold(record)
+        self._view.fold(record, self._caught_up_at)
         if self._stream is Stream.PROGRESS and self._offset is not None:
             self._view.owner_seen_at = self._now()
 
