A new owner waits for the leases that its predecessor granted

The new owner waited for the platform's longest lease, so up to ten jobs and the rack's long-running tasks were started again after 13 s; so were starts without answer. Change: an owner records the length of its leases; adopted runs and unanswered starts wait for that. A record without it counts as the platform's longest.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/authority.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/authority.py
@@ -32,22 +32,21 @@
 
     @property
     def lapse(self) -> float:
-        """The longest that any lease lasts on this clock, if both clocks are wrong.
-
-        A minion that restarts may read a lease of its former incarnation as longer than
-        it was, up to the platform's bound.
-        """
-        return self.longest_lease * (1 + 2 * self.clock_rate)
+        """The longest that any lease lasts on this clock, if both clocks are wrong."""
+        return self.lapse_of(None)
 
     @property
     def granted_lease(self) -> float:
         """The length of the leases that an owner grants."""
         return min(self.lease, self.longest_lease)
 
-    @property
-    def granted_lapse(self) -> float:
-        """The longest that a granted lease lasts where the minion did not restart."""
-        return self.granted_lease * (1 + 2 * self.clock_rate)
+    def lapse_of(self, lease: float | None) -> float:
+        """Return how long a lease may last on this clock.
+
+        None stands for a lease of unknown length, such as a former owner's.
+        """
+        length = self.longest_lease if lease is None else min(lease, self.longest_lease)
+        return length * (1 + 2 * self.clock_rate)
 
     @property
     def former_owner_overlap(self) -> float:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_registry.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_registry.py
@@ -100,6 +100,7 @@
         # The newest epoch whose owner resigned.
         self.resigned_epoch = -1
         self.opened_at_by_epoch: dict[int, float] = {}
+        self.lease_by_epoch: dict[int, float | None] = {}
         self.progress_by_wave: dict[int, WaveProgress] = {}
         self.order_by_machine: dict[str, AnnouncedOrder] = {}
         # The times after which owners sent no lease to unresponsive minions.
@@ -199,6 +200,7 @@
         if self.owner is None or owner.epoch > self.owner.epoch:
             self.owner = owner
             self.opened_at_by_epoch[owner.epoch] = now
+            self.lease_by_epoch[owner.epoch] = owner.lease_s
             for epoch, age in owner.opened_s_ago.items():
                 opened_at = min(now - age, self.opened_at_by_epoch.get(epoch, now))
                 self.opened_at_by_epoch[epoch] = opened_at
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
@@ -145,27 +145,22 @@
     def record_answer(self, same_incarnation: bool, times: OwnershipTimes) -> None:
         """Record an answer to a poll, which shows that the minion is reachable."""
         if same_incarnation and self.unanswered_grant_at is not None:
-            late = self.unanswered_grant_at + times.order_delay + times.lapse
+            lapse = times.lapse_of(times.lease)
+            late = self.unanswered_grant_at + times.order_delay + lapse
             self.late_grant_until = max(self.late_grant_until, late)
         self.unanswered_grant_at = None
         self.unresponsive_since = None
         self.responsive = True
 
     def lapsed_at(self, run: Run, times: OwnershipTimes) -> float:
-        """Return when a run's lease has certainly lapsed if no poll is answered.
-
-        The incarnation of a confirmed run has no restart to survive, so this owner's
-        leases last there as long as they were granted for.
-        """
-        confirmed = run.confirmed_at is not None
+        """Return when a run's lease has certainly lapsed if no poll is answered."""
         ends = [self.late_grant_until]
         if run.foreign_until is not None:
-            ends.append(run.foreign_until + times.lapse)
-        elif not confirmed:
-            ends.append(run.since + times.lapse)
+            ends.append(run.foreign_until + times.lapse_of(run.foreign_lease))
+        else:
+            ends.append(run.since + times.lapse_of(times.lease))
         if self.granted_at is not None:
-            lapse = times.granted_lapse if confirmed else times.lapse
-            ends.append(self.granted_at + lapse)
+            ends.append(self.granted_at + times.lapse_of(times.lease))
         return max(ends)
 
     def may_be_stopping(self, run: Run, now: float, times: OwnershipTimes) -> bool:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
@@ -101,12 +101,14 @@
 
     ``opened_s_ago`` gives, for recent epochs, how many seconds ago each had certainly
     begun, and so when the one before it ended. A process that starts later reads no
-    owner record but this.
+    owner record but this. ``lease_s`` is the length of the leases that this owner
+    grants; owners of former releases did not record it.
     """
 
     member: str
     epoch: int
     opened_s_ago: dict[int, float] = field(default_factory=dict)
+    lease_s: float | None = None
 
 
 @dataclass(slots=True)
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
@@ -55,6 +55,7 @@
         times: OwnershipTimes,
         order: JobOrder | None = None,
         opened_at_by_epoch: Mapping[int, float] | None = None,
+        lease_by_epoch: Mapping[int, float | None] | None = None,
     ) -> None:
         self.authority = authority
         self.times = times
@@ -66,6 +67,7 @@
         self.paces: list[PaceOrder] = []
         self._order = order or ByObjective()
         self._opened_at_by_epoch = opened_at_by_epoch or {}
+        self._lease_by_epoch = lease_by_epoch or {}
         self._unresponsive = UnresponsiveMinions({})
         self._unresponsive_recorded_at = float("-inf")
         self._used_services: set[str] = set()
@@ -122,6 +124,7 @@
                     now,
                     foreign_until=self._foreign_until(place),
                     foreign_epoch=place.epoch,
+                    foreign_lease=self._lease_by_epoch.get(place.epoch),
                 )
                 self._attach(job, run)
 
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
@@ -36,7 +36,8 @@
 
     ``incarnation`` is None while it is not known. ``stop_wanted`` requests a stop.
     ``foreign_until`` is until when the former owner of ``foreign_epoch`` may have
-    renewed the run's lease. ``percent`` is the run's progress, or for a long-running
+    renewed the run's lease, and ``foreign_lease`` the length of its leases in seconds,
+    None if that is not known. ``percent`` is the run's progress, or for a long-running
     task its progress until it serves. ``maybe_stopped`` means that a former owner may
     have stopped the run.
     """
@@ -60,6 +61,7 @@
     maybe_stopped: bool = False
     foreign_until: float | None = None
     foreign_epoch: int | None = None
+    foreign_lease: float | None = None
     # The task's name as minions report it.
     name: str = ""
 
--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -103,6 +103,7 @@
             self.authority,
             settings.times,
             opened_at_by_epoch=self._jobs.registry.opened_at_by_epoch,
+            lease_by_epoch=self._jobs.registry.lease_by_epoch,
         )
         self._session_by_minion: dict[str, MinionSession] = {}
         self._machine_orders = MachineOrders(
@@ -219,7 +220,8 @@
         writer = Writer(WRITER_NAME, self.authority.epoch, self._append_number)
         with self._jobs.lock:
             opened_s_ago = self._jobs.registry.opened_s_ago(self._now())
-        owner = OwnerRecord(self._member, self.authority.epoch, opened_s_ago)
+        lease_s = self._settings.times.granted_lease
+        owner = OwnerRecord(self._member, self.authority.epoch, opened_s_ago, lease_s)
         records = [Record(OWNER_KEY, encode_owner(owner))]
         while not self._stopped.is_set() and self._now() < deadline:
             try:
--- a/tests/common/schedule_simulation.py
+++ b/tests/common/schedule_simulation.py
@@ -490,6 +490,7 @@
             member_name(self.node.name, "1", 1.0),
             self.authority.epoch,
             self.node.registry.opened_s_ago(self.simulation.now),
+            self.times.granted_lease,
         )
         records = [Record(OWNER_KEY, encode_owner(owner))]
         if not self._append(records, 0):
@@ -502,6 +503,7 @@
             self.authority,
             self.times,
             opened_at_by_epoch=self.node.registry.opened_at_by_epoch,
+            lease_by_epoch=self.node.registry.lease_by_epoch,
         )
         scheduler.set_configuration(configuration())
         scheduler.set_listings(self._listings(), self.simulation.now)
