A node that has just started takes over at once from an owner that resigned

Change: no wait after a recorded resignation. A node that did not resign is still given the time to restart. Shown: test_a_node_that_has_just_started_takes_over_from_an_owner_that_resigned.

--- a/packages/geraniumshored/src/geraniumshored/node/ownership.py
+++ b/packages/geraniumshored/src/geraniumshored/node/ownership.py
@@ -225,11 +225,13 @@
             return False
         if owner is None or owner.member == self._member:
             return True
-        if not restarted and now < self._started_at + OWNER_RESTART_S:
+        resigned = self._jobs.registry.resigned_epoch >= owner.epoch
+        just_started = now < self._started_at + OWNER_RESTART_S
+        if just_started and not restarted and not resigned:
             return False
         if owner.member in self._store.members():
             return False
-        if restarted or self._jobs.registry.resigned_epoch >= owner.epoch:
+        if restarted or resigned:
             return True
         # An owner short of processor time may join late although it is still working.
         self._jobs.read_now()
--- a/tests/cover/test_ownership.py
+++ b/tests/cover/test_ownership.py
@@ -118,6 +118,13 @@
     assert len(bench.step(OWNER_RESTART_S)) == 1
 
 
+def test_a_node_that_has_just_started_takes_over_from_an_owner_that_resigned():
+    # In a rolling restart the node that came up last may be the group's first member.
+    bench = Bench(member_name("h2", "old", 1.0))
+    bench.registry.resigned_epoch = 3
+    assert len(bench.step()) == 1
+
+
 def test_the_owner_s_host_claims_at_once_in_an_epoch_of_its_own():
     bench = Bench(member_name("h1", "old", 1.0))
     bench.store.partition = 3
