Pools prepare for bursts of the size seen before; the reserve yields to waiting jobs

On the grown site 25 machines stand idle as the reserves of quiet pools while 100 machine-seconds wait. Change: at the onset of a burst (two jobs, a quarter of the usual peak) a pool prepares for the peak of former bursts, its own or other pools'; an offered load counts up to 1.25 times it. Idle machines of the reserve go to pools with timely jobs that wait.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/__init__.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/__init__.py
@@ -20,6 +20,7 @@
     StepKey,
 )
 from geraniumshore_scheduler.internal.authority import Authority, OwnershipTimes
+from geraniumshore_scheduler.internal.burst_history import BurstHistory
 from geraniumshore_scheduler.internal.job_registry import (
     JobRegistry,
     Reading,
@@ -124,6 +125,7 @@
     "Authority",
     "Batch",
     "ByObjective",
+    "BurstHistory",
     "CompletedRun",
     "Configuration",
     "CordonMachine",
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pool_meter.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pool_meter.py
@@ -54,6 +54,10 @@
         arrival = _Arrival(at, at + duration, job.team, work, mean_use)
         self._jobs.setdefault(job.service, []).append(arrival)
 
+    def recent_jobs(self, service: str, now: float) -> int:
+        """Return the number of jobs that the recent work of a service comes from."""
+        return sum(1 for job in self._jobs.get(service, ()) if job.until > now)
+
     def offered_resources(
         self, service: str, cap_by_team: Mapping[str, Resources], now: float
     ) -> Resources:
@@ -123,6 +127,7 @@
         offered_use: Resources,
         headroom_by_team: Mapping[str, Resources],
         has_had_jobs: bool,
+        recent_jobs: int,
         now: float,
     ) -> PoolLoad:
         """Return the load of one pool.
@@ -163,6 +168,8 @@
             timely_parallelism=timely.parallelism,
             has_unplaced_tasks=has_unplaced_tasks,
             has_had_jobs=has_had_jobs,
+            batch_use=self._batch_use(pool),
+            recent_jobs=recent_jobs,
         )
 
     def _within_caps(
@@ -185,6 +192,15 @@
             total.machine_s += part * backlog.machine_s
         return total
 
+    def _batch_use(self, pool: str) -> float:
+        """Return what running tasks that end by themselves use."""
+        return sum(
+            self._machine_share(run.step.room)
+            for view in self._views.get(pool, [])
+            for run in view.runs.values()
+            if not run.step.lasting
+        )
+
     def _batch_capacity(self, pool: str, now: float) -> float:
         """Return what tasks that end by themselves use or could use."""
         capacity = 0.0
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pools.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pools.py
@@ -8,8 +8,9 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
+from geraniumshore_scheduler.internal.burst_history import BurstHistory
 from geraniumshore_scheduler.internal.contention import PoolDemand, reassign_by_demand
 from geraniumshore_scheduler.internal.model import MachineListing
 
@@ -39,6 +40,8 @@
         timely_parallelism: Like ``parallelism``, for the same jobs.
         has_unplaced_tasks: Whether some waiting task found no minion.
         has_had_jobs: Whether the owner knows a job of the pool, ended or not.
+        batch_use: What running tasks that end by themselves use.
+        recent_jobs: Number of jobs that the offered load comes from.
     """
 
     pool: str
@@ -51,6 +54,8 @@
     timely_parallelism: float = 0.0
     has_unplaced_tasks: bool = False
     has_had_jobs: bool = True
+    batch_use: float = 0.0
+    recent_jobs: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -132,6 +137,7 @@
     thresholds: PoolThresholds = field(default_factory=PoolThresholds)
     _moved_at: dict[str, float] = field(default_factory=dict)
     _last_unplaced_at: dict[str, float] = field(default_factory=dict)
+    _bursts: BurstHistory = field(default_factory=BurstHistory)
 
     def record_move(self, machine: str, now: float) -> None:
         """Record that a machine was moved."""
@@ -145,7 +151,7 @@
         now: float,
     ) -> Iterator[PoolOrder]:
         """Yield the orders to give now, at most one for each machine."""
-        load_by_pool = {load.pool: load for load in loads}
+        load_by_pool = {load.pool: self._anticipated(load, now) for load in loads}
         for load in load_by_pool.values():
             if load.has_unplaced_tasks:
                 self._last_unplaced_at[load.pool] = now
@@ -161,21 +167,29 @@
         spare_machines = (
             list(idle_by_pool.get(standby, ())) if standby is not None else []
         )
-        for pool, idle in idle_by_pool.items():
-            if pool != standby and pool in load_by_pool:
-                releasable = self._releasable_machines(
-                    load_by_pool[pool],
-                    idle,
-                    size_by_pool.get(pool, 0),
-                    burst_reserve,
-                    now,
-                )
-                spare_machines.extend(releasable)
+        spare_machines.extend(
+            self._releasable_machines(
+                load_by_pool, idle_by_pool, size_by_pool, burst_reserve, now
+            )
+        )
         assigned: set[str] = set()
         inbound_by_pool = dict(machines.inbound_by_pool)
         yield from self._assign_spare_machines(
             load_by_pool, inbound_by_pool, spare_machines, assigned
         )
+        # The reserve for a burst to come yields to a pool whose jobs wait now.
+        short = {p: load for p, load in load_by_pool.items() if load.timely_backlog > 0}
+        if short:
+            spare = {machine.machine for machine in spare_machines}
+            beyond_use = self._releasable_machines(
+                load_by_pool, idle_by_pool, size_by_pool, 0.0, now
+            )
+            reserve = [
+                machine for machine in beyond_use if machine.machine not in spare
+            ]
+            yield from self._assign_spare_machines(
+                short, inbound_by_pool, reserve, assigned
+            )
         yield from self._reassign_busy_machines(
             load_by_pool, inbound_by_pool, machines, now
         )
@@ -185,6 +199,14 @@
             if machine.machine not in assigned and machine.pool != standby:
                 yield MoveMachine(machine.machine, standby)
 
+    def _anticipated(self, load: PoolLoad, now: float) -> PoolLoad:
+        """Return a load with the offered load that former bursts let expect."""
+        demand = load.batch_use + load.parallelism
+        offered = self._bursts.anticipate(
+            load.pool, demand, load.offered_load, load.recent_jobs, now
+        )
+        return replace(load, offered_load=offered)
+
     def shortfall(self, load: PoolLoad, inbound: int) -> float:
         """Return how many machines a pool needs beyond the inbound ones.
 
@@ -274,6 +296,19 @@
         return now - moved_at >= self.thresholds.min_stay_s
 
     def _releasable_machines(
+        self,
+        load_by_pool: Mapping[str, PoolLoad],
+        idle_by_pool: Mapping[str, Sequence[MachineListing]],
+        size_by_pool: Mapping[str, int],
+        burst_reserve: float,
+        now: float,
+    ) -> Iterator[MachineListing]:
+        """Yield idle machines that their pools need neither now nor as a reserve."""
+        for pool, load in load_by_pool.items():
+            idle, size = idle_by_pool.get(pool, ()), size_by_pool.get(pool, 0)
+            yield from self._releasable_from(load, idle, size, burst_reserve, now)
+
+    def _releasable_from(
         self,
         load: PoolLoad,
         idle: Sequence[MachineListing],
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -239,6 +239,7 @@
                 self._arrivals.offered_resources(pool, self._limit_by_team, now),
                 headroom_by_team,
                 pool in self._used_services,
+                self._arrivals.recent_jobs(pool, now),
                 now,
             )
             for pool in self._pools()
--- a/tests/cover/test_competing_bursts.py
+++ b/tests/cover/test_competing_bursts.py
@@ -77,6 +77,27 @@
     assert orders(PoolPolicy(THRESHOLDS), [late("a", 8), late("b", 1)], busy) == []
 
 
+def test_the_reserve_of_a_quiet_pool_yields_to_jobs_that_wait():
+    # Of four machines a quiet pool keeps two: half of an equal part of all twelve.
+    idle = {"a": [machine(f"m{n}", "a") for n in range(4)]}
+    quiet = PoolLoad("a", batch_capacity=4)
+    sizes = {"a": 4, "b": 8}
+
+    def moved_to(load: PoolLoad) -> set[str]:
+        machines = PoolMachines(sizes, idle)
+        planned = PoolPolicy(THRESHOLDS).plan([quiet, load], machines, "spare", 10.0)
+        return {
+            order.machine
+            for order in planned
+            if isinstance(order, MoveMachine) and order.pool == "b"
+        }
+
+    assert len(moved_to(timely("b", 8, 40))) == 3
+    # Neither work that no job waits for yet nor late work takes from the reserve.
+    assert len(moved_to(PoolLoad("b", batch_capacity=8, offered_load=20))) == 2
+    assert len(moved_to(late("b", 8))) == 2
+
+
 def test_a_recently_moved_machine_stays():
     policy = PoolPolicy(THRESHOLDS)
     policy.record_move("m0", 9.0)
