A leaving node answers every call that it has read before it exits

Change: calls are answered by the end of the grace: an append gets no more time than that, and with under 0.35 s left the call is refused as not run. Shown: two tests in test_store_cut_nodes.py, which fail without answer_by.

--- a/packages/geraniumshored/src/geraniumshored/node/job_requests.py
+++ b/packages/geraniumshored/src/geraniumshored/node/job_requests.py
@@ -38,10 +38,13 @@
 # Part of a caller's timeout that is reserved for sending the answer.
 ANSWER_MARGIN_S = 0.15
 MAX_WAIT_S = 2.5
+# An append usually takes some 20 ms; with less time than this left it is not begun.
+MIN_APPEND_S = 0.2
 # Time limit for reading the log before a state is returned; a few times what a read
 # takes.
 REFRESH_TIMEOUT_S = 0.04
 CANCEL_MARK = b"1"
+STORE_AWAY = "the store is away"
 
 
 class Verdict(enum.Enum):
@@ -105,6 +108,14 @@
         self._decoder = decoder
         self._metrics = metrics
         self._now = now
+        self._answer_by = float("inf")
+
+    def answer_by(self, end: float) -> None:
+        """Answer all calls by ``end``, when the process begins to exit.
+
+        A job or cancellation that could not be recorded by then is refused at once.
+        """
+        self._answer_by = end
 
     def submit(self, caller: Caller, body: bytes) -> Answer:
         """Accept a job.
@@ -130,7 +141,8 @@
             answer = Answer(Verdict.MALFORMED, detail=str(error))
             return self._record_answer("submit", job_id, answer)
         if not self._jobs.can_accept(self._now()):
-            return self._record_answer("submit", job_id, self._store_away_answer())
+            answer = self._refusal(STORE_AWAY)
+            return self._record_answer("submit", job_id, answer)
         record = Record(job_key(RecordKind.ACCEPTED, job_id), encode_job(job))
         answer = self._write(record, caller)
         if answer.verdict is Verdict.UNCERTAIN and self._jobs.find(job_id) is not None:
@@ -180,11 +192,7 @@
     ) -> Answer | tuple[Configuration, Queue, Team | None, str]:
         configuration = self._operators.configuration
         if configuration is None:
-            return Answer(
-                Verdict.NOT_RUN,
-                retry_after_s=UNAVAILABLE_RETRY_AFTER_S,
-                detail="no configuration yet",
-            )
+            return self._refusal("no configuration yet")
         queue = configuration.find_queue(caller.host, caller.path)
         if queue is None:
             answer = Answer(Verdict.UNKNOWN_QUEUE)
@@ -211,15 +219,18 @@
         return registered.state
 
     def _write(self, record: Record, caller: Caller) -> Answer:
-        wait_s = min(MAX_WAIT_S, caller.timeout_s - ANSWER_MARGIN_S)
         began = self._now()
+        if self._answer_by - began < MIN_APPEND_S + ANSWER_MARGIN_S:
+            return self._refusal("this node is leaving")
+        time_left_s = min(caller.timeout_s, self._answer_by - began)
+        wait_s = min(MAX_WAIT_S, time_left_s - ANSWER_MARGIN_S)
         outcome = self._appender.append(record, began + wait_s)
         if outcome is AppendOutcome.DONE:
             # Later answers of this node use the record before it is read back.
             self._jobs.fold(record, began)
             return Answer(Verdict.OK)
         if outcome is AppendOutcome.NOT_DONE:
-            return self._store_away_answer()
+            return self._refusal(STORE_AWAY)
         return Answer(Verdict.UNCERTAIN, detail="the store did not answer")
 
     def _unknown_job(self, call: str, job_id: str) -> Answer:
@@ -231,20 +242,14 @@
         return self._jobs.age(self._now()) < MAX_LOG_AGE_S
 
     @staticmethod
-    def _store_away_answer() -> Answer:
+    def _refusal(why: str) -> Answer:
+        """Return the answer to a call that has had and will have no effect."""
         return Answer(
-            Verdict.NOT_RUN,
-            retry_after_s=UNAVAILABLE_RETRY_AFTER_S,
-            detail="the store is away",
+            Verdict.NOT_RUN, retry_after_s=UNAVAILABLE_RETRY_AFTER_S, detail=why
         )
 
-    @staticmethod
-    def _outdated_answer() -> Answer:
-        return Answer(
-            Verdict.NOT_RUN,
-            retry_after_s=UNAVAILABLE_RETRY_AFTER_S,
-            detail="this node is behind the job log",
-        )
+    def _outdated_answer(self) -> Answer:
+        return self._refusal("this node is behind the job log")
 
     def _record_answer(
         self, call: str, job_id: str, answer: Answer, version: int | None = None
--- a/tests/cover/test_store_cut_nodes.py
+++ b/tests/cover/test_store_cut_nodes.py
@@ -1,4 +1,6 @@
-"""The store turns all nodes of one data centre away and serves the others.
+"""Nodes that cannot record jobs: cut off from the store, or about to exit.
+
+The store may turn all nodes of one data centre away and serve the others.
 
 Callers there reach only these nodes until the balancer takes them out. So a node stops
 being ready with the first read that fails, and refuses at once what it cannot record.
@@ -46,9 +48,11 @@
 
     def __init__(self) -> None:
         self.appends = 0
+        self.deadline = 0.0
 
     def append(self, record, deadline) -> AppendOutcome:
         self.appends += 1
+        self.deadline = deadline
         return AppendOutcome.DONE
 
 
@@ -132,3 +136,17 @@
     node.store.reachable = True
     node.read()
     assert node.handler.submit(CALLER, BODY).verdict is Verdict.OK
+
+
+def test_a_leaving_node_answers_before_it_exits(node):
+    node.handler.answer_by(1.0)
+    assert node.handler.submit(CALLER, BODY).verdict is Verdict.OK
+    assert node.appender.deadline < 1.0
+
+
+def test_a_leaving_node_refuses_at_once_what_it_cannot_record_in_time(node):
+    node.handler.answer_by(5.5)
+    node.now = 5.4
+    answer = node.handler.submit(CALLER, BODY)
+    assert answer.verdict is Verdict.NOT_RUN
+    assert node.appender.appends == 0
