--- a/packages/geraniumshored/src/geraniumshored/node/node.py
+++ b/packages/geraniumshored/src/geraniumshored/node/node.py
@@ -29,6 +29,7 @@
 MAX_READY_LOG_AGE_S = 2.0
 # Reserved at the end of a graceful stop for sending the last answers.
 STOP_MARGIN_S = 0.5
+# The longest that the exit waits for calls that were read in the last moment.
 LAST_ANSWERS_S = 0.3
 STOP_CHECK_INTERVAL_S = 0.05
 
@@ -100,7 +101,6 @@
         self.request_handler.answer_by(end)
         while self._now() < end:
             time.sleep(STOP_CHECK_INTERVAL_S)
-        # Calls that were read in the last moment are refused, which takes milliseconds.
         while open_calls() and self._now() < end + LAST_ANSWERS_S:
             time.sleep(STOP_CHECK_INTERVAL_S)
         log_event(logger, "stopped", open_calls=open_calls())
--- a/packages/geraniumshored/src/geraniumshored/platform/settings.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/settings.py
@@ -16,11 +16,11 @@
 PATH_VARIABLE = "GERANIUMSHORE_NODE_FILE"
 MS_PER_SECOND = 1000.0
 # How long an owner keeps sending orders while the store is unreachable. Leases renewed
-# in that time keep runs alive for up to ``longest_lease`` more. A successor waits as
-# long before it restarts the runs of minions that it cannot reach.
+# in that time keep runs alive for up to ``LEASE_S`` more. A successor waits as long
+# before it restarts the runs of minions that it cannot reach.
 STORE_OUTAGE_GRACE_S = 2.0
-# The length of leases: a restart of all processes and a takeover, after the longest
-# interval between two polls. The runs of a minion that falls silent wait as long.
+# The length of leases. They outlast a poll, a restart of all processes and a takeover.
+# The runs of a minion that falls silent start elsewhere only after it.
 LEASE_S = 4.0
 
 
