One name for the lapse of own leases; one sum of batch use; no method for tests only

Read of the whole change: lapse_of(times.lease) stood three times while the property lapse was left to tests; the sum over batch runs stood twice in the pool meter; JobsView.read_once had no caller but a test. Behaviour and assertions are the same.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/authority.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/authority.py
@@ -32,8 +32,8 @@
 
     @property
     def lapse(self) -> float:
-        """The longest that any lease lasts on this clock, if both clocks are wrong."""
-        return self.lapse_of(None)
+        """The longest that a lease of this owner lasts, if both clocks are wrong."""
+        return self.lapse_of(self.lease)
 
     @property
     def granted_lease(self) -> float:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
@@ -145,8 +145,7 @@
     def record_answer(self, same_incarnation: bool, times: OwnershipTimes) -> None:
         """Record an answer to a poll, which shows that the minion is reachable."""
         if same_incarnation and self.unanswered_grant_at is not None:
-            lapse = times.lapse_of(times.lease)
-            late = self.unanswered_grant_at + times.order_delay + lapse
+            late = self.unanswered_grant_at + times.order_delay + times.lapse
             self.late_grant_until = max(self.late_grant_until, late)
         self.unanswered_grant_at = None
         self.unresponsive_since = None
@@ -158,9 +157,9 @@
         if run.foreign_until is not None:
             ends.append(run.foreign_until + times.lapse_of(run.foreign_lease))
         else:
-            ends.append(run.since + times.lapse_of(times.lease))
+            ends.append(run.since + times.lapse)
         if self.granted_at is not None:
-            ends.append(self.granted_at + times.lapse_of(times.lease))
+            ends.append(self.granted_at + times.lapse)
         return max(ends)
 
     def may_be_stopping(self, run: Run, now: float, times: OwnershipTimes) -> bool:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pool_meter.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pool_meter.py
@@ -168,7 +168,7 @@
             timely_parallelism=timely.parallelism,
             has_unplaced_tasks=has_unplaced_tasks,
             has_had_jobs=has_had_jobs,
-            batch_use=self._batch_use(pool),
+            batch_use=self._batch_use(self._views.get(pool, [])),
             recent_jobs=recent_jobs,
         )
 
@@ -192,25 +192,20 @@
             total.machine_s += part * backlog.machine_s
         return total
 
-    def _batch_use(self, pool: str) -> float:
+    def _batch_use(self, views: Iterable[MinionView]) -> float:
         """Return what running tasks that end by themselves use."""
         return sum(
             self._machine_share(run.step.room)
-            for view in self._views.get(pool, [])
+            for view in views
             for run in view.runs.values()
             if not run.step.lasting
         )
 
     def _batch_capacity(self, pool: str, now: float) -> float:
         """Return what tasks that end by themselves use or could use."""
-        capacity = 0.0
-        for view in self._views.get(pool, []):
-            if view.accepts(now):
-                for run in view.runs.values():
-                    if not run.step.lasting:
-                        capacity += self._machine_share(run.step.room)
-                capacity += max(0.0, self._min_machine_share(view.free))
-        return capacity
+        accepting = [v for v in self._views.get(pool, []) if v.accepts(now)]
+        free = sum(max(0.0, self._min_machine_share(view.free)) for view in accepting)
+        return self._batch_use(accepting) + free
 
     def _machine_share(self, amount: Resources) -> float:
         """Return the largest share of a machine that any of the resources takes."""
--- a/packages/geraniumshored/src/geraniumshored/node/views.py
+++ b/packages/geraniumshored/src/geraniumshored/node/views.py
@@ -308,11 +308,6 @@
         for follower in self._followers:
             follower.start()
 
-    def read_once(self) -> bool:
-        """Read each stream once; return whether all reads succeeded."""
-        accepted, progress = (follower.read_once() for follower in self._followers)
-        return accepted and progress
-
     def age(self, now: float) -> float:
         """Return for how many seconds the registry may have missed records."""
         return max(follower.age(now) for follower in self._followers)
--- a/tests/cover/test_silent_minions.py
+++ b/tests/cover/test_silent_minions.py
@@ -24,7 +24,7 @@
 
 LEASE_S = 2.0
 SHORT_LEASES = replace(TIMES, lease=LEASE_S)
-LAPSE_S = SHORT_LEASES.lapse_of(LEASE_S)
+LAPSE_S = SHORT_LEASES.lapse
 JOB = "a" * 16
 
 
@@ -89,7 +89,8 @@
 
 
 @pytest.mark.parametrize(
-    ("recorded_lease", "lapse_s"), [(LEASE_S, LAPSE_S), (None, SHORT_LEASES.lapse)]
+    ("recorded_lease", "lapse_s"),
+    [(LEASE_S, LAPSE_S), (None, SHORT_LEASES.lapse_of(None))],
 )
 def test_a_new_owner_awaits_the_leases_that_the_former_one_granted(
     recorded_lease, lapse_s
--- a/tests/cover/test_store_cut_nodes.py
+++ b/tests/cover/test_store_cut_nodes.py
@@ -20,7 +20,7 @@
 from geraniumshored.node.node import Node
 from geraniumshored.node.ports import Page, Stream
 from geraniumshored.node.settings import NodeSettings
-from geraniumshored.node.views import STORE_AWAY_AFTER_S, JobsView
+from geraniumshored.node.views import STORE_AWAY_AFTER_S, Follower, JobsView
 from geraniumshored.platform.job_api import JsonJobDecoder
 from tests.common.schedule_parts import TIMES, configuration
 
@@ -56,6 +56,13 @@
         return AppendOutcome.DONE
 
 
+def read_once(view: Follower | JobsView) -> None:
+    """Read each stream of a view once."""
+    followers = view._followers if isinstance(view, JobsView) else (view,)
+    for follower in followers:
+        follower.read_once()
+
+
 class CutNode:
     """The views and the request handler of a node whose store can turn it away."""
 
@@ -79,7 +86,7 @@
         return self.now
 
     def read(self) -> None:
-        self.jobs.read_once()
+        read_once(self.jobs)
 
 
 @pytest.fixture
@@ -99,7 +106,7 @@
 
     def read() -> None:
         for view in views:
-            view.read_once()
+            read_once(view)
 
     read()
     assert node.ready()
