Ends and runs of a job that is not read yet wait for the job

Tasks that had ended done were started again when the schedule changed hands while a part of the store was away.

Cause: a new owner has read its predecessors' records, but the stream of accepted jobs is read independently and may be away. Ends and runs of a job that it had not read counted as those of a deleted one: ends were acknowledged without a record and running tasks were stopped. When the job was read, its recorded runs were on no minion, so the tasks started again.

Why the fix works: a task is recorded as placed before its start is sent, so the progress stream names every job that may have runs. Those without their own record are expected: their ends stay unacknowledged until the job is read, then they are processed in full; a job still missing after a read begun in the epoch was deleted. Meanwhile no such run is stopped, capped teams start nothing and no machine is moved or maintained. Leases are renewed all the while, which a takeover that waits for the second stream could not do.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_registry.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_registry.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from itertools import islice
 
+from geraniumshore_scheduler.errors import InvalidInputError
 from geraniumshore_scheduler.internal.machine_orders import AnnouncedOrder
 from geraniumshore_scheduler.internal.model import Job
 from geraniumshore_scheduler.internal.records import (
@@ -191,6 +193,24 @@
         )
         return list(islice(ids, max_count))
 
+    def unread_placed_jobs(self) -> Iterator[str]:
+        """Yield the jobs that are placed on minions but whose own record is not read.
+
+        The streams are read independently, so an owner's records of a job may be known
+        before the job. Those of deleted jobs look the same until they are deleted too.
+        """
+        for (kind, job_id), orphan in self._orphans.items():
+            if kind is not RecordKind.PROGRESS:
+                continue
+            try:
+                progress = decode_progress(orphan.value)
+            except InvalidInputError:
+                # Nothing shows that the job runs nowhere.
+                yield job_id
+                continue
+            if progress.placed and not progress.state.final:
+                yield job_id
+
     def pending(self, queue: str) -> int:
         """Return the number of accepted jobs of a queue that have not started."""
         return self._pending_by_queue.get(queue, 0)
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import math
-from collections import deque
 from dataclasses import dataclass, field
 
 from geraniumshore_scheduler.internal.authority import OwnershipTimes
-from geraniumshore_scheduler.internal.model import MinionListing, Resources, TaskKey
+from geraniumshore_scheduler.internal.model import (
+    CompletedRun,
+    MinionListing,
+    Resources,
+    TaskKey,
+)
 from geraniumshore_scheduler.internal.runs import Run
 
 __all__ = ["PollRequest", "MinionView"]
@@ -42,10 +46,13 @@
     owner; since then it refuses orders from former owners. An ``unlisted`` minion is
     missing from the platform's list but may still be up. No lease is sent until the
     batch ``grants_after_batch`` is durable, which records that this owner sends leases.
-    ``stopping`` means that stops may have to be sent. ``completions_listed_at`` is when
-    the minion last listed a new completion. ``unresponsive_since`` is when the first of
-    the latest unanswered polls was sent. ``untracked_runs`` are runs on the minion that
-    this owner does not know; they are to be stopped.
+    ``stopping`` means that stops may have to be sent. ``unacked`` maps the completions
+    that are not acknowledged yet, in the order of their numbers, to the batch that
+    records them; those without a batch are in ``deferred``, as their jobs are not read
+    yet. ``completions_listed_at`` is when the minion last listed a new completion.
+    ``unresponsive_since`` is when the first of the latest unanswered polls was sent.
+    ``untracked_runs`` are runs on the minion that this owner does not know; they are to
+    be stopped, unless their jobs are not read yet.
     """
 
     minion_id: str
@@ -62,7 +69,8 @@
     used: Resources = Resources()
     last_seen_completion: int = 0
     acked_upto: int = 0
-    unacked: deque[tuple[int, int]] = field(default_factory=deque)
+    unacked: dict[int, int | None] = field(default_factory=dict)
+    deferred: dict[int, CompletedRun] = field(default_factory=dict)
     remaining_ms: int | None = None
     avoid_until: float = 0.0
     faults: int = 0
@@ -169,5 +177,9 @@
 
     def release_acks(self, durable_batch: int) -> None:
         """Allow the completions that are recorded to be acknowledged."""
-        while self.unacked and self.unacked[0][1] <= durable_batch:
-            self.acked_upto = self.unacked.popleft()[0]
+        while self.unacked:
+            number, batch = next(iter(self.unacked.items()))
+            if batch is None or batch > durable_batch:
+                return
+            del self.unacked[number]
+            self.acked_upto = number
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/placer.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/placer.py
@@ -237,7 +237,8 @@
             if not view.responsive or view.listing is None:
                 continue
             for name, number in view.untracked_runs.items():
-                self._order_stop(view, name, number)
+                if not self._is_unread(name):
+                    self._order_stop(view, name, number)
             if not view.stopping:
                 continue
             view.stopping = False
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
@@ -247,13 +247,30 @@
             if completion.number <= view.last_seen_completion:
                 continue
             view.last_seen_completion = completion.number
-            run = self._find_run(view, completion.task, completion.run)
-            if run is not None:
-                self._complete_run(view, run, completion, now)
-            elif completion.how == "done":
-                self._credit_late_success(completion, view, now)
-            view.unacked.append((completion.number, self._next_batch))
             view.completions_listed_at = now
+            if self._is_unread(completion.task):
+                view.unacked[completion.number] = None
+                view.deferred[completion.number] = completion
+                continue
+            self._process_completion(view, completion, now)
+
+    def _process_completion(
+        self, view: MinionView, completion: CompletedRun, now: float
+    ) -> None:
+        run = self._find_run(view, completion.task, completion.run)
+        if run is not None:
+            self._complete_run(view, run, completion, now)
+        elif completion.how == "done":
+            self._credit_late_success(completion, view, now)
+        view.unacked[completion.number] = self._next_batch
+
+    def _process_deferred(self, now: float) -> None:
+        """Process the deferred completions of jobs that have been read meanwhile."""
+        for view in self.view_by_id.values():
+            for completion in list(view.deferred.values()):
+                if not self._is_unread(completion.task):
+                    del view.deferred[completion.number]
+                    self._process_completion(view, completion, now)
 
     def _credit_late_success(
         self, completion: CompletedRun, view: MinionView, now: float
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
@@ -71,6 +71,8 @@
         self._unresponsive = UnresponsiveMinions({})
         self._unresponsive_recorded_at = float("-inf")
         self._used_services: set[str] = set()
+        # Jobs that former owners placed and that are not read yet.
+        self._unread_jobs: set[str] = set()
         # Jobs with occurrences that are not due yet.
         self._recurring: dict[str, OpenJob] = {}
         # Services with a change since the last placement that may let a task start.
@@ -127,6 +129,13 @@
                     foreign_lease=self._lease_by_epoch.get(place.epoch),
                 )
                 self._attach(job, run)
+                view = self.view_by_id[run.minion_id]
+                if view.untracked_runs.get(run.name) == run.number:
+                    del view.untracked_runs[run.name]
+
+    def _is_unread(self, task: str) -> bool:
+        """Return whether a task's job may be in the log without having been read."""
+        return bool(self._unread_jobs) and task.partition(".")[0] in self._unread_jobs
 
     def _foreign_until(self, place: Placement) -> float:
         """Return until when the last owner may have renewed a run's lease."""
@@ -221,6 +230,7 @@
         view.incarnation = incarnation
         view.last_seen_completion = view.acked_upto = 0
         view.unacked.clear()
+        view.deferred.clear()
         view.untracked_runs.clear()
         view.faults = 0
         if first:
@@ -307,6 +317,9 @@
         limit = self._limit_by_team.get(team or "")
         if limit is None:
             return True
+        if self._unread_jobs:
+            # Their runs may be the team's.
+            return False
         use = self._team_use.get(team or "", Resources())
         if size.plus(use).fits_in(limit):
             return True
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from geraniumshore_scheduler.internal.advice import AdviceRequest, StepKey
 from geraniumshore_scheduler.internal.job_registry import RegisteredJob
@@ -63,6 +63,24 @@
         """
         self._unresponsive = UnresponsiveMinions(last_grants)
 
+    def expect_jobs(self, job_ids: Iterable[str]) -> None:
+        """Name the jobs that former owners placed and that will be added later.
+
+        Until a job is added, or ``on_all_jobs_read`` says that there is none, its
+        completions are not acknowledged and its runs are not stopped.
+        """
+        self._unread_jobs = set(job_ids)
+
+    @property
+    def unread_jobs(self) -> int:
+        """The number of jobs that former owners placed and that are not added yet."""
+        return len(self._unread_jobs)
+
+    def on_all_jobs_read(self, now: float) -> None:
+        """Record that the jobs still expected have been deleted from the log."""
+        self._unread_jobs.clear()
+        self._process_deferred(now)
+
     def add_job(self, registered: RegisteredJob, now: float) -> None:
         """Schedule a job from the log, unless it has ended.
 
@@ -73,6 +91,9 @@
             self._open_job(registered, now)
         except Exception as error:
             self._set_aside(registered.job.job_id, error)
+        if registered.job.job_id in self._unread_jobs:
+            self._unread_jobs.remove(registered.job.job_id)
+            self._process_deferred(now)
 
     def _open_job(self, registered: RegisteredJob, now: float) -> None:
         job = registered.job
--- a/packages/geraniumshored/src/geraniumshored/node/machine_controller.py
+++ b/packages/geraniumshored/src/geraniumshored/node/machine_controller.py
@@ -116,6 +116,9 @@
 
     def _may_send_orders(self) -> bool:
         with self._lock:
+            if self._scheduler.unread_jobs:
+                # Tasks of jobs that are not known yet cannot be spared.
+                return False
             times = self._settings.times
             return self._scheduler.authority.holds_unfenced(self._now(), times)
 
--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -194,6 +194,7 @@
                 if self._operators.configuration is not None:
                     self._scheduler.set_configuration(self._operators.configuration)
                 self._scheduler.set_listings(self._minions.listing_by_id, now)
+                self._scheduler.expect_jobs(self._jobs.registry.unread_placed_jobs())
                 jobs = self._jobs.registry.job_by_id.values()
                 # Teams' shares count jobs in the order of their acceptance.
                 for registered in sorted(jobs, key=lambda job: job.accepted_at):
@@ -208,6 +209,7 @@
             log_end=end,
             jobs=len(self._scheduler.job_by_id),
             minions=len(self._scheduler.view_by_id),
+            unread_jobs=self._scheduler.unread_jobs,
         )
         return True
 
@@ -318,6 +320,7 @@
         with self._lock:
             if not self.authority.holds(self._now(), self._settings.times):
                 return
+            self._resolve_unread_jobs()
             batch = self._scheduler.plan(self._now(), wall_ms())
             stops = self._scheduler.take_stops()
             paces = self._scheduler.take_paces()
@@ -332,6 +335,18 @@
         if batch is not None:
             self._record(batch)
 
+    def _resolve_unread_jobs(self) -> None:
+        """Give up on jobs that are still unread after a read begun in this epoch.
+
+        Former owners read each job before they placed it, so these were deleted.
+        """
+        if not self._scheduler.unread_jobs:
+            return
+        if self._jobs.accepted_read_at < self.authority.taken_at:
+            return
+        log_event(logger, "placed jobs not found", jobs=self._scheduler.unread_jobs)
+        self._scheduler.on_all_jobs_read(self._now())
+
     def _record(self, batch: Batch) -> None:
         """Retry the append until the batch is in the log, then send its starts."""
         self._append_number += 1
@@ -435,10 +450,13 @@
             return UNRESPONSIVE_POLL_PAUSE_S
         with self._lock:
             self._scheduler.on_report(request, report, self._now())
-            unrecorded = bool(
-                (view := self._scheduler.view_by_id.get(minion_id)) and view.unacked
-            )
+            view = self._scheduler.view_by_id.get(minion_id)
+            unrecorded = view is not None and bool(view.unacked)
+            deferred = view is not None and bool(view.deferred)
         self._wake.set()
+        if deferred:
+            # They wait for a read of the store, and the minion would answer at once.
+            return IDLE_POLL_PAUSE_S
         if unrecorded:
             return UNRECORDED_POLL_PAUSE_S
         return 0.0 if request.wait_ms or request.until_ms is None else IDLE_POLL_PAUSE_S
--- a/packages/geraniumshored/src/geraniumshored/node/views.py
+++ b/packages/geraniumshored/src/geraniumshored/node/views.py
@@ -67,6 +67,11 @@
         """Return for how many seconds the view may have missed records."""
         return now - self._caught_up_at
 
+    @property
+    def caught_up_at(self) -> float:
+        """The time before which all appended records have been read."""
+        return self._caught_up_at
+
     def disconnected_s(self, now: float) -> float:
         """Return for how many seconds reads have failed, 0 if the last one did not."""
         since = self._disconnected_since
@@ -326,6 +331,11 @@
         """The offset up to which the owner's records are folded."""
         return self._followers[1].offset
 
+    @property
+    def accepted_read_at(self) -> float:
+        """The time before which all accepted and cancelled jobs have been read."""
+        return self._followers[0].caught_up_at
+
     def refresh(self, wait_s: float) -> None:
         """Read both streams now and wait for the result, at most ``wait_s``."""
         asked_at = self._now()
