A new owner opens every occurrence that is due

An occurrence of a timed job that waited for room when the schedule changed hands was never run; its job stayed running.

Cause: at a takeover the occurrences to open were derived from the records of their tasks, and the next one was taken to be the one after the newest with a record. A task has a record while it is placed or once it has failed or succeeded; one that waits has none, so its occurrence counted as finished.

Why the fix works: occurrences are opened by time alone, from the first on, as by an owner that never changed. Tasks that are done or adopted are left out as for any job, so nothing runs twice. A job is done when its tasks are, whatever this owner's clock says.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
@@ -73,7 +73,7 @@
         self._used_services: set[str] = set()
         # Jobs that former owners placed and that are not read yet.
         self._unread_jobs: set[str] = set()
-        # Jobs with occurrences that are not due yet.
+        # Timed jobs with occurrences that are not opened yet.
         self._recurring: dict[str, OpenJob] = {}
         # Services with a change since the last placement that may let a task start.
         self._changed_services: set[str] = set()
@@ -155,16 +155,6 @@
         self._unresponsive_recorded_at = now
         self._records[UNRESPONSIVE_KEY] = encode_unresponsive(last_grants, now)
 
-    @staticmethod
-    def _has_started(job: OpenJob, occurrence: int) -> bool:
-        prefix = f"{occurrence}."
-        progress = job.progress
-        return any(
-            name.startswith(prefix)
-            for names in (progress.done, progress.failures, progress.placed)
-            for name in names
-        )
-
     def _attach(self, job: OpenJob, run: Run) -> None:
         job.runs[run.task] = run
         job.waiting.pop(run.task, None)
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
@@ -95,7 +95,8 @@
     holds the (occurrence, step) pairs for whose tasks no minion had room.
     ``first_start_after_s`` is how long this owner saw the job wait for its first start.
     ``beyond_share`` jobs arrived faster than their team's share allows. ``set_aside``
-    jobs start no more tasks, as scheduling them raised an error.
+    jobs start no more tasks, as scheduling them raised an error. Occurrences before
+    ``next_occurrence`` have been opened, once they were due on this owner's clock.
     """
 
     job: Job
@@ -141,7 +142,7 @@
         """Yield each occurrence once, when it is due."""
         while self.next_occurrence < self.occurrences:
             due_ms = self.job.first_ms + self.next_occurrence * self.job.interval_ms
-            if self.job.occurrences and wall_ms < due_ms:
+            if wall_ms < due_ms:
                 return
             yield self.next_occurrence
             self.next_occurrence += 1
@@ -161,7 +162,7 @@
 
     def finished(self) -> bool:
         """Return whether all tasks of all occurrences have succeeded."""
-        return self.next_occurrence >= self.occurrences and all(
+        return all(
             self._step_done(occurrence, number)
             for occurrence in range(self.occurrences)
             for number in range(len(self.job.steps))
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -117,12 +117,12 @@
         self._changed_services.add(opened.service)
         self.job_by_id[job.job_id] = opened
         self._adopt(opened, now)
-        if opened.next_occurrence < opened.occurrences:
+        if job.occurrences:
+            # Which occurrences have records says nothing about those that wait, so all
+            # are opened by time again.
             self._recurring[job.job_id] = opened
-        for occurrence in range(opened.occurrences):
-            if job.occurrences == 0 or self._has_started(opened, occurrence):
-                opened.next_occurrence = max(opened.next_occurrence, occurrence + 1)
-                opened.open_steps(occurrence)
+        else:
+            opened.open_steps(0)
 
     def cancel_job(self, job_id: str) -> None:
         """Stop all runs of a cancelled job and start no more of its tasks."""
