A full page of completions does not show that other runs are gone

Tasks that had ended done were started again after the owner was killed.

Cause: a run that a report lists neither as running nor as completed counted as gone. A minion lists 500 completions at a time, so after a second without an owner a large minion's first report lacks the others.

Why the fix works: the adapter says whether a report's list is complete, and runs are released as missing only on a complete one. The rest follows as soon as the first page is recorded and acknowledged.

The simulation and the simulated platform list completions in pages now.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/model.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/model.py
@@ -271,13 +271,18 @@
 
 @dataclass(frozen=True, slots=True)
 class MinionReport:
-    """A minion's answer to a poll: its incarnation, its clock and its runs."""
+    """A minion's answer to a poll: its incarnation, its clock and its runs.
+
+    ``ended`` lists the completions that are not acknowledged yet, lowest numbers first.
+    Unless ``ended_complete``, more of them may follow once these are acknowledged.
+    """
 
     incarnation: int
     clock_ms: int
     running: tuple[RunningTask, ...]
     ended: tuple[CompletedRun, ...]
     remaining_ms: int | None = None
+    ended_complete: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
@@ -109,7 +109,7 @@
         view.clock_ms, view.clock_at = report.clock_ms, now
         view.remaining_ms = report.remaining_ms
         self._process_completions(view, report.ended, now)
-        self._process_running(view, request, report.running, report.ended, now)
+        self._process_running(view, request, report, now)
         self._set_paces(view)
         if not accepted and view.accepts(now):
             self._mark_capacity_changed(view)
@@ -340,12 +340,11 @@
         self,
         view: MinionView,
         request: PollRequest,
-        running: Iterable[RunningTask],
-        completions: Iterable[CompletedRun],
+        report: MinionReport,
         now: float,
     ) -> None:
-        row_by_name = {row.task: row for row in running}
-        completed = {(completion.task, completion.run) for completion in completions}
+        row_by_name = {row.task: row for row in report.running}
+        completed = {(completion.task, completion.run) for completion in report.ended}
         for run in list(view.runs.values()):
             row = row_by_name.pop(run.name, None)
             if row is not None and row.run == run.number:
@@ -355,7 +354,8 @@
                 row_by_name[row.task] = row
             if (run.name, run.number) in completed:
                 continue
-            self._reconcile_missing(run, request, now)
+            if report.ended_complete:
+                self._reconcile_missing(run, request, now)
         view.untracked_runs = {row.task: row.run for row in row_by_name.values()}
 
     def _update_run(
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/minion_model.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/minion_model.py
@@ -66,6 +66,7 @@
     rate: float = 1.0
     stop_ms: float = 200.0
     cpu_capacity: int = 16_000
+    ends_per_report: int = 500
     observe: Callable[[str, str, int, str], None] = lambda *_: None
     cpu_of: Callable[[str], int] = lambda _: 1000
     fence: int = 0
@@ -178,7 +179,7 @@
                 [task, run.number, "", self._percent(run, clock), 0]
                 for task, run in self.runs.items()
             ],
-            "ended": [list(end) for end in self.completed_runs],
+            "ended": [list(end) for end in self.completed_runs[: self.ends_per_report]],
         }
         if self.remaining_ms is not None:
             document["remaining_ms"] = self.remaining_ms
--- a/packages/geraniumshored/src/geraniumshored/platform/documents.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/documents.py
@@ -41,6 +41,8 @@
 MAX_SPEC_BYTES = 4_000
 MAX_STEPS = 1_000
 MAX_TASKS = 100_000
+# A minion lists at most this many completed runs in a report.
+MAX_ENDS_PER_REPORT = 500
 NonNegative = Annotated[int, Field(ge=0)]
 
 
@@ -333,7 +335,12 @@
     except (IndexError, TypeError, ValueError, OverflowError) as error:
         raise InvalidInputError([Finding("report", str(error))]) from error
     return MinionReport(
-        report.born, report.clock_ms, running, ended, report.remaining_ms
+        report.born,
+        report.clock_ms,
+        running,
+        ended,
+        report.remaining_ms,
+        ended_complete=len(ended) < MAX_ENDS_PER_REPORT,
     )
 
 
--- a/tests/common/schedule_parts.py
+++ b/tests/common/schedule_parts.py
@@ -106,10 +106,12 @@
         ended: tuple[CompletedRun, ...] = (),
         incarnation: int = 1,
         remaining_ms: int | None = None,
+        ended_complete: bool = True,
     ) -> None:
         """Poll a minion and pass its answer to the scheduler."""
+        clock_ms = int(self.now * 1000)
         answer = MinionReport(
-            incarnation, int(self.now * 1000), running, ended, remaining_ms
+            incarnation, clock_ms, running, ended, remaining_ms, ended_complete
         )
         self.scheduler.on_report(self.poll(minion_id), answer, self.now)
 
--- a/tests/common/schedule_simulation.py
+++ b/tests/common/schedule_simulation.py
@@ -11,7 +11,7 @@
 import random
 from collections import Counter, defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from geraniumshore_scheduler import (
@@ -64,6 +64,8 @@
 LEASE_S = 6.0
 GRANTED_LEASE_S = 3.0
 MINION_CPU = 4000
+# Fewer than the tasks that a minion has room for.
+ENDS_PER_REPORT = 2
 TASK_CPU = 1000
 MS_PER_SECOND = 1000.0
 ORDER_DELAY_S = (0.5, 12.0)
@@ -146,6 +148,7 @@
             started_at=self.now,
             rate=1 + self.rng.uniform(-0.02, 0.02),
             cpu_capacity=MINION_CPU,
+            ends_per_report=ENDS_PER_REPORT,
             observe=lambda *event: self._observe(minion_id, *event),
         )
         self.minion_by_id[minion_id] = model
@@ -630,6 +633,8 @@
             self.scheduler.on_poll_unanswered(request, self.simulation.now)
             return
         report = decode_report(json.dumps(reply.document).encode())
+        complete = len(report.ended) < ENDS_PER_REPORT
+        report = replace(report, ended_complete=complete)
         self.scheduler.on_report(request, report, self.simulation.now)
 
     def _order(self, minion_id: str, name: str, document: dict[str, Any]) -> Reply:
--- a/tests/nocover/test_schedule_mutations.py
+++ b/tests/nocover/test_schedule_mutations.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from itertools import product
 
 import pytest
@@ -98,6 +99,15 @@
     )
 
 
+def full_pages_count_as_complete(patch):
+    on_report = Scheduler.on_report
+
+    def complete(self, request, report, now):
+        on_report(self, request, replace(report, ended_complete=True), now)
+
+    patch.setattr(Scheduler, "on_report", complete)
+
+
 @pytest.mark.parametrize(
     "mutation",
     [
@@ -110,6 +120,7 @@
         capacity_ignored,
         leases_before_unresponsive_record_is_retracted,
         last_grants_recorded_as_too_old,
+        full_pages_count_as_complete,
     ],
     ids=lambda mutation: mutation.__name__,
 )
