A timed job costs what is due, not what it declares

After a job of 315,360,000 occurrences was accepted, no node answered anybody.

Cause: the scheduler went through all occurrences of a job under the lock that callers need, at a takeover and whenever a job arrived.

Why the fix works: progress counts the completed occurrences from the first on and lists only later ones, so the check, the takeover, the record and the memory depend on the open ones. Due occurrences are queued while fewer than 1,000 tasks of their job wait.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
@@ -115,8 +115,10 @@
 class Progress:
     """Confirmed progress of a job's tasks, by ``occurrence.step.position``.
 
-    ``done`` is keyed by ``occurrence.step`` and has a bit for each task. ``placed`` is
-    recorded before a start is sent, so that a later owner knows where a task may run.
+    All tasks of the first ``completed_occurrences`` have succeeded. For later
+    occurrences ``done`` is keyed by ``occurrence.step`` and has a bit for each task.
+    ``placed`` is recorded before a start is sent, so that a later owner knows where a
+    task may run.
     """
 
     state: JobState = JobState.QUEUED
@@ -124,6 +126,7 @@
     failures: dict[str, int] = field(default_factory=dict)
     checkpoints: dict[str, str] = field(default_factory=dict)
     placed: dict[str, list[Placement]] = field(default_factory=dict)
+    completed_occurrences: int = 0
 
     def copy(self) -> Progress:
         """Return an independent copy."""
@@ -133,15 +136,20 @@
             dict(self.failures),
             dict(self.checkpoints),
             {name: list(places) for name, places in self.placed.items()},
+            self.completed_occurrences,
         )
 
     def is_done(self, task: TaskKey) -> bool:
         """Return whether a task has succeeded."""
+        if task.occurrence < self.completed_occurrences:
+            return True
         bits = self.done.get(f"{task.occurrence}.{task.step}", 0)
         return bool(bits >> task.position & 1)
 
     def mark_done(self, task: TaskKey) -> None:
         """Record a task's success; forget its failures and checkpoint."""
+        if task.occurrence < self.completed_occurrences:
+            return
         step = f"{task.occurrence}.{task.step}"
         self.done[step] = self.done.get(step, 0) | 1 << task.position
         self.failures.pop(task.within_job, None)
@@ -149,8 +157,16 @@
 
     def step_done(self, occurrence: int, step: int, count: int) -> bool:
         """Return whether all ``count`` tasks of a step have succeeded."""
+        if occurrence < self.completed_occurrences:
+            return True
         return self.done.get(f"{occurrence}.{step}", 0).bit_count() >= count
 
+    def complete_occurrence(self, steps: int) -> None:
+        """Record that the first occurrence not completed yet, of ``steps``, now is."""
+        for step in range(steps):
+            self.done.pop(f"{self.completed_occurrences}.{step}", None)
+        self.completed_occurrences += 1
+
 
 T = TypeVar("T")
 # Ages are rounded to milliseconds. Subtracting one unit before the rounding keeps a
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
@@ -247,6 +247,7 @@
             job.progress.mark_done(member)
             job.waiting.pop(member, None)
         job.open_steps(task.occurrence)
+        job.complete_occurrences()
         self._changed_services.add(job.service)
         if job.finished():
             self._finish(job, JobState.DONE, now)
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
@@ -12,6 +12,9 @@
 __all__ = ["OpenJob", "Run", "RunState", "critical_path_s"]
 
 MS_PER_S = 1000.0
+# Occurrences that are due are queued while fewer tasks of their job wait. A timed job
+# may have been accepted with any number of them already due.
+MAX_WAITING_TASKS = 1_000
 
 
 class RunState(enum.Enum):
@@ -139,8 +142,14 @@
         )
 
     def due_occurrences(self, wall_ms: float) -> Iterator[int]:
-        """Yield each occurrence once, when it is due."""
-        while self.next_occurrence < self.occurrences:
+        """Yield each occurrence once, when it is due and not too many tasks wait.
+
+        The tasks of each must be queued before the next is taken.
+        """
+        while (
+            self.next_occurrence < self.occurrences
+            and len(self.waiting) < MAX_WAITING_TASKS
+        ):
             due_ms = self.job.first_ms + self.next_occurrence * self.job.interval_ms
             if wall_ms < due_ms:
                 return
@@ -160,13 +169,23 @@
                     if task not in self.runs and not self.progress.is_done(task):
                         self.waiting[task] = None
 
+    def complete_occurrences(self) -> None:
+        """Drop what is kept of occurrences that have succeeded, in their order."""
+        progress = self.progress
+        steps = range(len(self.job.steps))
+        while not self.finished():
+            occurrence = progress.completed_occurrences
+            if not all(self._step_done(occurrence, number) for number in steps):
+                return
+            progress.complete_occurrence(len(steps))
+            self.opened.difference_update((occurrence, number) for number in steps)
+            for state_by_task in (self.failed_on, self.retry_at):
+                for task in [t for t in state_by_task if t.occurrence <= occurrence]:
+                    del state_by_task[task]
+
     def finished(self) -> bool:
         """Return whether all tasks of all occurrences have succeeded."""
-        return all(
-            self._step_done(occurrence, number)
-            for occurrence in range(self.occurrences)
-            for number in range(len(self.job.steps))
-        )
+        return self.progress.completed_occurrences >= self.occurrences
 
     def mark_running(self) -> None:
         """Mark a queued job as running, when its first task is placed."""
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -113,6 +113,8 @@
             max_attempts=1,
             beyond_share=beyond_share,
         )
+        opened.complete_occurrences()
+        opened.next_occurrence = opened.progress.completed_occurrences
         self._apply_queue_settings(opened)
         self._changed_services.add(opened.service)
         self.job_by_id[job.job_id] = opened
@@ -299,7 +301,7 @@
             if job_id not in self.job_by_id or job.next_occurrence >= job.occurrences:
                 del self._recurring[job_id]
                 continue
-            for occurrence in list(job.due_occurrences(wall_ms)):
+            for occurrence in job.due_occurrences(wall_ms):
                 job.open_steps(occurrence)
                 self._changed_services.add(job.service)
 
--- a/tests/cover/test_timed_jobs.py
+++ b/tests/cover/test_timed_jobs.py
@@ -14,7 +14,10 @@
     Progress,
     RegisteredJob,
     Step,
+    TaskKey,
+    encode_progress,
 )
+from geraniumshore_scheduler.internal.runs import MAX_WAITING_TASKS
 from tests.common.schedule_parts import CAPACITY, SMALL, Fleet, job
 
 JOB = "a" * 16
@@ -112,3 +115,70 @@
     assert fleet.occurrences_started() == [1]
     fleet.complete_runs()
     assert fleet.occurrences_started() == [2]
+
+
+# Each second for ten years.
+MANY = 315_360_000
+
+
+def test_a_declared_number_of_occurrences_costs_nothing_before_they_are_due():
+    """Every node hung as it went through all those of ten years (review 4)."""
+    fleet = TimedFleet(timed_job(MANY), now=2.5)
+    assert fleet.occurrences_started() == [0, 1, 2]
+    open_job = fleet.scheduler.job_by_id[JOB]
+    assert len(open_job.opened) == 3
+
+
+def test_what_is_kept_of_a_job_does_not_grow_with_its_occurrences():
+    fleet = TimedFleet(timed_job(MANY), now=0.0)
+    sizes = set()
+    for second in range(60):
+        fleet.now = float(second)
+        assert fleet.occurrences_started() == [second]
+        if second % 7 == 3:
+            fleet.complete_runs("failed")
+            fleet.now += 0.5
+            assert fleet.occurrences_started() == [second]
+        fleet.complete_runs()
+        open_job = fleet.scheduler.job_by_id[JOB]
+        sizes.add(len(encode_progress(open_job.progress)))
+        assert not (open_job.opened or open_job.failed_on or open_job.retry_at)
+    assert max(sizes) - min(sizes) < 3
+
+
+def test_a_takeover_goes_on_after_the_completed_occurrences():
+    progress = Progress(
+        JobState.RUNNING, done={f"{MANY - 3}.0": 1}, completed_occurrences=MANY - 4
+    )
+    fleet = TimedFleet(timed_job(MANY), now=1.0 * MANY, progress=progress)
+    assert fleet.occurrences_started() == [MANY - 4, MANY - 2, MANY - 1]
+    fleet.complete_runs()
+    assert fleet.state() is JobState.DONE
+
+
+def test_a_record_of_a_former_release_is_taken_over():
+    """It lists each completed occurrence."""
+    done = {f"{occurrence}.0": 1 for occurrence in range(100)}
+    progress = Progress(JobState.RUNNING, done=done)
+    fleet = TimedFleet(timed_job(MANY), now=101.5, progress=progress)
+    assert fleet.occurrences_started() == [100, 101]
+    assert len(encode_progress(fleet.scheduler.job_by_id[JOB].progress)) < 200
+
+
+def test_a_task_of_a_completed_occurrence_stays_done():
+    progress = Progress(completed_occurrences=2)
+    late = TaskKey(JOB, 1, 0, 0)
+    assert progress.is_done(late)
+    progress.mark_done(late)
+    assert progress.done == {}
+
+
+def test_occurrences_that_are_all_due_are_queued_as_room_permits():
+    times = 5 * MAX_WAITING_TASKS
+    fleet = TimedFleet(timed_job(times), now=1.0 * times)
+    room = 2 * CAPACITY.cpu_milli // SMALL.cpu_milli
+    for first in range(0, 10 * room, room):
+        assert fleet.occurrences_started() == list(range(first, first + room))
+        open_job = fleet.scheduler.job_by_id[JOB]
+        assert len(open_job.waiting) <= MAX_WAITING_TASKS
+        fleet.complete_runs()
