Numbers and addresses of the platform's documents have a range

What operators of a similar system saw: one odd entry among those of the minions, very deeply nested, with a number too large or a port out of range, and the nodes ended or stopped following the list.

Here no node ended, but odd entries were taken for minions. A capacity beyond a float stopped all moves of machines and all reports of waves while the entry stood; a port beyond 16 bits sent polls to another port than the one named; one beyond 64 bits raised an error at each poll that the client does not know.

Cause: the models at the border checked types and signs but no ranges, and the address was not checked.

Why the fix works: every number in the platform's documents has a range that floats hold exactly, a host's capacity its own, and one function says what an address is, for the models and the client. Deeply nested answers count as not understood. An ignored record is logged once per value.

--- a/packages/geraniumshored/src/geraniumshored/node/views.py
+++ b/packages/geraniumshored/src/geraniumshored/node/views.py
@@ -54,6 +54,8 @@
         self._open_read_started_at: float | None = None
         self._read_started_at = float("-inf")
         self._disconnected_since: float | None = None
+        # Values that were ignored, so that one that is written again is not reported.
+        self._ignored_by_key: dict[str, bytes] = {}
         self._read_requested = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name=f"follow-{stream.value}", daemon=True
@@ -179,7 +181,11 @@
         for record in records:
             try:
                 self._apply(record)
+                self._ignored_by_key.pop(record.key, None)
             except InvalidInputError as error:
+                if self._ignored_by_key.get(record.key) == record.value:
+                    continue
+                self._ignored_by_key[record.key] = record.value
                 log_event(
                     logger,
                     "record ignored",
--- a/packages/geraniumshored/src/geraniumshored/platform/documents.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/documents.py
@@ -8,7 +8,13 @@
 
 from typing import Annotated, Any, TypeVar
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    ValidationError,
+)
 
 from geraniumshore_scheduler import (
     CompletedRun,
@@ -27,6 +33,7 @@
     Step,
     Team,
 )
+from geraniumshored.platform.http import split_address
 
 __all__ = [
     "decode_advice",
@@ -43,7 +50,25 @@
 MAX_TASKS = 100_000
 # A minion lists at most this many completed runs in a report.
 MAX_ENDS_PER_REPORT = 500
-NonNegative = Annotated[int, Field(ge=0)]
+# Larger whole numbers are not exact in every reader of JSON, and much larger ones
+# cannot be compared with a float. No amount or time on the wire comes near it.
+MAX_WHOLE = (1 << 53) - 1
+# The most that one host may have, far beyond any that exists.
+MAX_HOST_CPU_MILLI = 100_000_000
+MAX_HOST_MEMORY_MB = 10_000_000_000
+MAX_HOST_ACCELERATORS = 100_000
+
+Whole = Annotated[int, Field(ge=-MAX_WHOLE, le=MAX_WHOLE)]
+NonNegative = Annotated[int, Field(ge=0, le=MAX_WHOLE)]
+Finite = Annotated[float, Field(allow_inf_nan=False, ge=-MAX_WHOLE, le=MAX_WHOLE)]
+
+
+def _check_address(address: str) -> str:
+    split_address(address)
+    return address
+
+
+Address = Annotated[str, AfterValidator(_check_address)]
 
 
 class _Document(BaseModel):
@@ -59,6 +84,12 @@
         return Resources(self.cpu, self.mem_mb, self.gpu)
 
 
+class _HostCapacity(_Sizes):
+    cpu: Annotated[int, Field(ge=0, le=MAX_HOST_CPU_MILLI)] = 0
+    mem_mb: Annotated[int, Field(ge=0, le=MAX_HOST_MEMORY_MB)] = 0
+    gpu: Annotated[int, Field(ge=0, le=MAX_HOST_ACCELERATORS)] = 0
+
+
 class _Phase(_Sizes):
     count: Annotated[int, Field(ge=1, le=MAX_TASKS)]
     estimate_ms: NonNegative = 0
@@ -115,9 +146,9 @@
     path_prefix: str
     service: str
     # Priority of the jobs submitted on this route; 0 is scheduled first.
-    priority: int = 0
-    max_attempts: Annotated[int, Field(ge=1)] = 1
-    stretch: float = 1.0
+    priority: Whole = 0
+    max_attempts: Annotated[int, Field(ge=1, le=MAX_WHOLE)] = 1
+    stretch: Finite = 1.0
     target_latency_ms: NonNegative = 0
     public: bool = False
     hint: dict[str, Any] | None = None
@@ -132,16 +163,16 @@
 class _Tenant(_Document):
     name: str
     api_keys: tuple[str, ...] = ()
-    weight: float = 1.0
+    weight: Finite = 1.0
     cap: _Sizes = _Sizes()
 
 
 class _Limits(_Document):
-    max_body_bytes: int = 262_144
+    max_body_bytes: Whole = 262_144
 
 
 class _Config(_Document):
-    version: int
+    version: Whole
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
     tenants: tuple[_Tenant, ...] = ()
@@ -149,33 +180,33 @@
 
 
 class _Wave(_Document):
-    wave: int
+    wave: Whole
     machines: tuple[str, ...]
     # Seconds after the record was written, not a point in time.
-    finish_by_s: float
+    finish_by_s: Finite
     # Maximum number of machines that may be down at the same time.
-    cap: Annotated[int, Field(ge=1)]
+    cap: Annotated[int, Field(ge=1, le=MAX_WHOLE)]
 
 
 class _Server(_Document):
     service: str
-    addr: str
+    addr: Address
     zone: str = ""
     state: str
-    capacity: _Sizes
+    capacity: _HostCapacity
     labels: tuple[str, ...] = ()
-    born: int = 0
-    remaining_ms: int | None = None
+    born: NonNegative = 0
+    remaining_ms: Whole | None = None
 
 
 class _Report(_Document):
-    born: int = 0
-    clock_ms: int
+    born: NonNegative = 0
+    clock_ms: Whole
     # Rows of task, run, checkpoint, percent and, on shared minions only, a measurement.
     running: tuple[tuple[Any, ...], ...] = ()
     # Completed runs: rows of sequence number, task, run, outcome, checkpoint.
     ended: tuple[tuple[Any, ...], ...] = ()
-    remaining_ms: int | None = None
+    remaining_ms: Whole | None = None
 
 
 class _Machine(_Document):
@@ -184,7 +215,7 @@
     state: str
     zone: str = ""
     labels: tuple[str, ...] = ()
-    capacity: _Sizes = _Sizes()
+    capacity: _HostCapacity = _HostCapacity()
     # The id of the machine's current minion; empty while the machine is off.
     id: str | None = None
 
@@ -312,6 +343,20 @@
     )
 
 
+def _whole(value: Any) -> int:
+    number = int(value)
+    if abs(number) > MAX_WHOLE:
+        raise ValueError("a number is too large")
+    return number
+
+
+def _finite(value: Any) -> float:
+    number = float(value)
+    if not abs(number) <= MAX_WHOLE:
+        raise ValueError("a number is too large or not finite")
+    return number
+
+
 def decode_report(data: bytes) -> MinionReport:
     """Decode a minion's response to a poll. Raises InvalidInputError."""
     report = _load(_Report, data, "report")
@@ -319,16 +364,16 @@
         running = tuple(
             RunningTask(
                 str(row[0]),
-                int(row[1]),
+                _whole(row[1]),
                 str(row[2]),
-                int(row[3]),
-                float(row[4]) if len(row) > 4 else 0.0,
+                _whole(row[3]),
+                _finite(row[4]) if len(row) > 4 else 0.0,
             )
             for row in report.running
         )
         ended = tuple(
             CompletedRun(
-                int(row[0]), str(row[1]), int(row[2]), str(row[3]), str(row[4])
+                _whole(row[0]), str(row[1]), _whole(row[2]), str(row[3]), str(row[4])
             )
             for row in report.ended
         )
--- a/packages/geraniumshored/src/geraniumshored/platform/http.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 import socket
 import struct
 import threading
@@ -18,7 +19,7 @@
 from geraniumshored.internal.sockets import enable_keepalive, has_pending_input
 from geraniumshored.node.clock import steady_seconds
 
-__all__ = ["HttpClient", "HttpReply"]
+__all__ = ["HttpClient", "HttpReply", "split_address"]
 
 JSON_HEADERS = {"Content-Type": "application/json"}
 
@@ -35,6 +36,20 @@
 FIRST_FINAL_STATUS = 200
 BODILESS_STATUSES = (204, 304)
 FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
+# A name or an IPv4 address, and a port.
+ADDRESS = re.compile(r"([A-Za-z0-9._-]{1,253}):([0-9]{1,5})", re.ASCII)
+MAX_PORT = 65_535
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``host:port``. Raises ValueError if nothing can listen there.
+
+    The resolver would truncate a port beyond 16 bits, and so name another one.
+    """
+    match = ADDRESS.fullmatch(address)
+    if match is None or not 0 < int(match[2]) <= MAX_PORT:
+        raise ValueError(f"{address[:80]!r} is no host and port")
+    return match[1], int(match[2])
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,7 +63,7 @@
         """Return the body as a JSON object. Raises UnknownOutcomeError."""
         try:
             document = json.loads(self.body)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise UnknownOutcomeError(f"response is not valid JSON: {error}") from error
         if not isinstance(document, dict):
             raise UnknownOutcomeError("response is not a JSON object")
@@ -63,10 +78,9 @@
     """
 
     def __init__(self, address: str) -> None:
-        host, _, port = address.partition(":")
         self._address = address
         self._socket = socket.create_connection(
-            (host, int(port)), CONNECT_TIMEOUT_SECONDS
+            split_address(address), CONNECT_TIMEOUT_SECONDS
         )
         enable_keepalive(self._socket)
         self._parser = httptools.HttpResponseParser(self)
