A long-running task that ends done is started again

Long-running tasks that ended done never came back, and their job, which nobody had cancelled, was shown as done.

Cause: an end done marked the task as succeeded, whether its step lasts or not. The protocol says that such tasks run until the job is cancelled and must be restarted however they end.

Why the fix works: the end of a long-running task's run frees it and the task waits to be placed, as after any other end. A late end done of a run that was given up no longer ends the task or stops its replacement either.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
@@ -286,7 +286,8 @@
             return
         if not job.has_task(task) or job.progress.is_done(task):
             return
-        if job.job.steps[task.step].gang:
+        step = job.job.steps[task.step]
+        if step.gang or step.lasting:
             return
         self._record_decision(
             "late success", completion.task, view.minion_id, {"run": completion.run}
@@ -309,8 +310,10 @@
         self._dirty[job.job.job_id] = None
         if completion.how == "done":
             view.faults = 0
-            self._mark_succeeded(job, run.task, now)
-            return
+            # A long-running task only ends with its job, so it runs again.
+            if not run.step.lasting:
+                self._mark_succeeded(job, run.task, now)
+                return
         if completion.checkpoint and run.step.checkpointing:
             job.progress.checkpoints[run.task.within_job] = completion.checkpoint
         if completion.how == "failed" and not run.step.lasting:
