Runs of a job that has ended count until they have ended too

Cause: a new owner ignored jobs that had ended before it read them. Their runs, still on the minions, counted neither for their team nor for the capacity of minions that had not answered yet.

Why the fix works: placed runs of an ended job are adopted and stopped like those of a job that is cancelled under an owner. The ends are recorded, so that the next owner does not wait for them, and so are renewed leases.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
@@ -403,7 +403,8 @@
 
     def _take_over_lease(self, run: Run, view: MinionView) -> None:
         """Record that this owner renews the run's lease from now on."""
-        job = self.job_by_id.get(run.task.job_id)
+        job_id = run.task.job_id
+        job = self.job_by_id.get(job_id) or self._terminal_job_by_id.get(job_id)
         if job is None:
             return
         self._record_placement(job, run)
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
@@ -191,8 +191,8 @@
             del job.runs[run.task]
             job.progress.placed.pop(run.task.within_job, None)
         if job_id in self._terminal_job_by_id:
-            if not job.runs and job_id not in self._dirty:
-                del self._terminal_job_by_id[job_id]
+            # The next owner must not count the run.
+            self._dirty[job_id] = None
             return None
         return job
 
@@ -271,7 +271,14 @@
         )
         del self.job_by_id[job_id]
         self._advice.forget_job(job_id)
-        self._terminal_job_by_id[job_id] = job
+        self._dirty[job_id] = None
+        self._stop_runs_of_ended(job)
+
+    def _stop_runs_of_ended(self, job: OpenJob) -> None:
+        """Keep an ended job until its runs have ended and its record is written."""
+        job_id = job.job.job_id
+        if job.runs or job_id in self._dirty:
+            self._terminal_job_by_id[job_id] = job
         for run in job.runs.values():
             self._request_stop(run)
 
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -100,7 +100,9 @@
         self._used_services.add(job.service)
         self._arrivals.insert(job, registered.accepted_at)
         beyond_share = self._exceeds_share(job, registered.accepted_at)
-        if job.job_id in self.job_by_id or registered.state.final:
+        if job.job_id in self.job_by_id or job.job_id in self._terminal_job_by_id:
+            return
+        if registered.state.final and not registered.progress.placed:
             return
         opened = OpenJob(
             job=job,
@@ -115,6 +117,10 @@
         )
         opened.complete_occurrences()
         opened.next_occurrence = opened.progress.completed_occurrences
+        if registered.state.final:
+            self._adopt(opened, now)
+            self._stop_runs_of_ended(opened)
+            return
         self._apply_queue_settings(opened)
         self._changed_services.add(opened.service)
         self.job_by_id[job.job_id] = opened
@@ -135,10 +141,7 @@
         self._record_decision("cancelled", job_id, details={"runs": len(job.runs)})
         self._dirty.pop(job_id, None)
         job.waiting.clear()
-        if job.runs:
-            self._terminal_job_by_id[job_id] = job
-        for run in job.runs.values():
-            self._request_stop(run)
+        self._stop_runs_of_ended(job)
 
     def set_listings(self, listing_by_id: dict[str, MinionListing], now: float) -> None:
         """Apply a newer list of minions. A minion missing from it may still be up."""
