A job keeps its queue's settings while the queue is withdrawn

Cause: a job's record named its queue and service only, so an owner that had never seen the queue allowed one attempt. It also gave the job the first priority and no objective, and started it without the advice it needs.

Why the fix works: the record has the queue's settings at the submission, from which every owner starts; a configuration that has the queue replaces them.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/model.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/model.py
@@ -121,8 +121,8 @@
     """An accepted job. ``occurrences`` of 0 means that it runs once, immediately.
 
     ``accepted_ms`` is the wall-clock time of the node that accepted the job.
-    ``service`` is the queue's service at that time, which is still needed after the
-    queue has been withdrawn.
+    ``service`` and the fields from ``priority`` on are the queue's settings at that
+    time. They apply while no configuration has the queue.
     """
 
     job_id: str
@@ -135,6 +135,11 @@
     occurrences: int = 0
     first_ms: int = 0
     interval_ms: int = 0
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 0.0
+    target_latency_ms: int = 0
+    needs_advice: bool = False
 
     @property
     def lasting(self) -> bool:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
@@ -7,7 +7,13 @@
 from geraniumshore_scheduler.internal.advice import AdviceRegistry
 from geraniumshore_scheduler.internal.authority import Authority, OwnershipTimes
 from geraniumshore_scheduler.internal.minion_view import MinionView
-from geraniumshore_scheduler.internal.model import Configuration, Resources, TaskKey
+from geraniumshore_scheduler.internal.model import (
+    Configuration,
+    Job,
+    Queue,
+    Resources,
+    TaskKey,
+)
 from geraniumshore_scheduler.internal.ordering import ByObjective, JobOrder
 from geraniumshore_scheduler.internal.orders import (
     Decision,
@@ -100,14 +106,17 @@
         queue = None
         if self.configuration is not None:
             queue = self.configuration.queue_by_name.get(job.job.queue)
-        if queue is None:
-            return
-        job.service = queue.service
-        job.priority = queue.priority
-        job.max_attempts = queue.max_attempts
-        job.needs_advice = queue.needs_advice
+        if queue is not None:
+            self._apply_settings(job, queue)
+
+    @staticmethod
+    def _apply_settings(job: OpenJob, settings: Queue | Job) -> None:
+        job.service = settings.service
+        job.priority = settings.priority
+        job.max_attempts = settings.max_attempts
+        job.needs_advice = settings.needs_advice
         job.objective_s = (
-            queue.stretch * job.work_left_s() + queue.target_latency_ms / MS_PER_S
+            settings.stretch * job.work_left_s() + settings.target_latency_ms / MS_PER_S
         )
 
     def _adopt(self, job: OpenJob, now: float) -> None:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -121,6 +121,7 @@
             self._adopt(opened, now)
             self._stop_runs_of_ended(opened)
             return
+        self._apply_settings(opened, job)
         self._apply_queue_settings(opened)
         self._changed_services.add(opened.service)
         self.job_by_id[job.job_id] = opened
--- a/packages/geraniumshored/src/geraniumshored/platform/documents.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/documents.py
@@ -277,6 +277,11 @@
         occurrences=request.times,
         first_ms=request.first_ms,
         interval_ms=request.interval_ms,
+        priority=queue.priority,
+        max_attempts=queue.max_attempts,
+        stretch=queue.stretch,
+        target_latency_ms=queue.target_latency_ms,
+        needs_advice=queue.needs_advice,
     )
 
 
