Progress of large jobs is divided into records of 500 tasks

Cause: the progress of a job was one record. With 5,000 placed tasks it has 283,920 bytes, where the store takes 262,144; the owner repeated the refused append for ever, before all others. A step of 20,000 done tasks could not be read back either (number out of range), so its job would have run again.

Why the fix works: tasks are numbered and each 500 of them have a record. Only changed parts are written, in as many appends as they need; what a takeover must not lose, the count of completed occurrences, goes first. Jobs of up to 500 tasks keep their one record. A record of a former release is divided with its first change.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_registry.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_registry.py
@@ -9,6 +9,7 @@
 from geraniumshore_scheduler.errors import InvalidInputError
 from geraniumshore_scheduler.internal.machine_orders import AnnouncedOrder
 from geraniumshore_scheduler.internal.model import Job
+from geraniumshore_scheduler.internal.progress_parts import ProgressParts
 from geraniumshore_scheduler.internal.records import (
     AGE_RESOLUTION_S,
     OWNER_RESIGNED_KEY,
@@ -26,7 +27,9 @@
     decode_wave_progress,
     encode_progress,
     job_key,
+    progress_key,
     split_key,
+    split_progress_name,
 )
 from geraniumshore_scheduler.internal.unresponsive import MinionEpoch
 
@@ -44,7 +47,8 @@
     """A job with the state from its newest records.
 
     A final state in ``progress`` takes precedence over a cancellation, whichever came
-    first. ``ended_at`` is when this node learned that the job had ended.
+    first. ``ended_at`` is when this node learned that the job had ended. Jobs with many
+    tasks have further parts of their progress, by number, in records of their own.
     """
 
     job: Job
@@ -53,6 +57,20 @@
     progress_offset: int = -1
     cancelled: bool = False
     ended_at: float | None = None
+    part_by_number: dict[int, Progress] = field(default_factory=dict)
+    offset_by_part: dict[int, int] = field(default_factory=dict)
+
+    def whole_progress(self) -> Progress:
+        """Return an independent copy of the progress with all parts."""
+        if not self.part_by_number:
+            return self.progress.copy()
+        return ProgressParts(self.job).merge(self.progress, self.part_by_number)
+
+    @property
+    def has_placed_tasks(self) -> bool:
+        """Whether tasks may be on minions, as far as the log says."""
+        parts = (self.progress, *self.part_by_number.values())
+        return any(part.placed for part in parts)
 
     @property
     def state(self) -> JobState:
@@ -108,6 +126,7 @@
         # The times after which owners sent no lease to unresponsive minions.
         self.last_grants: dict[MinionEpoch, float] = {}
         self._orphans: dict[tuple[RecordKind, str], _Orphan] = {}
+        self._orphan_parts_by_id: dict[str, dict[int, _Orphan]] = {}
         self._pending_by_queue: dict[str, int] = {}
 
     def fold(
@@ -145,6 +164,10 @@
         if kind is RecordKind.MACHINES:
             self.order_by_machine = decode_machine_orders(value, now)
             return None
+        if kind is RecordKind.PROGRESS:
+            job_id, part = split_progress_name(job_id)
+            if part:
+                return self._fold_part(job_id, part, _Orphan(offset, value, now))
         registered = self.job_by_id.get(job_id)
         if not value:
             self._drop(kind, job_id, now)
@@ -186,29 +209,74 @@
         deletes a job may leave its progress record: the ACCEPTED record is deleted
         first, because without progress the job would look like a new one.
         """
-        ids = (
-            job_id
+        mains = (
+            (job_id, orphan)
             for (kind, job_id), orphan in self._orphans.items()
-            if kind is RecordKind.PROGRESS and orphan.read_at < read_before
+            if kind is RecordKind.PROGRESS
+        )
+        parts = (
+            (job_id, orphan)
+            for job_id, orphans in self._orphan_parts_by_id.items()
+            for orphan in orphans.values()
+        )
+        ids = dict.fromkeys(
+            job_id
+            for job_id, orphan in (*mains, *parts)
+            if orphan.read_at < read_before
         )
         return list(islice(ids, max_count))
 
+    def _fold_part(
+        self, job_id: str, part: int, record: _Orphan
+    ) -> RegisteredJob | None:
+        """Apply a record of a further part of a job's progress."""
+        registered = self.job_by_id.get(job_id)
+        if registered is None:
+            orphans = self._orphan_parts_by_id.setdefault(job_id, {})
+            if record.value:
+                orphans[part] = record
+            else:
+                orphans.pop(part, None)
+            if not orphans:
+                del self._orphan_parts_by_id[job_id]
+            return None
+        if record.offset > registered.offset_by_part.get(part, -1):
+            registered.offset_by_part[part] = record.offset
+            if record.value:
+                registered.part_by_number[part] = decode_progress(record.value)
+            else:
+                registered.part_by_number.pop(part, None)
+        return registered
+
+    def progress_keys(self, job_id: str) -> list[str]:
+        """Return the keys of all records of a job's progress."""
+        registered = self.job_by_id.get(job_id)
+        parts = set(self._orphan_parts_by_id.get(job_id, ()))
+        if registered is not None:
+            parts.update(registered.part_by_number)
+        return [progress_key(job_id, part) for part in (0, *sorted(parts))]
+
     def unread_placed_jobs(self) -> Iterator[str]:
         """Yield the jobs that are placed on minions but whose own record is not read.
 
         The streams are read independently, so an owner's records of a job may be known
         before the job. Those of deleted jobs look the same until they are deleted too.
         """
+        records_by_id: dict[str, list[bytes]] = {
+            job_id: [part.value for part in parts.values()]
+            for job_id, parts in self._orphan_parts_by_id.items()
+        }
         for (kind, job_id), orphan in self._orphans.items():
-            if kind is not RecordKind.PROGRESS:
-                continue
+            if kind is RecordKind.PROGRESS:
+                records_by_id.setdefault(job_id, []).append(orphan.value)
+        for job_id, records in records_by_id.items():
             try:
-                progress = decode_progress(orphan.value)
+                parts = [decode_progress(value) for value in records]
             except InvalidInputError:
                 # Nothing shows that the job runs nowhere.
                 yield job_id
                 continue
-            if progress.placed and not progress.state.final:
+            if any(p.placed for p in parts) and not any(p.state.final for p in parts):
                 yield job_id
 
     def pending(self, queue: str) -> int:
@@ -243,6 +311,9 @@
             if orphan is not None:
                 key = job_key(kind, job.job_id)
                 self.fold(key, orphan.value, orphan.offset, now)
+        orphans = self._orphan_parts_by_id.pop(job.job_id, {})
+        for part, orphan in orphans.items():
+            self._fold_part(job.job_id, part, orphan)
         return registered
 
     def _drop(self, kind: RecordKind, job_id: str, now: float) -> None:
@@ -256,6 +327,10 @@
                     value = encode_progress(registered.progress)
                     left = _Orphan(registered.progress_offset, value, now)
                     self._orphans[RecordKind.PROGRESS, job_id] = left
+                for part, progress in registered.part_by_number.items():
+                    offset = registered.offset_by_part[part]
+                    left = _Orphan(offset, encode_progress(progress), now)
+                    self._fold_part(job_id, part, left)
 
     def _adjust_pending(self, registered: RegisteredJob, change: int) -> None:
         if registered.state is JobState.QUEUED:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
@@ -307,7 +307,7 @@
             )
         if job is None:
             return
-        self._dirty[job.job.job_id] = None
+        self._mark_changed(job, run.task)
         if completion.how == "done":
             view.faults = 0
             # A long-running task only ends with its job, so it runs again.
@@ -331,6 +331,7 @@
         name = counted.within_job
         failures = job.progress.failures.get(name, 0) + 1
         job.progress.failures[name] = failures
+        self._mark_changed(job, counted)
         # A task that fails on every minion is no evidence against any of them, so only
         # a job's first failure counts against the minion.
         if not job.failed_on:
@@ -380,6 +381,7 @@
         job = self.job_by_id.get(run.task.job_id)
         if job is not None and row.checkpoint and run.step.checkpointing:
             job.progress.checkpoints[run.task.within_job] = row.checkpoint
+            job.mark_changed(run.task)
 
     def _set_paces(self, view: MinionView) -> None:
         if view.listing is None:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
@@ -39,7 +39,9 @@
     "encode_unresponsive",
     "encode_wave_progress",
     "job_key",
+    "progress_key",
     "split_key",
+    "split_progress_name",
     "wave_key",
 ]
 
@@ -190,6 +192,20 @@
     return f"{kind.value}/{job_id}"
 
 
+def progress_key(job_id: str, part: int) -> str:
+    """Return the key of a part of a job's progress."""
+    key = job_key(RecordKind.PROGRESS, job_id)
+    return f"{key}/{part}" if part else key
+
+
+def split_progress_name(name: str) -> tuple[str, int]:
+    """Return the job ID and the part that the name of a progress record gives."""
+    job_id, slash, part = name.rpartition("/")
+    if slash and part.isascii() and part.isdigit():
+        return job_id, int(part)
+    return name, 0
+
+
 def split_key(key: str) -> tuple[RecordKind, str] | None:
     """Return a key's kind and job ID, or None if the key has another form."""
     prefix, slash, job_id = key.partition("/")
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
@@ -180,7 +180,12 @@
         job.progress.placed[run.task.within_job] = [
             Placement(run.minion_id, run.number, self.authority.epoch)
         ]
-        self._dirty[run.task.job_id] = None
+        self._mark_changed(job, run.task)
+
+    def _mark_changed(self, job: OpenJob, task: TaskKey) -> None:
+        """Let the next batch have a record of a task's progress."""
+        job.mark_changed(task)
+        self._dirty[job.job.job_id] = None
 
     def _detach(self, run: Run) -> OpenJob | None:
         view = self.view_by_id.get(run.minion_id)
@@ -201,7 +206,7 @@
             job.progress.placed.pop(run.task.within_job, None)
         if job_id in self._terminal_job_by_id:
             # The next owner must not count the run.
-            self._dirty[job_id] = None
+            self._mark_changed(job, run.task)
             return None
         return job
 
@@ -211,7 +216,7 @@
         job = self._detach(run)
         if job is None:
             return
-        self._dirty[run.task.job_id] = None
+        self._mark_changed(job, run.task)
         if run.task not in job.runs and not job.progress.is_done(run.task):
             job.waiting[run.task] = None
             self._changed_services.add(job.service)
@@ -247,13 +252,13 @@
         return None
 
     def _mark_succeeded(self, job: OpenJob, task: TaskKey, now: float) -> None:
-        self._dirty[task.job_id] = None
         step = job.job.steps[task.step]
         # A gang is done as soon as one of its members is.
         members = range(step.count) if step.gang else (task.position,)
         for position in members:
             member = task._replace(position=position)
             job.progress.mark_done(member)
+            self._mark_changed(job, member)
             job.waiting.pop(member, None)
         job.open_steps(task.occurrence)
         job.complete_occurrences()
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
@@ -7,7 +7,13 @@
 from dataclasses import dataclass, field
 
 from geraniumshore_scheduler.internal.model import Job, Resources, Step, TaskKey
-from geraniumshore_scheduler.internal.records import JobState, Progress
+from geraniumshore_scheduler.internal.progress_parts import ProgressParts
+from geraniumshore_scheduler.internal.records import (
+    JobState,
+    Progress,
+    encode_progress,
+    progress_key,
+)
 
 __all__ = ["OpenJob", "Run", "RunState", "critical_path_s"]
 
@@ -100,6 +106,7 @@
     ``beyond_share`` jobs arrived faster than their team's share allows. ``set_aside``
     jobs start no more tasks, as scheduling them raised an error. Occurrences before
     ``next_occurrence`` have been opened, once they were due on this owner's clock.
+    ``changed_parts`` are the parts of the progress that the next record must have.
     """
 
     job: Job
@@ -120,8 +127,13 @@
     next_occurrence: int = 0
     set_aside: bool = False
     unplaced: set[tuple[int, int]] = field(default_factory=set)
+    changed_parts: set[int] = field(default_factory=set)
+    parts: ProgressParts = field(init=False)
     _work_left_s: float | None = None
 
+    def __post_init__(self) -> None:
+        self.parts = ProgressParts(self.job)
+
     @property
     def occurrences(self) -> int:
         """How many times the steps run."""
@@ -132,6 +144,26 @@
         """The time by which the job should be done."""
         return self.arrived_at + self.objective_s
 
+    def mark_changed(self, task: TaskKey) -> None:
+        """Note that a task's progress has changed since its last record."""
+        self.changed_parts.add(self.parts.part_of(task))
+
+    def take_records(self) -> dict[str, bytes]:
+        """Return the records of what has changed by key, that of the job first.
+
+        A record without a value deletes one whose tasks have nothing to record.
+        """
+        changed, self.changed_parts = self.changed_parts | {0}, set()
+        part_by_number = self.parts.split(self.progress)
+        return {
+            progress_key(self.job.job_id, number): encode_progress(
+                part_by_number[number]
+            )
+            if number in part_by_number
+            else b""
+            for number in sorted(changed)
+        }
+
     def has_task(self, task: TaskKey) -> bool:
         """Return whether the task belongs to the job."""
         steps = self.job.steps
@@ -178,6 +210,7 @@
             if not all(self._step_done(occurrence, number) for number in steps):
                 return
             progress.complete_occurrence(len(steps))
+            self.changed_parts.update(self.parts.parts_of_occurrence(occurrence))
             self.opened.difference_update((occurrence, number) for number in steps)
             for state_by_task in (self.failed_on, self.retry_at):
                 for task in [t for t in state_by_task if t.occurrence <= occurrence]:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -27,11 +27,7 @@
 from geraniumshore_scheduler.internal.placer import Placer
 from geraniumshore_scheduler.internal.pool_meter import PoolMeter
 from geraniumshore_scheduler.internal.pools import PoolLoad
-from geraniumshore_scheduler.internal.records import (
-    RecordKind,
-    encode_progress,
-    job_key,
-)
+from geraniumshore_scheduler.internal.records import progress_key
 from geraniumshore_scheduler.internal.runs import OpenJob
 from geraniumshore_scheduler.internal.unresponsive import (
     MinionEpoch,
@@ -102,12 +98,12 @@
         beyond_share = self._exceeds_share(job, registered.accepted_at)
         if job.job_id in self.job_by_id or job.job_id in self._terminal_job_by_id:
             return
-        if registered.state.final and not registered.progress.placed:
+        if registered.state.final and not registered.has_placed_tasks:
             return
         opened = OpenJob(
             job=job,
             # A copy, so that callers do not see decisions before they are in the log.
-            progress=registered.progress.copy(),
+            progress=registered.whole_progress(),
             arrived_at=min(registered.accepted_at, now),
             service=job.service,
             priority=0,
@@ -115,6 +111,9 @@
             max_attempts=1,
             beyond_share=beyond_share,
         )
+        # A former release wrote one record, so all parts go with the first change.
+        opened.changed_parts.update(opened.parts.split(opened.progress))
+        opened.changed_parts.update(registered.part_by_number)
         opened.complete_occurrences()
         opened.next_occurrence = opened.progress.completed_occurrences
         if registered.state.final:
@@ -311,15 +310,21 @@
 
     def _values_to_record(self) -> dict[str, bytes]:
         values, self._records = self._records, {}
+        further_parts: dict[str, bytes] = {}
         for job_id in self._dirty:
             job = self.job_by_id.get(job_id) or self._terminal_job_by_id.get(job_id)
             if job is not None:
-                key = job_key(RecordKind.PROGRESS, job_id)
-                values[key] = encode_progress(job.progress)
+                records = job.take_records()
+                main = progress_key(job_id, 0)
+                values[main] = records.pop(main)
+                further_parts.update(records)
             if (
                 job_id in self._terminal_job_by_id
                 and not self._terminal_job_by_id[job_id].runs
             ):
                 del self._terminal_job_by_id[job_id]
         self._dirty = {}
+        # Completed occurrences are dropped from further parts. A batch may be appended
+        # in pieces, and the count must be in the log before.
+        values.update(further_parts)
         return values
--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -35,7 +35,13 @@
 from geraniumshored.node.machine_controller import MachineController
 from geraniumshored.node.members import host_of
 from geraniumshored.node.metrics import NodeMetrics
-from geraniumshored.node.ports import Platform, Record, Stream, Writer
+from geraniumshored.node.ports import (
+    Platform,
+    Record,
+    Stream,
+    Writer,
+    split_appends,
+)
 from geraniumshored.node.sessions import (
     UNRESPONSIVE_POLL_PAUSE_S,
     MinionSession,
@@ -299,6 +305,11 @@
             orphans = self._jobs.registry.expired_orphans(
                 ended_before, MAX_JOBS_PER_CLEANUP
             )
+            keys = [
+                key
+                for job_id in (*ids, *orphans)
+                for key in self._jobs.registry.progress_keys(job_id)
+            ]
         if not ids and not orphans:
             return
         kinds = (RecordKind.ACCEPTED, RecordKind.CANCELLED)
@@ -312,8 +323,8 @@
             log_event(logger, "expired jobs not deleted, retrying", cause=str(error))
             return
         with self._lock:
-            for job_id in (*ids, *orphans):
-                self._scheduler.record(job_key(RecordKind.PROGRESS, job_id), b"")
+            for key in keys:
+                self._scheduler.record(key, b"")
         log_event(logger, "expired jobs deleted", jobs=len(ids), orphans=len(orphans))
 
     def _decide(self) -> None:
@@ -349,17 +360,27 @@
 
     def _record(self, batch: Batch) -> None:
         """Retry the append until the batch is in the log, then send its starts."""
+        records = (Record(key, value) for key, value in batch.value_by_key.items())
+        began = self._now()
+        for piece in split_appends(records, self._settings.append_bytes):
+            if not self._append(batch, piece):
+                return
+        self._metrics.observe("append", "batch", self._now() - began)
+        with self._lock:
+            self._scheduler.on_durable(batch)
+        for start in batch.starts:
+            self._send(start.run.minion_id, start)
+
+    def _append(self, batch: Batch, records: list[Record]) -> bool:
+        """Append records of a batch; return whether they are in the log."""
         self._append_number += 1
         writer = Writer(WRITER_NAME, self.authority.epoch, self._append_number)
-        records = [Record(key, value) for key, value in batch.value_by_key.items()]
-        began = self._now()
         while not self._stopped.is_set():
             try:
                 self._platform.store.append(Stream.PROGRESS, records, writer)
-                break
+                return not self._stopped.is_set()
             except SequenceError as error:
                 self.stop(f"the log has another writer: {error}")
-                return
             except (PlatformUnavailableError, UnknownOutcomeError) as error:
                 log_event(
                     logger,
@@ -368,13 +389,7 @@
                     cause=str(error),
                 )
                 self._stopped.wait(RETRY_S)
-        if self._stopped.is_set():
-            return
-        self._metrics.observe("append", "batch", self._now() - began)
-        with self._lock:
-            self._scheduler.on_durable(batch)
-        for start in batch.starts:
-            self._send(start.run.minion_id, start)
+        return False
 
     def _run_advice(self) -> None:
         """Request advice for one step after the other.
--- a/packages/geraniumshored/src/geraniumshored/node/ports.py
+++ b/packages/geraniumshored/src/geraniumshored/node/ports.py
@@ -4,7 +4,7 @@
 
 import enum
 from abc import ABC, abstractmethod
-from collections.abc import Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass
 
 from geraniumshore_scheduler import (
@@ -34,6 +34,7 @@
     "Store",
     "Stream",
     "Writer",
+    "split_appends",
 ]
 
 
@@ -59,6 +60,32 @@
     value: bytes
     offset: int = -1
 
+    @property
+    def size(self) -> int:
+        """The bytes that the record takes in an append, at most."""
+        return RECORD_OVERHEAD_BYTES + len(self.key.encode()) + len(self.value)
+
+
+# Bytes of a record beside its key and its value, at most.
+RECORD_OVERHEAD_BYTES = 16
+
+
+def split_appends(records: Iterable[Record], max_bytes: int) -> Iterator[list[Record]]:
+    """Divide records into appends of at most ``max_bytes``, in their order.
+
+    A record that is larger by itself gets an append of its own.
+    """
+    piece: list[Record] = []
+    size = 0
+    for record in records:
+        if piece and size + record.size > max_bytes:
+            yield piece
+            piece, size = [], 0
+        piece.append(record)
+        size += record.size
+    if piece:
+        yield piece
+
 
 @dataclass(frozen=True, slots=True)
 class Page:
--- a/packages/geraniumshored/src/geraniumshored/node/settings.py
+++ b/packages/geraniumshored/src/geraniumshored/node/settings.py
@@ -16,7 +16,8 @@
     ``leaving_s`` is how long a process may run after SIGTERM. ``ownership_lease_s`` is
     the minimum time between orders of two owners to the same machine. ``status_kept_s``
     is how long the status of a completed job is kept. ``processors`` is the number of
-    cores that the host gives this process.
+    cores that the host gives this process. The store accepts ``append_bytes`` in an
+    append and ``record_bytes`` in a record, at most.
     """
 
     node: str
@@ -26,3 +27,5 @@
     ownership_lease_s: float
     status_kept_s: float
     processors: float
+    append_bytes: int = 2_097_152
+    record_bytes: int = 262_144
--- a/packages/geraniumshored/src/geraniumshored/platform/settings.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/settings.py
@@ -45,6 +45,8 @@
     status_kept_s: Annotated[int, Field(ge=1)] = 120
     cpu_share: Annotated[float, Field(gt=0)] = 1.0
     cpu_speed: Annotated[float, Field(gt=0)] = 1.0
+    append_bytes: Annotated[int, Field(ge=1)] = 2_097_152
+    record_bytes: Annotated[int, Field(ge=1)] = 262_144
 
     def node_settings(self) -> NodeSettings:
         """Return the settings without the platform's addresses."""
@@ -63,6 +65,8 @@
             status_kept_s=float(self.status_kept_s),
             # ``cpu_share`` of a core that is ``cpu_speed`` times as fast as usual.
             processors=self.cpu_share * self.cpu_speed,
+            append_bytes=self.append_bytes,
+            record_bytes=self.record_bytes,
         )
 
 
