Submissions that the store cannot hold are refused by themselves

What callers would see: 503 "the store is away" for everybody whose submissions share an append of over 2 MB or one oversized record, and 504 for those who share it with a path of over 255 characters.

Cause: the group commit bounded the number of records, not their bytes, and any path below a queue's prefix was taken for a job ID.

Why the fix works: appends are divided by size, and what cannot be held, or is no ID of 16 hexadecimal digits, is answered 400 before anything of it is kept.

--- a/packages/geraniumshored/src/geraniumshored/node/appender.py
+++ b/packages/geraniumshored/src/geraniumshored/node/appender.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from concurrent.futures import Future, TimeoutError as FutureTimeout
 from dataclasses import dataclass, field
+from itertools import accumulate
 
 from geraniumshore_scheduler import PlatformUnavailableError, UnknownOutcomeError
 from geraniumshored.node.logs import log_event
@@ -21,6 +22,7 @@
 # Delay before a refused or unanswered append is retried; a few round trips.
 RETRY_S = 0.05
 MAX_BATCH_RECORDS = 200
+MAX_APPEND_BYTES = 2_097_152
 # Several appends may be open, so that one lost answer does not delay all callers. The
 # next one starts only when the last is overdue, that is after a multiple of the recent
 # latency: more open appends would only queue up in a slow store.
@@ -49,8 +51,14 @@
 class Appender:
     """Appends idempotent records in batches; a retry may append them twice."""
 
-    def __init__(self, store: Store, now: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        store: Store,
+        now: Callable[[], float],
+        max_append_bytes: int = MAX_APPEND_BYTES,
+    ) -> None:
         self._store = store
+        self._max_append_bytes = max_append_bytes
         self._now = now
         self._condition = threading.Condition()
         self._pending: list[_PendingRecord] = []
@@ -86,8 +94,8 @@
             with self._condition:
                 while not self._pending or (left := self._overdue_in()) > 0:
                     self._condition.wait(left if self._pending else None)
-                batch = self._pending[:MAX_BATCH_RECORDS]
-                del self._pending[:MAX_BATCH_RECORDS]
+                batch = self._next_batch()
+                del self._pending[: len(batch)]
                 began = self._now()
                 self._open_since.append(began)
             try:
@@ -105,6 +113,12 @@
             for pending in batch:
                 pending.outcome.set_result(outcome)
 
+    def _next_batch(self) -> list[_PendingRecord]:
+        """Return the first pending records that the store accepts together."""
+        sizes = accumulate(p.record.size for p in self._pending[:MAX_BATCH_RECORDS])
+        fitting = sum(size <= self._max_append_bytes for size in sizes)
+        return self._pending[: max(1, fitting)]
+
     def _overdue_in(self) -> float:
         """Return the time in seconds until the newest open append is overdue."""
         if not self._open_since:
--- a/packages/geraniumshored/src/geraniumshored/node/job_requests.py
+++ b/packages/geraniumshored/src/geraniumshored/node/job_requests.py
@@ -4,6 +4,7 @@
 
 import enum
 import logging
+import re
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -45,6 +46,8 @@
 REFRESH_TIMEOUT_S = 0.04
 CANCEL_MARK = b"1"
 STORE_AWAY = "the store is away"
+MAX_RECORD_BYTES = 262_144
+JOB_ID = re.compile("[0-9A-Fa-f]{16}")
 
 
 class Verdict(enum.Enum):
@@ -101,7 +104,9 @@
         decoder: JobDecoder,
         metrics: NodeMetrics,
         now: Callable[[], float],
+        max_record_bytes: int = MAX_RECORD_BYTES,
     ) -> None:
+        self._max_record_bytes = max_record_bytes
         self._operators = operators
         self._jobs = jobs
         self._appender = appender
@@ -126,8 +131,10 @@
         if isinstance(admitted, Answer):
             return admitted
         configuration, queue, team, job_id = admitted
-        if not job_id:
-            return Answer(Verdict.MALFORMED, detail="the path names no job")
+        if JOB_ID.fullmatch(job_id) is None:
+            return Answer(
+                Verdict.MALFORMED, detail="a job ID has 16 hexadecimal digits"
+            )
         if self._jobs.find(job_id) is not None:
             return self._record_answer(
                 "submit", job_id, Answer(Verdict.OK, detail="known")
@@ -144,6 +151,9 @@
             answer = self._refusal(STORE_AWAY)
             return self._record_answer("submit", job_id, answer)
         record = Record(job_key(RecordKind.ACCEPTED, job_id), encode_job(job))
+        if record.size > self._max_record_bytes:
+            answer = Answer(Verdict.MALFORMED, detail="the job has too many steps")
+            return self._record_answer("submit", job_id, answer)
         answer = self._write(record, caller)
         if answer.verdict is Verdict.UNCERTAIN and self._jobs.find(job_id) is not None:
             answer = Answer(Verdict.OK, detail="seen in the log")
--- a/packages/geraniumshored/src/geraniumshored/node/node.py
+++ b/packages/geraniumshored/src/geraniumshored/node/node.py
@@ -48,10 +48,16 @@
         self._operators = OperatorsView(platform, now)
         self._minions = MinionsView(platform, now)
         self._jobs = JobsView(platform, now)
-        self._appender = Appender(platform.store, now)
+        self._appender = Appender(platform.store, now, settings.append_bytes)
         self._stopping = threading.Event()
         self.request_handler = JobRequestHandler(
-            self._operators, self._jobs, self._appender, decoder, self.metrics, now
+            self._operators,
+            self._jobs,
+            self._appender,
+            decoder,
+            self.metrics,
+            now,
+            settings.record_bytes,
         )
         # A restarted process is a new member.
         process = f"{time.time_ns()}-{os.getpid()}"
