Jobs of a queue that is open to all are shown to all

Cause: a job with a team was shown only to callers with that team's key, also on a queue that asks for no key.

Why the fix works: the team is compared on queues with keys only.

--- a/packages/geraniumshored/src/geraniumshored/node/job_requests.py
+++ b/packages/geraniumshored/src/geraniumshored/node/job_requests.py
@@ -169,10 +169,10 @@
             if not self._is_current():
                 return self._outdated_answer()
             return Answer(Verdict.OK, pending=self._jobs.pending(queue.name))
-        state = self._find_state(job_id, team)
+        state = self._find_state(job_id, queue, team)
         if state is None or not state.final:
             self._jobs.refresh(REFRESH_TIMEOUT_S)
-            state = self._find_state(job_id, team)
+            state = self._find_state(job_id, queue, team)
         if state is None:
             return self._unknown_job("show", job_id)
         return Answer(Verdict.OK, state=state)
@@ -182,11 +182,11 @@
         admitted = self._admit(caller)
         if isinstance(admitted, Answer):
             return admitted
-        configuration, _, team, job_id = admitted
-        state = self._find_state(job_id, team)
+        configuration, queue, team, job_id = admitted
+        state = self._find_state(job_id, queue, team)
         if state is None:
             self._jobs.refresh(REFRESH_TIMEOUT_S)
-            state = self._find_state(job_id, team)
+            state = self._find_state(job_id, queue, team)
         if state is None:
             return self._unknown_job("cancel", job_id)
         if state.final:
@@ -218,15 +218,17 @@
         job_id = caller.path[len(queue.path_prefix) :]
         return configuration, queue, team, job_id
 
-    def _find_state(self, job_id: str, team: Team | None) -> JobState | None:
+    def _find_state(
+        self, job_id: str, queue: Queue, team: Team | None
+    ) -> JobState | None:
         registered = self._jobs.find(job_id)
         if registered is None:
             return None
         owner = registered.job.team
+        if owner is None or queue.open_to_all:
+            return registered.state
         # Another team's job is reported as unknown.
-        if owner is not None and (team is None or team.name != owner):
-            return None
-        return registered.state
+        return registered.state if team is not None and team.name == owner else None
 
     def _write(self, record: Record, caller: Caller) -> Answer:
         began = self._now()
