A DELETE of an unknown job reads the log before it is answered 410

Why the fix works: the log is read to its end, as it was when the call came, in a call that waits for nothing. What is not there then had not been accepted. When the store does not answer, the call is answered 503.

--- a/packages/geraniumshored/src/geraniumshored/node/job_requests.py
+++ b/packages/geraniumshored/src/geraniumshored/node/job_requests.py
@@ -185,7 +185,9 @@
         configuration, queue, team, job_id = admitted
         state = self._find_state(job_id, queue, team)
         if state is None:
-            self._jobs.refresh(REFRESH_TIMEOUT_S)
+            # The caller takes "unknown" for a cancellation, so it must be certain.
+            if not self._is_current() or not self._jobs.read_accepted():
+                return self._outdated_answer()
             state = self._find_state(job_id, queue, team)
         if state is None:
             return self._unknown_job("cancel", job_id)
--- a/packages/geraniumshored/src/geraniumshored/node/views.py
+++ b/packages/geraniumshored/src/geraniumshored/node/views.py
@@ -177,6 +177,36 @@
         if pause and not behind:
             self._read_requested.wait(pause)
 
+    def read_to_end(self) -> bool:
+        """Read all records now, outside the thread; return whether that succeeded."""
+        offset = self._offset
+        if offset is None:
+            return False
+        # Records appended meanwhile are not waited for.
+        end: int | None = None
+        try:
+            while end is None or offset < end:
+                page = self._platform.store.read(self._stream, offset, 0)
+                end = page.end if end is None else end
+                if not page.records:
+                    break
+                self._fold(page.records)
+                offset += len(page.records)
+        except (
+            PlatformUnavailableError,
+            RecordsTrimmedError,
+            UnknownOutcomeError,
+        ) as error:
+            log_event(
+                logger,
+                "read unanswered",
+                stream=self._stream.value,
+                offset=offset,
+                cause=str(error),
+            )
+            return False
+        return offset >= end
+
     def _fold(self, records: tuple[Record, ...]) -> None:
         for record in records:
             try:
@@ -349,6 +379,13 @@
         for follower in self._followers:
             follower.wait_for_read(asked_at, asked_at + wait_s)
 
+    def read_accepted(self) -> bool:
+        """Fold all jobs and cancellations in the log now; return whether it answered.
+
+        The follower folds the same records again, which changes nothing.
+        """
+        return self._followers[0].read_to_end()
+
     def read_now(self) -> None:
         """Let both followers read without delay."""
         for follower in self._followers:
