A job whose starts are refused is pending

Cause: a job counted as begun from the moment that a task was placed, which is before its minion has answered the start.

Why the fix works: the job is queued again when a start was refused or not sent, no other run of it is left and none may have started.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
@@ -27,6 +27,12 @@
 
 # A task whose start was refused is retried after this delay.
 START_RETRY_DELAY_S = 0.2
+# Outcomes after which the run, or an earlier one of its task, may have started.
+MAY_HAVE_STARTED = (
+    StartOutcome.STARTED,
+    StartOutcome.NO_ANSWER,
+    StartOutcome.OLD_RUN,
+)
 # The longest that a poll is held back until the completions from the previous poll are
 # recorded. Recording usually takes about 30 ms.
 COMPLETION_RECORDING_WAIT_S = 0.3
@@ -188,13 +194,16 @@
         """Release a run whose start was not and will not be sent."""
         view = self.view_by_id.get(run.minion_id)
         if view is not None and view.runs.get(run.task) is run:
-            self._release_run(run, now, "not sent")
+            self._release_unstarted_run(run, now, "not sent")
 
     def on_start_answer(self, run: Run, outcome: str, now: float) -> None:
         """Process the outcome of a start."""
         view = self.view_by_id.get(run.minion_id)
         if view is None or view.runs.get(run.task) is not run:
             return
+        job = self.job_by_id.get(run.task.job_id)
+        if job is not None and outcome in MAY_HAVE_STARTED:
+            job.begun = True
         if outcome == StartOutcome.NO_ANSWER:
             run.state = RunState.DOUBTFUL
             view.stopping = True
@@ -213,10 +222,16 @@
             self._advice.drop_ticket(StepKey(*run.task[:3]), run.minion_id)
         elif outcome == StartOutcome.NO_ROOM:
             view.avoid_until = max(view.avoid_until, now + START_RETRY_DELAY_S)
-        job = self.job_by_id.get(run.task.job_id)
         if job is not None:
             job.retry_at[run.task] = now + START_RETRY_DELAY_S
-        self._release_run(run, now, f"start refused: {outcome}")
+        self._release_unstarted_run(run, now, f"start refused: {outcome}")
+
+    def _release_unstarted_run(self, run: Run, now: float, why: str) -> None:
+        """Release a run that never started. Its job is queued again if none did."""
+        self._release_run(run, now, why)
+        job = self.job_by_id.get(run.task.job_id)
+        if job is not None and not job.begun and not job.runs:
+            job.progress.state = JobState.QUEUED
 
     def on_stop_answer(self, order: StopOrder, now: float) -> None:
         """Process a minion's acceptance of a stop.
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
@@ -101,7 +101,8 @@
 
     ``waiting`` holds the tasks that are ready to start and certainly run nowhere, in
     the order in which they became ready. ``retry_at`` delays single tasks. ``unplaced``
-    holds the (occurrence, step) pairs for whose tasks no minion had room.
+    holds the (occurrence, step) pairs for whose tasks no minion had room. Of a ``begun``
+    job a run may have started.
     ``first_start_after_s`` is how long this owner saw the job wait for its first start.
     ``beyond_share`` jobs arrived faster than their team's share allows. ``set_aside``
     jobs start no more tasks, as scheduling them raised an error. Occurrences before
@@ -125,6 +126,7 @@
     beyond_share: bool = False
     first_start_after_s: float | None = None
     next_occurrence: int = 0
+    begun: bool = False
     set_aside: bool = False
     unplaced: set[tuple[int, int]] = field(default_factory=set)
     changed_parts: set[int] = field(default_factory=set)
@@ -133,6 +135,8 @@
 
     def __post_init__(self) -> None:
         self.parts = ProgressParts(self.job)
+        # A former owner may have placed its tasks.
+        self.begun = self.progress.state is not JobState.QUEUED
 
     @property
     def occurrences(self) -> int:
