An entry of an unnamed service does not replace a live minion's own

Cause: any readable entry replaced the one known for its ID, and its later start was taken for a restart of the minion.

Evidence: test_an_entry_with_an_unnamed_service_restarts_nothing failed.

One under a known ID is passed over if its service is neither the minion's own nor named. A withdrawn service keeps its name, so its minions are listened to as before.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
@@ -101,13 +101,13 @@
 
     ``waiting`` holds the tasks that are ready to start and certainly run nowhere, in
     the order in which they became ready. ``retry_at`` delays single tasks. ``unplaced``
-    holds the (occurrence, step) pairs for whose tasks no minion had room. Of a ``begun``
-    job a run may have started.
-    ``first_start_after_s`` is how long this owner saw the job wait for its first start.
-    ``beyond_share`` jobs arrived faster than their team's share allows. ``set_aside``
-    jobs start no more tasks, as scheduling them raised an error. Occurrences before
-    ``next_occurrence`` have been opened, once they were due on this owner's clock.
-    ``changed_parts`` are the parts of the progress that the next record must have.
+    holds the (occurrence, step) pairs for whose tasks no minion had room. A run of a
+    ``begun`` job may have started. ``first_start_after_s`` is how long this owner saw
+    the job wait for its first start. ``beyond_share`` jobs arrived faster than their
+    team's share allows. ``set_aside`` jobs start no more tasks, as scheduling them
+    raised an error. Occurrences before ``next_occurrence`` have been opened, once they
+    were due on this owner's clock. ``changed_parts`` are the parts of the progress that
+    the next record must have.
     """
 
     job: Job
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -153,6 +153,8 @@
             view = self.view_by_id.get(minion_id)
             if view is None:
                 view = self.view_by_id[minion_id] = MinionView(minion_id)
+            if self._is_foreign(listing, view.listing):
+                continue
             if view.listing != listing or view.unlisted:
                 self._changed_services.add(listing.service)
             view.listing = listing
@@ -163,6 +165,19 @@
             if view.unlisted and not view.runs:
                 del self.view_by_id[minion_id]
 
+    def _is_foreign(self, listing: MinionListing, known: MinionListing | None) -> bool:
+        """Return whether an entry under a known minion's ID is not the minion's.
+
+        A minion names its pool, and a withdrawn pool keeps its name. Another writer's
+        entry may have any other.
+        """
+        return (
+            known is not None
+            and listing.service != known.service
+            and self.configuration is not None
+            and listing.service not in self.configuration.service_by_name
+        )
+
     def on_advice(
         self,
         request: AdviceRequest,
