A leaving process reads nothing that it will not answer

Cause: the interpreter takes long to end, the longer the smaller the process's share of a core. Threads no longer run then, but connections stay open and new ones are taken.

Why the fix works: at the end of its time the process closes its listening socket and stops reading, answers what it has read, waits for its last log lines, and exits without tearing the interpreter down.

--- a/packages/geraniumshored/src/geraniumshored/entry.py
+++ b/packages/geraniumshored/src/geraniumshored/entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import os
 import signal
 import sys
 import threading
@@ -25,6 +26,8 @@
 logger = logging.getLogger(__name__)
 
 EXIT_BAD_INPUT = 2
+# The longest that the exit waits for the last log lines to be written.
+LAST_LINES_S = 0.1
 
 
 def main() -> int:
@@ -55,8 +58,11 @@
         if reload.is_set():
             reload.clear()
             _report_reload(settings)
-    node.stop(front.announce_stop, lambda: front.open_calls)
-    return 0
+    node.stop(front.announce_stop, front.answer_all)
+    writer.wait_until_written(LAST_LINES_S)
+    # The interpreter takes long to end on a small share of a core. Connections would
+    # stay open meanwhile, and nobody would read what callers send.
+    os._exit(0)
 
 
 def _report_reload(current: object) -> None:
--- a/packages/geraniumshored/src/geraniumshored/internal/wsgi_server.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/wsgi_server.py
@@ -5,6 +5,7 @@
 import threading
 from collections.abc import Callable, Iterable
 
+from waitress import wasyncore
 from waitress.channel import HTTPChannel
 from waitress.server import BaseWSGIServer, create_server
 from waitress.task import WSGITask
@@ -12,7 +13,7 @@
 from geraniumshored.internal.http_types import StartResponse, WsgiEnviron
 from geraniumshored.internal.sockets import SOCKET_OPTIONS
 
-__all__ = ["create_wsgi_server"]
+__all__ = ["create_wsgi_server", "has_unanswered_requests", "stop_reading"]
 
 MAX_CONNECTIONS = 2_000
 
@@ -70,4 +71,32 @@
     class ClosingChannel(HTTPChannel):
         task_class = ClosingTask
 
+        def readable(self) -> bool:
+            # The server accepts nothing any more after ``stop_reading``.
+            return bool(self.server.accepting and super().readable())
+
     return ClosingChannel
+
+
+def stop_reading(server: BaseWSGIServer, timeout_s: float) -> None:
+    """Refuse further connections and leave further requests unread.
+
+    What was read until then is still answered. Returns when this is in effect, at the
+    latest after ``timeout_s``.
+    """
+    stopped = threading.Event()
+
+    def close_listener() -> None:
+        wasyncore.dispatcher.close(server)
+        stopped.set()
+
+    # Only the server's own thread may change what it polls. The stubs take the trigger
+    # for a number and the channels for a single one.
+    server.trigger.pull_trigger(close_listener)  # type: ignore[attr-defined]
+    stopped.wait(timeout_s)
+
+
+def has_unanswered_requests(server: BaseWSGIServer) -> bool:
+    """Return whether a request that was read has not been answered completely."""
+    channels = list(server.active_channels.values())  # type: ignore[attr-defined]
+    return any(channel.requests or channel.total_outbufs_len for channel in channels)
--- a/packages/geraniumshored/src/geraniumshored/node/logs.py
+++ b/packages/geraniumshored/src/geraniumshored/node/logs.py
@@ -17,6 +17,7 @@
 # Token bucket: sustained rate, and the number of lines that may come at once.
 MAX_LINES_PER_S = 200.0
 MAX_BURST_LINES = 1_000.0
+WRITTEN_CHECK_INTERVAL_S = 0.005
 
 
 class LogWriter(logging.Handler):
@@ -66,6 +67,12 @@
         except queue.Full:
             self._drop()
 
+    def wait_until_written(self, timeout_s: float) -> None:
+        """Wait until the queued lines are written, at most ``timeout_s``."""
+        deadline = time.monotonic() + timeout_s
+        while self._lines.unfinished_tasks and time.monotonic() < deadline:
+            time.sleep(WRITTEN_CHECK_INTERVAL_S)
+
     def _take_token(self) -> bool:
         now = time.monotonic()
         refill = (now - self._refilled_at) * MAX_LINES_PER_S
@@ -95,6 +102,8 @@
                 # Standard output is closed, so this cannot be logged either.
                 self.dropped += len(lines)
                 self._unreported_drops += len(lines)
+            for _ in lines:
+                self._lines.task_done()
 
 
 def configure_node_logs(node: str) -> LogWriter:
--- a/packages/geraniumshored/src/geraniumshored/node/node.py
+++ b/packages/geraniumshored/src/geraniumshored/node/node.py
@@ -95,8 +95,14 @@
             and self._jobs.connected
         )
 
-    def stop(self, announce: Callable[[], None], open_calls: Callable[[], int]) -> None:
-        """Give up ownership, then serve callers until the balancer sends no more."""
+    def stop(
+        self, announce: Callable[[], None], answer_all: Callable[[float], bool]
+    ) -> None:
+        """Give up ownership, then serve callers until the balancer sends no more.
+
+        ``answer_all`` ends the service: it leaves further calls unread and answers the
+        others within so many seconds.
+        """
         began = self._now()
         log_event(logger, "stopping", within_s=self.settings.leaving_s)
         # From here on each connection is closed after its next answer.
@@ -107,9 +113,7 @@
         self.request_handler.answer_by(end)
         while self._now() < end:
             time.sleep(STOP_CHECK_INTERVAL_S)
-        while open_calls() and self._now() < end + LAST_ANSWERS_S:
-            time.sleep(STOP_CHECK_INTERVAL_S)
-        log_event(logger, "stopped", open_calls=open_calls())
+        log_event(logger, "stopped", all_answered=answer_all(LAST_ANSWERS_S))
 
     def _is_caught_up(self) -> bool:
         now = self._now()
--- a/packages/geraniumshored/src/geraniumshored/platform/job_api.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/job_api.py
@@ -8,9 +8,15 @@
 import time
 from collections.abc import Callable, Iterable
 
+from waitress.server import BaseWSGIServer
+
 from geraniumshore_scheduler import Job, Queue
 from geraniumshored.internal.http_types import HttpAnswer, StartResponse, WsgiEnviron
-from geraniumshored.internal.wsgi_server import create_wsgi_server
+from geraniumshored.internal.wsgi_server import (
+    create_wsgi_server,
+    has_unanswered_requests,
+    stop_reading,
+)
 from geraniumshored.node.job_requests import (
     Answer,
     Caller,
@@ -28,6 +34,8 @@
 # A call that waits for the store occupies one thread.
 API_THREADS = 24
 IDLE_CONNECTION_SECONDS = 60
+# How often a leaving process checks whether all calls are answered.
+ANSWER_CHECK_INTERVAL_SECONDS = 0.005
 MAX_BODY_BYTES = 4 * 1024 * 1024
 DEFAULT_DEADLINE_MS = 3_000
 MS_PER_SECOND = 1000.0
@@ -69,12 +77,11 @@
         self._metrics = metrics
         self._ready = ready
         self._stopping = threading.Event()
-        self._open_calls = 0
-        self._lock = threading.Lock()
+        self._front: BaseWSGIServer | None = None
 
     def start(self, front: str, ready: str, metrics: str) -> None:
         """Start listening. Raises OSError if a port is in use."""
-        self._listen(front, self._serve_job_calls, API_THREADS)
+        self._front = self._listen(front, self._serve_job_calls, API_THREADS)
         self._listen(ready, self._serve_probes, 1)
         self._listen(metrics, self._serve_probes, 1)
 
@@ -82,17 +89,27 @@
         """Close each keep-alive connection after its next response."""
         self._stopping.set()
 
-    @property
-    def open_calls(self) -> int:
-        """Number of job calls in progress."""
-        return self._open_calls
+    def answer_all(self, within_s: float) -> bool:
+        """Read no more job calls, and answer those that have been read.
+
+        Returns whether that succeeded in time.
+        """
+        deadline = time.monotonic() + within_s
+        if self._front is None:
+            return True
+        stop_reading(self._front, within_s)
+        while has_unanswered_requests(self._front):
+            if time.monotonic() >= deadline:
+                return False
+            time.sleep(ANSWER_CHECK_INTERVAL_SECONDS)
+        return True
 
     def _listen(
         self,
         address: str,
         application: Callable[[WsgiEnviron, StartResponse], Iterable[bytes]],
         threads: int,
-    ) -> None:
+    ) -> BaseWSGIServer:
         host, _, port = address.partition(":")
         server = create_wsgi_server(
             application,
@@ -104,12 +121,11 @@
             self._stopping,
         )
         threading.Thread(target=server.run, name=f"http-{port}", daemon=True).start()
+        return server
 
     def _serve_job_calls(
         self, environ: WsgiEnviron, start_response: StartResponse
     ) -> Iterable[bytes]:
-        with self._lock:
-            self._open_calls += 1
         began = time.monotonic()
         method = environ["REQUEST_METHOD"]
         try:
@@ -118,9 +134,6 @@
             # The call may have taken effect before the exception.
             logger.exception("fault while answering %s", environ.get("PATH_INFO"))
             answer = Answer(Verdict.UNCERTAIN, detail="internal fault")
-        finally:
-            with self._lock:
-                self._open_calls -= 1
         self._metrics.observe("answer", method, time.monotonic() - began)
         return _encode(answer).send(start_response)
 
