An owner records that a job was cancelled

What callers would see: a cancelled job's tasks start again, also those that had ended done (TWICE, UNASKED).

Cause: the ends of a cancelled job's runs are acknowledged without a record, and the cancellation is in another stream than the owner's records. A node that has read the latter only takes the job for running, with tasks neither placed nor done.

Why the fix works: the cancelled state is in the owner's stream before the ends can be acknowledged, so whoever takes over reads it first.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -27,7 +27,7 @@
 from geraniumshore_scheduler.internal.placer import Placer
 from geraniumshore_scheduler.internal.pool_meter import PoolMeter
 from geraniumshore_scheduler.internal.pools import PoolLoad
-from geraniumshore_scheduler.internal.records import progress_key
+from geraniumshore_scheduler.internal.records import JobState, progress_key
 from geraniumshore_scheduler.internal.runs import OpenJob
 from geraniumshore_scheduler.internal.unresponsive import (
     MinionEpoch,
@@ -139,7 +139,9 @@
             return
         self._advice.forget_job(job_id)
         self._record_decision("cancelled", job_id, details={"runs": len(job.runs)})
-        self._dirty.pop(job_id, None)
+        # The next owner may read its predecessors' records before the cancellation.
+        job.progress.state = JobState.CANCELLED
+        self._dirty[job_id] = None
         job.waiting.clear()
         self._stop_runs_of_ended(job)
 
--- a/tests/cover/test_runs_of_ended_jobs.py
+++ b/tests/cover/test_runs_of_ended_jobs.py
@@ -174,3 +174,32 @@
     succession.take_over(())
     scheduler = succession.fleet.scheduler
     assert not (scheduler.job_by_id or scheduler._terminal_job_by_id)
+
+
+def test_an_owner_that_has_not_read_a_cancellation_starts_nothing_of_the_job():
+    """Its predecessor had acknowledged the ends without a record of them."""
+    succession = Succession(Step(TASKS, SMALL, 500))
+    rows = succession.rows()
+    # The cancellation is in the log, but only the owner has read it.
+    succession.fleet.scheduler.cancel_job(CANCELLED)
+    ends = tuple(
+        CompletedRun(number, row.task, row.run, "done", "")
+        for number, row in enumerate(rows, 1)
+    )
+    succession.fleet.report("i-0", ended=ends)
+    succession.step()
+    succession.step()
+    assert succession.fleet.poll("i-0").acked_upto == TASKS
+    succession.take_over(())
+    assert succession.step() == []
+    assert succession.registry.job_by_id[CANCELLED].state is JobState.CANCELLED
+
+
+def test_a_job_that_is_cancelled_before_it_has_begun_is_no_longer_pending():
+    succession = Succession(Step(TASKS, CAPACITY.plus(SMALL), 500), cap=Resources())
+    assert succession.registry.pending("q") == 1
+    succession.cancel()
+    assert succession.registry.pending("q") == 0
+    succession.fleet.scheduler.cancel_job(CANCELLED)
+    succession.step()
+    assert succession.registry.pending("q") == 0
