Starts that may have reached a restarted minion wait for its report

What callers would see: a task that runs twice, or a team above its cap, after a minion has started again under its ID.

Cause: starts name a minion's ID, which stays, and their answers do not tell the incarnation. The owner freed all runs of the old one, also those whose start had reached the new one.

Why the fix works: only runs that the old incarnation listed, or whose start was not sent, are certainly not on the new one. The others stay registered until the new incarnation has reported.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
@@ -387,6 +387,7 @@
             run.confirmed_at = now
             run.progressed_at = now
         run.incarnation = view.incarnation
+        run.reported = True
         if row.percent > run.percent:
             run.progressed_at = now
         run.percent = row.percent
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
@@ -229,7 +229,11 @@
     def _begin_incarnation(
         self, view: MinionView, incarnation: int, now: float
     ) -> None:
-        """Reset a minion's view; runs of its former incarnation have ended."""
+        """Reset a minion's view; runs of its former incarnation have ended.
+
+        Starts name the minion but not the incarnation. One that was sent since the last
+        report may have reached the new one, so its run waits for the next report.
+        """
         first = view.incarnation is None
         view.incarnation = incarnation
         view.last_seen_completion = view.acked_upto = 0
@@ -242,8 +246,14 @@
             return
         view.responsive = False
         for run in list(view.runs.values()):
-            if run.incarnation != incarnation:
+            if run.incarnation == incarnation:
+                continue
+            if run.reported or run.state is RunState.PLANNED:
                 self._release_run(run, now, "minion restarted")
+                continue
+            run.incarnation = incarnation
+            if run.state is RunState.RUNNING:
+                run.confirmed_at = now
 
     def _find_run(self, view: MinionView, task: str, number: int) -> Run | None:
         for run in view.runs.values():
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
@@ -43,7 +43,8 @@
 class Run:
     """One run of a task, on one incarnation of one minion.
 
-    ``incarnation`` is None while it is not known. ``stop_wanted`` requests a stop.
+    ``incarnation`` is None while it is not known. ``reported`` runs have been listed by
+    the minion, so they are of that incarnation. ``stop_wanted`` requests a stop.
     ``foreign_until`` is until when the former owner of ``foreign_epoch`` may have
     renewed the run's lease, and ``foreign_lease`` the length of its leases in seconds,
     None if that is not known. ``percent`` is the run's progress, or for a long-running
@@ -59,6 +60,7 @@
     state: RunState
     since: float
     incarnation: int | None = None
+    reported: bool = False
     confirmed_at: float | None = None
     stop_wanted: bool = False
     stop_sent_at: float | None = None
