--- a/tests/cover/test_schedule_machine.py
+++ b/tests/cover/test_schedule_machine.py
@@ -22,8 +22,8 @@
 # not reach. The seed has drawn other events since the simulation knows more of them.
 # 442: an owner acknowledged the ends of a cancelled job; the next one had not read the
 # cancellation yet and started the tasks again.
-# 509: a start reached a minion that had just started again; its run was freed with those
-# of the old incarnation and went on beside what was started in its place.
+# 509: a start reached a minion that had just started again; its run was freed with
+# those of the old incarnation and went on beside what was started in its place.
 REGRESSION_SEEDS = (1154, 442, 509)
 
 
