The live minion of test_foreign_entries has listed its task

The test meant a task that runs, so the minion lists it now. Its expectations are unchanged; without the rule that the file guards the same test fails as before.

--- a/tests/cover/test_foreign_entries.py
+++ b/tests/cover/test_foreign_entries.py
@@ -27,6 +27,7 @@
         (order,) = self.plan()
         assert order.run.minion_id == "i-0"
         self.row = RunningTask(str(order.run.task), order.run.number, "", 10)
+        self.report("i-0", (self.row,))
 
     def list_first(self, entry) -> None:
         """Read an entry of the first minion."""
