Long-running tasks that a former release recorded as done are started again

An owner still believed the records: tasks marked as done, the job's state, and the count of completed occurrences.

Why the fix works: the successes of long-running tasks are withdrawn as a record is read, in the one place where all nodes fold it, so the state that callers see, the retention and the next owner agree. Successes of short tasks of the same occurrences stay, so nothing else runs twice. A cancelled job stays cancelled.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_registry.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_registry.py
@@ -184,6 +184,7 @@
             registered.cancelled = True
         elif offset > registered.progress_offset:
             registered.progress = decode_progress(value)
+            registered.progress.reopen_long_running(registered.job)
             registered.progress_offset = offset
         self._adjust_pending(registered, 1)
         if registered.state.final and registered.ended_at is None:
@@ -243,7 +244,9 @@
         if record.offset > registered.offset_by_part.get(part, -1):
             registered.offset_by_part[part] = record.offset
             if record.value:
-                registered.part_by_number[part] = decode_progress(record.value)
+                progress = decode_progress(record.value)
+                progress.reopen_long_running(registered.job)
+                registered.part_by_number[part] = progress
             else:
                 registered.part_by_number.pop(part, None)
         return registered
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
@@ -169,6 +169,26 @@
             self.done.pop(f"{self.completed_occurrences}.{step}", None)
         self.completed_occurrences += 1
 
+    def reopen_long_running(self, job: Job) -> None:
+        """Withdraw the successes of long-running tasks, which run until ``job`` ends.
+
+        Former releases recorded one when a run ended ``done``.
+        """
+        if not job.lasting:
+            return
+        for occurrence in range(self.completed_occurrences):
+            for number, step in enumerate(job.steps):
+                self.done[f"{occurrence}.{number}"] = (1 << step.count) - 1
+        self.completed_occurrences = 0
+        lasting = {str(n) for n, step in enumerate(job.steps) if step.lasting}
+        self.done = {
+            name: bits
+            for name, bits in self.done.items()
+            if name.partition(".")[2] not in lasting
+        }
+        if self.state is JobState.DONE:
+            self.state = JobState.RUNNING
+
 
 T = TypeVar("T")
 # Ages are rounded to milliseconds. Subtracting one unit before the rounding keeps a
--- a/tests/common/schedule_parts.py
+++ b/tests/common/schedule_parts.py
@@ -7,6 +7,7 @@
     CompletedRun,
     Configuration,
     Job,
+    JobRegistry,
     MachineListing,
     MinionListing,
     MinionReport,
@@ -14,6 +15,7 @@
     PollRequest,
     PoolThresholds,
     Queue,
+    RecordKind,
     RegisteredJob,
     Resources,
     RunningTask,
@@ -22,6 +24,8 @@
     StartOutcome,
     Step,
     Team,
+    encode_job,
+    job_key,
 )
 
 TIMES = OwnershipTimes(ttl=1.0, grace=3.0, longest_lease=6.0)
@@ -135,3 +139,55 @@
             RunningTask(str(run.task), run.number, "", percent)
             for run in view.runs.values()
         )
+
+
+class LoggedFleet(Fleet):
+    """A fleet whose records are folded, so that another owner can take over."""
+
+    def __init__(
+        self, minions: int = 2, epoch: int = 5, registry: JobRegistry | None = None
+    ) -> None:
+        super().__init__(0, epoch=epoch)
+        self.registry = registry or JobRegistry()
+        self.offset = 0
+        for registered in self.registry.job_by_id.values():
+            self.scheduler.add_job(registered, self.now)
+        listings = {f"i-{n}": listing(n) for n in range(minions)}
+        self.scheduler.set_listings(listings, self.now)
+
+    def fold(self, key: str, value: bytes) -> None:
+        """Append a record and let every node read it."""
+        self.offset += 1
+        self.registry.fold(key, value, self.offset, self.now)
+
+    def add(self, added: Job) -> None:
+        """Accept a job; all minions then report that they run nothing."""
+        self.fold(job_key(RecordKind.ACCEPTED, added.job_id), encode_job(added))
+        self.scheduler.add_job(self.registry.job_by_id[added.job_id], self.now)
+        for minion_id in self.scheduler.view_by_id:
+            self.report(minion_id)
+
+    def plan(self, outcome: str = StartOutcome.STARTED):
+        """Plan, record, send all starts and answer them; return the starts."""
+        starts = self.record()
+        for order in starts:
+            if self.scheduler.prepare_start(order.run, self.now) is not None:
+                self.scheduler.on_start_answer(order.run, outcome, self.now)
+        return starts
+
+    def record(self):
+        """Plan and record; return the starts, none of which is sent."""
+        batch = self.scheduler.plan(self.now, self.now * 1000)
+        if batch is None:
+            return ()
+        for key, value in batch.value_by_key.items():
+            self.fold(key, value)
+        self.scheduler.on_durable(batch)
+        return batch.starts
+
+    def successor(self) -> LoggedFleet:
+        """Return the fleet under a new owner, which has read the log."""
+        epoch = self.scheduler.authority.epoch + 1
+        successor = LoggedFleet(len(self.scheduler.view_by_id), epoch, self.registry)
+        successor.offset, successor.now = self.offset, self.now
+        return successor
