A run that a report lists has begun, also before its start is answered

Cause: only the answer to a start marked the job as begun. A poll may list a run or its end first; the answer then finds that run no longer and is dropped. When the task's next start was refused, the job went back to queued.

Why the fix works: a report's row or end proves that the minion started the run, so it marks the job as begun, in whatever order the answers arrive.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
@@ -322,6 +322,8 @@
             )
         if job is None:
             return
+        # The end may be listed before the start is answered.
+        job.begun = True
         self._mark_changed(job, run.task)
         if completion.how == "done":
             view.faults = 0
@@ -395,7 +397,10 @@
         run.at_work = row.percent >= 100
         run.maybe_stopped = view.may_be_stopping(run, now, self.times)
         job = self.job_by_id.get(run.task.job_id)
-        if job is not None and row.checkpoint and run.step.checkpointing:
+        if job is None:
+            return
+        job.begun = True
+        if row.checkpoint and run.step.checkpointing:
             job.progress.checkpoints[run.task.within_job] = row.checkpoint
             job.mark_changed(run.task)
 
--- a/tests/cover/test_long_running_tasks.py
+++ b/tests/cover/test_long_running_tasks.py
@@ -13,11 +13,13 @@
     Progress,
     RecordKind,
     RegisteredJob,
+    RunningTask,
+    StartOutcome,
     Step,
     encode_progress,
     job_key,
 )
-from tests.common.schedule_parts import SMALL, Fleet, LoggedFleet, job
+from tests.common.schedule_parts import SMALL, Fleet, LoggedFleet, job, listing
 
 JOB = "a" * 16
 PROGRESS_KEY = job_key(RecordKind.PROGRESS, JOB)
@@ -171,3 +173,100 @@
     for minion_id in successor.scheduler.view_by_id:
         successor.report(minion_id)
     assert successor.plan() == ()
+
+
+MOMENTS = ["unrecorded", "recorded", "acknowledged", "restarted"]
+GANG = replace(LASTING, gang=True)
+COPIES = replace(LASTING, speculative=True)
+TIMED = {"occurrences": 2, "interval_ms": 1_000}
+
+
+@pytest.mark.parametrize("how", OUTCOMES)
+@pytest.mark.parametrize("moment", MOMENTS)
+@pytest.mark.parametrize(
+    ("step", "timing"),
+    [(LASTING, {}), (GANG, {}), (COPIES, {}), (LASTING, TIMED), (GANG, TIMED)],
+    ids=["plain", "gang", "copies", "timed", "timed gang"],
+)
+def test_a_task_that_ends_around_a_takeover_is_restarted_once(
+    how, moment, step, timing
+):
+    """The next owner owes each task, whatever its predecessor recorded of its end."""
+    fleet = LoggedFleet(minions=1)
+    fleet.now = 5.0
+    fleet.add(replace(job(JOB, step), **timing))
+    running = {order.run.name: order.run.number for order in fleet.plan()}
+    assert len(running) == 2 * max(1, timing.get("occurrences", 0))
+    ended = [f"{JOB}.0.0.0", f"{JOB}.0.0.1"][: 2 if step.gang else 1]
+    ends = tuple(
+        CompletedRun(number, task, running.pop(task), how, "")
+        for number, task in enumerate(ended, 1)
+    )
+    reported = (rows(running), ends)
+    if moment != "unrecorded":
+        fleet.report("i-0", *reported)
+        starts = fleet.plan() if moment == "restarted" else fleet.record()
+        assert sorted(order.run.name for order in starts) == ended
+        if moment == "acknowledged":
+            reported = (rows(running), ())
+        if moment == "restarted":
+            running |= {order.run.name: order.run.number for order in starts}
+            reported = (rows(running), ())
+    successor = fleet.successor()
+    successor.now = 6.0
+    successor.report("i-0", *reported)
+    started = sorted(order.run.name for order in successor.plan())
+    assert started == ([] if moment == "restarted" else ended)
+    open_job = successor.scheduler.job_by_id[JOB]
+    assert open_job.progress.state is JobState.RUNNING
+    assert open_job.progress.done == {}
+
+
+def rows(running: dict[str, int]) -> tuple[RunningTask, ...]:
+    return tuple(RunningTask(task, run, "", 100) for task, run in running.items())
+
+
+@pytest.mark.parametrize("how", OUTCOMES)
+def test_a_job_whose_run_ended_before_its_start_was_answered_has_begun(how):
+    """It was queued, and counted as pending, when its next start was refused."""
+    fleet = LoggedFleet(minions=1)
+    fleet.add(job(JOB, replace(LASTING, count=1)))
+    (order,) = fleet.record()
+    fleet.scheduler.prepare_start(order.run, fleet.now)
+    report_end(fleet, order.run, how, 1)
+    fleet.scheduler.on_start_answer(order.run, StartOutcome.STARTED, fleet.now)
+    (order,) = fleet.plan(StartOutcome.REFUSED)
+    fleet.record()
+    assert fleet.registry.job_by_id[JOB].state is JobState.RUNNING
+    assert fleet.registry.pending("q") == 0
+
+
+def test_a_job_that_a_minion_lists_before_its_start_is_answered_has_begun():
+    """The minion then restarts, which frees the run before the answer arrives."""
+    fleet = LoggedFleet(minions=1)
+    fleet.add(job(JOB, replace(LASTING, count=1)))
+    (order,) = fleet.record()
+    fleet.scheduler.prepare_start(order.run, fleet.now)
+    fleet.report("i-0", rows({order.run.name: order.run.number}))
+    fleet.scheduler.set_listings({"i-0": replace(listing(0), incarnation=2)}, 0.0)
+    fleet.report("i-0", incarnation=2)
+    fleet.plan(StartOutcome.REFUSED)
+    fleet.record()
+    assert fleet.registry.job_by_id[JOB].state is JobState.RUNNING
+
+
+@pytest.mark.parametrize("how", OUTCOMES)
+def test_a_gang_restarts_when_a_takeover_falls_between_its_members_ends(how):
+    """One member waits as the log says, the other is adopted until its end."""
+    fleet = LoggedFleet(minions=1)
+    fleet.add(job(JOB, GANG))
+    first, second = (order.run for order in fleet.plan())
+    left = rows({second.name: second.number})
+    fleet.report("i-0", left, (CompletedRun(1, first.name, first.number, how, ""),))
+    assert fleet.record() == ()
+    successor = fleet.successor()
+    successor.report("i-0", left)
+    assert successor.plan() == ()
+    end = CompletedRun(2, second.name, second.number, "broken", "")
+    successor.report("i-0", (), (end,))
+    assert len(successor.plan()) == 2
