A new owner takes an entry of an unnamed service for no sign of a restart

Another writer's entry under a live minion's id, with a service that no configuration names and a later start, made a new owner free the minion's tasks and start them elsewhere.

Cause: such an entry is passed over where the owner knows a sound one. A new owner that reads it first knows none. It took the entry's start for a restart of the minion, then ignored the minion's own, earlier reports; and another minion that answers at the entry's address proved to it that the tasks had ended.

Why the fix works: with an unnamed service neither the start nor the address of an entry proves anything. A minion of a withdrawn pool that restarts says so in its own report; one that is not reached is freed when its leases have lapsed. When the minion's own entry returns it holds again.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
@@ -161,11 +161,15 @@
     def on_minion_replaced(self, minion_id: str, now: float) -> None:
         """Release all runs of a replaced minion.
 
-        Another minion answers at its address, so it has certainly ended.
+        Another minion answers at its address, so it has certainly ended. An entry of an
+        unnamed service may be another writer's, whose address shows nothing.
         """
         view = self.view_by_id.get(minion_id)
         if view is None:
             return
+        if view.listing is not None and not self._is_named(view.listing.service):
+            view.responsive = False
+            return
         for run in list(view.runs.values()):
             self._release_run(run, now, "minion replaced")
         incarnation = view.incarnation if view.incarnation is not None else 0
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
@@ -112,6 +112,12 @@
         self._durable_batch = 0
         self._next_run = authority.epoch * RUN_NUMBERS_PER_EPOCH + 1
 
+    def _is_named(self, service: str) -> bool:
+        """Return whether the configuration, if there is one, has a service."""
+        return (
+            self.configuration is None or service in self.configuration.service_by_name
+        )
+
     def _apply_queue_settings(self, job: OpenJob) -> None:
         queue = None
         if self.configuration is not None:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -162,7 +162,11 @@
             if view.listing != listing or view.unlisted:
                 self._changed_services.add(listing.service)
             view.listing = listing
-            if view.incarnation is not None and listing.incarnation > view.incarnation:
+            restarted = (
+                view.incarnation is not None and listing.incarnation > view.incarnation
+            )
+            # In a withdrawn pool only the minion's own report shows that it restarted.
+            if restarted and self._is_named(listing.service):
                 self._begin_incarnation(view, listing.incarnation, now)
         for minion_id, view in list(self.view_by_id.items()):
             view.unlisted = minion_id not in listing_by_id
@@ -178,8 +182,7 @@
         return (
             known is not None
             and listing.service != known.service
-            and self.configuration is not None
-            and listing.service not in self.configuration.service_by_name
+            and not self._is_named(listing.service)
         )
 
     def on_advice(
