A minion on which a later long-running task is at work is not at fault

Evidence: one of two new tests of test_restart_backoff failed before.

Why the fix works: a long-running task that started after the last failure and has been at work for 2 s shows the same as an end done. Earlier ones do not, as a minion that fails all that it starts may carry them on.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
@@ -50,6 +50,7 @@
     that are not acknowledged yet, in the order of their numbers, to the batch that
     records them; those without a batch are in ``deferred``, as their jobs are not read
     yet. ``completions_listed_at`` is when the minion last listed a new completion.
+    ``faults`` counts the failures in a row, of different jobs, up to ``last_fault_at``.
     ``unresponsive_since`` is when the first of the latest unanswered polls was sent.
     ``untracked_runs`` are runs on the minion that this owner does not know; they are to
     be stopped, unless their jobs are not read yet.
@@ -74,6 +75,7 @@
     remaining_ms: int | None = None
     avoid_until: float = 0.0
     faults: int = 0
+    last_fault_at: float = 0.0
     cordoned: bool = False
     responsive: bool = False
     unlisted: bool = False
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
@@ -450,6 +450,9 @@
         job.begun = True
         if job.backoff_by_task and _was_settled(run, now):
             self._forget_backoff(job, run.task)
+        if view.faults and _works_since_fault(run, view, now):
+            # Long-running tasks at work do not end done, which would show the same.
+            view.faults = 0
         if row.checkpoint and run.step.checkpointing:
             job.progress.checkpoints[run.task.within_job] = row.checkpoint
             job.mark_changed(run.task)
@@ -509,6 +512,12 @@
                     self._release_run(run, now, "lease lapsed")
 
 
+def _works_since_fault(run: Run, view: MinionView, now: float) -> bool:
+    """Return whether a long-running task that started after a fault is at work."""
+    own = run.foreign_until is None and run.since >= view.last_fault_at
+    return own and run.step.lasting and _was_settled(run, now)
+
+
 def _was_settled(run: Run, now: float) -> bool:
     """Return whether a run lasted long enough to have been at work.
 
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
@@ -374,6 +374,7 @@
 
     def _attribute_failure(self, view: MinionView, now: float) -> None:
         view.faults += 1
+        view.last_fault_at = now
         if view.faults >= FAULTS_TO_AVOID:
             backoff_factor = 2 ** (view.faults - FAULTS_TO_AVOID)
             view.avoid_until = now + min(MAX_AVOID_S, AVOID_S * backoff_factor)
--- a/tests/cover/test_restart_backoff.py
+++ b/tests/cover/test_restart_backoff.py
@@ -347,6 +347,32 @@
     assert "minion avoided" not in [event for event, _ in fleet.events()]
 
 
+def test_a_minion_on_which_a_later_task_is_at_work_is_not_at_fault():
+    """Failures of long-running tasks days apart would add up, as none ends done."""
+    fleet = CrashingFleet(minions=1)
+    for number in range(6):
+        fleet.add(job(f"{number:016x}", ONE))
+        starts, _ = fleet.start()
+        fleet.end(starts[-1].run)
+        starts, _ = fleet.start()
+        fleet.now += SETTLED_RUN_S
+        fleet.report("i-0", fleet.running("i-0"))
+        assert fleet.scheduler.view_by_id["i-0"].faults == 0
+    assert "minion avoided" not in [event for event, _ in fleet.events()]
+
+
+def test_earlier_tasks_at_work_do_not_clear_a_minion_that_fails_all_new_ones():
+    fleet = CrashingFleet(minions=1)
+    fleet.start()
+    fleet.now += SETTLED_RUN_S
+    for number in range(2):
+        fleet.add(job(f"{number:016x}", ONE))
+        starts, _ = fleet.start()
+        fleet.end(starts[-1].run)
+        fleet.report("i-0", fleet.running("i-0"))
+    assert fleet.scheduler.view_by_id["i-0"].faults == 2
+
+
 def test_a_pause_ends_within_its_limit():
     backoff = RestartBackoff()
     for run in range(1, 200):
