The simulation has gangs, drains, changes of a queue and foreign entries

Now one board for all minions lets a gang's members work and end together; minions drain for 3 s and leave; the queue is withdrawn and given back; entries of another writer stand under a live minion's id for up to 1.5 s. Separate sources of chance keep the regression seeds as they are.

New invariant: a job is shown as failed only after three failures of a task. A gang's end stands for all its members.

--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/__init__.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/__init__.py
@@ -1,5 +1,6 @@
 """A local simulation of the users' platform: its store, minions and machines."""
 
+from geraniumshore_standins.internal.users_platform.gang_board import GangBoard
 from geraniumshore_standins.internal.users_platform.log_model import LogModel, Reply
 from geraniumshore_standins.internal.users_platform.minion_model import (
     MinionModel,
@@ -16,6 +17,7 @@
 )
 
 __all__ = [
+    "GangBoard",
     "JobReply",
     "LogModel",
     "MinionModel",
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/minion_model.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/minion_model.py
@@ -7,9 +7,10 @@
 
 import json
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
+from geraniumshore_standins.internal.users_platform.gang_board import GangBoard
 from geraniumshore_standins.internal.users_platform.log_model import Reply
 
 __all__ = ["MinionModel", "TaskPlan"]
@@ -24,12 +25,14 @@
     """How long a run works and how it completes.
 
     A run with ``how`` set to ``"lasts"`` does not complete by itself. With
-    ``works_once_in`` only so few runs work; the others complete at once.
+    ``works_once_in`` only so few runs work; the others complete at once. ``gang`` is
+    the number of tasks that only work together, 0 for those that work alone.
     """
 
     work_ms: float = 100.0
     how: str = "done"
     works_once_in: int = 1
+    gang: int = 0
 
     @classmethod
     def from_spec(cls, spec: str) -> TaskPlan:
@@ -42,13 +45,14 @@
             return cls()
         work_ms = document.get("work_ms", 100.0)
         how = str(document.get("how", "done"))
-        return cls(float(work_ms), how, int(document.get("works_once_in", 1)))
+        works_once_in = int(document.get("works_once_in", 1))
+        return cls(float(work_ms), how, works_once_in, int(document.get("gang", 0)))
 
     def of_run(self, number: int) -> TaskPlan:
         """Return what the run with a number does."""
         if number % self.works_once_in == 0:
             return self
-        return TaskPlan(0.0, self.how)
+        return replace(self, work_ms=0.0)
 
 
 @dataclass(slots=True)
@@ -87,6 +91,14 @@
     acked: int = 0
     lapsed_after: int = 0
     remaining_ms: int | None = None
+    gangs: GangBoard = field(default_factory=GangBoard)
+
+    def crash(self) -> None:
+        """End all runs without a word; the minion is gone."""
+        for task, run in self.runs.items():
+            if run.plan.gang:
+                self.gangs.leave(task, run.number, "crash")
+        self.runs.clear()
 
     def clock_ms(self, now: float) -> float:
         """Return the time of the minion's own clock."""
@@ -102,6 +114,11 @@
         for task, run in list(self.runs.items()):
             if run.stopping_at is not None and clock >= run.stopping_at:
                 self._complete(task, "stopped")
+            elif run.plan.gang:
+                work_s = run.plan.work_ms / MS_PER_SECOND
+                how = self.gangs.end_of(task, run.number, run.plan.how, work_s, now)
+                if how is not None:
+                    self._complete(task, how)
             elif run.plan.how != "lasts" and clock - run.began_ms >= run.plan.work_ms:
                 self._complete(task, run.plan.how)
 
@@ -142,6 +159,8 @@
             self.observe("over capacity", task, number, "")
         plan = TaskPlan.from_spec(str(document["spec"])).of_run(number)
         self.runs[task] = _Run(number, clock, plan, cpu)
+        if plan.gang:
+            self.gangs.join(task, number, plan.gang, now)
         self.observe("start", task, number, "")
         return Reply(200, {"clock_ms": int(clock)})
 
@@ -216,6 +235,8 @@
 
     def _complete(self, task: str, how: str) -> None:
         run = self.runs.pop(task)
+        if run.plan.gang:
+            self.gangs.leave(task, run.number, how)
         self.completion_count += 1
         self.completed_runs.append([self.completion_count, task, run.number, how, ""])
         self.highest_run_by_task[task] = max(
--- a/tests/common/schedule_simulation.py
+++ b/tests/common/schedule_simulation.py
@@ -22,6 +22,7 @@
     Configuration,
     Job,
     JobRegistry,
+    JobState,
     MinionListing,
     OwnerRecord,
     OwnerReplacedError,
@@ -45,7 +46,12 @@
     job_key,
 )
 from geraniumshore_scheduler.internal.run_registry import RUN_NUMBERS_PER_EPOCH
-from geraniumshore_standins.internal.users_platform import LogModel, MinionModel, Reply
+from geraniumshore_standins.internal.users_platform import (
+    GangBoard,
+    LogModel,
+    MinionModel,
+    Reply,
+)
 from geraniumshored.node.members import member_name
 from geraniumshored.node.owner import WRITER_NAME
 from geraniumshored.node.ownership import JOIN_INTERVAL_S, Ownership
@@ -89,6 +95,16 @@
 AT_WORK_S = 2.3
 SOON_S = 1.0
 CALM_S = 30.0
+# With varied jobs: gangs, minions that drain, a queue that is withdrawn and given back,
+# and entries of another writer under a live minion's ID.
+VARIED_JOBS = 6
+DRAIN_RATE = 0.001
+DRAIN_S = 3.0
+FOREIGN_RATE = 0.002
+MAX_FOREIGN_S = 1.5
+QUEUE_CHANGE_RATE = 0.005
+MAX_ATTEMPTS = 3
+FOREIGN_SERVICE = "of nobody"
 
 
 class InvariantViolationError(AssertionError):
@@ -157,6 +173,7 @@
         rates: FaultRates = FaultRates(),
         jobs: int = 14,
         crash_loops: int = 0,
+        varied: bool = False,
     ) -> None:
         self.rng = random.Random(seed)
         self.rates = rates
@@ -177,6 +194,7 @@
         self.minion_by_running_task: dict[str, str] = {}
         self.job_by_id: dict[str, Job] = {}
         self.incarnations = 0
+        self.gangs = GangBoard()
         for number in range(MINIONS):
             self._start_minion(f"i-{number}")
         self.nodes = [SimulatedNode(f"n{number}", self) for number in range(3)]
@@ -186,6 +204,15 @@
         self.crash_loop_times = sorted(
             self._crash_rng.uniform(0.5, 25) for _ in range(crash_loops)
         )
+        self.varied = varied
+        self._varied_rng = random.Random(f"varied {seed}")
+        self.varied_job_times = sorted(
+            self._varied_rng.uniform(0.5, 25) for _ in range(VARIED_JOBS * varied)
+        )
+        self.configuration = configuration()
+        self.leaves_at: dict[str, float] = {}
+        self.foreign_until: dict[str, float] = defaultdict(float)
+        self.failures: Counter[str] = Counter()
         self.calm_since = float("inf")
         self._start_times: dict[tuple[str, int], list[float]] = defaultdict(list)
         self._was_at_work: set[str] = set()
@@ -202,6 +229,7 @@
             rate=1 + self.rng.uniform(-0.02, 0.02),
             cpu_capacity=MINION_CPU,
             ends_per_report=ENDS_PER_REPORT,
+            gangs=self.gangs,
             observe=lambda *event: self._observe(minion_id, *event),
         )
         self.minion_by_id[minion_id] = model
@@ -221,10 +249,13 @@
             self.ended_at[task] = self.now
             self._expect_restart(task, run, how)
             if how == "done":
-                self.done_tasks.add(task)
+                self.done_tasks.update(self._represented(task))
+            elif how == "failed":
+                self.failures[task] += 1
         elif kind == "noted" and not self._is_lasting(task):
             if how == "done":
-                self.done_acknowledged_at[task] = self.now
+                for member in self._represented(task):
+                    self.done_acknowledged_at[member] = self.now
             elif how == "failed":
                 self.acknowledged_failures[task] += 1
 
@@ -232,6 +263,14 @@
         job_id, _, step, _ = task.split(".")
         return self.job_by_id[job_id].steps[int(step)].lasting
 
+    def _represented(self, task: str) -> list[str]:
+        """Return the tasks that are done when a task is: a gang's are all."""
+        job_id, occurrence, number, _ = task.split(".")
+        step = self.job_by_id[job_id].steps[int(number)]
+        if not step.gang:
+            return [task]
+        return [f"{job_id}.{occurrence}.{number}.{n}" for n in range(step.count)]
+
     def _check_start(self, minion_id: str, task: str) -> None:
         job_id, occurrence, step, _ = task.split(".")
         if task in self.minion_by_running_task:
@@ -337,6 +376,15 @@
         ):
             self.submission_times.pop(0)
             self._submit()
+        while (
+            self.varied_job_times
+            and self.varied_job_times[0] <= self.now
+            and self.is_available(Stream.ACCEPTED)
+        ):
+            self.varied_job_times.pop(0)
+            self._submit_gang()
+        if self.varied:
+            self._vary()
         while (
             self.crash_loop_times
             and self.crash_loop_times[0] <= self.now
@@ -359,6 +407,9 @@
         self.unreachable_until.clear()
         self.away_until.clear()
         self.calm_since = self.now
+        self.foreign_until.clear()
+        if self.varied:
+            self._change_queue(withdrawn=False)
         self.run(self.now + SETTLE_S)
         for job in self.job_by_id.values():
             if job.job_id in self.cancelled_at:
@@ -372,6 +423,20 @@
                         self.report_violation(f"{task} is lost")
             elif not self.finished(job.job_id):
                 self.report_violation(f"{job.job_id} is lost")
+            elif self.varied and self._failed_without_cause(job.job_id):
+                self.report_violation(f"{job.job_id} is shown as failed without cause")
+
+    def _failed_without_cause(self, job_id: str) -> bool:
+        states = {
+            node.registry.job_by_id[job_id].state
+            for node in self.nodes
+            if job_id in node.registry.job_by_id
+        }
+        most = max(
+            (n for task, n in self.failures.items() if task.startswith(job_id)),
+            default=0,
+        )
+        return JobState.FAILED in states and most < MAX_ATTEMPTS
 
     def is_available(self, stream: Stream) -> bool:
         """Return whether the store serves a stream."""
@@ -393,7 +458,7 @@
                 if rng.random() < rates.minion_partition:
                     until = self.now + rng.uniform(0.5, rates.max_minion_partition_s)
                     self.unreachable_until[node.name, minion_id] = until
-        for minion_id, model in list(self.minion_by_id.items()):
+        for minion_id in self.minion_by_id:
             if rng.random() < rates.minion_isolated:
                 for node in self.nodes:
                     until = self.now + rng.uniform(2, 12)
@@ -404,11 +469,64 @@
                     self._start_minion(minion_id)
             elif rng.random() < rates.minion_crash:
                 self.down_until[minion_id] = self.now + rng.uniform(0.3, 6)
-                for task in model.running_tasks():
-                    self.minion_by_running_task.pop(task, None)
-                model.runs.clear()
+                self._end_minion(minion_id)
                 self.events["crash"] += 1
 
+    def _end_minion(self, minion_id: str) -> None:
+        model = self.minion_by_id[minion_id]
+        for task in model.running_tasks():
+            self.minion_by_running_task.pop(task, None)
+        model.crash()
+        self.leaves_at.pop(minion_id, None)
+
+    def _vary(self) -> None:
+        """Let minions drain, write entries of another writer, change the queue."""
+        rng = self._varied_rng
+        for minion_id, model in list(self.minion_by_id.items()):
+            leaves_at = self.leaves_at.get(minion_id)
+            if minion_id in self.down_until:
+                continue
+            if leaves_at is not None:
+                model.remaining_ms = max(0, int((leaves_at - self.now) * MS_PER_SECOND))
+                if self.now >= leaves_at:
+                    self.down_until[minion_id] = self.now + rng.uniform(0.3, 3)
+                    self._end_minion(minion_id)
+            elif self.now > self.calm_since:
+                continue
+            elif rng.random() < DRAIN_RATE:
+                self.leaves_at[minion_id] = self.now + DRAIN_S
+                self.events["drain"] += 1
+            elif rng.random() < FOREIGN_RATE:
+                until = self.now + rng.uniform(0.1, MAX_FOREIGN_S)
+                self.foreign_until[minion_id] = until
+                self.events["foreign entry"] += 1
+        if self.now < self.calm_since and rng.random() < QUEUE_CHANGE_RATE:
+            self._change_queue(withdrawn=bool(self.configuration.queue_by_name))
+
+    def _change_queue(self, withdrawn: bool) -> None:
+        self.events["queue change"] += 1
+        version = self.configuration.version + 1
+        self.configuration = configuration(version, withdrawn)
+
+    def listing(self, minion_id: str) -> MinionListing:
+        """Return the newest entry under a minion's ID, its own or another writer's."""
+        model = self.minion_by_id[minion_id]
+        own = MinionListing(
+            minion_id,
+            "s",
+            minion_id,
+            "a",
+            minion_id in self.leaves_at,
+            model.born,
+            Resources(MINION_CPU, 100_000, 0),
+            ("a", "r"),
+        )
+        if self.foreign_until[minion_id] <= self.now:
+            return own
+        return replace(
+            own, service=FOREIGN_SERVICE, incarnation=model.born + 1_000, address="odd"
+        )
+
     def _submit(self) -> None:
         number = len(self.job_by_id)
         spec = {"work_ms": self.rng.uniform(100, self.rates.max_work_ms)}
@@ -438,11 +556,39 @@
         )
         if not timed:
             job = replace(job, first_ms=0, interval_ms=0)
+        if self.varied:
+            # What the queue had at the acceptance, for the time in which it is away.
+            job = replace(job, max_attempts=MAX_ATTEMPTS)
         self.job_by_id[job.job_id] = job
         self.put(Record(job_key(RecordKind.ACCEPTED, job.job_id), encode_job(job)))
         if self.rng.random() < self.rates.cancelled:
             self.cancelled_at[job.job_id] = self.now + self.rng.uniform(0.2, 4)
 
+    def _submit_gang(self) -> None:
+        """Submit a job whose tasks work only together; some last, some fail."""
+        rng = self._varied_rng
+        size = rng.randint(2, 3)
+        lasting = rng.random() < 0.3
+        spec = {
+            "work_ms": rng.uniform(100, 2_500),
+            "how": rng.choice(["done", "done", "done", "failed"]),
+            "gang": size,
+            "works_once_in": 1,
+        }
+        step = Step(size, Resources(TASK_CPU, 100, 0), 500, gang=True, lasting=lasting)
+        job = Job(
+            f"d{len(self.varied_job_times):015x}",
+            "q",
+            "s",
+            "team",
+            json.dumps(spec),
+            (step,),
+            accepted_ms=0,
+            max_attempts=MAX_ATTEMPTS,
+        )
+        self.job_by_id[job.job_id] = job
+        self.put(Record(job_key(RecordKind.ACCEPTED, job.job_id), encode_job(job)))
+
     def _submit_crash_loop(self) -> None:
         """Submit a long-running job most of whose runs end at once."""
         rng = self._crash_rng
@@ -678,7 +824,7 @@
             opened_at_by_epoch=self.node.registry.opened_at_by_epoch,
             lease_by_epoch=self.node.registry.lease_by_epoch,
         )
-        scheduler.set_configuration(configuration())
+        scheduler.set_configuration(self.simulation.configuration)
         scheduler.set_listings(self._listings(), self.simulation.now)
         scheduler.restore_last_grants(self.node.registry.last_grants)
         scheduler.expect_jobs(self.node.registry.unread_placed_jobs())
@@ -689,17 +835,8 @@
 
     def _listings(self) -> dict[str, MinionListing]:
         return {
-            minion_id: MinionListing(
-                minion_id,
-                "s",
-                minion_id,
-                "a",
-                False,
-                model.born,
-                Resources(MINION_CPU, 100_000, 0),
-                ("a", "r"),
-            )
-            for minion_id, model in self.simulation.minion_by_id.items()
+            minion_id: self.simulation.listing(minion_id)
+            for minion_id in self.simulation.minion_by_id
             if minion_id not in self.simulation.down_until
         }
 
@@ -732,6 +869,8 @@
         accepted_read_at = self.node.read_at[Stream.ACCEPTED]
         if scheduler.unread_jobs and accepted_read_at >= self.authority.taken_at:
             scheduler.on_all_jobs_read(now)
+        if scheduler.configuration is not self.simulation.configuration:
+            scheduler.set_configuration(self.simulation.configuration)
         if self.batch is None:
             scheduler.set_listings(self._listings(), now)
             self.batch = scheduler.plan(now, now * MS_PER_SECOND)
@@ -815,11 +954,15 @@
         return self.simulation.order(self.node.name, minion_id, name, document)
 
 
-def configuration() -> Configuration:
-    """Return a configuration with one queue, one service and two teams, one capped."""
+def configuration(version: int = 1, withdrawn: bool = False) -> Configuration:
+    """Return a configuration with one service and two teams, one capped.
+
+    It has one queue unless that is ``withdrawn``.
+    """
+    queue = Queue("q", "h", "/q/", "s", 0, MAX_ATTEMPTS, 2.0, 500, False)
     return Configuration(
-        1,
-        (Queue("q", "h", "/q/", "s", 0, 3, 2.0, 500, False),),
+        version,
+        () if withdrawn else (queue,),
         {"s": Service("s", False)},
         {
             "team": Team("team", frozenset({"key"}), 1.0, Resources()),
--- a/tests/cover/test_schedule_machine.py
+++ b/tests/cover/test_schedule_machine.py
@@ -62,6 +62,16 @@
     simulation.check_nothing_lost()
 
 
+@pytest.mark.parametrize("seed", range(6))
+@pytest.mark.parametrize("rates", [FaultRates(), LONG_PARTITIONS, HAND_OVERS])
+def test_gangs_drains_queue_changes_and_foreign_entries_lose_nothing(seed, rates):
+    simulation = ScheduleSimulation(seed, rates, varied=True)
+    simulation.run(DURATION_S)
+    simulation.check_nothing_lost()
+    assert simulation.events["end broken"] + simulation.events["end done"] > 20
+    assert simulation.events["foreign entry"] and simulation.events["queue change"]
+
+
 def test_all_jobs_complete_without_faults():
     simulation = ScheduleSimulation(1, NO_FAULTS)
     simulation.run(DURATION_S)
--- a/tests/nocover/test_schedule_mutations.py
+++ b/tests/nocover/test_schedule_mutations.py
@@ -16,6 +16,7 @@
     JobRegistry,
     MinionView,
     OwnershipTimes,
+    Queue,
     RegisteredJob,
     Scheduler,
     StartOutcome,
@@ -159,15 +160,50 @@
     patch.setattr(RegisteredJob, "has_placed_tasks", property(lambda _: False))
 
 
+def foreign_entries_count_as_restarts(patch):
+    patch.setattr(Scheduler, "_is_named", lambda *_: True)
+
+
+def settings_apply_only_while_the_queue_is_there(patch):
+    apply_settings = Scheduler._apply_settings
+
+    def of_a_queue(job, settings):
+        if isinstance(settings, Queue):
+            apply_settings(job, settings)
+
+    patch.setattr(Scheduler, "_apply_settings", of_a_queue)
+
+
+def one_member_of_a_gang_is_placed_alone(patch):
+    place_gang = Scheduler._place_gang
+
+    def without_the_others(self, job, first, views, now):
+        members = dict(job.waiting)
+        place_gang(self, job, first, views, now)
+        if first in job.waiting and len(members) < job.job.steps[first.step].count:
+            view = next(iter(views), None)
+            if view is not None and view.has_room(job.job.steps[first.step].room):
+                self._start_run(job, first, view, self._allocate_run_number(), now)
+
+    patch.setattr(Scheduler, "_place_gang", without_the_others)
+
+
 # Mutations of what only jobs whose tasks keep ending at once show.
 CRASH_LOOP_MUTATIONS = (restarts_without_pauses, short_runs_are_never_forgotten)
 CRASH_LOOPS = 3
+# Mutations of what only varied jobs show.
+VARIED_MUTATIONS = (
+    foreign_entries_count_as_restarts,
+    settings_apply_only_while_the_queue_is_there,
+    one_member_of_a_gang_is_placed_alone,
+)
 
 
 @pytest.mark.parametrize(
     "mutation",
     [
         *CRASH_LOOP_MUTATIONS,
+        *VARIED_MUTATIONS,
         no_wait_for_a_former_owner,
         no_wait_for_the_lease,
         orders_without_authority,
@@ -190,7 +226,12 @@
     crash_loops = CRASH_LOOPS if mutation in CRASH_LOOP_MUTATIONS else 0
     for seed, rates in product(range(SEEDS), RATES):
         try:
-            simulation = ScheduleSimulation(seed, rates, crash_loops=crash_loops)
+            simulation = ScheduleSimulation(
+                seed,
+                rates,
+                crash_loops=crash_loops,
+                varied=mutation in VARIED_MUTATIONS,
+            )
             simulation.run(SECONDS)
             simulation.check_nothing_lost()
         except InvariantViolationError:
