Leases on a restarted minion's clock may last for the platform's longest

A task was started on a second minion while it ran on the first.

Cause: a lease names a time on the minion's clock. One that reaches a minion just after it restarted under its ID was computed on the clock of the former incarnation, so the platform shortens it only to its own longest lease, 6 s. Owners count the leases that they grant, 4 s. A run that starts under the longer one outlives what its owner and the next one count when the minion falls silent.

Why the fix works: the first report of the new incarnation has its clock, so it shows whether a lease was sent since it started. If so, new work waits until the excess has passed (2.1 s), and what it runs already is awaited for the longest lease. A minion that restarted after the last lease takes work at once, as before.

The clock that Fleet.report of the tests gives a new incarnation starts at zero now, as the protocol says.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
@@ -39,13 +39,15 @@
 class MinionView:
     """What an owner of the schedule knows of a minion and of the runs on it.
 
-    ``incarnation`` is None until the minion has answered this owner. ``granted_at`` is
-    when a lease was last sent, answered or not. A lease that got no answer may take
-    effect late, even when the minion has answered since: it counts until
-    ``late_grant_until``. ``first_answered_at`` is when the minion first answered this
-    owner; since then it refuses orders from former owners. An ``unlisted`` minion is
-    missing from the platform's list but may still be up. No lease is sent until the
-    batch ``grants_after_batch`` is durable, which records that this owner sends leases.
+    ``incarnation`` is None until the minion has answered this owner;
+    ``reported_incarnation`` is that of its last answer. ``granted_at`` is when a lease
+    was last sent, answered or not. A lease that got no answer may take effect late,
+    even when the minion has answered since: it counts until ``late_grant_until``.
+    ``first_answered_at`` is when the minion first answered this owner; since then it
+    refuses orders from former owners. An ``unlisted`` minion is missing from the
+    platform's list but may still be up. No lease is sent until the batch
+    ``grants_after_batch`` is durable, which records that this owner sends leases. Until
+    ``over_leased_until`` the minion may hold a lease for longer than its owners grant.
     ``stopping`` means that stops may have to be sent. ``unacked`` maps the completions
     that are not acknowledged yet, in the order of their numbers, to the batch that
     records them; those without a batch are in ``deferred``, as their jobs are not read
@@ -74,6 +76,8 @@
     deferred: dict[int, CompletedRun] = field(default_factory=dict)
     remaining_ms: int | None = None
     avoid_until: float = 0.0
+    over_leased_until: float = 0.0
+    reported_incarnation: int | None = None
     faults: int = 0
     last_fault_at: float = 0.0
     cordoned: bool = False
@@ -101,7 +105,7 @@
             and not self.cordoned
             and not self.unlisted
             and not self.untracked_runs
-            and now >= self.avoid_until
+            and now >= max(self.avoid_until, self.over_leased_until)
         )
 
     @property
@@ -152,6 +156,23 @@
         if self.unanswered_grant_at is None:
             self.unanswered_grant_at = sent_at
 
+    def record_incarnation(
+        self, polled_at: float, now: float, times: OwnershipTimes
+    ) -> None:
+        """Record the first report of an incarnation, with its clock since ``polled_at``.
+
+        A lease that was sent since its start was computed on the clock of the former
+        one, and may be as long as the platform allows. Work that starts before its
+        excess has passed would outlive what owners expect of their own leases.
+        """
+        clock_s = self.clock_ms / MS_PER_S
+        started_at = polled_at - clock_s * (1 + 2 * times.clock_rate)
+        if self.granted_at is None or self.granted_at < started_at:
+            return
+        lapsed_at = now + times.lapse_of(None)
+        self.late_grant_until = max(self.late_grant_until, lapsed_at)
+        self.over_leased_until = lapsed_at - times.lapse
+
     def record_answer(self, same_incarnation: bool, times: OwnershipTimes) -> None:
         """Record an answer to a poll, which shows that the minion is reachable."""
         if same_incarnation and self.unanswered_grant_at is not None:
--- a/tests/common/schedule_parts.py
+++ b/tests/common/schedule_parts.py
@@ -86,6 +86,7 @@
         self, minions: int = 2, config: Configuration | None = None, epoch: int = 5
     ) -> None:
         self.now = 0.0
+        self.born_at: dict[tuple[str, int], float] = {}
         self.scheduler = Scheduler(Authority(epoch, 0.0, 0.0), TIMES)
         self.scheduler.set_configuration(config or configuration())
         listings = {f"i-{n}": listing(n) for n in range(minions)}
@@ -113,7 +114,8 @@
         ended_complete: bool = True,
     ) -> None:
         """Poll a minion and pass its answer to the scheduler."""
-        clock_ms = int(self.now * 1000)
+        born_at = self.born_at.setdefault((minion_id, incarnation), self.now)
+        clock_ms = int((self.now - born_at) * 1000)
         answer = MinionReport(
             incarnation, clock_ms, running, ended, remaining_ms, ended_complete
         )
--- a/tests/cover/test_restarted_minions.py
+++ b/tests/cover/test_restarted_minions.py
@@ -7,7 +7,7 @@
 import pytest
 
 from geraniumshore_scheduler import RunningTask, StartOutcome, Step
-from tests.common.schedule_parts import SMALL, Fleet, job, listing
+from tests.common.schedule_parts import SMALL, TIMES, Fleet, job, listing
 
 JOB = "a" * 16
 
@@ -93,3 +93,63 @@
     fleet = RestartedFleet()
     fleet.list_restarted()
     assert fleet.starts() == ["i-1"]
+
+
+class LeasedFleet(Fleet):
+    """Minions with leases of 3 s, where the platform allows 6 s; the first restarts."""
+
+    def __init__(self) -> None:
+        super().__init__(minions=1)
+        self.scheduler.times = replace(TIMES, lease=3.0)
+        self.now = 10.0
+        self.report("i-0")
+
+    def restart(self, born_at: float) -> None:
+        """Let the next report come from a new incarnation, with a clock of its own."""
+        self.born_at["i-0", 2] = born_at
+        entry = replace(listing(0), incarnation=2)
+        self.scheduler.set_listings({"i-0": entry}, self.now)
+
+    def started_at(self) -> float:
+        """Return when a new job's task is started."""
+        self.add(job(JOB, Step(1, SMALL, 500)))
+        while not self.plan():
+            self.now = round(self.now + 0.05, 3)
+            self.report("i-0", incarnation=2)
+        return self.now
+
+
+def test_a_lease_that_a_new_incarnation_took_is_longer_than_this_owners():
+    """It was computed on the old one's clock; the run outlived what owners expect.
+
+    Its minion fell silent, the next owner counted 3 s, and the task ran twice.
+    """
+    fleet = LeasedFleet()
+    request = fleet.poll("i-0")
+    assert request.until_ms is not None
+    fleet.restart(born_at=9.9)
+    fleet.report("i-0", incarnation=2)
+    excess_s = TIMES.lapse_of(None) - fleet.scheduler.times.lapse
+    assert fleet.started_at() >= 10.0 + excess_s
+    assert fleet.now <= 10.0 + excess_s + 0.5
+
+
+def test_a_start_that_a_new_incarnation_took_is_awaited_for_the_longest_lease():
+    fleet = LeasedFleet()
+    fleet.add(job(JOB, Step(1, SMALL, 500)))
+    (order,) = fleet.plan()
+    fleet.restart(born_at=9.9)
+    row = RunningTask(order.run.name, order.run.number, "", 10)
+    fleet.report("i-0", (row,), incarnation=2)
+    view = fleet.scheduler.view_by_id["i-0"]
+    lapsed_at = view.lapsed_at(order.run, fleet.scheduler.times)
+    assert lapsed_at >= 10.0 + TIMES.lapse_of(None)
+
+
+def test_a_minion_that_restarted_after_the_last_lease_takes_work_at_once():
+    fleet = LeasedFleet()
+    fleet.poll("i-0")
+    fleet.now = 11.0
+    fleet.restart(born_at=10.5)
+    fleet.report("i-0", incarnation=2)
+    assert fleet.started_at() == 11.0
