--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
@@ -159,7 +159,7 @@
     def record_incarnation(
         self, polled_at: float, now: float, times: OwnershipTimes
     ) -> None:
-        """Record the first report of an incarnation, with its clock since ``polled_at``.
+        """Record an incarnation's first report, with its clock since ``polled_at``.
 
         A lease that was sent since its start was computed on the clock of the former
         one, and may be as long as the platform allows. Work that starts before its
