A new owner records that a job was cancelled while there was none

A job was cancelled while there was no owner. The owner after the next one started its tasks once more.

Cause: the next owner had read the cancellation. It stopped the runs and acknowledged their ends, but the record that it wrote of the job still said running.

Why the fix works: the state is recorded with the ends that are acknowledged, in the owner's own stream, so whoever reads the one reads the other. It is recorded once for each such job, also where nothing runs, as later owners could start what is left.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -100,7 +100,8 @@
         beyond_share = self._exceeds_share(job, registered.accepted_at)
         if job.job_id in self.job_by_id or job.job_id in self._terminal_job_by_id:
             return
-        if registered.state.final and not registered.has_placed_tasks:
+        recorded = registered.progress.state is registered.state
+        if registered.state.final and recorded and not registered.has_placed_tasks:
             return
         opened = OpenJob(
             job=job,
@@ -119,6 +120,10 @@
         opened.complete_occurrences()
         opened.next_occurrence = opened.progress.completed_occurrences
         if registered.state.final:
+            # The next owner may read the progress before a cancellation.
+            opened.progress.state = registered.state
+            if not recorded:
+                self._dirty[job.job_id] = None
             self._adopt(opened, now)
             self._stop_runs_of_ended(opened)
             return
--- a/tests/cover/test_runs_of_ended_jobs.py
+++ b/tests/cover/test_runs_of_ended_jobs.py
@@ -203,3 +203,27 @@
     succession.fleet.scheduler.cancel_job(CANCELLED)
     succession.step()
     assert succession.registry.pending("q") == 0
+
+
+@pytest.mark.parametrize("tasks_left", [TASKS, 0])
+def test_a_cancellation_without_an_owner_is_recorded_by_the_next_one(tasks_left):
+    """The one after it had not read it, and started the tasks again."""
+    succession = Succession(Step(TASKS, SMALL, 500))
+    rows = succession.rows()
+    if not tasks_left:
+        progress = succession.registry.job_by_id[CANCELLED].progress
+        progress.placed.clear()
+    succession.cancel()
+    succession.take_over(rows)
+    succession.step()
+    ends = tuple(
+        CompletedRun(number, row.task, row.run, "done", "")
+        for number, row in enumerate(rows, 1)
+    )
+    succession.fleet.report("i-0", ended=ends)
+    succession.step()
+    succession.step()
+    assert succession.fleet.poll("i-0").acked_upto == TASKS
+    succession.registry.job_by_id[CANCELLED].cancelled = False
+    succession.take_over((), epoch=7)
+    assert succession.step() == []
--- a/tests/cover/test_schedule_machine.py
+++ b/tests/cover/test_schedule_machine.py
@@ -56,7 +56,9 @@
 # as each recovery let its next failure count as the first.
 # 1012: a lease computed on the clock of a minion's former incarnation was longer than
 # the next owner counted, so a run that had started under it ran twice.
-@pytest.mark.parametrize("seed", [*range(8), 1012])
+# 2028, over many takeovers: an owner that took over after a cancellation acknowledged
+# ends without a record of it; the next one had not read it and started the tasks again.
+@pytest.mark.parametrize("seed", [*range(8), 1012, 2028])
 @pytest.mark.parametrize("rates", [FaultRates(), LONG_PARTITIONS, HAND_OVERS])
 def test_tasks_that_end_at_once_are_paused_and_never_lost(seed, rates):
     simulation = ScheduleSimulation(seed, rates, crash_loops=3)
