--- a/tests/cover/test_runs_of_ended_jobs.py
+++ b/tests/cover/test_runs_of_ended_jobs.py
@@ -86,6 +86,17 @@
         for number in range(self.minions):
             self.fleet.report(f"i-{number}", () if number else rows)
 
+    def acknowledge_done(self, rows: tuple[RunningTask, ...]) -> None:
+        """Let all runs end ``done``, and their ends be recorded and acknowledged."""
+        ends = tuple(
+            CompletedRun(number, row.task, row.run, "done", "")
+            for number, row in enumerate(rows, 1)
+        )
+        self.fleet.report("i-0", ended=ends)
+        self.step()
+        self.step()
+        assert self.fleet.poll("i-0").acked_upto == TASKS
+
     def cancel(self) -> None:
         self.fold(job_key(RecordKind.CANCELLED, CANCELLED), b"1")
 
@@ -182,14 +193,7 @@
     rows = succession.rows()
     # The cancellation is in the log, but only the owner has read it.
     succession.fleet.scheduler.cancel_job(CANCELLED)
-    ends = tuple(
-        CompletedRun(number, row.task, row.run, "done", "")
-        for number, row in enumerate(rows, 1)
-    )
-    succession.fleet.report("i-0", ended=ends)
-    succession.step()
-    succession.step()
-    assert succession.fleet.poll("i-0").acked_upto == TASKS
+    succession.acknowledge_done(rows)
     succession.take_over(())
     assert succession.step() == []
     assert succession.registry.job_by_id[CANCELLED].state is JobState.CANCELLED
@@ -216,14 +220,7 @@
     succession.cancel()
     succession.take_over(rows)
     succession.step()
-    ends = tuple(
-        CompletedRun(number, row.task, row.run, "done", "")
-        for number, row in enumerate(rows, 1)
-    )
-    succession.fleet.report("i-0", ended=ends)
-    succession.step()
-    succession.step()
-    assert succession.fleet.poll("i-0").acked_upto == TASKS
+    succession.acknowledge_done(rows)
     succession.registry.job_by_id[CANCELLED].cancelled = False
     succession.take_over((), epoch=7)
     assert succession.step() == []
