--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -32,6 +32,8 @@
 PARTITIONS = 32
 TICK_S = 0.005
 LOST = "lost"
+# New channels that a server's queue holds.
+QUEUE = 128
 
 HOST = "queues.example"
 KEY = "key-of-team"
@@ -106,19 +108,25 @@
 
         class Quiet(ThreadingHTTPServer):
             daemon_threads = True
-            request_queue_size = 128
+            request_queue_size = QUEUE
 
             def handle_error(self, *_: object) -> None:
                 pass
 
+        self._waiting: list[socket.socket] = []
         self._server = Quiet(("127.0.0.1", 0), Handler)
         self.address = f"127.0.0.1:{self._server.server_address[1]}"
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
 
-    def close(self) -> None:
-        """Stop listening."""
+    def fall_silent(self) -> None:
+        """Let new channels hang, as those to a machine without power do."""
         self._server.shutdown()
-        self._server.server_close()
+        address = self._server.server_address
+        for _ in range(2 * QUEUE):
+            waiting = socket.socket()
+            waiting.setblocking(False)
+            waiting.connect_ex(address)
+            self._waiting.append(waiting)
 
 
 class Store:
@@ -370,6 +378,7 @@
         self._fence = 0
         self._until = 0.0
         self.fails_all = False
+        self.dark = False
         # Returns the fate of an order: None, LOST, or seconds until it is carried out.
         self.fate: Callable[[str, dict[str, Any]], str | float | None] = lambda *_: None
         self.measure: Callable[[Run, float], float] = lambda *_: 0.0
@@ -400,8 +409,23 @@
         data = json.dumps(self.entry()).encode()
         self.world.store.put("keyed.servers", self.name, data)
 
+    def crash_dark(self) -> None:
+        """Lose power for good; the entry goes after three intervals of silence."""
+        with self.world.lock, self._lock:
+            self.dark = True
+            now = time.monotonic()
+            for run in list(self.runs.values()):
+                del self.runs[run.task, run.number]
+                self.world.on_end(self, run, "lost with its minion", now)
+        self._server.fall_silent()
+        timer = threading.Timer(
+            3 * HEARTBEAT_S, self.world.store.put, ("keyed.servers", self.name, b"")
+        )
+        timer.daemon = True
+        timer.start()
+
     def _beat(self) -> None:
-        while not self.world.closed.is_set():
+        while not (self.world.closed.is_set() or self.dark):
             self.report()
             self.world.closed.wait(HEARTBEAT_S)
 
@@ -455,6 +479,8 @@
     def _handle(
         self, _: str, path: str, __: dict[str, str], body: bytes, headers: Any
     ) -> Answer:
+        if self.dark:
+            return LOST
         expected = headers.get("Geraniumshore-Expect-Instance")
         if expected not in (None, self.name):
             return 421, {}
@@ -468,6 +494,8 @@
             timer.start()
             return LOST
         answer = self._call(name, document)
+        if self.dark:
+            return LOST
         if fate is not None:
             note = f"{self.name} carries out, its answer is lost:"
             self.world.record.add(f"{note} {name} {_short(document)}")
@@ -728,6 +756,11 @@
         self.record.add(f"consumer POST {job_id} at {node}: {status}")
         return status
 
+    def pending(self, node: str) -> tuple[int, int | None]:
+        """Ask for the queue's pending jobs; return the status and their number."""
+        status, answer = call(self.fronts[node], "GET", "/jobs/", None, _headers())
+        return status, answer.get("pending")
+
     def state(self, node: str, job_id: str) -> tuple[int, str | None]:
         """Ask for a job; return the status and its state."""
         status, answer = call(
