--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,112 +1,95 @@
-"""AVAIL: starts of long-running tasks are carried out and their answers are lost."""
+"""LOST: one job of very many tasks keeps everybody's jobs from starting."""
 
 from __future__ import annotations
 
 import json
-import random
 import sys
 import time
 from pathlib import Path
 from typing import Any
 
-from standins import LOST, Minion, Record, Run, World, main, route
+from standins import Record, World, main, route
 
-SEED = 42
-JOBS = 12
-TASKS = 8
-MAY_MISS = 1
-STARTUP_S = 0.4
-# The dose of `answer_lost` in the site file: of this share of the minions, this share
-# of the requests that they ran, for so long.
-MINION_SHARE = 0.378
-LOST_SHARE = 0.28
-LOST_FOR_S = 6.27
-NOTICE_S = 4.5
+STEPS = 40
+COUNT = 100_000
+MINIONS = 4
+CAPACITY = 16_000
+SMALL_CPU = 500
+SMALL_JOBS = 12
+# The bounds of the rule.
+LYING_S = 3.0
+FINISH_S = 14.0
 
 
-def case(world: World, record: Record, trouble: bool) -> int:
-    """Hand in long-running jobs while answers are lost, and watch what is stopped."""
-    rng = random.Random(SEED)
-    broken: list[str] = []
-    # Tasks that an order has ended and that are not at work again, and when each was
-    # last seen at work.
-    ordered_away: set[str] = set()
-    last_at_work: dict[str, float] = {}
-    lost_until = 0.0
-
-    def fate(name: str, document: dict[str, Any]) -> str | None:
-        if time.monotonic() >= lost_until or name == "hold":
-            return None
-        return LOST if rng.random() < LOST_SHARE else None
-
-    def others_away(task: str, now: float) -> list[str]:
-        step = task.rpartition(".")[0]
-        away = []
-        for position in range(TASKS):
-            other = f"{step}.{position}"
-            if other == task or any(
-                run.at_work(now) and run.stop_at is None
-                for _, run in world.running.get(other, ())
-            ):
-                continue
-            seen = last_at_work.get(other)
-            if other in ordered_away or (seen is not None and now > seen + NOTICE_S):
-                away.append(other)
-        return away
+def job(steps: int, count: int, cpu: int, work_s: float) -> dict[str, Any]:
+    """Return a job of equal steps that don't depend on each other."""
+    spec = json.dumps({"steps": [{"work_s": work_s}] * steps})
+    phase = {"count": count, "cpu": cpu, "mem_mb": 100, "estimate_ms": 1000}
+    return {"spec": spec, "phases": [phase] * steps}
 
-    def stopped(minion: Minion, run: Run, now: float) -> None:
-        if not run.at_work(now):
-            return
-        away = others_away(run.task, now)
-        if len(away) >= MAY_MISS:
-            broken.append(
-                f"{run.task}, at work on {minion.name}, is stopped while {away} are"
-                f" away, of which {MAY_MISS} may be"
-            )
-        ordered_away.add(run.task)
 
-    world.stopped = stopped
+def case(world: World, record: Record, trouble: bool) -> int:
+    """Hand in the large job among small ones, and ask for these."""
     world.configure([route("sorting")], ["sorting"])
-    for number in range(8):
-        world.add_minion(f"i-{number}", "sorting", f"r1-{number // 4}")
+    for number in range(MINIONS):
+        world.add_minion(f"i-{number}", "sorting", f"r1-{number // 2}")
     for name in ("edge-1", "edge-2", "edge-3"):
         world.start_node(name)
     if not world.wait_until_ready():
         return 2
     time.sleep(2)
-    if trouble:
-        count = round(MINION_SHARE * len(world.minions))
-        harmed = rng.sample(sorted(world.minions), count)
-        record.add(f"answers of {harmed} are lost for {LOST_FOR_S} s")
-        for name in harmed:
-            world.minions[name].fate = fate
-        lost_until = time.monotonic() + LOST_FOR_S
-    steps = [{"lasts": True, "startup_s": STARTUP_S}]
-    phase = {
-        "count": TASKS,
-        "cpu": 1000,
-        "mem_mb": 1000,
-        "long_running": True,
-        "anti_affinity": 1,
-        "may_miss": MAY_MISS,
-    }
-    document = {"spec": json.dumps({"steps": steps}), "phases": [phase]}
-    for number in range(JOBS):
-        if world.submit("edge-1", f"c0ffee00000007{number:02x}", document) != 200:
-            return 2
-        time.sleep(LOST_FOR_S / JOBS)
-    until = time.monotonic() + 10
-    while time.monotonic() < until:
-        now = time.monotonic()
-        with world.lock:
-            for task, runs in world.running.items():
-                if any(r.at_work(now) and r.stop_at is None for _, r in runs):
-                    last_at_work[task] = now
-                    ordered_away.discard(task)
-        time.sleep(0.02)
-    for text in broken:
-        record.add(f"AVAIL: {text}")
-    return 1 if broken else 0
+    # No minion has room for its tasks: it takes none from the others.
+    large = job(STEPS, COUNT if trouble else 10, 2 * CAPACITY, 1.0)
+    text = (
+        f"{len(json.dumps(large))} bytes, {STEPS} steps of {COUNT if trouble else 10}"
+    )
+    record.add(f"the large job: {text}")
+    accepted_at: dict[str, float] = {}
+    lying_since: dict[str, float] = {}
+    longest: dict[str, float] = {}
+
+    def watch(span_s: float) -> None:
+        until = time.monotonic() + span_s
+        while (now := time.monotonic()) < until:
+            with world.lock:
+                used = sum(SMALL_CPU * len(runs) for runs in world.running.values())
+                for job_id in accepted_at:
+                    begun = f"{job_id}.0.0.0" in world.running
+                    if begun or 2 * used >= MINIONS * CAPACITY:
+                        lying_since.pop(job_id, None)
+                        continue
+                    since = lying_since.setdefault(job_id, now)
+                    longest[job_id] = max(longest.get(job_id, 0.0), now - since)
+            time.sleep(0.05)
+
+    for number in range(SMALL_JOBS):
+        if number == 4:
+            world.submit("edge-1", "c0ffee00000007ff", large)
+        job_id = f"c0ffee00000007{number:02x}"
+        node = f"edge-{1 + number % 3}"
+        if world.submit(node, job_id, job(1, 1, SMALL_CPU, 0.3)) == 200:
+            accepted_at[job_id] = time.monotonic()
+        watch(0.5)
+    record.add("the traffic ends")
+    watch(FINISH_S)
+    # What the rule asks for begins here.
+    record.add("jobs are asked for")
+    lying_since.clear()
+    longest.clear()
+    watch(LYING_S + 1)
+    for job_id in accepted_at:
+        status, state = world.state("edge-3", job_id)
+        lying = longest.get(job_id, 0.0)
+        text = f"nothing of it ran for {lying:.1f} s, with room for it"
+        record.add(f"consumer GET {job_id}: {status} {state}; {text}")
+    owners = [e for e in world.events() if e["event"] == "ownership taken"]
+    record.add(f"nodes that took the schedule over: {[e['node'] for e in owners]}")
+    for node, peak_mb in world.peaks_mb().items():
+        record.add(f"peak memory of {node}: {peak_mb} MB")
+    lost = [j for j, span in longest.items() if span > LYING_S]
+    if lost:
+        record.add(f"LOST: {len(lost)} of {len(accepted_at)} accepted jobs lay idle")
+    return 1 if lost else 0
 
 
 if __name__ == "__main__":
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,119 +1,78 @@
-"""HARM: one order on pace gets no answer and is carried out eight seconds later."""
+"""LOST: a gang that failed once, and may fail four times, is shown as failed."""
 
 from __future__ import annotations
 
 import json
 import sys
 import time
+from collections import defaultdict
 from pathlib import Path
-from typing import Any
 
 from standins import Minion, Record, Run, World, main, route
 
-SERVING = "c0ffee0000000801"
-FILLING = "c0ffee0000000802"
-TARGET_MS = 100
-HARM_S = 4.0
-CONTACT_S = 3.0
-# The dose of `applied_late` in the site file: x 0.055 of the orders to the minions for
-# 5.5 s, which are some 20 here, so one order. It is carried out 2 to 12 s later.
-DISRUPTION_S = 5.5
-LATE_S = 8.0
-LATE_PERCENT = 60
-# A task's own tail and what tasks that fill at full pace add, in ms, under high load
-# and under low load. The load is low for some seconds.
-HIGH = 70.0, 100.0
-LOW = 40.0, 15.0
-LOW_FOR_S = 5.0
-WATCH_S = 28.0
+MINIONS = 12
+JOBS = 12
+MEMBERS = 4
+MAX_ATTEMPTS = 4
+# The dose of `srv_grey` with `errors` in the site file: a share of 0.085 of the
+# minions, x 1.0, for 6.5 s.
+SHARE = 0.085
+GREY_S = 6.5
+FINISH_S = 14.0
 
 
 def case(world: World, record: Record, trouble: bool) -> int:
-    """Let tasks fill beside tasks that serve, and watch the tails."""
-    low_from = low_until = 0.0
-    late: list[str] = []
-    calm_from = 0.0
+    """Hand in gangs while one minion fails all that it starts; ask for their states."""
+    failed_runs: dict[str, set[int]] = defaultdict(set)
 
-    def load(now: float) -> tuple[float, float]:
-        return LOW if low_from <= now < low_until else HIGH
+    def ended(minion: Minion, run: Run, how: str, now: float) -> None:
+        if how == "failed":
+            failed_runs[run.task.partition(".")[0]].add(run.number)
 
-    def paces(minion: Minion) -> float:
-        runs = minion.runs.values()
-        return sum(r.pace for r in runs if r.task.startswith(FILLING))
-
-    def measure(minion: Minion, run: Run, now: float) -> float:
-        if run.task.startswith(SERVING):
-            own, added = load(now)
-            return round(own + added * paces(minion) / 100)
-        return 10.0 * run.pace
-
-    def fate(name: str, document: dict[str, Any]) -> float | None:
-        if name != "pace" or late or time.monotonic() > low_from + DISRUPTION_S:
-            return None
-        if document["percent"] != LATE_PERCENT:
-            return None
-        late.append(document["task"])
-        return LATE_S
-
-    def late_done(*_: object) -> None:
-        nonlocal calm_from
-        calm_from = time.monotonic() + CONTACT_S
-
-    world.late_done = late_done
-    world.configure([route("sorting")], ["sorting"])
-    for number in range(2):
-        minion = world.add_minion(f"i-{number}", "sorting", f"r1-{number}")
-        minion.measure = lambda run, now, minion=minion: measure(minion, run, now)
+    world.ended = ended
+    world.configure([route("sorting", MAX_ATTEMPTS)], ["sorting"])
+    for number in range(MINIONS):
+        world.add_minion(f"i-{number:02}", "sorting", f"r1-{number // 4}")
     for name in ("edge-1", "edge-2"):
         world.start_node(name)
     if not world.wait_until_ready():
         return 2
     time.sleep(2)
-    spec = json.dumps({"steps": [{"lasts": True, "startup_s": 0.5}]})
-    phase = {"count": 2, "cpu": 1000, "mem_mb": 1000, "long_running": True}
-    serving = {**phase, "anti_affinity": 1, "image": "front", "target_ms": TARGET_MS}
-    filling = {**phase, "anti_affinity": 1, "image": "scan", "fills": True}
-    for job_id, each in ((SERVING, serving), (FILLING, filling)):
-        document = {"spec": spec, "phases": [each]}
+    harmed = list(world.minions.values())[: round(SHARE * MINIONS)]
+    if trouble:
+        for minion in harmed:
+            record.add(f"{minion.name} fails all that it starts, for {GREY_S} s")
+            minion.fails_all = True
+    grey_until = time.monotonic() + GREY_S
+    steps = [{"work_s": 1.0, "gang": MEMBERS}]
+    phase = {"count": MEMBERS, "cpu": 4000, "mem_mb": 1000, "estimate_ms": 1000}
+    document = {
+        "spec": json.dumps({"steps": steps}),
+        "phases": [{**phase, "gang": True}],
+    }
+    ids = [f"c0ffee00000008{number:02x}" for number in range(JOBS)]
+    for job_id in ids:
         if world.submit("edge-1", job_id, document) != 200:
             return 2
-    time.sleep(6)
-    low_from = time.monotonic()
-    low_until = low_from + LOW_FOR_S
-    record.add(f"the load is low for {LOW_FOR_S} s")
-    if trouble:
-        for minion in world.minions.values():
-            minion.fate = fate
-    over_since: dict[str, float] = {}
-    longest: dict[str, float] = {}
-    shown: dict[str, tuple[float, float]] = {}
-    until = time.monotonic() + WATCH_S
-    while time.monotonic() < until:
-        time.sleep(0.02)
-        now = time.monotonic()
-        calm = calm_from and now >= calm_from if trouble else True
-        with world.lock:
-            for minion in world.minions.values():
-                for run in minion.runs.values():
-                    if not run.task.startswith(SERVING) or not run.at_work(now):
-                        continue
-                    tail, pace = measure(minion, run, now), paces(minion)
-                    if shown.get(run.task) != (tail, pace):
-                        shown[run.task] = tail, pace
-                        text = f"{run.task} has a tail of {tail:.0f} ms of {TARGET_MS}"
-                        record.add(f"{text}, {pace:.0f} % fill beside it")
-                    harmed = tail > TARGET_MS >= load(now)[0] and pace > 0
-                    if not (harmed and calm):
-                        over_since.pop(run.task, None)
-                        continue
-                    span = now - over_since.setdefault(run.task, now)
-                    longest[run.task] = max(longest.get(run.task, 0.0), span)
-    if trouble and not calm_from:
-        record.add("no order was carried out late")
-        return 2
-    for task, span in longest.items():
-        record.add(f"{task} was over its target for {span:.1f} s on end, all calm")
-    return 1 if any(span > HARM_S for span in longest.values()) else 0
+        time.sleep(0.1)
+    time.sleep(max(0.0, grey_until - time.monotonic()))
+    for minion in harmed:
+        minion.fails_all = False
+    record.add("all minions are sound again")
+    time.sleep(FINISH_S)
+    broken = False
+    for job_id in ids:
+        status, state = world.state("edge-2", job_id)
+        runs = sorted(failed_runs[job_id])
+        text = (
+            f"consumer GET {job_id}: {status} {state}; failed runs of its gang: {runs}"
+        )
+        record.add(text)
+        if state == "failed" and len(runs) < MAX_ATTEMPTS:
+            broken = True
+            times = f"{len(runs)} of {MAX_ATTEMPTS} times"
+            record.add(f"LOST: {job_id} is shown as failed; its gang failed {times}")
+    return 1 if broken else 0
 
 
 if __name__ == "__main__":
--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -32,8 +32,6 @@
 PARTITIONS = 32
 TICK_S = 0.005
 LOST = "lost"
-# New channels that a server's queue holds.
-QUEUE = 128
 
 HOST = "queues.example"
 KEY = "key-of-team"
@@ -108,26 +106,15 @@
 
         class Quiet(ThreadingHTTPServer):
             daemon_threads = True
-            request_queue_size = QUEUE
+            request_queue_size = 128
 
             def handle_error(self, *_: object) -> None:
                 pass
 
-        self._waiting: list[socket.socket] = []
         self._server = Quiet(("127.0.0.1", 0), Handler)
         self.address = f"127.0.0.1:{self._server.server_address[1]}"
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
 
-    def fall_silent(self) -> None:
-        """Let new channels hang, as those to a machine without power do."""
-        self._server.shutdown()
-        address = self._server.server_address
-        for _ in range(2 * QUEUE):
-            waiting = socket.socket()
-            waiting.setblocking(False)
-            waiting.connect_ex(address)
-            self._waiting.append(waiting)
-
 
 class Store:
     """The platform's log. It loses nothing that it has acknowledged."""
@@ -378,7 +365,6 @@
         self._fence = 0
         self._until = 0.0
         self.fails_all = False
-        self.dark = False
         # Returns the fate of an order: None, LOST, or seconds until it is carried out.
         self.fate: Callable[[str, dict[str, Any]], str | float | None] = lambda *_: None
         self.measure: Callable[[Run, float], float] = lambda *_: 0.0
@@ -409,23 +395,8 @@
         data = json.dumps(self.entry()).encode()
         self.world.store.put("keyed.servers", self.name, data)
 
-    def crash_dark(self) -> None:
-        """Lose power for good; the entry goes after three intervals of silence."""
-        with self.world.lock, self._lock:
-            self.dark = True
-            now = time.monotonic()
-            for run in list(self.runs.values()):
-                del self.runs[run.task, run.number]
-                self.world.on_end(self, run, "lost with its minion", now)
-        self._server.fall_silent()
-        timer = threading.Timer(
-            3 * HEARTBEAT_S, self.world.store.put, ("keyed.servers", self.name, b"")
-        )
-        timer.daemon = True
-        timer.start()
-
     def _beat(self) -> None:
-        while not (self.world.closed.is_set() or self.dark):
+        while not self.world.closed.is_set():
             self.report()
             self.world.closed.wait(HEARTBEAT_S)
 
@@ -479,8 +450,6 @@
     def _handle(
         self, _: str, path: str, __: dict[str, str], body: bytes, headers: Any
     ) -> Answer:
-        if self.dark:
-            return LOST
         expected = headers.get("Geraniumshore-Expect-Instance")
         if expected not in (None, self.name):
             return 421, {}
@@ -494,8 +463,6 @@
             timer.start()
             return LOST
         answer = self._call(name, document)
-        if self.dark:
-            return LOST
         if fate is not None:
             note = f"{self.name} carries out, its answer is lost:"
             self.world.record.add(f"{note} {name} {_short(document)}")
@@ -722,6 +689,10 @@
         """Wait until all nodes are ready and one owns the schedule."""
         until = time.monotonic() + within_s
         while time.monotonic() < until:
+            for name, process in list(self._processes.items()):
+                if process.poll() is not None:
+                    # Another program has taken a port of it meanwhile.
+                    self.start_node(name)
             if all(
                 call(address, "GET", "/v1/readyz")[0] == 200
                 for address in self._ready.values()
@@ -730,6 +701,15 @@
             time.sleep(0.1)
         return False
 
+    def peaks_mb(self) -> dict[str, int]:
+        """Return the most memory that each node has had so far."""
+        peaks = {}
+        for name, process in self._processes.items():
+            lines = Path(f"/proc/{process.pid}/status").read_text().splitlines()
+            peak = next(line for line in lines if line.startswith("VmHWM"))
+            peaks[name] = int(peak.split()[1]) // 1024
+        return peaks
+
     def kill(self, name: str) -> None:
         """Kill a node."""
         self._processes[name].send_signal(signal.SIGKILL)
@@ -756,11 +736,6 @@
         self.record.add(f"consumer POST {job_id} at {node}: {status}")
         return status
 
-    def pending(self, node: str) -> tuple[int, int | None]:
-        """Ask for the queue's pending jobs; return the status and their number."""
-        status, answer = call(self.fronts[node], "GET", "/jobs/", None, _headers())
-        return status, answer.get("pending")
-
     def state(self, node: str, job_id: str) -> tuple[int, str | None]:
         """Ask for a job; return the status and its state."""
         status, answer = call(
