A job's waiting tasks have no entry each until they are placed

Cause: each task that was ready to start had a key, built under the locks of the job log's view and the owner; each placement pass, the pool meter and the requests for advice copied or walked all of them.

Two of the new tests failed before (660 MB where twice a small job's 98 KB are allowed).

Why the fix works: a task that was never placed waits while its step is open and it neither runs nor is done, which is known anyway, so only tasks that came back have entries. No bound was added: what was accepted before is accepted now. The same cause is mended for gangs that find no room, for the records of a job with many done tasks and for occurrences that are due.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_selection.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_selection.py
@@ -8,7 +8,7 @@
 from geraniumshore_scheduler.internal.minion_view import MinionView
 from geraniumshore_scheduler.internal.model import Step, TaskKey
 
-__all__ = ["choose_minion", "eligible_minions"]
+__all__ = ["choose_minion", "eligible_minions", "has_room_for_all"]
 
 
 def eligible_minions(
@@ -30,6 +30,26 @@
         yield view
 
 
+def has_room_for_all(step: Step, views: Iterable[MinionView]) -> bool:
+    """Return whether the minions may have room for all tasks of a step at once.
+
+    It takes a time that does not depend on the number of tasks.
+    """
+    missing = step.count
+    for view in views:
+        listing = view.listing
+        if listing is None or (step.label and step.label not in listing.labels):
+            continue
+        room = step.most_per_minion or missing
+        for wanted, free in zip(step.room, view.free, strict=True):
+            if wanted:
+                room = min(room, free // wanted)
+        missing -= max(0, room)
+        if missing <= 0:
+            return True
+    return False
+
+
 def choose_minion(
     step: Step,
     task: TaskKey,
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/placer.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/placer.py
@@ -5,7 +5,10 @@
 from collections.abc import Iterator
 
 from geraniumshore_scheduler.internal.advice import StepKey
-from geraniumshore_scheduler.internal.minion_selection import choose_minion
+from geraniumshore_scheduler.internal.minion_selection import (
+    choose_minion,
+    has_room_for_all,
+)
 from geraniumshore_scheduler.internal.minion_view import MinionView
 from geraniumshore_scheduler.internal.model import TaskKey
 from geraniumshore_scheduler.internal.orders import StartOrder, StopOrder
@@ -116,43 +119,45 @@
         untracked_runs: set[str],
         now: float,
     ) -> None:
-        unplaceable = job.unplaced = set()
-        for task in list(job.waiting):
-            step_key = task[1:3]
-            if step_key in unplaceable:
-                continue
-            backoff = job.find_backoff(task)
-            if backoff is not None and backoff.retry_at > now:
-                continue
-            if untracked_runs and str(task) in untracked_runs:
-                # An older run of the task is still being stopped on some minion.
-                continue
-            step = job.job.steps[task.step]
+        job.unplaced.clear()
+        for step_number in job.waiting.steps():
+            step = job.job.steps[step_number[1]]
             allowed = views
             if job.needs_advice:
-                allowed = list(self._advice.eligible(StepKey(*task[:3]), views, now))
-            if step.gang:
-                self._place_gang(job, task, allowed, now)
-                unplaceable.add(step_key)
-                continue
-            if not self._within_cap(job, step.size):
-                return
-            if unplaceable_sizes.covers(step.room):
-                unplaceable.add(step_key)
-                continue
-            view = choose_minion(step, task, allowed, job.failed_on.get(task, ()))
-            if view is None:
-                unplaceable.add(step_key)
-                if allowed is views and not step.label and not step.most_per_minion:
-                    unplaceable_sizes.add(step.room)
-                continue
-            self._start_run(job, task, view, self._allocate_run_number(), now)
+                step_key = StepKey(job.job.job_id, *step_number)
+                allowed = list(self._advice.eligible(step_key, views, now))
+            for task in job.waiting.tasks_of(step_number):
+                backoff = job.find_backoff(task)
+                if backoff is not None and backoff.retry_at > now:
+                    continue
+                if untracked_runs and str(task) in untracked_runs:
+                    # An older run of the task is still being stopped on some minion.
+                    continue
+                if step.gang:
+                    self._place_gang(job, task, allowed, now)
+                    job.unplaced.add(step_number)
+                    break
+                if not self._within_cap(job, step.size):
+                    return
+                if unplaceable_sizes.covers(step.room):
+                    job.unplaced.add(step_number)
+                    break
+                view = choose_minion(step, task, allowed, job.failed_on.get(task, ()))
+                if view is None:
+                    job.unplaced.add(step_number)
+                    if allowed is views and not step.label and not step.most_per_minion:
+                        unplaceable_sizes.add(step.room)
+                    break
+                self._start_run(job, task, view, self._allocate_run_number(), now)
 
     def _place_gang(
         self, job: OpenJob, first: TaskKey, views: list[MinionView], now: float
     ) -> None:
         """Start all tasks of a gang, or none of them."""
         step = job.job.steps[first.step]
+        # Checked first, as a gang that is too large may have any number of members.
+        if not has_room_for_all(step, views):
+            return
         members = [first._replace(position=index) for index in range(step.count)]
         if any(member not in job.waiting for member in members):
             return
@@ -171,7 +176,7 @@
                 break
             for run in placed:
                 self._detach(run)
-                job.waiting[run.task] = None
+                job.waiting.add(run.task)
             placed = []
         for run in placed:
             self._order_start(job, run)
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pool_meter.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pool_meter.py
@@ -95,10 +95,10 @@
     parallelism: float = 0.0
     machine_s: float = 0.0
 
-    def add(self, share: float, estimate_s: float) -> None:
-        """Add a task that uses a share of a machine."""
-        self.parallelism += share
-        self.machine_s += share * estimate_s
+    def add(self, machines: float, estimate_s: float) -> None:
+        """Add tasks that together use a number of machines."""
+        self.parallelism += machines
+        self.machine_s += machines * estimate_s
 
 
 class PoolMeter:
@@ -144,17 +144,18 @@
             backlogs = [all_by_team.setdefault(team, _Backlog())]
             if self._order.is_timely(job, now):
                 backlogs.append(timely_by_team.setdefault(team, _Backlog()))
-            for task in job.waiting:
-                if (task.occurrence, task.step) not in job.unplaced:
+            for (occurrence, number), tasks in job.waiting.count_by_step().items():
+                if not tasks or (occurrence, number) not in job.unplaced:
                     continue
                 has_unplaced_tasks = True
-                step = job.job.steps[task.step]
+                step = job.job.steps[number]
                 share = self._machine_share(step.room)
                 if step.lasting:
-                    long_running_machines += 1 if step.most_per_minion == 1 else share
+                    each = 1.0 if step.most_per_minion == 1 else share
+                    long_running_machines += tasks * each
                     continue
                 for backlog in backlogs:
-                    backlog.add(share, step.estimate_ms / MS_PER_S)
+                    backlog.add(tasks * share, step.estimate_ms / MS_PER_S)
         everything = self._within_caps(all_by_team, headroom_by_team)
         timely = self._within_caps(timely_by_team, headroom_by_team)
         return PoolLoad(
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/progress_parts.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/progress_parts.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Iterator, Mapping
+from collections.abc import Collection, Iterator, Mapping
 from itertools import accumulate
 
 from geraniumshore_scheduler.internal.model import Job, TaskKey
@@ -40,8 +40,13 @@
         last = first + self._tasks - 1
         return range(first // TASKS_PER_RECORD, last // TASKS_PER_RECORD + 1)
 
-    def split(self, progress: Progress) -> dict[int, Progress]:
-        """Return the parts that are not empty, and part 0, by number."""
+    def split(
+        self, progress: Progress, only: Collection[int] | None = None
+    ) -> dict[int, Progress]:
+        """Return the parts that are not empty, and part 0, by number.
+
+        With ``only``, parts of other numbers may be missing or incomplete.
+        """
         if self._only_one:
             return {0: progress}
         parts: dict[int, Progress] = defaultdict(Progress)
@@ -55,7 +60,7 @@
         for name, checkpoint in progress.checkpoints.items():
             parts[self._part_of_name(name)].checkpoints[name] = checkpoint
         for name, bits in progress.done.items():
-            for number, part_bits in self._split_bits(name, bits):
+            for number, part_bits in self._split_bits(name, bits, only):
                 parts[number].done[name] = part_bits
         return dict(parts)
 
@@ -77,10 +82,13 @@
                 whole.done[name] = whole.done.get(name, 0) | bits << shift
         return whole
 
-    def _split_bits(self, name: str, bits: int) -> Iterator[tuple[int, int]]:
+    def _split_bits(
+        self, name: str, bits: int, only: Collection[int] | None
+    ) -> Iterator[tuple[int, int]]:
         first = self._first_of_name(name)
         end = first + bits.bit_length()
-        for number in range(first // TASKS_PER_RECORD, -(-end // TASKS_PER_RECORD)):
+        numbers = range(first // TASKS_PER_RECORD, -(-end // TASKS_PER_RECORD))
+        for number in numbers if only is None else filter(numbers.__contains__, only):
             low = max(0, number * TASKS_PER_RECORD - first)
             high = (number + 1) * TASKS_PER_RECORD - first
             part_bits = (bits & ((1 << high) - 1)) >> low
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
@@ -356,7 +356,7 @@
         self._back_off(job, run, completion.how, view, now)
         still_open = job.job.job_id in self.job_by_id
         if still_open and not job.progress.is_done(run.task):
-            job.waiting[run.task] = None
+            job.waiting.add(run.task)
             self._changed_services.add(job.service)
             self._restart_causes[completion.how] += 1
 
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
@@ -145,8 +145,11 @@
         """Return whether a task has succeeded."""
         if task.occurrence < self.completed_occurrences:
             return True
-        bits = self.done.get(f"{task.occurrence}.{task.step}", 0)
-        return bool(bits >> task.position & 1)
+        return bool(self.done_bits(task.occurrence, task.step) >> task.position & 1)
+
+    def done_bits(self, occurrence: int, step: int) -> int:
+        """Return a bit for each task of a step of an occurrence not completed yet."""
+        return self.done.get(f"{occurrence}.{step}", 0)
 
     def mark_done(self, task: TaskKey) -> None:
         """Record a task's success; forget its failures and checkpoint."""
@@ -161,7 +164,7 @@
         """Return whether all ``count`` tasks of a step have succeeded."""
         if occurrence < self.completed_occurrences:
             return True
-        return self.done.get(f"{occurrence}.{step}", 0).bit_count() >= count
+        return self.done_bits(occurrence, step).bit_count() >= count
 
     def complete_occurrence(self, steps: int) -> None:
         """Record that the first occurrence not completed yet, of ``steps``, now is."""
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
@@ -182,7 +182,7 @@
 
     def _attach(self, job: OpenJob, run: Run) -> None:
         job.runs[run.task] = run
-        job.waiting.pop(run.task, None)
+        job.waiting.discard(run.task)
         view = self.view_by_id.get(run.minion_id)
         if view is None:
             view = self.view_by_id[run.minion_id] = MinionView(run.minion_id)
@@ -234,7 +234,7 @@
             return
         self._mark_changed(job, run.task)
         if run.task not in job.runs and not job.progress.is_done(run.task):
-            job.waiting[run.task] = None
+            job.waiting.add(run.task)
             self._changed_services.add(job.service)
             self._restart_causes[why] += 1
 
@@ -315,7 +315,7 @@
             member = task._replace(position=position)
             job.progress.mark_done(member)
             self._mark_changed(job, member)
-            job.waiting.pop(member, None)
+            job.waiting.discard(member)
         self._forget_backoff(job, task)
         job.open_steps(task.occurrence)
         job.complete_occurrences()
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from geraniumshore_scheduler.internal.model import Job, Resources, Step, TaskKey
@@ -15,6 +15,7 @@
     progress_key,
 )
 from geraniumshore_scheduler.internal.restart_backoff import RestartBackoff
+from geraniumshore_scheduler.internal.waiting_tasks import WaitingTasks
 
 __all__ = ["OpenJob", "Run", "RunState", "critical_path_s"]
 
@@ -102,16 +103,16 @@
 class OpenJob:
     """A job that has not ended, with its scheduling state.
 
-    ``waiting`` holds the tasks that are ready to start and certainly run nowhere, in
-    the order in which they became ready. ``backoff_by_task`` delays tasks that keep
-    ending or being refused; that of a gang's first task holds for the whole gang. A new
-    owner begins without any. ``unplaced`` holds the (occurrence, step) pairs for whose
-    tasks no minion had room. A run of a ``begun`` job may have started.
-    ``first_start_after_s`` is how long this owner saw the job wait for its first start.
-    ``beyond_share`` jobs arrived faster than their team's share allows. ``set_aside``
-    jobs start no more tasks, as scheduling them raised an error. Occurrences before
-    ``next_occurrence`` have been opened, once they were due on this owner's clock.
-    ``changed_parts`` are the parts of the progress that the next record must have.
+    ``waiting`` holds the tasks that are ready to start and certainly run nowhere.
+    ``backoff_by_task`` delays tasks that keep ending or being refused; that of a gang's
+    first task holds for the whole gang. A new owner begins without any. ``unplaced``
+    holds the (occurrence, step) pairs for whose tasks no minion had room. A run of a
+    ``begun`` job may have started. ``first_start_after_s`` is how long this owner saw
+    the job wait for its first start. ``beyond_share`` jobs arrived faster than their
+    team's share allows. ``set_aside`` jobs start no more tasks, as scheduling them
+    raised an error. Occurrences before ``next_occurrence`` have been opened, once they
+    were due on this owner's clock. ``changed_parts`` are the parts of the progress that
+    the next record must have.
     """
 
     job: Job
@@ -122,7 +123,6 @@
     objective_s: float
     max_attempts: int
     runs: dict[TaskKey, Run] = field(default_factory=dict)
-    waiting: dict[TaskKey, None] = field(default_factory=dict)
     opened: set[tuple[int, int]] = field(default_factory=set)
     failed_on: dict[TaskKey, set[str]] = field(default_factory=dict)
     backoff_by_task: dict[TaskKey, RestartBackoff] = field(default_factory=dict)
@@ -135,10 +135,12 @@
     unplaced: set[tuple[int, int]] = field(default_factory=set)
     changed_parts: set[int] = field(default_factory=set)
     parts: ProgressParts = field(init=False)
+    waiting: WaitingTasks = field(init=False)
     _work_left_s: float | None = None
 
     def __post_init__(self) -> None:
         self.parts = ProgressParts(self.job)
+        self.waiting = WaitingTasks(self.job, self.progress, self.runs)
         # A former owner may have placed its tasks.
         self.begun = self.progress.state is not JobState.QUEUED
 
@@ -162,7 +164,7 @@
         A record without a value deletes one whose tasks have nothing to record.
         """
         changed, self.changed_parts = self.changed_parts | {0}, set()
-        part_by_number = self.parts.split(self.progress)
+        part_by_number = self.parts.split(self.progress, changed)
         return {
             progress_key(self.job.job_id, number): encode_progress(
                 part_by_number[number]
@@ -205,33 +207,41 @@
         for backoff in self.backoff_by_task.values():
             backoff.end_pause()
 
-    def due_occurrences(self, wall_ms: float) -> Iterator[int]:
-        """Yield each occurrence once, when it is due and not too many tasks wait.
+    def open_due_occurrences(self, wall_ms: float) -> bool:
+        """Open the occurrences that are due, while not too many tasks wait.
 
-        The tasks of each must be queued before the next is taken.
+        Returns whether there were any.
         """
-        while (
-            self.next_occurrence < self.occurrences
-            and len(self.waiting) < MAX_WAITING_TASKS
-        ):
+        first = self.next_occurrence
+        waiting: int | None = None
+        while self.next_occurrence < self.occurrences:
             due_ms = self.job.first_ms + self.next_occurrence * self.job.interval_ms
             if wall_ms < due_ms:
-                return
-            yield self.next_occurrence
+                break
+            waiting = len(self.waiting) if waiting is None else waiting
+            if waiting >= MAX_WAITING_TASKS:
+                break
+            waiting += self.open_steps(self.next_occurrence)
             self.next_occurrence += 1
+        return self.next_occurrence > first
+
+    def open_steps(self, occurrence: int) -> int:
+        """Queue the tasks of all steps whose dependencies are done.
 
-    def open_steps(self, occurrence: int) -> None:
-        """Queue the tasks of all steps whose dependencies are done."""
+        Returns the number of tasks that these steps have.
+        """
         self._work_left_s = None
+        if occurrence < self.progress.completed_occurrences:
+            return 0
+        tasks = 0
         for number, step in enumerate(self.job.steps):
             if (occurrence, number) in self.opened:
                 continue
             if all(self._step_done(occurrence, needed) for needed in step.depends_on):
                 self.opened.add((occurrence, number))
-                for index in range(step.count):
-                    task = TaskKey(self.job.job_id, occurrence, number, index)
-                    if task not in self.runs and not self.progress.is_done(task):
-                        self.waiting[task] = None
+                self.waiting.open_step(occurrence, number)
+                tasks += step.count
+        return tasks
 
     def complete_occurrences(self) -> None:
         """Drop what is kept of occurrences that have succeeded, in their order."""
@@ -244,6 +254,7 @@
             progress.complete_occurrence(len(steps))
             self.changed_parts.update(self.parts.parts_of_occurrence(occurrence))
             self.opened.difference_update((occurrence, number) for number in steps)
+            self.waiting.close_occurrence(occurrence)
             for state_by_task in (self.failed_on, self.backoff_by_task):
                 for task in [t for t in state_by_task if t.occurrence <= occurrence]:
                     del state_by_task[task]
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -215,7 +215,8 @@
                 and view.listing.service == job.service
                 and view.accepts(now)
             ]
-            for step in dict.fromkeys(StepKey(*task[:3]) for task in job.waiting):
+            for number in job.waiting.steps():
+                step = StepKey(job.job.job_id, *number)
                 request = self._advice.request(step, views, now)
                 if request is not None:
                     return request
@@ -336,8 +337,7 @@
             if job_id not in self.job_by_id or job.next_occurrence >= job.occurrences:
                 del self._recurring[job_id]
                 continue
-            for occurrence in job.due_occurrences(wall_ms):
-                job.open_steps(occurrence)
+            if job.open_due_occurrences(wall_ms):
                 self._changed_services.add(job.service)
 
     def _values_to_record(self) -> dict[str, bytes]:
--- a/tests/cover/test_jobs_of_many_tasks.py
+++ b/tests/cover/test_jobs_of_many_tasks.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import random
+import tracemalloc
 from dataclasses import replace
 
 import pytest
@@ -30,8 +31,9 @@
     TASKS_PER_RECORD,
     ProgressParts,
 )
+from geraniumshore_scheduler.internal.runs import OpenJob, Run, RunState
 from geraniumshored.node.ports import Record, split_appends
-from tests.common.schedule_parts import Fleet, configuration, job, listing
+from tests.common.schedule_parts import CAPACITY, Fleet, configuration, job, listing
 
 JOB = "a" * 16
 TINY = Resources(1, 1, 0)
@@ -255,3 +257,100 @@
         for number, part in parts.split(progress).items()
     }
     assert parts.merge(divided.pop(0), divided) == progress
+
+
+def placement_cost(*steps: Step) -> int:
+    """Return the peak memory in bytes of accepting, placing and metering a job."""
+    fleet = Fleet(minions=4)
+    tracemalloc.start()
+    try:
+        fleet.add(job(JOB, *steps))
+        fleet.plan()
+        fleet.scheduler.pool_loads(fleet.now)
+        return tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+
+
+@pytest.mark.parametrize("gang", [False, True])
+def test_what_a_job_costs_does_not_grow_with_its_tasks_that_find_no_room(gang):
+    """Guards against an owner that is replaced over one job of millions of tasks."""
+    too_large = CAPACITY.plus(TINY)
+    few, many = (
+        placement_cost(*[Step(count, too_large, 500, gang=gang)] * 40)
+        for count in (10, 100_000)
+    )
+    assert many < 2 * few
+
+
+def test_a_job_beside_one_of_millions_of_tasks_starts_at_once():
+    fleet = Fleet(minions=2)
+    fleet.add(job("b" * 16, *[Step(100_000, CAPACITY.plus(TINY), 500)] * 40))
+    assert len(fleet.plan()) == 0
+    fleet.add(job(JOB, Step(3, TINY, 500)))
+    assert len(fleet.plan()) == 3
+
+
+def test_tasks_of_a_wide_step_each_run_once_until_they_are_done():
+    count = 300
+    fleet = LoggedFleet(Step(count, Resources(1_000, 1, 0), 500), Step(1, TINY, 500))
+    begun = 0
+    rounds = 0
+    while fleet.state() is not JobState.DONE:
+        begun += fleet.step()
+        fleet.now += 1.0
+        fleet.end_some(how="stopped" if rounds % 3 == 0 else "done")
+        rounds += 1
+        waiting = fleet.scheduler.job_by_id.get(JOB)
+        if waiting is not None:
+            tasks = list(waiting.waiting)
+            assert len(tasks) == len(set(tasks)) == len(waiting.waiting)
+            assert not set(tasks) & set(waiting.runs)
+            assert all(task in waiting.waiting for task in tasks)
+        assert rounds < 200
+    whole = fleet.registry.job_by_id[JOB].whole_progress()
+    assert whole.completed_occurrences == 1
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_waiting_tasks_are_those_that_neither_run_nor_are_done(seed):
+    rng = random.Random(seed)
+    counts = [rng.choice([1, 5, 70]) for _ in range(3)]
+    open_job = OpenJob(
+        job(JOB, *(Step(n, TINY) for n in counts)), Progress(), 0.0, "s", 0, 1.0, 1
+    )
+    tasks = [TaskKey(JOB, 0, s, p) for s, n in enumerate(counts) for p in range(n)]
+    ready: set[TaskKey] = set()
+    for task in rng.sample(tasks, len(tasks) // 4):
+        if rng.random() < 0.5:
+            open_job.progress.mark_done(task)
+        else:
+            open_job.runs[task] = run_of(task)
+    for number in range(len(counts)):
+        open_job.waiting.open_step(0, number)
+        ready |= {task for task in tasks if task.step == number}
+        for _ in range(rng.randrange(120)):
+            task = rng.choice(tasks)
+            if task in open_job.runs:
+                del open_job.runs[task]
+                if rng.random() < 0.5 or open_job.progress.is_done(task):
+                    open_job.progress.mark_done(task)
+                elif task in ready:
+                    open_job.waiting.add(task)
+            elif task in open_job.waiting:
+                open_job.runs[task] = run_of(task)
+                open_job.waiting.discard(task)
+            expected = {
+                task
+                for task in ready
+                if task not in open_job.runs and not open_job.progress.is_done(task)
+            }
+            assert set(open_job.waiting) == expected
+            assert len(open_job.waiting) == len(expected)
+            assert bool(open_job.waiting) is bool(expected)
+            assert all((t in open_job.waiting) is (t in expected) for t in tasks)
+
+
+def run_of(task: TaskKey) -> Run:
+    """Return a run of a task on some minion."""
+    return Run(task, 1, "i-0", Step(1, TINY), None, RunState.RUNNING, 0.0)
