A run of a gang fails once, however many members end failed

Cause: each member's end was counted on the gang's first task, and all members of a run on one faulty minion end failed.

Why the fix works: the members share the number of their run. Progress records the number of the last run that was counted, so that a run counts once, for a new owner too. Related: the next run of a gang did not avoid the minions on which its members had failed; it does.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/placer.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/placer.py
@@ -65,7 +65,8 @@
                 )
                 job = self.job_by_id.get(run.task.job_id)
                 if job is not None:
-                    job.failed_on.setdefault(run.task, set()).add(view.minion_id)
+                    avoided = job.failed_on.setdefault(job.shared_key(run.task), set())
+                    avoided.add(view.minion_id)
                 avoid_until = now + STRAGGLER_AVOID_S
                 view.avoid_until = max(view.avoid_until, avoid_until)
 
@@ -162,12 +163,13 @@
         if any(member not in job.waiting for member in members):
             return
         number = self._allocate_run_number()
+        avoided = job.failed_on.get(job.shared_key(first), ())
         placed: list[Run] = []
         for candidates in _gang_candidates(step.same_rack, views):
             for member in members:
                 if not self._within_cap(job, step.size):
                     break
-                view = choose_minion(step, member, candidates)
+                view = choose_minion(step, member, candidates, avoided)
                 if view is None:
                     break
                 placed.append(self._plan_run(job, member, view, number, now))
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/progress_parts.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/progress_parts.py
@@ -57,6 +57,8 @@
             parts[self._part_of_name(name)].placed[name] = places
         for name, failures in progress.failures.items():
             parts[self._part_of_name(name)].failures[name] = failures
+        for name, run in progress.failed_runs.items():
+            parts[self._part_of_name(name)].failed_runs[name] = run
         for name, checkpoint in progress.checkpoints.items():
             parts[self._part_of_name(name)].checkpoints[name] = checkpoint
         for name, bits in progress.done.items():
@@ -73,6 +75,7 @@
         for number, part in part_by_number.items():
             whole.placed.update(part.placed)
             whole.failures.update(part.failures)
+            whole.failed_runs.update(part.failed_runs)
             whole.checkpoints.update(part.checkpoints)
             for name, bits in part.done.items():
                 first = self._first_of_name(name)
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
@@ -390,22 +390,26 @@
             return
         if not job.failed_on:
             self._attribute_failure(view, now)
-        job.failed_on[run.task] = {view.minion_id}
+        job.failed_on[job.shared_key(run.task)] = {view.minion_id}
 
     def _count_failure(
         self, job: OpenJob, run: Run, view: MinionView, now: float
     ) -> None:
-        # All members of a gang fail together, so the first one's count serves for all.
-        counted = run.task._replace(position=0) if run.step.gang else run.task
+        counted = job.shared_key(run.task)
         name = counted.within_job
-        failures = job.progress.failures.get(name, 0) + 1
-        job.progress.failures[name] = failures
-        self._mark_changed(job, counted)
         # A task that fails on every minion is no evidence against any of them, so only
         # a job's first failure counts against the minion.
         if not job.failed_on:
             self._attribute_failure(view, now)
-        job.failed_on.setdefault(run.task, set()).add(view.minion_id)
+        job.failed_on.setdefault(counted, set()).add(view.minion_id)
+        if run.step.gang:
+            # The members share the number of their run, which fails once.
+            if run.number <= job.progress.failed_runs.get(name, 0):
+                return
+            job.progress.failed_runs[name] = run.number
+        failures = job.progress.failures.get(name, 0) + 1
+        job.progress.failures[name] = failures
+        self._mark_changed(job, counted)
         if failures >= job.max_attempts:
             self._finish(job, JobState.FAILED, now)
 
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
@@ -119,6 +119,8 @@
 
     All tasks of the first ``completed_occurrences`` have succeeded. For later
     occurrences ``done`` is keyed by ``occurrence.step`` and has a bit for each task.
+    ``failures`` of a gang are those of its first task, and ``failed_runs`` has the
+    number of the last one that was counted, as several members may fail in one run.
     ``placed`` is recorded before a start is sent, so that a later owner knows where a
     task may run.
     """
@@ -126,6 +128,7 @@
     state: JobState = JobState.QUEUED
     done: dict[str, int] = field(default_factory=dict)
     failures: dict[str, int] = field(default_factory=dict)
+    failed_runs: dict[str, int] = field(default_factory=dict)
     checkpoints: dict[str, str] = field(default_factory=dict)
     placed: dict[str, list[Placement]] = field(default_factory=dict)
     completed_occurrences: int = 0
@@ -136,6 +139,7 @@
             self.state,
             dict(self.done),
             dict(self.failures),
+            dict(self.failed_runs),
             dict(self.checkpoints),
             {name: list(places) for name, places in self.placed.items()},
             self.completed_occurrences,
@@ -158,6 +162,7 @@
         step = f"{task.occurrence}.{task.step}"
         self.done[step] = self.done.get(step, 0) | 1 << task.position
         self.failures.pop(task.within_job, None)
+        self.failed_runs.pop(task.within_job, None)
         self.checkpoints.pop(task.within_job, None)
 
     def step_done(self, occurrence: int, step: int, count: int) -> bool:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
@@ -240,7 +240,7 @@
 
     def _forget_backoff(self, job: OpenJob, task: TaskKey) -> None:
         """Let a task's next short run count as its first."""
-        backoff = job.backoff_by_task.pop(job.backoff_key(task), None)
+        backoff = job.backoff_by_task.pop(job.shared_key(task), None)
         if backoff is not None and backoff.growing:
             details: dict[str, object] = {"why": backoff.cause}
             self._record_decision("restarts recovered", str(task), details=details)
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
@@ -104,15 +104,16 @@
     """A job that has not ended, with its scheduling state.
 
     ``waiting`` holds the tasks that are ready to start and certainly run nowhere.
-    ``backoff_by_task`` delays tasks that keep ending or being refused; that of a gang's
-    first task holds for the whole gang. A new owner begins without any. ``unplaced``
-    holds the (occurrence, step) pairs for whose tasks no minion had room. A run of a
-    ``begun`` job may have started. ``first_start_after_s`` is how long this owner saw
-    the job wait for its first start. ``beyond_share`` jobs arrived faster than their
-    team's share allows. ``set_aside`` jobs start no more tasks, as scheduling them
-    raised an error. Occurrences before ``next_occurrence`` have been opened, once they
-    were due on this owner's clock. ``changed_parts`` are the parts of the progress that
-    the next record must have.
+    ``failed_on`` has the minions on which tasks failed or stood still, and
+    ``backoff_by_task`` delays tasks that keep ending or being refused; those of a
+    gang's first task hold for the whole gang. A new owner begins without any.
+    ``unplaced`` holds the (occurrence, step) pairs for whose tasks no minion had room.
+    A run of a ``begun`` job may have started. ``first_start_after_s`` is how long this
+    owner saw the job wait for its first start. ``beyond_share`` jobs arrived faster
+    than their team's share allows. ``set_aside`` jobs start no more tasks, as
+    scheduling them raised an error. Occurrences before ``next_occurrence`` have been
+    opened, once they were due on this owner's clock. ``changed_parts`` are the parts of
+    the progress that the next record must have.
     """
 
     job: Job
@@ -183,19 +184,19 @@
             and 0 <= task.position < steps[task.step].count
         )
 
-    def backoff_key(self, task: TaskKey) -> TaskKey:
-        """Return the task whose backoff holds for a task: a gang shares one."""
+    def shared_key(self, task: TaskKey) -> TaskKey:
+        """Return the task whose failures and backoff a task shares: a gang's first."""
         return task._replace(position=0) if self.job.steps[task.step].gang else task
 
     def find_backoff(self, task: TaskKey) -> RestartBackoff | None:
         """Return a task's backoff, or None if it has none."""
         if not self.backoff_by_task:
             return None
-        return self.backoff_by_task.get(self.backoff_key(task))
+        return self.backoff_by_task.get(self.shared_key(task))
 
     def backoff_of(self, task: TaskKey) -> RestartBackoff:
         """Return a task's backoff, a new one if it has none."""
-        return self.backoff_by_task.setdefault(self.backoff_key(task), RestartBackoff())
+        return self.backoff_by_task.setdefault(self.shared_key(task), RestartBackoff())
 
     def keeps_ending(self, task: TaskKey) -> bool:
         """Return whether a task's restarts are paused as its runs keep ending."""
--- a/tests/cover/test_jobs_of_many_tasks.py
+++ b/tests/cover/test_jobs_of_many_tasks.py
@@ -223,6 +223,7 @@
             [
                 lambda task: progress.mark_done(task),
                 lambda task: progress.failures.update({task.within_job: 2}),
+                lambda task: progress.failed_runs.update({task.within_job: 7}),
                 lambda task: progress.checkpoints.update({task.within_job: "c"}),
                 lambda task: progress.placed.update({task.within_job: []}),
             ]
--- a/tests/nocover/test_schedule_mutations.py
+++ b/tests/nocover/test_schedule_mutations.py
@@ -178,7 +178,7 @@
     place_gang = Scheduler._place_gang
 
     def without_the_others(self, job, first, views, now):
-        members = dict(job.waiting)
+        members = set(job.waiting)
         place_gang(self, job, first, views, now)
         if first in job.waiting and len(members) < job.job.steps[first.step].count:
             view = next(iter(views), None)
