Paces are ordered again while a tail is over its target or an answer is missing

Cause: an order was sent only where the wanted pace differed from the last one ordered, which was believed for good; after an order without an answer full pace was assumed, once.

Why the fix works: a tail over its target stops its fillers again each second, whatever is believed; a pace is repeated until no unanswered order can undo it; and an adopted run's pace is unknown until it is ordered. Two more faults of that cause go with it: a filler whose increase got no answer stayed slow for good, and so did one that a former owner had stopped.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/orders.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/orders.py
@@ -38,6 +38,7 @@
     run: int
     percent: int
     fence: int
+    planned_at: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
@@ -17,7 +17,7 @@
     TaskKey,
 )
 from geraniumshore_scheduler.internal.orders import PaceOrder, StartOutcome, StopOrder
-from geraniumshore_scheduler.internal.pacing import FULL_PACE, plan_paces
+from geraniumshore_scheduler.internal.pacing import plan_paces
 from geraniumshore_scheduler.internal.records import JobState
 from geraniumshore_scheduler.internal.restart_backoff import (
     FIRST_REFUSAL_PAUSE_S,
@@ -44,6 +44,8 @@
 # Interval between records of unresponsive minions. A process that starts later takes
 # the newest one for as old as its own reading of it.
 UNRESPONSIVE_RECORD_INTERVAL_S = 2.0
+# Delay before the same pace is ordered again.
+PACE_RETRY_S = 1.0
 # How long a minion holds a poll open while no run completes.
 POLL_WAIT_MS = 1000
 
@@ -123,7 +125,7 @@
         view.remaining_ms = report.remaining_ms
         self._process_completions(view, report.ended, now)
         self._process_running(view, request, report, now)
-        self._set_paces(view)
+        self._set_paces(view, now)
         if not accepted and view.accepts(now):
             self._mark_capacity_changed(view)
 
@@ -263,12 +265,27 @@
             run.confirmed_at = now
             view.request_stop(run)
 
-    def on_pace_unanswered(self, order: PaceOrder) -> None:
-        """Assume full pace for a run, so that the next poll sets its pace again."""
-        view = self.view_by_id.get(order.minion_id)
-        run = None if view is None else self._find_run(view, order.task, order.run)
+    def on_pace_unanswered(self, order: PaceOrder, now: float) -> None:
+        """Record that an order may take effect late, after newer ones.
+
+        Until it no longer can, each poll orders the wanted pace again.
+        """
+        run = self._find_paced_run(order)
         if run is not None:
-            run.pace = FULL_PACE
+            run.pace_doubtful_until = now + self.times.order_delay
+            run.paced_at = float("-inf")
+
+    def on_pace_answered(self, order: PaceOrder) -> None:
+        """Record that a minion has set a pace."""
+        run = self._find_paced_run(order)
+        if run is None or run.pace_doubtful_until is None:
+            return
+        if order.planned_at >= run.pace_doubtful_until:
+            run.pace_doubtful_until = None
+
+    def _find_paced_run(self, order: PaceOrder) -> Run | None:
+        view = self.view_by_id.get(order.minion_id)
+        return None if view is None else self._find_run(view, order.task, order.run)
 
     def _process_completions(
         self, view: MinionView, completions: Iterable[CompletedRun], now: float
@@ -465,12 +482,15 @@
             job.progress.checkpoints[run.task.within_job] = row.checkpoint
             job.mark_changed(run.task)
 
-    def _set_paces(self, view: MinionView) -> None:
+    def _set_paces(self, view: MinionView, now: float) -> None:
         if view.listing is None:
             return
         for pace in plan_paces(view.runs.values()):
             run = pace.run
-            run.pace = pace.percent
+            changed = pace.percent != run.pace
+            if not changed and now < run.paced_at + PACE_RETRY_S:
+                continue
+            run.pace, run.paced_at = pace.percent, now
             self.paces.append(
                 PaceOrder(
                     view.minion_id,
@@ -479,11 +499,12 @@
                     run.number,
                     pace.percent,
                     self.authority.epoch,
+                    now,
                 )
             )
-            self._record_decision(
-                "pace", str(run.task), view.minion_id, {"percent": pace.percent}
-            )
+            if changed:
+                details: dict[str, object] = {"percent": pace.percent}
+                self._record_decision("pace", str(run.task), view.minion_id, details)
 
     def _take_over_lease(self, run: Run, view: MinionView) -> None:
         """Record that this owner renews the run's lease from now on."""
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
@@ -149,6 +149,7 @@
                     job.job.team,
                     RunState.ADOPTED,
                     now,
+                    pace=None,
                     foreign_until=self._foreign_until(place),
                     foreign_epoch=place.epoch,
                     foreign_lease=self._lease_by_epoch.get(place.epoch),
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
@@ -17,9 +18,11 @@
 from geraniumshore_scheduler.internal.restart_backoff import RestartBackoff
 from geraniumshore_scheduler.internal.waiting_tasks import WaitingTasks
 
-__all__ = ["OpenJob", "Run", "RunState", "critical_path_s"]
+__all__ = ["FULL_PACE", "OpenJob", "Run", "RunState", "critical_path_s"]
 
 MS_PER_S = 1000.0
+# The pace of a run at its start, in percent.
+FULL_PACE = 100
 # Occurrences that are due are queued while fewer tasks of their job wait. A timed job
 # may have been accepted with any number of them already due.
 MAX_WAITING_TASKS = 1_000
@@ -51,7 +54,9 @@
     renewed the run's lease, and ``foreign_lease`` the length of its leases in seconds,
     None if that is not known. ``percent`` is the run's progress, or for a long-running
     task its progress until it serves. ``maybe_stopped`` means that a former owner may
-    have stopped the run.
+    have stopped the run. ``pace`` is the one that was ordered last, at ``paced_at``;
+    None if a former owner may have ordered any. Until ``pace_doubtful_until`` an order
+    that got no answer may still undo it; None if all were answered.
     """
 
     task: TaskKey
@@ -68,7 +73,9 @@
     stop_sent_at: float | None = None
     percent: int = 0
     measured: float = 0.0
-    pace: int = 100
+    pace: int | None = FULL_PACE
+    paced_at: float = -math.inf
+    pace_doubtful_until: float | None = None
     progressed_at: float = 0.0
     at_work: bool = False
     maybe_stopped: bool = False
--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -508,7 +508,7 @@
             self._platform.minions.pace(order)
         except (PlatformUnavailableError, UnknownOutcomeError) as error:
             with self._lock:
-                self._scheduler.on_pace_unanswered(order)
+                self._scheduler.on_pace_unanswered(order, self._now())
             log_event(
                 logger,
                 "pace unanswered",
@@ -516,6 +516,9 @@
                 minion=order.minion_id,
                 cause=str(error),
             )
+            return
+        with self._lock:
+            self._scheduler.on_pace_answered(order)
 
     def _start_run(self, order: StartOrder) -> None:
         with self._lock:
--- a/tests/cover/test_orders_without_answers.py
+++ b/tests/cover/test_orders_without_answers.py
@@ -67,7 +67,7 @@
 
 
 def pace(percent: int) -> PaceOrder:
-    return PaceOrder("i-0", "a:1", "task", 1, percent, 1)
+    return PaceOrder("i-0", "a:1", "task", 1, percent, 1, 0.0)
 
 
 @pytest.fixture
