A lease counts as the longest until a report shows the run's incarnation

A task started on a second minion while it ran on the first, which had started again under its ID and been cut off soon after.

Cause: a start that reaches a minion just after it restarted names a time on the clock of the former incarnation. The new one shortens it to the platform's longest lease, 6 s, and owners counted the 4 s that they grant. Since an owner accounts for it once a report shows the restart. Here the owner left before any came, and the next one freed the run 4.3 s after the last lease that the log named; it lapsed 6.02 s after its start.

Why the fix works: nothing on the wire tells the incarnations apart, so a run that no report has shown is taken to have the longest lease: an owner's own until it was reported, a former owner's if it was recorded within 7 s of its last possible lease. A living owner sends no lease without a report for longer than that. The numbers of runs rise, so their records tell their age without a further record. Related: the first report that a new owner gets from a young incarnation.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/authority.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/authority.py
@@ -20,6 +20,8 @@
     elsewhere only after it. ``clock_rate`` is the largest relative error of a steady
     clock. ``order_delay`` is how late an unanswered order may still take effect.
     ``longest_stop`` is the longest that a run executes after its stop was accepted.
+    ``unheard`` is the longest from the record of a run until its owner has had a report
+    of the incarnation that it runs on, or sends that minion no more leases.
     """
 
     ttl: float
@@ -29,6 +31,7 @@
     order_delay: float = 12.0
     longest_stop: float = 1.0
     lease: float = math.inf
+    unheard: float = 7.0
 
     @property
     def lapse(self) -> float:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_registry.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_registry.py
@@ -31,6 +31,7 @@
     split_key,
     split_progress_name,
 )
+from geraniumshore_scheduler.internal.run_ages import RunAges
 from geraniumshore_scheduler.internal.unresponsive import MinionEpoch
 
 __all__ = ["JobRegistry", "Reading", "RegisteredJob"]
@@ -121,6 +122,7 @@
         self.resigned_epoch = -1
         self.opened_at_by_epoch: dict[int, float] = {}
         self.lease_by_epoch: dict[int, float | None] = {}
+        self.run_ages = RunAges()
         self.progress_by_wave: dict[int, WaveProgress] = {}
         self.order_by_machine: dict[str, AnnouncedOrder] = {}
         # The times after which owners sent no lease to unresponsive minions.
@@ -185,6 +187,7 @@
         elif offset > registered.progress_offset:
             registered.progress = decode_progress(value)
             registered.progress.reopen_long_running(registered.job)
+            self.run_ages.observe(registered.progress, now)
             registered.progress_offset = offset
         self._adjust_pending(registered, 1)
         if registered.state.final and registered.ended_at is None:
@@ -247,6 +250,7 @@
                 progress = decode_progress(record.value)
                 progress.reopen_long_running(registered.job)
                 registered.part_by_number[part] = progress
+                self.run_ages.observe(progress, record.read_at)
             else:
                 registered.part_by_number.pop(part, None)
         return registered
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
@@ -156,6 +156,16 @@
         if self.unanswered_grant_at is None:
             self.unanswered_grant_at = sent_at
 
+    def record_first_report(self, now: float, times: OwnershipTimes) -> None:
+        """Record that a minion reports to this owner for the first time.
+
+        If it restarted under its ID only just now, a former owner may have sent it a
+        lease on the clock of the former incarnation.
+        """
+        longest = times.lapse_of(None)
+        if self.clock_ms / MS_PER_S < longest:
+            self.late_grant_until = max(self.late_grant_until, now + longest)
+
     def record_incarnation(
         self, polled_at: float, now: float, times: OwnershipTimes
     ) -> None:
@@ -183,14 +193,22 @@
         self.responsive = True
 
     def lapsed_at(self, run: Run, times: OwnershipTimes) -> float:
-        """Return when a run's lease has certainly lapsed if no poll is answered."""
+        """Return when a run's lease has certainly lapsed if no poll is answered.
+
+        Until it was reported, a run that this owner started may be on an incarnation on
+        whose clock its lease is the longest.
+        """
         ends = [self.late_grant_until]
+        lapse = times.lapse
         if run.foreign_until is not None:
             ends.append(run.foreign_until + times.lapse_of(run.foreign_lease))
+        elif run.reported:
+            ends.append(run.since + lapse)
         else:
-            ends.append(run.since + times.lapse)
+            lapse = times.lapse_of(None)
+            ends.append(run.since + lapse)
         if self.granted_at is not None:
-            ends.append(self.granted_at + times.lapse)
+            ends.append(self.granted_at + lapse)
         return max(ends)
 
     def may_be_stopping(self, run: Run, now: float, times: OwnershipTimes) -> bool:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
@@ -108,7 +108,8 @@
         if view.incarnation is not None and report.incarnation < view.incarnation:
             return
         accepted = view.accepts(now)
-        restarted = view.reported_incarnation not in (None, report.incarnation)
+        first = view.reported_incarnation is None
+        restarted = view.reported_incarnation != report.incarnation
         view.reported_incarnation = report.incarnation
         if view.minion_id in self._unresponsive:
             # The log says that this minion gets no leases. Retract that record first.
@@ -120,7 +121,9 @@
         if not same_incarnation:
             self._begin_incarnation(view, report.incarnation, now)
         view.clock_ms, view.clock_at = report.clock_ms, now
-        if restarted:
+        if first:
+            view.record_first_report(now, self.times)
+        elif restarted:
             view.record_incarnation(request.sent_at, now, self.times)
         view.remaining_ms = report.remaining_ms
         self._process_completions(view, report.ended, now)
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
@@ -35,6 +35,7 @@
     RESTART_ROUND_S,
     RESTARTS_PER_ROUND,
 )
+from geraniumshore_scheduler.internal.run_ages import RunAges
 from geraniumshore_scheduler.internal.runs import OpenJob, Run, RunState
 from geraniumshore_scheduler.internal.team_shares import TeamShares
 from geraniumshore_scheduler.internal.unresponsive import (
@@ -69,6 +70,7 @@
         order: JobOrder | None = None,
         opened_at_by_epoch: Mapping[int, float] | None = None,
         lease_by_epoch: Mapping[int, float | None] | None = None,
+        run_ages: RunAges | None = None,
     ) -> None:
         self.authority = authority
         self.times = times
@@ -81,6 +83,7 @@
         self._order = order or ByObjective()
         self._opened_at_by_epoch = opened_at_by_epoch or {}
         self._lease_by_epoch = lease_by_epoch or {}
+        self._run_ages = run_ages or RunAges()
         self._unresponsive = UnresponsiveMinions({})
         self._unresponsive_recorded_at = float("-inf")
         self._used_services: set[str] = set()
@@ -152,7 +155,7 @@
                     pace=None,
                     foreign_until=self._foreign_until(place),
                     foreign_epoch=place.epoch,
-                    foreign_lease=self._lease_by_epoch.get(place.epoch),
+                    foreign_lease=self._foreign_lease(place),
                 )
                 self._attach(job, run)
                 view = self.view_by_id[run.minion_id]
@@ -174,6 +177,18 @@
         last = self._unresponsive.last_grant(minion_epoch)
         return until if last is None else min(until, last)
 
+    def _foreign_lease(self, place: Placement) -> float | None:
+        """Return the length of a run's leases, None if they may be the longest.
+
+        A start that reaches a minion just after it restarted under its ID carries a
+        time on the clock of the former incarnation, far in the future of the new one.
+        Its owner may have ended before it heard of the restart.
+        """
+        heard_by = self._run_ages.recorded_by(place.run) + self.times.unheard
+        if heard_by > self._foreign_until(place):
+            return None
+        return self._lease_by_epoch.get(place.epoch)
+
     def _record_unresponsive(self, now: float) -> None:
         """Add to the next batch which minions get no leases from this owner."""
         relevant = {m for m, view in self.view_by_id.items() if view.runs}
--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -110,6 +110,7 @@
             settings.times,
             opened_at_by_epoch=self._jobs.registry.opened_at_by_epoch,
             lease_by_epoch=self._jobs.registry.lease_by_epoch,
+            run_ages=self._jobs.registry.run_ages,
         )
         self._session_by_minion: dict[str, MinionSession] = {}
         self._machine_orders = MachineOrders(
--- a/tests/common/schedule_simulation.py
+++ b/tests/common/schedule_simulation.py
@@ -823,6 +823,7 @@
             self.times,
             opened_at_by_epoch=self.node.registry.opened_at_by_epoch,
             lease_by_epoch=self.node.registry.lease_by_epoch,
+            run_ages=self.node.registry.run_ages,
         )
         scheduler.set_configuration(self.simulation.configuration)
         scheduler.set_listings(self._listings(), self.simulation.now)
