An entry that lacks a field or has one of another type names no minion

Cause: the model of an entry had defaults for fields that the protocol always has, did not know others, and converted types. The entry counted as the minion's, and the refusal of the minion at its address as the end of this one.

Why the fix works: the protocol says that such an entry names no minion and the others hold. It is passed over, and the minion's next own entry lists it again; its runs stay.

--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/platform_simulator.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/platform_simulator.py
@@ -41,6 +41,8 @@
     rack: str
     port: int
     state: str = "ready"
+    # How often it has written its entry.
+    reports: int = 0
 
 
 @dataclass(slots=True)
@@ -186,6 +188,7 @@
 
     def _write_entry(self, minion: SimulatedMinion) -> None:
         model = minion.model
+        minion.reports += 1
         entry = {
             "service": minion.service,
             "addr": f"127.0.0.1:{minion.port}",
@@ -193,6 +196,8 @@
             "version": "v1",
             "slots": 8,
             "state": minion.state,
+            "cold_left_ms": 0,
+            "seq": minion.reports,
             "capacity": {"cpu": model.cpu_capacity, "mem_mb": 32768, "gpu": 0},
             "labels": ["a", minion.rack],
             "clock_ms": int(model.clock_ms(self.now())),
--- a/packages/geraniumshored/src/geraniumshored/platform/documents.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/documents.py
@@ -85,6 +85,8 @@
 
 
 class _HostCapacity(_Sizes):
+    model_config = ConfigDict(strict=True)
+
     cpu: Annotated[int, Field(ge=0, le=MAX_HOST_CPU_MILLI)] = 0
     mem_mb: Annotated[int, Field(ge=0, le=MAX_HOST_MEMORY_MB)] = 0
     gpu: Annotated[int, Field(ge=0, le=MAX_HOST_ACCELERATORS)] = 0
@@ -189,13 +191,25 @@
 
 
 class _Server(_Document):
+    """A minion's entry.
+
+    One that lacks a field, or has one of another type, is another writer's.
+    """
+
+    model_config = ConfigDict(strict=True)
+
     service: str
     addr: Address
-    zone: str = ""
+    zone: str
+    version: str
+    slots: Whole
     state: str
+    cold_left_ms: Whole
+    seq: Whole
     capacity: _HostCapacity
-    labels: tuple[str, ...] = ()
-    born: NonNegative = 0
+    labels: tuple[str, ...]
+    # The start of the minion's process in Unix milliseconds.
+    born: NonNegative
     remaining_ms: Whole | None = None
 
 
--- a/tests/cover/test_odd_minion_entries.py
+++ b/tests/cover/test_odd_minion_entries.py
@@ -31,7 +31,11 @@
     "service": "s",
     "addr": "127.0.0.1:8000",
     "zone": "a",
+    "version": "v1",
+    "slots": 8,
     "state": "ready",
+    "cold_left_ms": 0,
+    "seq": 1,
     "capacity": {"cpu": 16_000, "mem_mb": 32_000, "gpu": 0},
     "labels": ["a", "r1"],
     "born": 1,
@@ -79,6 +83,17 @@
     "unpaired surrogate": entry_with(b'"zone": "\\ud800"'),
     "no text": b"\xff\xfe",
     "other type": b"[]",
+    **{
+        f"without {name}": json.dumps(
+            {other: value for other, value in SOUND.items() if other != name}
+        ).encode()
+        for name in SOUND
+    },
+    **{
+        f"{name} is {odd!r}": entry(**{name: odd})
+        for name, value in SOUND.items()
+        for odd in ([1] if isinstance(value, str) else [str(value), True, None])
+    },
 }
 
 
