A run whose start got no answer is kept if a poll shows it

Cause: a start without an answer made its run doubtful, also where a poll had listed it, and a doubtful run was stopped at once, without asking whether it was at work.

Why the fix works: only a poll sent after the time-out shows whether the run is there. One that is listed stays; one that is not is stopped as before, which keeps a late start from taking effect and ends nothing at work. Polls are not held open meanwhile.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/placer.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/placer.py
@@ -254,8 +254,7 @@
                 continue
             view.stopping = False
             for run in view.runs.values():
-                start_doubtful = run.state is RunState.DOUBTFUL
-                if not (run.stop_wanted or start_doubtful):
+                if not run.stop_wanted:
                     continue
                 view.stopping = True
                 if run.state is RunState.PLANNED or run.state is RunState.SENT:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
@@ -88,7 +88,9 @@
         if known and recorded and view.unanswered_grant_at is None:
             until_ms = view.lease_until_ms(now, self.times)
             view.granted_at = now
-        wait_ms = POLL_WAIT_MS if until_ms is not None and not view.unacked else 0
+        doubtful = any(run.state is RunState.DOUBTFUL for run in view.runs.values())
+        may_wait = until_ms is not None and not view.unacked and not doubtful
+        wait_ms = POLL_WAIT_MS if may_wait else 0
         return PollRequest(
             minion_id,
             view.listing.address,
@@ -221,8 +223,10 @@
         if job is not None and outcome in MAY_HAVE_STARTED:
             job.begun = True
         if outcome == StartOutcome.NO_ANSWER:
-            run.state = RunState.DOUBTFUL
-            view.stopping = True
+            # A poll may have listed the run before the start timed out.
+            if run.state is not RunState.RUNNING:
+                run.state = RunState.DOUBTFUL
+                run.unanswered_at = now
             view.record_unanswered_grant(run.since)
             view.avoid_until = max(view.avoid_until, now + AVOID_S)
             self._record_decision("start unanswered", str(run.task), run.minion_id)
@@ -452,7 +456,7 @@
             if (run.name, run.number) in completed:
                 continue
             if report.ended_complete:
-                self._reconcile_missing(run, request, now)
+                self._reconcile_missing(run, view, request, now)
         view.untracked_runs = {row.task: row.run for row in row_by_name.values()}
 
     def _update_run(
@@ -518,12 +522,21 @@
         self._record_placement(job, run)
         view.grants_after_batch = self._next_batch
 
-    def _reconcile_missing(self, run: Run, request: PollRequest, now: float) -> None:
+    def _reconcile_missing(
+        self, run: Run, view: MinionView, request: PollRequest, now: float
+    ) -> None:
         """Reconcile a run that a minion lists neither as running nor as completed."""
         if run.state is RunState.ADOPTED:
             # The minion knows this owner's fencing token and refuses a former owner's
             # orders, so the run cannot start any more.
             self._release_run(run, now, "not on the minion")
+        elif (
+            run.state is RunState.DOUBTFUL
+            and run.unanswered_at is not None
+            and request.sent_at > run.unanswered_at
+        ):
+            # The start may still take effect, unless a stop comes before.
+            view.request_stop(run)
         elif (
             run.state is RunState.RUNNING
             and run.confirmed_at is not None
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
@@ -32,9 +32,9 @@
     """The state of a run as the owner of the schedule knows it.
 
     PLANNED: recorded or about to be; no start was sent. SENT: a start was sent and has
-    not been answered yet. DOUBTFUL: the start got no answer in time, so the run has to
-    be reconciled. ADOPTED: a former owner recorded the run. RUNNING: the minion has
-    confirmed it.
+    not been answered yet. DOUBTFUL: the start got no answer in time, and no poll has
+    shown since whether the run is there. ADOPTED: a former owner recorded the run.
+    RUNNING: the minion has confirmed it.
     """
 
     PLANNED = "planned"
@@ -49,7 +49,8 @@
     """One run of a task, on one incarnation of one minion.
 
     ``incarnation`` is None while it is not known. ``reported`` runs have been listed by
-    the minion, so they are of that incarnation. ``stop_wanted`` requests a stop.
+    the minion, so they are of that incarnation. ``unanswered_at`` is when the start had
+    got no answer in time. ``stop_wanted`` requests a stop.
     ``foreign_until`` is until when the former owner of ``foreign_epoch`` may have
     renewed the run's lease, and ``foreign_lease`` the length of its leases in seconds,
     None if that is not known. ``percent`` is the run's progress, or for a long-running
@@ -68,6 +69,7 @@
     since: float
     incarnation: int | None = None
     reported: bool = False
+    unanswered_at: float | None = None
     confirmed_at: float | None = None
     stop_wanted: bool = False
     stop_sent_at: float | None = None
