--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/waiting_tasks.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/waiting_tasks.py
@@ -22,8 +22,8 @@
 class _StepQueue:
     """The waiting tasks of one step of one occurrence.
 
-    Tasks from position ``untouched_from`` on wait unless they run or are done.
-    ``returned`` tasks lie before it and wait again.
+    The task at position ``untouched_from`` waits, and so do those after it that neither
+    run nor are done. ``returned`` tasks lie before it and wait again.
     """
 
     count: int
@@ -45,12 +45,15 @@
         self._job = job
         self._progress = progress
         self._runs = runs
+        # Only steps with waiting tasks, in the order in which they were opened.
         self._queue_by_step: dict[StepNumber, _StepQueue] = {}
 
     def open_step(self, occurrence: int, number: int) -> None:
         """Let all tasks of a step wait that neither run nor are done."""
-        count = self._job.steps[number].count
-        self._queue_by_step[occurrence, number] = _StepQueue(count, 0)
+        step = occurrence, number
+        queue = _StepQueue(self._job.steps[number].count, 0)
+        self._queue_by_step[step] = queue
+        self._advance(step, queue, 0)
 
     def add(self, task: TaskKey) -> None:
         """Let a task wait that does not run any more."""
@@ -63,10 +66,16 @@
             queue.returned[task.position] = None
 
     def discard(self, task: TaskKey) -> None:
-        """Let a task wait no more that is among the runs or done."""
-        queue = self._queue_by_step.get((task.occurrence, task.step))
-        if queue is not None:
-            queue.returned.pop(task.position, None)
+        """Let a task wait no more. Each that starts or is done has to be discarded."""
+        step = task.occurrence, task.step
+        queue = self._queue_by_step.get(step)
+        if queue is None:
+            return
+        queue.returned.pop(task.position, None)
+        if task.position == queue.untouched_from:
+            self._advance(step, queue, task.position + 1)
+        elif not queue.returned and queue.untouched_from == queue.count:
+            del self._queue_by_step[step]
 
     def close_occurrence(self, occurrence: int) -> None:
         """Drop what is kept of an occurrence whose tasks are all done."""
@@ -78,7 +87,7 @@
         self._queue_by_step.clear()
 
     def __bool__(self) -> bool:
-        return next(self.steps(), None) is not None
+        return bool(self._queue_by_step)
 
     def __len__(self) -> int:
         return sum(self.count_by_step().values())
@@ -92,25 +101,16 @@
             return False
         if task.position < queue.untouched_from:
             return task.position in queue.returned
-        return self._first_untouched(step, task.position, task.position + 1) is not None
+        end = task.position + 1
+        return self._first_untouched(step, task.position, end) < end
 
     def __iter__(self) -> Iterator[TaskKey]:
         for step in self.steps():
             yield from self.tasks_of(step)
 
-    def steps(self) -> Iterator[StepNumber]:
-        """Yield the steps with waiting tasks, in the order in which they were opened.
-
-        Tasks may start and end meanwhile.
-        """
-        for step, queue in list(self._queue_by_step.items()):
-            if queue.untouched_from < queue.count:
-                first = self._first_untouched(step, queue.untouched_from, queue.count)
-                queue.untouched_from = queue.count if first is None else first
-            if queue.returned or queue.untouched_from < queue.count:
-                yield step
-            else:
-                self._queue_by_step.pop(step, None)
+    def steps(self) -> list[StepNumber]:
+        """Return the steps with waiting tasks, in the order they were opened in."""
+        return list(self._queue_by_step)
 
     def tasks_of(self, step: StepNumber) -> Iterator[TaskKey]:
         """Yield the waiting tasks of a step. Tasks may start and end meanwhile."""
@@ -119,9 +119,9 @@
             return
         returned = list(queue.returned)
         position = queue.untouched_from
-        while (first := self._first_untouched(step, position, queue.count)) is not None:
-            yield TaskKey(self._job.job_id, *step, first)
-            position = first + 1
+        while position < queue.count:
+            yield TaskKey(self._job.job_id, *step, position)
+            position = self._first_untouched(step, position + 1, queue.count)
         for position in returned:
             if position in queue.returned:
                 yield TaskKey(self._job.job_id, *step, position)
@@ -143,8 +143,14 @@
                 counts[step] -= 1
         return counts
 
-    def _first_untouched(self, step: StepNumber, start: int, end: int) -> int | None:
-        """Return the first position from ``start`` on that neither runs nor is done."""
+    def _advance(self, step: StepNumber, queue: _StepQueue, start: int) -> None:
+        """Move on to the first untouched task from ``start`` on."""
+        queue.untouched_from = self._first_untouched(step, start, queue.count)
+        if not queue.returned and queue.untouched_from == queue.count:
+            del self._queue_by_step[step]
+
+    def _first_untouched(self, step: StepNumber, start: int, end: int) -> int:
+        """Return the first position that neither runs nor is done, ``end`` if none."""
         done = self._progress.done_bits(*step)
         position = start
         while position < end:
@@ -152,8 +158,8 @@
             # The number of ones at the low end.
             position += (~rest & (rest + 1)).bit_length() - 1
             if position >= end:
-                return None
+                return end
             if TaskKey(self._job.job_id, *step, position) not in self._runs:
                 return position
             position += 1
-        return None
+        return end
