The test of unread jobs waits until the job itself runs before it kills the owner

Cause, in the test: it waited until any task ran, also one of the small jobs that it hands in to keep the nodes reading. On a busy machine the owner was killed before it had placed the job in question, so there was nothing for the successor to expect.

--- a/tests/cover/test_takeovers_beside_a_store_that_is_partly_away.py
+++ b/tests/cover/test_takeovers_beside_a_store_that_is_partly_away.py
@@ -70,18 +70,24 @@
     pytest.fail("the other node always read the job first")
 
 
+def count_starts(fleet: PlatformFleet, job: str) -> int:
+    """Return how many starts of the job's tasks the minions have carried out."""
+    events = list(fleet.simulator.events)
+    return sum(event[1] == "start" and event[2].startswith(job) for event in events)
+
+
 def test_ends_of_a_job_that_is_not_read_yet_are_kept_for_it(fleet):
     """A new owner acknowledged them, and started the tasks again later (review 1)."""
     owner = fleet.owner().name
     other = next(name for name in fleet.node_by_name if name != owner)
     job = submit_unread(fleet, owner, other)
-    wait_for(lambda: any(fleet.simulator.running().values()), "it runs")
+    wait_for(lambda: count_starts(fleet, job) == TASKS, "all of its tasks run")
     fleet.signal(owner, signal.SIGKILL)
     fleet.wait_for_state(other, job, "done")
     events = [event for event in fleet.simulator.events if event[2].startswith(job)]
     ends = Counter(event[5] for event in events if event[1] == "end")
     assert ends == {"done": TASKS}
-    assert sum(event[1] == "start" for event in events) == TASKS
+    assert count_starts(fleet, job) == TASKS
     (taken,) = [
         event
         for event in fleet.node_by_name[other].events()
