A lease may be the longest for some time after the run's record, whatever follows

A minion restarts under its ID and its owner sends it a start before it hears of that; the owner ends; the next one frees the run up to 1.5 s before its lease lapses.

Cause: _foreign_lease chose between the granted and the longest lease by one bound of 7 s, which is enough for a longest lease of 6 s only, as the longest one may outlast the granted ones for their difference and a poll's time-out.

Why the fix works: both kinds of lease count, each from its own last moment: the granted ones from the former owner's last lease, the longest ones from 5 s after the run's record, or from the last lease if that is earlier. The run is freed after the later of both.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/authority.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/authority.py
@@ -31,7 +31,7 @@
     order_delay: float = 12.0
     longest_stop: float = 1.0
     lease: float = math.inf
-    unheard: float = 7.0
+    unheard: float = 5.0
 
     @property
     def lapse(self) -> float:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
@@ -201,7 +201,9 @@
         ends = [self.late_grant_until]
         lapse = times.lapse
         if run.foreign_until is not None:
+            unheard_until = min(run.foreign_until, run.foreign_unheard_until)
             ends.append(run.foreign_until + times.lapse_of(run.foreign_lease))
+            ends.append(unheard_until + times.lapse_of(None))
         elif run.reported:
             ends.append(run.since + lapse)
         else:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
@@ -155,7 +155,8 @@
                     pace=None,
                     foreign_until=self._foreign_until(place),
                     foreign_epoch=place.epoch,
-                    foreign_lease=self._foreign_lease(place),
+                    foreign_lease=self._lease_by_epoch.get(place.epoch),
+                    foreign_unheard_until=self._foreign_unheard_until(place),
                 )
                 self._attach(job, run)
                 view = self.view_by_id[run.minion_id]
@@ -177,17 +178,14 @@
         last = self._unresponsive.last_grant(minion_epoch)
         return until if last is None else min(until, last)
 
-    def _foreign_lease(self, place: Placement) -> float | None:
-        """Return the length of a run's leases, None if they may be the longest.
+    def _foreign_unheard_until(self, place: Placement) -> float:
+        """Return until when a run's leases may have been the longest.
 
         A start that reaches a minion just after it restarted under its ID carries a
         time on the clock of the former incarnation, far in the future of the new one.
         Its owner may have ended before it heard of the restart.
         """
-        heard_by = self._run_ages.recorded_by(place.run) + self.times.unheard
-        if heard_by > self._foreign_until(place):
-            return None
-        return self._lease_by_epoch.get(place.epoch)
+        return self._run_ages.recorded_by(place.run) + self.times.unheard
 
     def _record_unresponsive(self, now: float) -> None:
         """Add to the next batch which minions get no leases from this owner."""
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
@@ -53,11 +53,13 @@
     got no answer in time. ``stop_wanted`` requests a stop.
     ``foreign_until`` is until when the former owner of ``foreign_epoch`` may have
     renewed the run's lease, and ``foreign_lease`` the length of its leases in seconds,
-    None if that is not known. ``percent`` is the run's progress, or for a long-running
-    task its progress until it serves. ``maybe_stopped`` means that a former owner may
-    have stopped the run. ``pace`` is the one that was ordered last, at ``paced_at``;
-    None if a former owner may have ordered any. Until ``pace_doubtful_until`` an order
-    that got no answer may still undo it; None if all were answered.
+    None if that is not known. Leases that it sent until ``foreign_unheard_until`` may
+    be the longest, as it may not have heard of a restart. ``percent`` is the run's
+    progress, or for a long-running task its progress until it serves. ``maybe_stopped``
+    means that a former owner may have stopped the run. ``pace`` is the one that was
+    ordered last, at ``paced_at``; None if a former owner may have ordered any. Until
+    ``pace_doubtful_until`` an order that got no answer may still undo it; None if all
+    were answered.
     """
 
     task: TaskKey
@@ -84,6 +86,7 @@
     foreign_until: float | None = None
     foreign_epoch: int | None = None
     foreign_lease: float | None = None
+    foreign_unheard_until: float = math.inf
     # The task's name as minions report it.
     name: str = ""
 
--- a/tests/cover/test_silent_minions.py
+++ b/tests/cover/test_silent_minions.py
@@ -177,6 +177,9 @@
     # Its owner may have sent the restarted minion another start before it heard.
     lapses_at = placed_at + LAST_UNHEARD_START_S + times.lapse_of(None)
     assert not is_freed_at(scheduler, lapses_at - 0.1)
+    lapses_at = placed_at + times.unheard + times.lapse_of(None)
+    assert not is_freed_at(scheduler, lapses_at - 0.1)
+    assert is_freed_at(scheduler, lapses_at + 0.1)
 
 
 @pytest.mark.parametrize(("age_s", "longest"), [(0.5, True), (30.0, False)])
