test_takeovers_beside_a_store_that_is_partly_away: the owner has read the job, the other node has not

Cause, from traced runs: the test waited for the tasks to start without a bound. If the owner had not read the job either when the stream went away, they started 4.59 s later, when it was back, and the next owner took over at 4.60 s with nothing unread. In the other five runs they started after 0.04 to 0.06 s and the takeover came after 1.49 to 1.61 s. The scene was not there; the node did nothing wrong.

Now the scene is made sure of: the tasks start within a second, else the next job is tried, and the stream stays away until the other node has taken over and 3 s more. What the test demands is unchanged.

--- a/tests/cover/test_takeovers_beside_a_store_that_is_partly_away.py
+++ b/tests/cover/test_takeovers_beside_a_store_that_is_partly_away.py
@@ -5,17 +5,23 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
+import math
 import signal
 import time
 from collections import Counter
+from typing import Any
 
 import pytest
 
 from geraniumshore_standins.internal.fleet import wait_for
 from geraniumshore_standins.internal.users_platform import PlatformFleet
 
-STREAM_AWAY_S = 4.5
+# How long the stream stays away after the successor has taken over.
+STREAM_AWAY_S = 3.0
+# An owner that has read a job starts its tasks well within this.
+START_WITHIN_S = 1.0
 # Followers that have just read records pause before they read again.
 PAUSES_S = 1.0
 TASKS = 12
@@ -54,43 +60,68 @@
         return 503 if away and is_accepted_stream(call) else None
 
 
-def submit_unread(fleet: PlatformFleet, owner: str, other: str) -> str:
-    """Submit a job that only the owner reads before the stream goes away."""
-    stream = AcceptedStream(fleet)
+def count_starts(fleet: PlatformFleet, job: str) -> int:
+    """Return how many starts of the job's tasks the minions have carried out."""
+    events = list(fleet.simulator.events)
+    return sum(event[1] == "start" and event[2].startswith(job) for event in events)
+
+
+def is_started(fleet: PlatformFleet, job: str) -> bool:
+    """Wait for the starts of a job's tasks; return whether they came."""
+    with contextlib.suppress(TimeoutError):
+        wait_for(
+            lambda: count_starts(fleet, job) == TASKS, "all tasks run", START_WITHIN_S
+        )
+        return True
+    return False
+
+
+def submit_small(fleet: PlatformFleet, owner: str) -> bool:
+    """Submit a short job; return whether it was accepted."""
+    small = job_id(int(time.monotonic() * 1000))
+    return fleet.submit(owner, small, document(1, 50)).status == 200
+
+
+def submit_unread(
+    fleet: PlatformFleet, stream: AcceptedStream, owner: str, other: str
+) -> str:
+    """Let the owner run a job that no other node reads before the stream goes away."""
     for number in range(20):
+        wait_for(lambda: submit_small(fleet, owner), "the stream is there")
         end = time.monotonic() + PAUSES_S
         while time.monotonic() < end:
-            small = job_id(int(time.monotonic() * 1000))
-            assert fleet.submit(owner, small, document(1, 50)).status == 200
+            assert submit_small(fleet, owner)
         assert fleet.submit(owner, job_id(number), document(TASKS, 1000)).status == 200
-        stream.away_until = time.monotonic() + STREAM_AWAY_S
+        stream.away_until = math.inf
+        if not is_started(fleet, job_id(number)):
+            # The owner has not read the job either.
+            stream.away_until = 0.0
+            continue
         if fleet.call(other, "GET", job_id(number)).status != 200:
             return job_id(number)
         stream.away_until = 0.0
-    pytest.fail("the other node always read the job first")
+    pytest.fail("the owner was never the only node that had read the job")
 
 
-def count_starts(fleet: PlatformFleet, job: str) -> int:
-    """Return how many starts of the job's tasks the minions have carried out."""
-    events = list(fleet.simulator.events)
-    return sum(event[1] == "start" and event[2].startswith(job) for event in events)
+def takeovers_by(fleet: PlatformFleet, name: str) -> list[dict[str, Any]]:
+    """Return the log entries of the node's takeovers."""
+    events = fleet.node_by_name[name].events()
+    return [event for event in events if event["event"] == "ownership taken"]
 
 
 def test_ends_of_a_job_that_is_not_read_yet_are_kept_for_it(fleet):
     """A new owner acknowledged them, and started the tasks again later (review 1)."""
     owner = fleet.owner().name
     other = next(name for name in fleet.node_by_name if name != owner)
-    job = submit_unread(fleet, owner, other)
-    wait_for(lambda: count_starts(fleet, job) == TASKS, "all of its tasks run")
+    stream = AcceptedStream(fleet)
+    job = submit_unread(fleet, stream, owner, other)
     fleet.signal(owner, signal.SIGKILL)
+    wait_for(lambda: bool(takeovers_by(fleet, other)), "the other node takes over")
+    stream.away_until = time.monotonic() + STREAM_AWAY_S
     fleet.wait_for_state(other, job, "done")
     events = [event for event in fleet.simulator.events if event[2].startswith(job)]
     ends = Counter(event[5] for event in events if event[1] == "end")
     assert ends == {"done": TASKS}
     assert count_starts(fleet, job) == TASKS
-    (taken,) = [
-        event
-        for event in fleet.node_by_name[other].events()
-        if event["event"] == "ownership taken"
-    ]
+    (taken,) = takeovers_by(fleet, other)
     assert taken["unread_jobs"] >= 1
