An answer to a start shows on which incarnation it was carried out

What callers saw: a task that a minion had confirmed, and that was cut off before its next report, waited for the platform's longest lease (10.4 s on the Recife sites) and not for the granted one (4.2 s).

The answer to a start has the minion's clock, which runs from the start of its incarnation; it was not read.

Why the fix works: if the clock shows that its incarnation began before the poll was sent that reported the known one, they are the same, as a minion has one at a time. Such a run is located, like a listed one: it waits for the granted lease, and it is started again at once when its minion has restarted. An answer from a younger clock, or without one, changes nothing.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/orders.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/orders.py
@@ -10,6 +10,7 @@
     "Batch",
     "Decision",
     "PaceOrder",
+    "StartAnswer",
     "StartOrder",
     "StartOutcome",
     "StopOrder",
@@ -65,6 +66,18 @@
     REFUSED = "refused"
 
 
+@dataclass(frozen=True, slots=True)
+class StartAnswer:
+    """What came back for a start: one of ``StartOutcome``, and the minion's clock.
+
+    The clock is in milliseconds since the minion's incarnation began, None without an
+    answer that has it.
+    """
+
+    outcome: str
+    clock_ms: float | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Batch:
     """Records to append in one call, and the starts to send once they are durable."""
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
@@ -48,8 +48,9 @@
 class Run:
     """One run of a task, on one incarnation of one minion.
 
-    ``incarnation`` is None while it is not known. ``reported`` runs have been listed by
-    the minion, so they are of that incarnation. ``unanswered_at`` is when the start had
+    ``incarnation`` is None while it is not known. A ``located`` run is certainly of
+    that incarnation: the minion has listed it, or the answer to its start shows it.
+    ``unanswered_at`` is when the start had
     got no answer in time. ``stop_wanted`` requests a stop.
     ``foreign_until`` is until when the former owner of ``foreign_epoch`` may have
     renewed the run's lease, and ``foreign_lease`` the length of its leases in seconds,
@@ -70,7 +71,7 @@
     state: RunState
     since: float
     incarnation: int | None = None
-    reported: bool = False
+    located: bool = False
     unanswered_at: float | None = None
     confirmed_at: float | None = None
     stop_wanted: bool = False
--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -22,6 +22,7 @@
     RegisteredJob,
     Scheduler,
     SequenceError,
+    StartAnswer,
     StartOrder,
     StartOutcome,
     StopOrder,
@@ -533,11 +534,12 @@
             return
         began = self._now()
         try:
-            outcome = self._platform.minions.start(order, until_ms)
+            answer = self._platform.minions.start(order, until_ms)
         except UnknownOutcomeError:
-            outcome = StartOutcome.NO_ANSWER
+            answer = StartAnswer(StartOutcome.NO_ANSWER)
         except PlatformUnavailableError:
-            outcome = StartOutcome.UNHEALTHY
+            answer = StartAnswer(StartOutcome.UNHEALTHY)
+        outcome = answer.outcome
         self._metrics.count("starts", outcome)
         self._metrics.observe("start", outcome, self._now() - began)
         if outcome != StartOutcome.STARTED:
@@ -550,7 +552,9 @@
                 outcome=outcome,
             )
         with self._lock:
-            self._scheduler.on_start_answer(order.run, outcome, self._now())
+            self._scheduler.on_start_answer(
+                order.run, outcome, self._now(), answer.clock_ms
+            )
         self._wake.set()
 
     def _stop_run(self, order: StopOrder) -> None:
--- a/tests/cover/test_silent_minions.py
+++ b/tests/cover/test_silent_minions.py
@@ -99,6 +99,20 @@
     assert fleet.is_freed_at(1.0 + lapse_s + 0.1)
 
 
+@pytest.mark.parametrize(
+    ("clock_ms", "lapse_s"), [(30_100, LAPSE_S), (50, LONGEST_LAPSE_S)]
+)
+def test_an_answer_to_a_start_shows_which_incarnation_carried_it_out(clock_ms, lapse_s):
+    """A task that a cut minion had just confirmed waited for the longest lease."""
+    fleet = ShortLeaseFleet(age_s=30.0)
+    fleet.scheduler.on_start_answer(
+        fleet.order.run, StartOutcome.STARTED, 0.1, clock_ms
+    )
+    fleet.fall_silent()
+    assert not fleet.is_freed_at(1.0 + lapse_s - 0.1)
+    assert fleet.is_freed_at(1.0 + lapse_s + 0.1)
+
+
 def test_a_task_whose_start_got_no_answer_starts_elsewhere_after_its_lease():
     fleet = ShortLeaseFleet()
     fleet.scheduler.on_start_answer(fleet.order.run, StartOutcome.NO_ANSWER, 0.5)
