test_takeovers_beside_a_store_that_is_partly_away: tries differ in their phase

Seen: with the bounded wait, 11 of 25 runs ended without the scene after 20 tries.

Cause, from traced tries: the followers read at fixed intervals, and a try that fails leaves them in step with the next one: after the stream is back both nodes read every 0.3 s, and each further try came at the same point of that. Each try waits 0.07 s longer now.

--- a/tests/cover/test_takeovers_beside_a_store_that_is_partly_away.py
+++ b/tests/cover/test_takeovers_beside_a_store_that_is_partly_away.py
@@ -24,6 +24,8 @@
 START_WITHIN_S = 1.0
 # Followers that have just read records pause before they read again.
 PAUSES_S = 1.0
+# A try that failed leaves the followers in step with the next one.
+PHASE_STEP_S = 0.07
 TASKS = 12
 
 
@@ -88,7 +90,7 @@
     """Let the owner run a job that no other node reads before the stream goes away."""
     for number in range(20):
         wait_for(lambda: submit_small(fleet, owner), "the stream is there")
-        end = time.monotonic() + PAUSES_S
+        end = time.monotonic() + PAUSES_S + number * PHASE_STEP_S
         while time.monotonic() < end:
             assert submit_small(fleet, owner)
         assert fleet.submit(owner, job_id(number), document(TASKS, 1000)).status == 200
