A read of the store names a size that its link can carry

Cause: the node has a link of 2 Mbit/s. While the store turned it away, several large configurations were written. It asked for all of them in one read of up to 1,024 KiB, which takes over 4 s there, gave it up after 2 s and asked again in the same way.

Why the fix works: a read without a complete answer in time halves the size of its stream's next one, down to 16 KiB; a full page that came quickly doubles it. So a slow link keeps what it can carry, and a quick one is back at the full size within seven reads.

The project's simulator keeps to max_kb now.

--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/log_model.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/log_model.py
@@ -15,6 +15,9 @@
 PARTITIONS = 32
 PAGE_SIZE = 500
 KEPT_REPLIES = 5
+BYTES_PER_KB = 1024
+# What a read returns at most if it names no size.
+DEFAULT_READ_KB = 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,14 +112,21 @@
         content = bytes([len(name)]) + name + value
         self.append(topic, 0, struct.pack(">I", len(content)) + content)
 
-    def read(self, topic: str, part: int, offset: int) -> Reply:
-        """Return the records at and after ``offset``."""
+    def read(
+        self, topic: str, part: int, offset: int, max_kb: int = DEFAULT_READ_KB
+    ) -> Reply:
+        """Return the records at and after ``offset``, at most ``max_kb`` KiB or one."""
         partition = self._partition(topic, part)
         if offset < partition.first:
             return Reply(410, {"first": partition.first})
         records = partition.records[offset - partition.first :]
         head = struct.pack(">QQ", partition.end, partition.first)
-        body = b"".join(struct.pack(">I", len(r)) + r for r in records)
+        framed = (struct.pack(">I", len(record)) + record for record in records)
+        body = next(framed, b"")
+        for record in framed:
+            if len(body) + len(record) > max_kb * BYTES_PER_KB:
+                break
+            body += record
         return Reply(200, raw=head + body)
 
     def end(self, topic: str, part: int) -> int:
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/platform_simulator.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/platform_simulator.py
@@ -285,7 +285,8 @@
                     int(query.get("seq", 0)),
                 )
             if name == "log-read":
-                return self.log.read(topic, part, int(query["from"]))
+                max_kb = int(query["max_kb"])
+                return self.log.read(topic, part, int(query["from"]), max_kb)
             if name == "log-newest":
                 return self.log.newest(topic, part, query.get("depends_on"))
             if name == "log-owners":
--- a/packages/geraniumshored/src/geraniumshored/node/hedging.py
+++ b/packages/geraniumshored/src/geraniumshored/node/hedging.py
@@ -206,9 +206,9 @@
             APPEND_TIMEOUT_S,
         )
 
-    def read(self, stream: Stream, offset: int, wait_ms: int) -> Page:
+    def read(self, stream: Stream, offset: int, wait_ms: int, max_kb: int) -> Page:
         """Read records from an offset on."""
-        return self._store.read(stream, offset, wait_ms)
+        return self._store.read(stream, offset, wait_ms, max_kb)
 
     def newest(self, stream: Stream) -> Page:
         """Read the newest record of each key."""
--- a/packages/geraniumshored/src/geraniumshored/node/ports.py
+++ b/packages/geraniumshored/src/geraniumshored/node/ports.py
@@ -158,9 +158,10 @@
         """
 
     @abstractmethod
-    def read(self, stream: Stream, offset: int, wait_ms: int) -> Page:
+    def read(self, stream: Stream, offset: int, wait_ms: int, max_kb: int) -> Page:
         """Return records from ``offset`` on, waiting up to ``wait_ms`` for one.
 
+        Returns at most about ``max_kb`` KiB, but at least one record if there are any.
         Raises RecordsTrimmedError if they have expired.
         """
 
--- a/packages/geraniumshored/src/geraniumshored/node/views.py
+++ b/packages/geraniumshored/src/geraniumshored/node/views.py
@@ -24,7 +24,8 @@
 )
 from geraniumshored.node.clock import wall_ms
 from geraniumshored.node.logs import log_event
-from geraniumshored.node.ports import Platform, Record, Stream
+from geraniumshored.node.page_size import PageSize
+from geraniumshored.node.ports import Page, Platform, Record, Stream
 
 __all__ = ["Follower", "JobsView", "MinionsView", "OperatorsView"]
 
@@ -54,6 +55,7 @@
         self._open_read_started_at: float | None = None
         self._read_started_at = float("-inf")
         self._disconnected_since: float | None = None
+        self._page_size = PageSize()
         # Values that were ignored, so that one that is written again is not reported.
         self._ignored_by_key: dict[str, bytes] = {}
         self._read_requested = threading.Event()
@@ -144,9 +146,7 @@
             self._offset = page.end
         else:
             try:
-                page = self._platform.store.read(
-                    self._stream, self._offset, self._wait_ms()
-                )
+                page = self._read_page(self._offset, self._wait_ms())
             except RecordsTrimmedError as error:
                 log_event(
                     logger,
@@ -177,6 +177,19 @@
         if pause and not behind:
             self._read_requested.wait(pause)
 
+    def _read_page(self, offset: int, wait_ms: int) -> Page:
+        started_at = self._now()
+        try:
+            page = self._platform.store.read(
+                self._stream, offset, wait_ms, self._page_size.kb
+            )
+        except UnknownOutcomeError:
+            self._page_size.on_unanswered()
+            raise
+        if offset + len(page.records) < page.end:
+            self._page_size.on_full_page(self._now() - started_at)
+        return page
+
     def read_to_end(self) -> bool:
         """Read all records now, outside the thread; return whether that succeeded."""
         offset = self._offset
@@ -186,7 +199,7 @@
         end: int | None = None
         try:
             while end is None or offset < end:
-                page = self._platform.store.read(self._stream, offset, 0)
+                page = self._read_page(offset, 0)
                 end = page.end if end is None else end
                 if not page.records:
                     break
--- a/packages/geraniumshored/src/geraniumshored/platform/store.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/store.py
@@ -84,12 +84,18 @@
         document = reply.document()
         return Appended(int(document.get("offset", 0)), int(document.get("end", 0)))
 
-    def read(self, stream: Stream, offset: int, wait_ms: int) -> Page:
+    def read(self, stream: Stream, offset: int, wait_ms: int, max_kb: int) -> Page:
         """Read records from an offset; wait up to ``wait_ms`` if there are none.
 
+        The store returns at most ``max_kb`` KiB.
         Raises RecordsTrimmedError if the offset is no longer retained.
         """
-        query = {**_partition_query(stream), "from": offset, "wait_ms": wait_ms}
+        query = {
+            **_partition_query(stream),
+            "from": offset,
+            "max_kb": max_kb,
+            "wait_ms": wait_ms,
+        }
         timeout = wait_ms / MS_PER_SECOND + READ_MARGIN_SECONDS
         reply = self._call("GET", "/v1/log-read", query, timeout)
         if reply.status == 410:
--- a/tests/common/lagging_node.py
+++ b/tests/common/lagging_node.py
@@ -38,7 +38,7 @@
     def newest(self, stream: Stream) -> Page:
         return Page((), 0)
 
-    def read(self, stream: Stream, offset: int, wait_ms: int) -> Page:
+    def read(self, stream: Stream, offset: int, wait_ms: int, max_kb: int) -> Page:
         if not self.reachable:
             raise PlatformUnavailableError("turned away")
         if stream is not Stream.ACCEPTED:
--- a/tests/cover/test_faults_in_threads.py
+++ b/tests/cover/test_faults_in_threads.py
@@ -58,9 +58,9 @@
             raise KeyError("unexpected")
 
     def newest(self, stream: Stream) -> Page:
-        return self.read(stream, 0, 0)
+        return self.read(stream, 0, 0, 0)
 
-    def read(self, stream: Stream, offset: int, wait_ms: int) -> Page:
+    def read(self, stream: Stream, offset: int, wait_ms: int, max_kb: int) -> Page:
         self._fail()
         records = [Record(key, b"x", n) for n, key in enumerate(self.keys)][offset:]
         if not records:
--- a/tests/cover/test_late_readers.py
+++ b/tests/cover/test_late_readers.py
@@ -24,9 +24,9 @@
         self.records: list[Record] = []
 
     def newest(self, stream: Stream) -> Page:
-        return self.read(stream, 0, 0)
+        return self.read(stream, 0, 0, 0)
 
-    def read(self, stream: Stream, offset: int, wait_ms: int) -> Page:
+    def read(self, stream: Stream, offset: int, wait_ms: int, max_kb: int) -> Page:
         if not self.reachable:
             raise PlatformUnavailableError("cut off")
         return Page(tuple(self.records[offset:]), len(self.records))
--- a/tests/cover/test_lost_answers.py
+++ b/tests/cover/test_lost_answers.py
@@ -177,7 +177,7 @@
         self._write(member)
         return Membership(generation + 1, 0)
 
-    def read(self, stream, offset, wait_ms):
+    def read(self, stream, offset, wait_ms, max_kb):
         raise NotImplementedError
 
     def newest(self, stream):
--- a/tests/cover/test_store_cut_nodes.py
+++ b/tests/cover/test_store_cut_nodes.py
@@ -35,9 +35,9 @@
         self.reachable = True
 
     def newest(self, stream: Stream) -> Page:
-        return self.read(stream, 0, 0)
+        return self.read(stream, 0, 0, 0)
 
-    def read(self, stream: Stream, offset: int, wait_ms: int) -> Page:
+    def read(self, stream: Stream, offset: int, wait_ms: int, max_kb: int) -> Page:
         if not self.reachable:
             raise PlatformUnavailableError("turned away")
         return Page((), 0)
