A small long-running task without a minion needs a whole machine

Cause: all three machines that its pool had left were drained at once. The task takes 0.13 of a machine, and the policy moves one from a shortfall of 0.4 on, so the pool got none until other work arrived.

Why the fix works: a long-running task takes precedence over the work of its pool, so if it has no minion, waiting brings none. Its shortfall counts as a whole machine.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pools.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pools.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 
@@ -212,12 +213,13 @@
 
         Work that arrives faster than it is done needs machines as long as that goes on.
         A backlog, including its growth until a machine arrives, needs them only until
-        it is cleared.
+        it is cleared. Long-running tasks need whole ones, as they may be all that a
+        pool has to do, and a part of a machine cannot be moved.
         """
         rate_shortfall = load.offered_load - load.batch_capacity - inbound
         backlog = max(0.0, load.backlog + rate_shortfall * self.thresholds.lead_s)
         return (
-            max(0.0, load.long_running_machines - inbound)
+            max(0.0, math.ceil(load.long_running_machines) - inbound)
             + max(0.0, rate_shortfall)
             + min(
                 max(0.0, load.parallelism - inbound), backlog / self.thresholds.clear_s
--- a/tests/cover/test_pool_policy.py
+++ b/tests/cover/test_pool_policy.py
@@ -146,6 +146,19 @@
     ]
 
 
+def test_a_small_long_running_task_gets_a_machine_if_its_pool_takes_no_work():
+    """Guards against LOST while all machines of its pool are drained for upkeep."""
+    fleet = Fleet(minions=2)
+    for number in range(2):
+        fleet.scheduler.set_cordoned(f"i-{number}", cordoned=True)
+    fleet.add(job("a" * 16, Step(1, SMALL, 500, lasting=True)))
+    fleet.plan()
+    (load,) = fleet.scheduler.pool_loads(0.0)
+    assert 0 < load.long_running_machines < THRESHOLDS.min_shortfall
+    spare = spare_machines(2)
+    assert moves(PoolPolicy(THRESHOLDS), [load], spare) == [MoveMachine("m0", "s")]
+
+
 def test_a_task_that_needs_its_own_minion_needs_a_whole_machine():
     fleet = Fleet(minions=1)
     fleet.add(job("a" * 16, Step(2, SMALL, 500, lasting=True, most_per_minion=1)))
