A cordoned minion that was away for a moment takes work again

Cause: the controller forgets a machine that it cordoned for a move when the list shows another minion for it, or none. Neither the order nor the packing was at fault.

Why the fix works: such a machine is uncordoned before it is forgotten.

--- a/packages/geraniumshored/src/geraniumshored/node/machine_controller.py
+++ b/packages/geraniumshored/src/geraniumshored/node/machine_controller.py
@@ -374,13 +374,15 @@
         )
 
     def _cordoned_machines(self) -> dict[str, MachineListing]:
-        """Return the cordoned machines that still have the same minion."""
+        """Return the cordoned machines that still have the same minion.
+
+        The others' minions are uncordoned: one that was away may come back under its
+        ID, and nothing would release it then.
+        """
         listed = self._machine_by_name
-        self._cordoned = {
-            name: minion_id
-            for name, minion_id in self._cordoned.items()
-            if name in listed and listed[name].minion_id == minion_id
-        }
+        for name, minion_id in list(self._cordoned.items()):
+            if name not in listed or listed[name].minion_id != minion_id:
+                self._uncordon(name)
         return {name: listed[name] for name in self._cordoned}
 
     def _apply_pool_order(self, order: PoolOrder) -> MoveMachine | None:
--- a/tests/cover/test_machine_controller.py
+++ b/tests/cover/test_machine_controller.py
@@ -16,6 +16,7 @@
     ANNOUNCEMENT_VALID_S,
     AnnouncedOrder,
     AnnouncedWave,
+    CordonMachine,
     MachineListing,
     MachineMaintenance,
     MachineOrders,
@@ -175,6 +176,35 @@
     assert not bench.fleet.scheduler.job_by_id["a" * 16].runs
 
 
+@pytest.mark.parametrize("listed", [True, False])
+def test_a_cordoned_minion_that_was_away_for_a_moment_takes_work_again(listed):
+    """Guards against LOST: it stayed cordoned for good, with nothing on it."""
+    bench = Bench()
+    bench.pass_time(5)
+    bench.controller._refresh_machines()
+    bench.controller._pools = SimpleNamespace(  # type: ignore[assignment]
+        plan=lambda *_: [CordonMachine("m-0")]
+    )
+    bench.controller._plan_moves()
+    view = bench.fleet.scheduler.view_by_id["i-0"]
+    assert view.cordoned
+    # It starts again under its ID, and the list lacks the minion or the whole machine.
+    present = bench.machines.listed.pop("m-0")
+    if listed:
+        bench.machines.listed["m-0"] = replace(present, up=False, minion_id=None)
+    bench.controller._pools = SimpleNamespace(  # type: ignore[assignment]
+        plan=lambda *_: []
+    )
+    for machine in (None, present):
+        if machine is not None:
+            bench.machines.listed["m-0"] = machine
+        bench.pass_time(5)
+        bench.controller._refresh_machines()
+        bench.controller._plan_moves()
+    assert not view.cordoned
+    assert bench.controller._cordoned == {}
+
+
 def test_an_unanswered_move_is_repeated_unchanged():
     bench = Bench()
     bench.pass_time(5)
