A run that a poll listed stays located when its start is answered late

Found by reading: an answer to a start that came after the report could take the location back, if the minion is younger than its last poll. The run would have waited for the longest lease, and for a report after a restart, without need. The new test in test_silent_minions fails without the change.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
@@ -41,22 +41,22 @@
 
     ``incarnation`` is None until the minion has answered this owner;
     ``reported_incarnation`` is that of its last answer, to a poll that was sent at
-    ``polled_at``. ``granted_at`` is when a lease
-    was last sent, answered or not. A lease that got no answer may take effect late,
-    even when the minion has answered since: it counts until ``late_grant_until``.
-    ``first_answered_at`` is when the minion first answered this owner; since then it
-    refuses orders from former owners. An ``unlisted`` minion is missing from the
-    platform's list but may still be up. No lease is sent until the batch
-    ``grants_after_batch`` is durable, which records that this owner sends leases. Until
-    ``over_leased_until`` the minion may hold a lease for longer than its owners grant.
-    ``stopping`` means that stops may have to be sent. ``unacked`` maps the completions
-    that are not acknowledged yet, in the order of their numbers, to the batch that
-    records them; those without a batch are in ``deferred``, as their jobs are not read
-    yet. ``completions_listed_at`` is when the minion last listed a new completion.
-    ``faults`` counts the failures in a row, of different jobs, up to ``last_fault_at``.
-    ``unresponsive_since`` is when the first of the latest unanswered polls was sent.
-    ``untracked_runs`` are runs on the minion that this owner does not know; they are to
-    be stopped, unless their jobs are not read yet.
+    ``polled_at``. ``granted_at`` is when a lease was last sent, answered or not. A
+    lease that got no answer may take effect late, even when the minion has answered
+    since: it counts until ``late_grant_until``. ``first_answered_at`` is when the
+    minion first answered this owner; since then it refuses orders from former owners.
+    An ``unlisted`` minion is missing from the platform's list but may still be up. No
+    lease is sent until the batch ``grants_after_batch`` is durable, which records that
+    this owner sends leases. Until ``over_leased_until`` the minion may hold a lease for
+    longer than its owners grant. ``stopping`` means that stops may have to be sent.
+    ``unacked`` maps the completions that are not acknowledged yet, in the order of
+    their numbers, to the batch that records them; those without a batch are in
+    ``deferred``, as their jobs are not read yet. ``completions_listed_at`` is when the
+    minion last listed a new completion. ``faults`` counts the failures in a row, of
+    different jobs, up to ``last_fault_at``. ``unresponsive_since`` is when the first of
+    the latest unanswered polls was sent. ``untracked_runs`` are runs on the minion that
+    this owner does not know; they are to be stopped, unless their jobs are not read
+    yet.
     """
 
     minion_id: str
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
@@ -238,7 +238,8 @@
             run.state = RunState.RUNNING
             run.confirmed_at = now
             run.progressed_at = now
-            if clock_ms is not None and run.incarnation == view.reported_incarnation:
+            known = run.incarnation == view.reported_incarnation
+            if clock_ms is not None and known and not run.located:
                 run.located = view.is_reported_clock(clock_ms, now, self.times)
             backoff = None if job is None else job.find_backoff(run.task)
             if backoff is not None:
--- a/tests/cover/test_silent_minions.py
+++ b/tests/cover/test_silent_minions.py
@@ -113,6 +113,14 @@
     assert fleet.is_freed_at(1.0 + lapse_s + 0.1)
 
 
+def test_a_run_that_a_poll_listed_stays_located_when_its_start_is_answered():
+    fleet = ShortLeaseFleet(age_s=30.0)
+    fleet.now = 0.5
+    fleet.report(fleet.minion_id, fleet.running(fleet.minion_id))
+    fleet.scheduler.on_start_answer(fleet.order.run, StartOutcome.STARTED, 0.6, 50)
+    assert fleet.order.run.located
+
+
 def test_a_task_whose_start_got_no_answer_starts_elsewhere_after_its_lease():
     fleet = ShortLeaseFleet()
     fleet.scheduler.on_start_answer(fleet.order.run, StartOutcome.NO_ANSWER, 0.5)
