test_takeovers_beside_a_store_that_is_partly_away: ask for the owner once nodes have settled

Cause, from the nodes' logs of a traced run: while two nodes start, ownership passes from the first to the second within 0.05 s. fleet.owner() was asked in between, so the test took the other node for the owner: the real one read the job, and the one that was killed was none or had long been replaced.

Now the roles are found anew for each try and checked again after it, and the takeover that counts is the one after the kill. What the test demands is unchanged.

--- a/tests/cover/test_takeovers_beside_a_store_that_is_partly_away.py
+++ b/tests/cover/test_takeovers_beside_a_store_that_is_partly_away.py
@@ -24,8 +24,6 @@
 START_WITHIN_S = 1.0
 # Followers that have just read records pause before they read again.
 PAUSES_S = 1.0
-# A try that failed leaves the followers in step with the next one.
-PHASE_STEP_S = 0.07
 TASKS = 12
 
 
@@ -84,23 +82,33 @@
     return fleet.submit(owner, small, document(1, 50)).status == 200
 
 
-def submit_unread(
-    fleet: PlatformFleet, stream: AcceptedStream, owner: str, other: str
-) -> str:
-    """Let the owner run a job that no other node reads before the stream goes away."""
+def find_roles(fleet: PlatformFleet) -> tuple[str, str]:
+    """Return the names of the owner and of the other node."""
+    owner = fleet.owner()
+    assert owner is not None
+    (other,) = set(fleet.node_by_name) - {owner.name}
+    return owner.name, other
+
+
+def submit_unread(fleet: PlatformFleet, stream: AcceptedStream) -> tuple[str, str, str]:
+    """Let the owner run a job that the other node has not read.
+
+    The stream goes away meanwhile. Returns the job, the owner and the other node.
+    """
     for number in range(20):
-        wait_for(lambda: submit_small(fleet, owner), "the stream is there")
-        end = time.monotonic() + PAUSES_S + number * PHASE_STEP_S
+        # While nodes start, ownership passes from one to the next.
+        owner, other = find_roles(fleet)
+        wait_for(lambda o=owner: submit_small(fleet, o), "the stream is there")  # type: ignore[misc]
+        end = time.monotonic() + PAUSES_S
         while time.monotonic() < end:
             assert submit_small(fleet, owner)
-        assert fleet.submit(owner, job_id(number), document(TASKS, 1000)).status == 200
+        job = job_id(number)
+        assert fleet.submit(owner, job, document(TASKS, 1000)).status == 200
         stream.away_until = math.inf
-        if not is_started(fleet, job_id(number)):
-            # The owner has not read the job either.
-            stream.away_until = 0.0
-            continue
-        if fleet.call(other, "GET", job_id(number)).status != 200:
-            return job_id(number)
+        started = is_started(fleet, job)
+        unread = fleet.call(other, "GET", job).status != 200
+        if started and unread and find_roles(fleet) == (owner, other):
+            return job, owner, other
         stream.away_until = 0.0
     pytest.fail("the owner was never the only node that had read the job")
 
@@ -113,17 +121,16 @@
 
 def test_ends_of_a_job_that_is_not_read_yet_are_kept_for_it(fleet):
     """A new owner acknowledged them, and started the tasks again later (review 1)."""
-    owner = fleet.owner().name
-    other = next(name for name in fleet.node_by_name if name != owner)
     stream = AcceptedStream(fleet)
-    job = submit_unread(fleet, stream, owner, other)
+    job, owner, other = submit_unread(fleet, stream)
+    earlier = len(takeovers_by(fleet, other))
     fleet.signal(owner, signal.SIGKILL)
-    wait_for(lambda: bool(takeovers_by(fleet, other)), "the other node takes over")
+    wait_for(lambda: len(takeovers_by(fleet, other)) > earlier, "a takeover")
     stream.away_until = time.monotonic() + STREAM_AWAY_S
     fleet.wait_for_state(other, job, "done")
     events = [event for event in fleet.simulator.events if event[2].startswith(job)]
     ends = Counter(event[5] for event in events if event[1] == "end")
     assert ends == {"done": TASKS}
     assert count_starts(fleet, job) == TASKS
-    (taken,) = takeovers_by(fleet, other)
+    (taken,) = takeovers_by(fleet, other)[earlier:]
     assert taken["unread_jobs"] >= 1
