Revert "An answer to a start shows on which incarnation it was carried out"

Cause, traced: the try held a clock that had run for longer than the time since the last answered poll for the clock of the known incarnation. So runs on a restarted minion were located on the old incarnation and started again at once when the restart was listed. Its tests had the same wrong belief. They go with the code that they tested.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
@@ -40,23 +40,22 @@
     """What an owner of the schedule knows of a minion and of the runs on it.
 
     ``incarnation`` is None until the minion has answered this owner;
-    ``reported_incarnation`` is that of its last answer, to a poll that was sent at
-    ``polled_at``. ``granted_at`` is when a lease was last sent, answered or not. A
-    lease that got no answer may take effect late, even when the minion has answered
-    since: it counts until ``late_grant_until``. ``first_answered_at`` is when the
-    minion first answered this owner; since then it refuses orders from former owners.
-    An ``unlisted`` minion is missing from the platform's list but may still be up. No
-    lease is sent until the batch ``grants_after_batch`` is durable, which records that
-    this owner sends leases. Until ``over_leased_until`` the minion may hold a lease for
-    longer than its owners grant. ``stopping`` means that stops may have to be sent.
-    ``unacked`` maps the completions that are not acknowledged yet, in the order of
-    their numbers, to the batch that records them; those without a batch are in
-    ``deferred``, as their jobs are not read yet. ``completions_listed_at`` is when the
-    minion last listed a new completion. ``faults`` counts the failures in a row, of
-    different jobs, up to ``last_fault_at``. ``unresponsive_since`` is when the first of
-    the latest unanswered polls was sent. ``untracked_runs`` are runs on the minion that
-    this owner does not know; they are to be stopped, unless their jobs are not read
-    yet.
+    ``reported_incarnation`` is that of its last answer. ``granted_at`` is when a lease
+    was last sent, answered or not. A lease that got no answer may take effect late,
+    even when the minion has answered since: it counts until ``late_grant_until``.
+    ``first_answered_at`` is when the minion first answered this owner; since then it
+    refuses orders from former owners. An ``unlisted`` minion is missing from the
+    platform's list but may still be up. No lease is sent until the batch
+    ``grants_after_batch`` is durable, which records that this owner sends leases. Until
+    ``over_leased_until`` the minion may hold a lease for longer than its owners grant.
+    ``stopping`` means that stops may have to be sent. ``unacked`` maps the completions
+    that are not acknowledged yet, in the order of their numbers, to the batch that
+    records them; those without a batch are in ``deferred``, as their jobs are not read
+    yet. ``completions_listed_at`` is when the minion last listed a new completion.
+    ``faults`` counts the failures in a row, of different jobs, up to ``last_fault_at``.
+    ``unresponsive_since`` is when the first of the latest unanswered polls was sent.
+    ``untracked_runs`` are runs on the minion that this owner does not know; they are to
+    be stopped, unless their jobs are not read yet.
     """
 
     minion_id: str
@@ -79,7 +78,6 @@
     avoid_until: float = 0.0
     over_leased_until: float = 0.0
     reported_incarnation: int | None = None
-    polled_at: float = -math.inf
     faults: int = 0
     last_fault_at: float = 0.0
     cordoned: bool = False
@@ -185,17 +183,6 @@
         self.late_grant_until = max(self.late_grant_until, lapsed_at)
         self.over_leased_until = lapsed_at - times.lapse
 
-    def is_reported_clock(
-        self, clock_ms: float, now: float, times: OwnershipTimes
-    ) -> bool:
-        """Return whether a clock in an answer is that of the last incarnation reported.
-
-        It is if its incarnation had begun before the poll of that report was sent.
-        """
-        clock_s = clock_ms / MS_PER_S
-        started_at = now - clock_s * (1 - 2 * times.clock_rate)
-        return started_at < self.polled_at
-
     def record_answer(self, same_incarnation: bool, times: OwnershipTimes) -> None:
         """Record an answer to a poll, which shows that the minion is reachable."""
         if same_incarnation and self.unanswered_grant_at is not None:
@@ -208,7 +195,7 @@
     def lapsed_at(self, run: Run, times: OwnershipTimes) -> float:
         """Return when a run's lease has certainly lapsed if no poll is answered.
 
-        Until it is located, a run that this owner started may be on an incarnation on
+        Until it was reported, a run that this owner started may be on an incarnation on
         whose clock its lease is the longest.
         """
         ends = [self.late_grant_until]
@@ -217,7 +204,7 @@
             unheard_until = min(run.foreign_until, run.foreign_unheard_until)
             ends.append(run.foreign_until + times.lapse_of(run.foreign_lease))
             ends.append(unheard_until + times.lapse_of(None))
-        elif run.located:
+        elif run.reported:
             ends.append(run.since + lapse)
         else:
             lapse = times.lapse_of(None)
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/orders.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/orders.py
@@ -10,7 +10,6 @@
     "Batch",
     "Decision",
     "PaceOrder",
-    "StartAnswer",
     "StartOrder",
     "StartOutcome",
     "StopOrder",
@@ -66,18 +65,6 @@
     REFUSED = "refused"
 
 
-@dataclass(frozen=True, slots=True)
-class StartAnswer:
-    """What came back for a start: one of ``StartOutcome``, and the minion's clock.
-
-    The clock is in milliseconds since the minion's incarnation began, None without an
-    answer that has it.
-    """
-
-    outcome: str
-    clock_ms: float | None = None
-
-
 @dataclass(frozen=True, slots=True)
 class Batch:
     """Records to append in one call, and the starts to send once they are durable."""
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
@@ -113,7 +113,6 @@
         first = view.reported_incarnation is None
         restarted = view.reported_incarnation != report.incarnation
         view.reported_incarnation = report.incarnation
-        view.polled_at = request.sent_at
         if view.minion_id in self._unresponsive:
             # The log says that this minion gets no leases. Retract that record first.
             self._unresponsive.forget(view.minion_id)
@@ -215,10 +214,8 @@
         if view is not None and view.runs.get(run.task) is run:
             self._release_unstarted_run(run, now, "not sent")
 
-    def on_start_answer(
-        self, run: Run, outcome: str, now: float, clock_ms: float | None = None
-    ) -> None:
-        """Process the outcome of a start, with the minion's clock if it answered."""
+    def on_start_answer(self, run: Run, outcome: str, now: float) -> None:
+        """Process the outcome of a start."""
         view = self.view_by_id.get(run.minion_id)
         if view is None or view.runs.get(run.task) is not run:
             return
@@ -238,9 +235,6 @@
             run.state = RunState.RUNNING
             run.confirmed_at = now
             run.progressed_at = now
-            known = run.incarnation == view.reported_incarnation
-            if clock_ms is not None and known and not run.located:
-                run.located = view.is_reported_clock(clock_ms, now, self.times)
             backoff = None if job is None else job.find_backoff(run.task)
             if backoff is not None:
                 backoff.on_started()
@@ -475,7 +469,7 @@
             run.confirmed_at = now
             run.progressed_at = now
         run.incarnation = view.incarnation
-        run.located = True
+        run.reported = True
         if row.percent > run.percent:
             run.progressed_at = now
         run.percent = row.percent
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
@@ -290,8 +290,7 @@
         """Reset a minion's view; runs of its former incarnation have ended.
 
         Starts name the minion but not the incarnation. One that was sent since the last
-        report may have reached the new one, so a run that is not located waits for the
-        next report.
+        report may have reached the new one, so its run waits for the next report.
         """
         first = view.incarnation is None
         view.incarnation = incarnation
@@ -309,7 +308,7 @@
         for run in list(view.runs.values()):
             if run.incarnation == incarnation:
                 continue
-            if run.located or run.state is RunState.PLANNED:
+            if run.reported or run.state is RunState.PLANNED:
                 self._release_run(run, now, "minion restarted")
                 continue
             run.incarnation = incarnation
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
@@ -48,18 +48,18 @@
 class Run:
     """One run of a task, on one incarnation of one minion.
 
-    ``incarnation`` is None while it is not known. A ``located`` run is certainly of
-    that incarnation: the minion has listed it, or the answer to its start shows it.
-    ``unanswered_at`` is when the start had got no answer in time. ``stop_wanted``
-    requests a stop. ``foreign_until`` is until when the former owner of
-    ``foreign_epoch`` may have renewed the run's lease, and ``foreign_lease`` the length
-    of its leases in seconds, None if that is not known. Leases that it sent until
-    ``foreign_unheard_until`` may be the longest, as it may not have heard of a restart.
-    ``percent`` is the run's progress, or for a long-running task its progress until it
-    serves. ``maybe_stopped`` means that a former owner may have stopped the run.
-    ``pace`` is the one that was ordered last, at ``paced_at``; None if a former owner
-    may have ordered any. Until ``pace_doubtful_until`` an order that got no answer may
-    still undo it; None if all were answered.
+    ``incarnation`` is None while it is not known. ``reported`` runs have been listed by
+    the minion, so they are of that incarnation. ``unanswered_at`` is when the start had
+    got no answer in time. ``stop_wanted`` requests a stop.
+    ``foreign_until`` is until when the former owner of ``foreign_epoch`` may have
+    renewed the run's lease, and ``foreign_lease`` the length of its leases in seconds,
+    None if that is not known. Leases that it sent until ``foreign_unheard_until`` may
+    be the longest, as it may not have heard of a restart. ``percent`` is the run's
+    progress, or for a long-running task its progress until it serves. ``maybe_stopped``
+    means that a former owner may have stopped the run. ``pace`` is the one that was
+    ordered last, at ``paced_at``; None if a former owner may have ordered any. Until
+    ``pace_doubtful_until`` an order that got no answer may still undo it; None if all
+    were answered.
     """
 
     task: TaskKey
@@ -70,7 +70,7 @@
     state: RunState
     since: float
     incarnation: int | None = None
-    located: bool = False
+    reported: bool = False
     unanswered_at: float | None = None
     confirmed_at: float | None = None
     stop_wanted: bool = False
--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -22,7 +22,6 @@
     RegisteredJob,
     Scheduler,
     SequenceError,
-    StartAnswer,
     StartOrder,
     StartOutcome,
     StopOrder,
@@ -534,12 +533,11 @@
             return
         began = self._now()
         try:
-            answer = self._platform.minions.start(order, until_ms)
+            outcome = self._platform.minions.start(order, until_ms)
         except UnknownOutcomeError:
-            answer = StartAnswer(StartOutcome.NO_ANSWER)
+            outcome = StartOutcome.NO_ANSWER
         except PlatformUnavailableError:
-            answer = StartAnswer(StartOutcome.UNHEALTHY)
-        outcome = answer.outcome
+            outcome = StartOutcome.UNHEALTHY
         self._metrics.count("starts", outcome)
         self._metrics.observe("start", outcome, self._now() - began)
         if outcome != StartOutcome.STARTED:
@@ -552,9 +550,7 @@
                 outcome=outcome,
             )
         with self._lock:
-            self._scheduler.on_start_answer(
-                order.run, outcome, self._now(), answer.clock_ms
-            )
+            self._scheduler.on_start_answer(order.run, outcome, self._now())
         self._wake.set()
 
     def _stop_run(self, order: StopOrder) -> None:
--- a/packages/geraniumshored/src/geraniumshored/node/ports.py
+++ b/packages/geraniumshored/src/geraniumshored/node/ports.py
@@ -16,7 +16,6 @@
     MinionReport,
     PaceOrder,
     PollRequest,
-    StartAnswer,
     StartOrder,
     StopOrder,
 )
@@ -198,8 +197,8 @@
         """Poll a minion and, if requested, renew its leases."""
 
     @abstractmethod
-    def start(self, order: StartOrder, until_ms: int) -> StartAnswer:
-        """Start a run."""
+    def start(self, order: StartOrder, until_ms: int) -> str:
+        """Start a run; return one of ``StartOutcome``."""
 
     @abstractmethod
     def stop(self, order: StopOrder) -> None:
--- a/packages/geraniumshored/src/geraniumshored/platform/documents.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/documents.py
@@ -37,7 +37,6 @@
 
 __all__ = [
     "decode_advice",
-    "decode_clock",
     "decode_configuration",
     "decode_job_request",
     "decode_machines",
@@ -224,10 +223,6 @@
     remaining_ms: Whole | None = None
 
 
-class _Clock(_Document):
-    clock_ms: Whole
-
-
 class _Machine(_Document):
     machine: str
     pool: str
@@ -413,14 +408,6 @@
     )
 
 
-def decode_clock(data: bytes) -> float:
-    """Decode the minion's clock in its answer to an order, in ms.
-
-    Raises InvalidInputError.
-    """
-    return _load(_Clock, data, "answer").clock_ms
-
-
 def decode_advice(data: bytes) -> tuple[dict[str, str], int]:
     """Decode the tickets by minion id and their validity in ms.
 
--- a/packages/geraniumshored/src/geraniumshored/platform/minions.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/minions.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 from typing import Any
 
 from geraniumshore_scheduler import (
@@ -13,21 +12,17 @@
     PaceOrder,
     PlatformUnavailableError,
     PollRequest,
-    StartAnswer,
     StartOrder,
     StartOutcome,
     StopOrder,
     UnknownOutcomeError,
 )
-from geraniumshored.node.logs import log_event
 from geraniumshored.node.ports import Minions
-from geraniumshored.platform.documents import decode_clock, decode_report
+from geraniumshored.platform.documents import decode_report
 from geraniumshored.platform.http import HttpClient, HttpReply
 
 __all__ = ["HttpMinions"]
 
-logger = logging.getLogger(__name__)
-
 # Minions respond within a few ms, slow ones in up to ten times as long.
 ORDER_TIMEOUT_SECONDS = 0.7
 MS_PER_SECOND = 1000
@@ -70,7 +65,7 @@
         except InvalidInputError as error:
             raise UnknownOutcomeError(f"invalid report: {error}") from error
 
-    def start(self, order: StartOrder, until_ms: int) -> StartAnswer:
+    def start(self, order: StartOrder, until_ms: int) -> str:
         """Start a run under a lease until ``until_ms`` of the minion's clock."""
         document: dict[str, Any] = {
             "task": str(order.run.task),
@@ -85,8 +80,16 @@
             document["ticket"] = order.ticket
         reply = self._post(order.address, order.run.minion_id, "run-start", document)
         if reply.status == 200:
-            return StartAnswer(StartOutcome.STARTED, _read_clock(order, reply))
-        return StartAnswer(_outcome_of_refusal(reply))
+            return StartOutcome.STARTED
+        if reply.status == 409:
+            reason = str(reply.document().get("reason", ""))
+            return OUTCOME_BY_REASON.get(reason, StartOutcome.REFUSED)
+        if reply.status in (429, 503):
+            return StartOutcome.UNHEALTHY
+        if reply.status == 400:
+            return StartOutcome.REFUSED
+        # Other statuses come from faulty minions, which may have started the run.
+        return StartOutcome.NO_ANSWER
 
     def stop(self, order: StopOrder) -> None:
         """Stop a run."""
@@ -126,23 +129,3 @@
                 f"{minion_id} rejected the call: it knows a newer fencing token"
             )
         return reply
-
-
-def _outcome_of_refusal(reply: HttpReply) -> str:
-    if reply.status == 409:
-        reason = str(reply.document().get("reason", ""))
-        return OUTCOME_BY_REASON.get(reason, StartOutcome.REFUSED)
-    if reply.status in (429, 503):
-        return StartOutcome.UNHEALTHY
-    if reply.status == 400:
-        return StartOutcome.REFUSED
-    # Other statuses come from faulty minions, which may have started the run.
-    return StartOutcome.NO_ANSWER
-
-
-def _read_clock(order: StartOrder, reply: HttpReply) -> float | None:
-    try:
-        return decode_clock(reply.body)
-    except InvalidInputError as error:
-        log_event(logger, "clock ignored", minion=order.run.minion_id, cause=str(error))
-        return None
--- a/tests/cover/test_restarted_minions.py
+++ b/tests/cover/test_restarted_minions.py
@@ -28,10 +28,8 @@
     def send(self) -> None:
         assert self.scheduler.prepare_start(self.order.run, self.now) is not None
 
-    def answer(
-        self, outcome: str = StartOutcome.STARTED, clock_ms: int | None = None
-    ) -> None:
-        self.scheduler.on_start_answer(self.order.run, outcome, self.now, clock_ms)
+    def answer(self, outcome: str = StartOutcome.STARTED) -> None:
+        self.scheduler.on_start_answer(self.order.run, outcome, self.now)
 
     def list_restarted(self) -> None:
         """Read the entry of the minion's new incarnation."""
@@ -91,19 +89,6 @@
     assert fleet.starts() == ["i-1"]
 
 
-@pytest.mark.parametrize(("clock_ms", "starts"), [(60_000, ["i-1"]), (90, [])])
-def test_a_run_is_restarted_at_once_if_the_old_clock_answered_its_start(
-    clock_ms, starts
-):
-    """The new clock may be that of the incarnation on which the run executes."""
-    fleet = RestartedFleet()
-    fleet.send()
-    fleet.now += 0.1
-    fleet.answer(clock_ms=clock_ms)
-    fleet.list_restarted()
-    assert fleet.starts() == starts
-
-
 def test_a_start_that_was_not_sent_yet_goes_elsewhere_at_once():
     fleet = RestartedFleet()
     fleet.list_restarted()
--- a/tests/cover/test_silent_minions.py
+++ b/tests/cover/test_silent_minions.py
@@ -99,28 +99,6 @@
     assert fleet.is_freed_at(1.0 + lapse_s + 0.1)
 
 
-@pytest.mark.parametrize(
-    ("clock_ms", "lapse_s"), [(30_100, LAPSE_S), (50, LONGEST_LAPSE_S)]
-)
-def test_an_answer_to_a_start_shows_which_incarnation_carried_it_out(clock_ms, lapse_s):
-    """A task that a cut minion had just confirmed waited for the longest lease."""
-    fleet = ShortLeaseFleet(age_s=30.0)
-    fleet.scheduler.on_start_answer(
-        fleet.order.run, StartOutcome.STARTED, 0.1, clock_ms
-    )
-    fleet.fall_silent()
-    assert not fleet.is_freed_at(1.0 + lapse_s - 0.1)
-    assert fleet.is_freed_at(1.0 + lapse_s + 0.1)
-
-
-def test_a_run_that_a_poll_listed_stays_located_when_its_start_is_answered():
-    fleet = ShortLeaseFleet(age_s=30.0)
-    fleet.now = 0.5
-    fleet.report(fleet.minion_id, fleet.running(fleet.minion_id))
-    fleet.scheduler.on_start_answer(fleet.order.run, StartOutcome.STARTED, 0.6, 50)
-    assert fleet.order.run.located
-
-
 def test_a_task_whose_start_got_no_answer_starts_elsewhere_after_its_lease():
     fleet = ShortLeaseFleet()
     fleet.scheduler.on_start_answer(fleet.order.run, StartOutcome.NO_ANSWER, 0.5)
@@ -218,6 +196,20 @@
     assert view.late_grant_until == expected
 
 
+def test_the_clock_of_a_restarted_minion_may_begin_anywhere():
+    """Guards against a second run beside one with a lease on the older clock."""
+    fleet = ShortLeaseFleet()
+    fleet.scheduler = Scheduler(Authority(6, 0.0, 0.0), SHORT_LEASES)
+    fleet.scheduler.set_configuration(configuration())
+    # The list still shows the incarnation that a former owner sent its leases to.
+    fleet.scheduler.set_listings({"i-0": listing(0)}, 40.0)
+    fleet.now = 40.0
+    fleet.born_at["i-0", 2] = fleet.now - 182.0
+    fleet.report("i-0", incarnation=2)
+    view = fleet.scheduler.view_by_id["i-0"]
+    assert view.late_grant_until == fleet.now + LONGEST_LAPSE_S
+
+
 def test_the_age_of_a_run_is_that_of_the_next_one_that_was_read():
     ages = RunAges()
     assert ages.recorded_by(1) == math.inf
