Only group members follow the list of minions

Every minion rewrites its entry each heartbeat, and every node read them all: 300 nodes with 3,004 minions ask the store for more than its 80 MB/s, so no node caught up. Nodes outside the group do not need the list. A member claims only with a current one.

--- a/packages/geraniumshored/src/geraniumshored/node/node.py
+++ b/packages/geraniumshored/src/geraniumshored/node/node.py
@@ -67,6 +67,7 @@
             platform.store,
             member,
             self._jobs,
+            self._minions,
             self._make_owner,
             self._is_caught_up,
             now,
@@ -91,7 +92,6 @@
             and self._operators.configuration is not None
             and self._jobs.age(self._now()) < MAX_READY_LOG_AGE_S
             and self._operators.connected
-            and self._minions.connected
             and self._jobs.connected
         )
 
@@ -120,7 +120,6 @@
         return (
             self._operators.configuration is not None
             and self._jobs.age(now) < MAX_READY_LOG_AGE_S
-            and self._minions.age(now) < MAX_READY_LOG_AGE_S
         )
 
     def _make_owner(self, epoch: int) -> Owner:
--- a/packages/geraniumshored/src/geraniumshored/node/ownership.py
+++ b/packages/geraniumshored/src/geraniumshored/node/ownership.py
@@ -21,7 +21,7 @@
 from geraniumshored.node.members import host_of, is_strong
 from geraniumshored.node.owner import Owner
 from geraniumshored.node.ports import Membership, Record, Store, Stream
-from geraniumshored.node.views import JobsView
+from geraniumshored.node.views import JobsView, MinionsView
 
 __all__ = ["Ownership"]
 
@@ -44,6 +44,9 @@
 # An owner outside the group counts as gone when the log has had no record of it for
 # this time, which is as long as the group keeps an unresponsive member.
 OWNER_TIMEOUT_S = 1.0
+# A member claims only with a list of minions that is younger than this. It reads the
+# list from when it joins, so this delays only the first claim after a join.
+MAX_MINIONS_AGE_S = 2.0
 # Each partition has its own epoch in a generation. The store has 32 partitions.
 EPOCHS_PER_GENERATION = 128
 
@@ -61,6 +64,7 @@
         store: Store,
         member: str,
         jobs: JobsView,
+        minions: MinionsView,
         make_owner: Callable[[int], Owner],
         ready: Callable[[], bool],
         now: Callable[[], float],
@@ -70,6 +74,7 @@
         self._host = host_of(member)
         self._weak = not is_strong(member)
         self._jobs = jobs
+        self._minions = minions
         self._make_owner = make_owner
         self._ready = ready
         self._now = now
@@ -116,7 +121,9 @@
     def _step(self) -> float:
         """Join the group if allowed; return the delay before the next step."""
         if self._generation == 0 and not self._may_join():
+            self._minions.unfollow()
             return NON_MEMBER_INTERVAL_S
+        self._minions.follow()
         membership = self._store.join(self._member, self._generation)
         if self._disconnected:
             self._disconnected = False
@@ -220,6 +227,8 @@
         owner = self._jobs.registry.owner
         if now < self._reconnected_at + OWNER_REJOIN_S:
             return False
+        if self._minions.age(now) >= MAX_MINIONS_AGE_S:
+            return False
         if now - self._jobs.age(now) < self._ownership_lost_at:
             # The log may name a new owner in records that are not read yet.
             return False
--- a/packages/geraniumshored/src/geraniumshored/node/views.py
+++ b/packages/geraniumshored/src/geraniumshored/node/views.py
@@ -299,19 +299,42 @@
 
 
 class MinionsView(Follower):
-    """The platform's list of minions, which lags and may lack entries."""
+    """The platform's list of minions, which lags and may lack entries.
+
+    Every minion rewrites its entry every second or two, so the list grows with the
+    fleet and is read all the time. Only nodes that may own the schedule need it: if all
+    of some hundred nodes read it, they would use up what the store can deliver.
+    """
 
-    # Every minion rewrites its entry all the time; only the owner needs it quickly.
     FOLLOWER_READ_INTERVAL_S = 1.0
+    # Only the owner needs changes quickly.
     OWNER_READ_INTERVAL_S = 0.1
 
     def __init__(self, platform: Platform, now: Callable[[], float]) -> None:
         super().__init__(platform, Stream.MINIONS, now)
+        self._followed = threading.Event()
         # Other threads read this dict; the follower's thread replaces it as a whole.
         self.listing_by_id: dict[str, MinionListing] = {}
         self._pending_listing_by_id: dict[str, MinionListing] = {}
         self.on_change: Callable[[], None] | None = None
 
+    def follow(self) -> None:
+        """Keep the view current from now on."""
+        self._followed.set()
+
+    def unfollow(self) -> None:
+        """Read no more until ``follow`` is called; the view becomes outdated."""
+        self._followed.clear()
+
+    def _run(self) -> None:
+        while True:
+            if not self._followed.is_set():
+                # A stream that nobody reads is not lost.
+                self._disconnected_since = None
+                self._followed.wait()
+            if not self.read_once():
+                self._read_requested.wait(RETRY_S)
+
     def _pause_s(self) -> float:
         return (
             self.FOLLOWER_READ_INTERVAL_S
