Relay calls that a node cannot answer to one that can

A node that the store turns away, or that has not read the log yet, refused its callers although other nodes could serve them. On a slow store, single appends of all nodes filled the queue of the partition (0.15 s an append, at most 2 s queued). Such calls go to the owner of the schedule, or to another member of its group, whose address is part of its member name. A call that another node may have carried out is never answered as not run.

--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/nodes.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/nodes.py
@@ -102,6 +102,7 @@
             "store": self.store_address(name),
             "machines": f"127.0.0.1:{self.simulator.machines_port}",
             "leaving_s": 2,
+            "peers": f"127.0.0.1:{free_port()}",
             **addresses,
             **self._settings,
         }
--- a/packages/geraniumshored/src/geraniumshored/entry.py
+++ b/packages/geraniumshored/src/geraniumshored/entry.py
@@ -51,7 +51,7 @@
     front = JobApiServer(node.request_handler, node.metrics, node.ready)
     node.metrics.gauge("log_lines_dropped", lambda: writer.dropped)
     node.metrics.gauge("errors_logged", lambda: writer.errors)
-    front.start(settings.front, settings.ready, settings.metrics)
+    front.start(settings.front, settings.ready, settings.metrics, settings.peers)
     node.start()
     log_event(logger, "started", front=settings.front, data_centre=settings.data_centre)
     while not stop.wait(0.2):
--- a/packages/geraniumshored/src/geraniumshored/node/appender.py
+++ b/packages/geraniumshored/src/geraniumshored/node/appender.py
@@ -12,6 +12,7 @@
 from itertools import accumulate
 
 from geraniumshore_scheduler import PlatformUnavailableError, UnknownOutcomeError
+from geraniumshored.node.append_latency import AppendLatency
 from geraniumshored.node.logs import log_event
 from geraniumshored.node.ports import Record, Store, Stream
 
@@ -57,6 +58,7 @@
         now: Callable[[], float],
         max_append_bytes: int = MAX_APPEND_BYTES,
     ) -> None:
+        self.latency = AppendLatency(now)
         self._store = store
         self._max_append_bytes = max_append_bytes
         self._now = now
@@ -110,6 +112,9 @@
                     took - self._average_latency_s
                 )
                 self._condition.notify()
+            if outcome is not AppendOutcome.NOT_DONE:
+                # A refusal comes at once, whatever an append would take.
+                self.latency.observe(took)
             for pending in batch:
                 pending.outcome.set_result(outcome)
 
--- a/packages/geraniumshored/src/geraniumshored/node/job_requests.py
+++ b/packages/geraniumshored/src/geraniumshored/node/job_requests.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-import enum
 import logging
 import re
 from abc import ABC, abstractmethod
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from geraniumshore_scheduler import (
     Configuration,
@@ -20,6 +18,7 @@
     encode_job,
     job_key,
 )
+from geraniumshored.node.answers import Answer, Caller, RequestHandler, Verdict
 from geraniumshored.node.appender import Appender, AppendOutcome
 from geraniumshored.node.clock import wall_ms
 from geraniumshored.node.logs import log_event
@@ -50,39 +49,6 @@
 JOB_ID = re.compile("[0-9A-Fa-f]{16}")
 
 
-class Verdict(enum.Enum):
-    """Outcome of a call."""
-
-    OK = "ok"
-    UNKNOWN_QUEUE = "unknown queue"
-    UNKNOWN_KEY = "unknown key"
-    UNKNOWN_JOB = "unknown job"
-    MALFORMED = "malformed"
-    NOT_RUN = "not run"
-    UNCERTAIN = "uncertain"
-
-
-@dataclass(frozen=True, slots=True)
-class Answer:
-    """A verdict, with the requested data or the time after which to retry."""
-
-    verdict: Verdict
-    state: JobState | None = None
-    pending: int | None = None
-    retry_after_s: int | None = None
-    detail: str = ""
-
-
-@dataclass(frozen=True, slots=True)
-class Caller:
-    """The host, path and API key of a call, and how long the caller waits."""
-
-    host: str
-    path: str
-    key: str | None
-    timeout_s: float
-
-
 class JobDecoder(ABC):
     """Decodes submitted jobs."""
 
@@ -93,7 +59,7 @@
         """Return the job. Raises InvalidInputError."""
 
 
-class JobRequestHandler:
+class JobRequestHandler(RequestHandler):
     """Answers callers from this node's views, and writes accepted jobs to the store."""
 
     def __init__(
--- a/packages/geraniumshored/src/geraniumshored/node/node.py
+++ b/packages/geraniumshored/src/geraniumshored/node/node.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Callable
 
+from geraniumshored.node.answers import RequestHandler
 from geraniumshored.node.appender import Appender
 from geraniumshored.node.clock import steady_seconds
 from geraniumshored.node.job_requests import JobDecoder, JobRequestHandler
@@ -17,6 +18,8 @@
 from geraniumshored.node.owner import Owner
 from geraniumshored.node.ownership import Ownership
 from geraniumshored.node.ports import Platform
+from geraniumshored.node.relay import CallRelay
+from geraniumshored.node.relayed_requests import RelayingRequestHandler
 from geraniumshored.node.settings import NodeSettings
 from geraniumshored.node.views import JobsView, MinionsView, OperatorsView
 
@@ -50,7 +53,7 @@
         self._jobs = JobsView(platform, now)
         self._appender = Appender(platform.store, now, settings.append_bytes)
         self._stopping = threading.Event()
-        self.request_handler = JobRequestHandler(
+        self._own_requests = JobRequestHandler(
             self._operators,
             self._jobs,
             self._appender,
@@ -61,7 +64,9 @@
         )
         # A restarted process is a new member.
         process = f"{time.time_ns()}-{os.getpid()}"
-        member = member_name(settings.node, process, settings.processors)
+        member = member_name(
+            settings.node, process, settings.processors, settings.peers
+        )
         self._member = member
         self._ownership = Ownership(
             platform.store,
@@ -72,9 +77,19 @@
             self._is_caught_up,
             now,
         )
+        self.request_handler = self._make_request_handler()
         self.metrics.gauge("log_age_seconds", lambda: self._jobs.age(now()))
         self.metrics.gauge("log_offset", lambda: self._jobs.progress_offset)
 
+    def _make_request_handler(self) -> RequestHandler:
+        if not self.settings.peers:
+            return self._own_requests
+        relay = CallRelay(
+            self._platform.peers, self._member, self._ownership, self.metrics, self._now
+        )
+        latency = self._appender.latency
+        return RelayingRequestHandler(self._own_requests, relay, latency, self._now)
+
     def start(self) -> None:
         """Start following the store and join the group."""
         for part in (self._operators, self._minions, self._jobs, self._appender):
@@ -110,7 +125,7 @@
         self._stopping.set()
         self._ownership.leave()
         end = began + self.settings.leaving_s - STOP_MARGIN_S
-        self.request_handler.answer_by(end)
+        self._own_requests.answer_by(end)
         while self._now() < end:
             time.sleep(STOP_CHECK_INTERVAL_S)
         log_event(logger, "stopped", all_answered=answer_all(LAST_ANSWERS_S))
--- a/packages/geraniumshored/src/geraniumshored/node/ownership.py
+++ b/packages/geraniumshored/src/geraniumshored/node/ownership.py
@@ -21,6 +21,7 @@
 from geraniumshored.node.members import host_of, is_strong
 from geraniumshored.node.owner import Owner
 from geraniumshored.node.ports import Membership, Record, Store, Stream
+from geraniumshored.node.relay import KnownMembers
 from geraniumshored.node.views import JobsView, MinionsView
 
 __all__ = ["Ownership"]
@@ -51,7 +52,7 @@
 EPOCHS_PER_GENERATION = 128
 
 
-class Ownership:
+class Ownership(KnownMembers):
     """Keeps this node in the group and claims the schedule when its owner is gone.
 
     The store reassigns partitions whenever the group changes, so ownership does not
@@ -83,6 +84,7 @@
         self._claimed_generation = 0
         self._ownership_lost_at = float("-inf")
         self._owner: Owner | None = None
+        self._members_read: frozenset[str] = frozenset()
         self._disconnected = False
         self._step_down_checked_at = now()
         self._reconnected_at = float("-inf")
@@ -93,6 +95,15 @@
         """Start the thread that joins the group."""
         self._thread.start()
 
+    def owner(self) -> str | None:
+        """Return the member that owns the schedule, by the log."""
+        owner = self._jobs.registry.owner
+        return None if owner is None else owner.member
+
+    def others(self) -> frozenset[str]:
+        """Return the members of the group, as last read."""
+        return self._members_read
+
     def leave(self) -> None:
         """Resign, then leave the group, so that another node takes over at once."""
         self._leaving.set()
@@ -140,7 +151,7 @@
         just_started = self._now() < self._started_at + WEAK_HOST_JOIN_DELAY_S
         if self._weak and just_started and not self._had_weak_owner():
             return False
-        members = self._store.members()
+        members = self._read_members()
         if self._weak:
             return not self._has_enough_strong(members) and len(members) < MAX_MEMBERS
         # Weak members step down for strong ones, so only strong members are counted.
@@ -162,13 +173,17 @@
         if not self._weak or now < self._step_down_checked_at + NON_MEMBER_INTERVAL_S:
             return False
         self._step_down_checked_at = now
-        if not self._has_enough_strong(self._store.members()):
+        if not self._has_enough_strong(self._read_members()):
             return False
         log_event(logger, "stepped down for strong hosts", generation=self._generation)
         self._resign("strong hosts are back")
         self._leave_group()
         return True
 
+    def _read_members(self) -> frozenset[str]:
+        self._members_read = self._store.members()
+        return self._members_read
+
     def _resign(self, why: str) -> None:
         """Give up ownership and record this in the log, so that no successor waits."""
         owner = self._owner
@@ -238,7 +253,7 @@
         just_started = now < self._started_at + OWNER_RESTART_S
         if just_started and not restarted and not resigned:
             return False
-        if owner.member in self._store.members():
+        if owner.member in self._read_members():
             return False
         if restarted or resigned:
             return True
--- a/packages/geraniumshored/src/geraniumshored/node/ports.py
+++ b/packages/geraniumshored/src/geraniumshored/node/ports.py
@@ -19,6 +19,7 @@
     StartOrder,
     StopOrder,
 )
+from geraniumshored.node.answers import Answer, Caller
 
 __all__ = [
     "Advice",
@@ -29,8 +30,10 @@
     "Minions",
     "OperatorRecord",
     "Page",
+    "Peers",
     "Platform",
     "Record",
+    "RelayedCall",
     "Store",
     "Stream",
     "Writer",
@@ -240,6 +243,27 @@
         """
 
 
+@dataclass(frozen=True, slots=True)
+class RelayedCall:
+    """A caller's request as it is sent on to another node."""
+
+    method: str
+    caller: Caller
+    body: bytes = b""
+
+
+class Peers(ABC):
+    """Calls to other nodes."""
+
+    @abstractmethod
+    def relay(self, address: str, call: RelayedCall) -> Answer:
+        """Let the node at ``address`` answer a call.
+
+        Raises PlatformUnavailableError if nothing was sent, UnknownOutcomeError if no
+        answer came within the caller's timeout.
+        """
+
+
 class Platform(ABC):
     """The platform's services, and the decoding of records that others write."""
 
@@ -247,6 +271,7 @@
     minions: Minions
     machines: Machines
     advisers: Advisers
+    peers: Peers
 
     @abstractmethod
     def decode_operator_record(self, record: Record) -> OperatorRecord | None:
--- a/packages/geraniumshored/src/geraniumshored/node/settings.py
+++ b/packages/geraniumshored/src/geraniumshored/node/settings.py
@@ -17,7 +17,8 @@
     the minimum time between orders of two owners to the same machine. ``status_kept_s``
     is how long the status of a completed job is kept. ``processors`` is the number of
     cores that the host gives this process. The store accepts ``append_bytes`` in an
-    append and ``record_bytes`` in a record, at most.
+    append and ``record_bytes`` in a record, at most. ``peers`` is the address at which
+    this node answers calls that other nodes relay; without one no calls are relayed.
     """
 
     node: str
@@ -29,3 +30,4 @@
     processors: float
     append_bytes: int = 2_097_152
     record_bytes: int = 262_144
+    peers: str = ""
--- a/packages/geraniumshored/src/geraniumshored/platform/adapter.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/adapter.py
@@ -15,6 +15,7 @@
 from geraniumshored.platform.http import HttpClient
 from geraniumshored.platform.machines import HttpMachines
 from geraniumshored.platform.minions import HttpMinions
+from geraniumshored.platform.peers import HttpPeers
 from geraniumshored.platform.settings import PlatformSettings
 from geraniumshored.platform.store import LogStore
 
@@ -31,6 +32,7 @@
         self.http = HttpClient()
         self.store = LogStore(self.http, settings.store, settings.group_ttl_ms)
         self.minions = HttpMinions(self.http)
+        self.peers = HttpPeers(self.http)
         self.advisers = HttpAdvisers(self.http, settings.advice)
         self.machines = HttpMachines(self.http, settings.machines, settings.node)
 
--- a/packages/geraniumshored/src/geraniumshored/platform/job_api.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/job_api.py
@@ -7,6 +7,7 @@
 import threading
 import time
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 from waitress.server import BaseWSGIServer
 
@@ -17,15 +18,11 @@
     has_unanswered_requests,
     stop_reading,
 )
-from geraniumshored.node.job_requests import (
-    Answer,
-    Caller,
-    JobDecoder,
-    JobRequestHandler,
-    Verdict,
-)
+from geraniumshored.node.answers import Answer, Caller, RequestHandler, Verdict
+from geraniumshored.node.job_requests import JobDecoder
 from geraniumshored.node.metrics import NodeMetrics
 from geraniumshored.platform.documents import decode_job_request
+from geraniumshored.platform.peers import CALLERS_HOST_HEADER, STATUS_BY_VERDICT
 
 __all__ = ["JobApiServer", "JsonJobDecoder"]
 
@@ -33,6 +30,9 @@
 
 # A call that waits for the store occupies one thread.
 API_THREADS = 24
+# Relayed calls wait for the store, too, and on a slow store those of all nodes do.
+PEER_THREADS = 24
+CALLERS_HOST_VARIABLE = "HTTP_" + CALLERS_HOST_HEADER.upper().replace("-", "_")
 IDLE_CONNECTION_SECONDS = 60
 # How often a leaving process checks whether all calls are answered.
 ANSWER_CHECK_INTERVAL_SECONDS = 0.005
@@ -42,17 +42,6 @@
 READY_PATH = "/v1/readyz"
 METRICS_PATH = "/metrics"
 
-STATUS_BY_VERDICT = {
-    Verdict.OK: 200,
-    Verdict.UNKNOWN_QUEUE: 404,
-    Verdict.UNKNOWN_KEY: 401,
-    Verdict.UNKNOWN_JOB: 410,
-    Verdict.MALFORMED: 400,
-    Verdict.NOT_RUN: 503,
-    # The job may have been accepted, so the caller retries with the same id.
-    Verdict.UNCERTAIN: 504,
-}
-
 
 class JsonJobDecoder(JobDecoder):
     """Decodes jobs from the JSON documents that callers submit."""
@@ -69,7 +58,7 @@
 
     def __init__(
         self,
-        request_handler: JobRequestHandler,
+        request_handler: RequestHandler,
         metrics: NodeMetrics,
         ready: Callable[[], bool],
     ) -> None:
@@ -79,9 +68,14 @@
         self._stopping = threading.Event()
         self._front: BaseWSGIServer | None = None
 
-    def start(self, front: str, ready: str, metrics: str) -> None:
-        """Start listening. Raises OSError if a port is in use."""
+    def start(self, front: str, ready: str, metrics: str, peers: str = "") -> None:
+        """Start listening; for other nodes only with an address for them.
+
+        Raises OSError if a port is in use.
+        """
         self._front = self._listen(front, self._serve_job_calls, API_THREADS)
+        if peers:
+            self._listen(peers, self._serve_relayed_calls, PEER_THREADS)
         self._listen(ready, self._serve_probes, 1)
         self._listen(metrics, self._serve_probes, 1)
 
@@ -125,11 +119,23 @@
 
     def _serve_job_calls(
         self, environ: WsgiEnviron, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        return self._serve(_read_caller(environ), environ, start_response)
+
+    def _serve_relayed_calls(
+        self, environ: WsgiEnviron, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        host = environ.get(CALLERS_HOST_VARIABLE, "")
+        caller = replace(_read_caller(environ), host=host, relayed=True)
+        return self._serve(caller, environ, start_response)
+
+    def _serve(
+        self, caller: Caller, environ: WsgiEnviron, start_response: StartResponse
     ) -> Iterable[bytes]:
         began = time.monotonic()
         method = environ["REQUEST_METHOD"]
         try:
-            answer = self._answer(method, environ)
+            answer = self._answer(method, caller, environ)
         except Exception:
             # The call may have taken effect before the exception.
             logger.exception("fault while answering %s", environ.get("PATH_INFO"))
@@ -137,8 +143,7 @@
         self._metrics.observe("answer", method, time.monotonic() - began)
         return _encode(answer).send(start_response)
 
-    def _answer(self, method: str, environ: WsgiEnviron) -> Answer:
-        caller = _read_caller(environ)
+    def _answer(self, method: str, caller: Caller, environ: WsgiEnviron) -> Answer:
         if method == "POST":
             return self._request_handler.submit(caller, environ["wsgi.input"].read())
         if method == "GET":
--- a/packages/geraniumshored/src/geraniumshored/platform/settings.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/settings.py
@@ -34,6 +34,8 @@
     front: str
     ready: str
     metrics: str
+    # Where other nodes relay calls to; without it no calls are relayed.
+    peers: str = ""
     store: str
     machines: str = ""
     advice: str = ""
@@ -67,6 +69,7 @@
             processors=self.cpu_share * self.cpu_speed,
             append_bytes=self.append_bytes,
             record_bytes=self.record_bytes,
+            peers=self.peers,
         )
 
 
--- /dev/null
+++ b/tests/cover/test_relayed_calls.py
@@ -0,0 +1,233 @@
+"""Nodes that cannot answer a call by themselves let another node answer it.
+
+Callers of a data centre whose nodes the store turned away were refused for seconds, and
+a store with 0.15 s an append refused jobs that 29 nodes appended one by one.
+"""
+
+from __future__ import annotations
+
+import json
+from types import SimpleNamespace
+
+import pytest
+
+from geraniumshore_scheduler import PlatformUnavailableError, UnknownOutcomeError
+from geraniumshore_standins.internal.fleet import free_port, wait_for
+from geraniumshore_standins.internal.proxy import FaultProxy, HopFaults
+from geraniumshore_standins.internal.users_platform import PlatformFleet
+from geraniumshored.node.answers import Answer, Caller, RequestHandler, Verdict
+from geraniumshored.node.append_latency import (
+    OBSERVATION_VALID_S,
+    SLOW_APPEND_S,
+    AppendLatency,
+)
+from geraniumshored.node.members import member_name
+from geraniumshored.node.metrics import NodeMetrics
+from geraniumshored.node.ports import Peers, RelayedCall
+from geraniumshored.node.relay import PEER_RETRY_S, CallRelay, KnownMembers
+from geraniumshored.node.relayed_requests import RelayingRequestHandler
+
+CALLER = Caller("h", "/q/" + "a" * 16, "key", 3.0)
+OWN = member_name("own", "1", 1.0, "own:1")
+OWNER = member_name("owner", "1", 1.0, "owner:1")
+OTHER = member_name("other", "1", 1.0, "other:1")
+NO_ANSWER = UnknownOutcomeError("no answer")
+NOT_SENT = PlatformUnavailableError("refused")
+
+
+class OwnRequests(RequestHandler):
+    """Gives every caller the same answer."""
+
+    def __init__(self, verdict: Verdict) -> None:
+        self.verdict = verdict
+        self.calls = 0
+
+    def submit(self, caller: Caller, body: bytes) -> Answer:
+        return self.show(caller)
+
+    def show(self, caller: Caller) -> Answer:
+        self.calls += 1
+        return Answer(self.verdict)
+
+    cancel = show
+
+
+class FakePeers(Peers):
+    """Peers whose outcomes the test sets by address."""
+
+    def __init__(self) -> None:
+        self.outcome_by_address: dict[str, Verdict | Exception] = {}
+        self.asked: list[str] = []
+
+    def relay(self, address: str, call: RelayedCall) -> Answer:
+        self.asked.append(address)
+        outcome = self.outcome_by_address.get(address, Verdict.OK)
+        if isinstance(outcome, Exception):
+            raise outcome
+        return Answer(outcome)
+
+
+class Members(KnownMembers):
+    def owner(self) -> str | None:
+        return OWNER
+
+    def others(self) -> frozenset[str]:
+        return frozenset({OWN, OWNER, OTHER})
+
+
+class Relaying:
+    """A node that relays, with its clock, peers and own answers."""
+
+    def __init__(self, own: Verdict) -> None:
+        self.now = 0.0
+        self.own = OwnRequests(own)
+        self.peers = FakePeers()
+        self.latency = AppendLatency(self.clock)
+        relay = CallRelay(self.peers, OWN, Members(), NodeMetrics(), self.clock)
+        self.handler = RelayingRequestHandler(self.own, relay, self.latency, self.clock)
+
+    def clock(self) -> float:
+        return self.now
+
+    def submit(self) -> Verdict:
+        return self.handler.submit(CALLER, b"{}").verdict
+
+
+def test_a_call_that_this_node_can_answer_is_not_relayed():
+    node = Relaying(Verdict.OK)
+    assert node.submit() is Verdict.OK
+    assert not node.peers.asked
+
+
+def test_a_call_that_this_node_refuses_is_answered_by_the_owner():
+    node = Relaying(Verdict.NOT_RUN)
+    assert node.submit() is Verdict.OK
+    assert node.handler.show(CALLER).verdict is Verdict.OK
+    assert node.handler.cancel(CALLER).verdict is Verdict.OK
+    assert set(node.peers.asked) == {"owner:1"}
+
+
+def test_a_relayed_call_is_not_relayed_again():
+    """Two nodes that are both cut off would pass a call back and forth."""
+    node = Relaying(Verdict.NOT_RUN)
+    relayed = Caller("h", CALLER.path, "key", 3.0, relayed=True)
+    assert node.handler.submit(relayed, b"{}").verdict is Verdict.NOT_RUN
+    assert node.handler.show(relayed).verdict is Verdict.NOT_RUN
+    assert node.handler.cancel(relayed).verdict is Verdict.NOT_RUN
+    assert not node.peers.asked
+
+
+def test_another_member_answers_if_the_owner_cannot_be_reached():
+    node = Relaying(Verdict.NOT_RUN)
+    node.peers.outcome_by_address["owner:1"] = NOT_SENT
+    assert node.submit() is Verdict.OK
+    assert node.peers.asked == ["owner:1", "other:1"]
+
+
+def test_a_node_without_answer_is_passed_over_for_a_while():
+    node = Relaying(Verdict.NOT_RUN)
+    node.peers.outcome_by_address["owner:1"] = NO_ANSWER
+    for _ in range(3):
+        node.submit()
+    assert node.peers.asked.count("owner:1") == 1
+    node.now += PEER_RETRY_S
+    node.submit()
+    assert node.peers.asked.count("owner:1") == 2
+
+
+@pytest.mark.parametrize("second", [Verdict.NOT_RUN, NOT_SENT, NO_ANSWER])
+def test_a_job_that_another_node_may_have_accepted_is_not_refused(second):
+    """A caller that is told "not run" may submit the same work again."""
+    node = Relaying(Verdict.NOT_RUN)
+    node.peers.outcome_by_address = {"owner:1": NO_ANSWER, "other:1": second}
+    assert node.submit() is Verdict.UNCERTAIN
+
+
+def test_a_refusal_stands_if_no_node_was_sent_the_call():
+    node = Relaying(Verdict.NOT_RUN)
+    node.peers.outcome_by_address = {"owner:1": NOT_SENT, "other:1": NOT_SENT}
+    assert node.submit() is Verdict.NOT_RUN
+    assert node.handler.show(CALLER).verdict is Verdict.NOT_RUN
+
+
+def test_showing_a_job_is_refused_rather_than_uncertain():
+    node = Relaying(Verdict.NOT_RUN)
+    node.peers.outcome_by_address = {"owner:1": NO_ANSWER, "other:1": NO_ANSWER}
+    assert node.handler.show(CALLER).verdict is Verdict.NOT_RUN
+
+
+def test_jobs_go_to_the_owner_while_the_store_is_slow():
+    """Single appends of 29 nodes filled the queue of a store with 0.15 s an append."""
+    node = Relaying(Verdict.OK)
+    node.latency.observe(2 * SLOW_APPEND_S)
+    assert node.submit() is Verdict.OK
+    assert (node.peers.asked, node.own.calls) == (["owner:1"], 0)
+    node.now += OBSERVATION_VALID_S
+    node.submit()
+    assert node.own.calls == 1
+
+
+def test_quick_answers_of_the_owner_show_that_the_store_is_quick_again():
+    node = Relaying(Verdict.OK)
+    node.latency.observe(2 * SLOW_APPEND_S)
+    for _ in range(5):
+        node.submit()
+    assert not node.latency.slow
+    assert node.own.calls
+
+
+@pytest.mark.parametrize("fault", [NOT_SENT, NO_ANSWER, Verdict.NOT_RUN])
+def test_a_job_that_the_owner_did_not_confirm_is_recorded_here(fault):
+    node = Relaying(Verdict.OK)
+    node.latency.observe(2 * SLOW_APPEND_S)
+    node.peers.outcome_by_address["owner:1"] = fault
+    assert node.submit() is Verdict.OK
+    assert node.own.calls == 1
+
+
+def test_members_of_former_releases_are_passed_over():
+    peers = FakePeers()
+    former = member_name("old", "1", 1.0)
+    known = SimpleNamespace(owner=lambda: former, others=lambda: frozenset({former}))
+    relay = CallRelay(peers, OWN, known, NodeMetrics(), lambda: 0.0)  # type: ignore[arg-type]
+    assert not relay.has_owner_elsewhere()
+    with pytest.raises(PlatformUnavailableError):
+        relay.relay(RelayedCall("GET", CALLER))
+
+
+class ProxiedFleet(PlatformFleet):
+    """A fleet of which one node reaches the store through a proxy."""
+
+    PROXIED = "n1"
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._proxy = FaultProxy()
+        self._port = free_port()
+        self._proxy.open_hop(self._port, f"127.0.0.1:{self.simulator.store_port}")
+
+    def store_address(self, name: str) -> str:
+        if name == self.PROXIED:
+            return f"127.0.0.1:{self._port}"
+        return super().store_address(name)
+
+    def cut_off(self) -> None:
+        """Reset the node's connections to the store, and refuse new ones."""
+        self._proxy.set_faults(self._port, HopFaults(refuse=True))
+        self._proxy.reset(self._port)
+
+
+def test_a_node_that_the_store_turns_away_still_serves_callers():
+    """Real nodes: a job is accepted, shown and cancelled through a cut-off node."""
+    with ProxiedFleet() as fleet:
+        fleet.start()
+        fleet.cut_off()
+        node = fleet.node_by_name["n1"]
+        wait_for(lambda: not node.is_ready(), "the node notices that it is cut off")
+        job = f"{1:016x}"
+        spec = json.dumps({"work_ms": 100})
+        document = {"spec": spec, "phases": [{"count": 1, "cpu": 500, "mem_mb": 10}]}
+        wait_for(lambda: fleet.submit("n1", job, document).status == 200, "accepted")
+        fleet.wait_for_state("n1", job, "done")
+        assert fleet.call("n1", "DELETE", job).status == 200
+        assert fleet.call("n1", "GET", "").status == 200
