Let jobs that a busy store refuses wait for the next append, and members know each other

A refused append was given up at once, although reads showed that the store served the node. Members read every 2 s who else is one, as a member that is cut off can only relay to those that it knows.

--- a/packages/geraniumshored/src/geraniumshored/node/node.py
+++ b/packages/geraniumshored/src/geraniumshored/node/node.py
@@ -51,7 +51,12 @@
         self._operators = OperatorsView(platform, now)
         self._minions = MinionsView(platform, now)
         self._jobs = JobsView(platform, now)
-        self._appender = Appender(platform.store, now, settings.append_bytes)
+        self._appender = Appender(
+            platform.store,
+            now,
+            settings.append_bytes,
+            self._may_wait_for_store,
+        )
         self._stopping = threading.Event()
         self._own_requests = JobRequestHandler(
             self._operators,
@@ -77,18 +82,36 @@
             self._is_caught_up,
             now,
         )
+        self._relay = self._make_relay()
         self.request_handler = self._make_request_handler()
+        self.metrics.gauge(
+            "known_members", lambda: len(self._ownership.others() - {member})
+        )
         self.metrics.gauge("log_age_seconds", lambda: self._jobs.age(now()))
         self.metrics.gauge("log_offset", lambda: self._jobs.progress_offset)
 
-    def _make_request_handler(self) -> RequestHandler:
+    def _make_relay(self) -> CallRelay | None:
         if not self.settings.peers:
-            return self._own_requests
-        relay = CallRelay(
+            return None
+        return CallRelay(
             self._platform.peers, self._member, self._ownership, self.metrics, self._now
         )
+
+    def _make_request_handler(self) -> RequestHandler:
+        if self._relay is None:
+            return self._own_requests
         latency = self._appender.latency
-        return RelayingRequestHandler(self._own_requests, relay, latency, self._now)
+        return RelayingRequestHandler(
+            self._own_requests, self._relay, latency, self._now
+        )
+
+    def _may_wait_for_store(self) -> bool:
+        """Return whether a job that a busy store refuses should wait here.
+
+        It waits at the owner, if another node is, where it shares appends with others.
+        """
+        elsewhere = self._relay is not None and self._relay.has_owner_elsewhere()
+        return self._jobs.connected and not elsewhere
 
     def start(self) -> None:
         """Start following the store and join the group."""
--- a/packages/geraniumshored/src/geraniumshored/node/ownership.py
+++ b/packages/geraniumshored/src/geraniumshored/node/ownership.py
@@ -34,6 +34,9 @@
 MAX_MEMBERS = 9
 # How often a node outside the group checks whether it may join.
 NON_MEMBER_INTERVAL_S = 1.0
+# How often a member reads who else is one. Once it is cut off from the store, it needs
+# to know which nodes may answer its callers.
+MEMBERS_READ_INTERVAL_S = 2.0
 # Weak hosts join only this long after their start, so that strong hosts join first, and
 # stay out while the group has enough strong members: an owner and a standby.
 WEAK_HOST_JOIN_DELAY_S = 3.0
@@ -85,6 +88,7 @@
         self._ownership_lost_at = float("-inf")
         self._owner: Owner | None = None
         self._members_read: frozenset[str] = frozenset()
+        self._members_read_at = float("-inf")
         self._disconnected = False
         self._step_down_checked_at = now()
         self._reconnected_at = float("-inf")
@@ -145,6 +149,8 @@
             return NON_MEMBER_INTERVAL_S
         if not self._leaving.is_set():
             self._update_owner(membership)
+        if self._now() >= self._members_read_at + MEMBERS_READ_INTERVAL_S:
+            self._read_members()
         return JOIN_INTERVAL_S
 
     def _may_join(self) -> bool:
@@ -182,6 +188,7 @@
 
     def _read_members(self) -> frozenset[str]:
         self._members_read = self._store.members()
+        self._members_read_at = self._now()
         return self._members_read
 
     def _resign(self, why: str) -> None:
--- a/tests/cover/test_ownership.py
+++ b/tests/cover/test_ownership.py
@@ -16,6 +16,7 @@
 from geraniumshored.node.ownership import (
     EPOCHS_PER_GENERATION,
     MAX_MEMBERS,
+    MEMBERS_READ_INTERVAL_S,
     MIN_STRONG_MEMBERS,
     NON_MEMBER_INTERVAL_S,
     OWNER_RESTART_S,
@@ -318,3 +319,12 @@
     assert bench.step(10) == []
     bench.minions.list_age = 0.1
     assert len(bench.step()) == 1
+
+
+def test_a_member_knows_who_joined_after_it():
+    """The first of two nodes knew no other, so it relayed to nobody when cut off."""
+    bench = Bench()
+    bench.step()
+    bench.store.listed = {member_name("h2", "p", 1.0)}
+    bench.step(MEMBERS_READ_INTERVAL_S)
+    assert bench.ownership.others() == bench.store.listed
--- a/tests/cover/test_relayed_calls.py
+++ b/tests/cover/test_relayed_calls.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import http.client
 import json
 from types import SimpleNamespace
 
@@ -14,7 +16,7 @@
 from geraniumshore_scheduler import PlatformUnavailableError, UnknownOutcomeError
 from geraniumshore_standins.internal.fleet import free_port, wait_for
 from geraniumshore_standins.internal.proxy import FaultProxy, HopFaults
-from geraniumshore_standins.internal.users_platform import PlatformFleet
+from geraniumshore_standins.internal.users_platform import NodeProcess, PlatformFleet
 from geraniumshored.node.answers import Answer, Caller, RequestHandler, Verdict
 from geraniumshored.node.append_latency import (
     OBSERVATION_VALID_S,
@@ -217,12 +219,21 @@
         self._proxy.reset(self._port)
 
 
+def knows_members(node: NodeProcess) -> bool:
+    connection = http.client.HTTPConnection(node.metrics, timeout=5)
+    with contextlib.closing(connection):
+        connection.request("GET", "/metrics")
+        text = connection.getresponse().read().decode()
+    return "geraniumshore_known_members 1.0" in text
+
+
 def test_a_node_that_the_store_turns_away_still_serves_callers():
     """Real nodes: a job is accepted, shown and cancelled through a cut-off node."""
     with ProxiedFleet() as fleet:
         fleet.start()
-        fleet.cut_off()
         node = fleet.node_by_name["n1"]
+        wait_for(lambda: knows_members(node), "the node knows the other one")
+        fleet.cut_off()
         wait_for(lambda: not node.is_ready(), "the node notices that it is cut off")
         job = f"{1:016x}"
         spec = json.dumps({"work_ms": 100})
