Start over a slow link: read pages with idle time-outs and resume after the last key

Cause: a call failed when its whole answer had not arrived within 2 s, and reading the newest records began with the first page again. Over a link that takes longer for a page, a node that started never read the store.

Large pages pass a node's link one at a time. A node refuses calls until it has read the job log. A takeover fails when reads bring nothing for 5 s; a read that left records neither confirms nor ends an ownership.

The stand-ins of Store in seven tests take the new parameter.

--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/proxy.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/proxy.py
@@ -12,6 +12,7 @@
 import socket
 import struct
 import threading
+import time
 from collections.abc import Coroutine
 from dataclasses import asdict, dataclass, field
 from typing import Any, TypeVar
@@ -21,6 +22,9 @@
 __all__ = ["FaultProxy", "HopFaults"]
 
 CHUNK_BYTES = 65_536
+# Connections share a limited rate in turns of this size.
+LIMITED_CHUNK_BYTES = 4_096
+BYTES_PER_KB = 1_000
 POLL_INTERVAL_SECONDS = 0.02
 CONTROL_TIMEOUT_SECONDS = 10.0
 # SO_LINGER with a zero timeout makes close send RST instead of FIN.
@@ -38,7 +42,8 @@
     ``silent_to_caller`` stop forwarding in that direction, without FIN or RST.
     ``cut_after`` and ``reset_after`` close or reset a connection after so many bytes of
     its answers; 0 loses the reply to a request that arrived. ``fraction`` of the
-    connections are faulty. ``refuse`` applies to all of them.
+    connections are faulty. ``refuse`` applies to all of them. ``kb_per_s`` limits the
+    answers of all connections of the hop together, as a slow link does.
     """
 
     delay_ms: int = 0
@@ -48,6 +53,7 @@
     cut_after: int | None = None
     reset_after: int | None = None
     fraction: float = 1.0
+    kb_per_s: float | None = None
 
 
 @dataclass(eq=False, slots=True)
@@ -89,6 +95,7 @@
     faults: HopFaults = field(default_factory=HopFaults)
     connections: set[_Connection] = field(default_factory=set)
     accepted: int = 0
+    link_free_at: float = 0.0
     server: asyncio.Server | None = None
 
     async def listen(self) -> None:
@@ -146,8 +153,10 @@
         writer: asyncio.StreamWriter,
         to_caller: bool,
     ) -> None:
-        while chunk := await reader.read(CHUNK_BYTES):
+        while chunk := await reader.read(self._chunk_bytes()):
             await self._delay_or_block(connection, to_caller)
+            if to_caller and self.faults.kb_per_s is not None:
+                await self._pass_link(len(chunk), self.faults.kb_per_s)
             if to_caller and self._ended_at_limit(connection, chunk, writer):
                 return
             writer.write(chunk)
@@ -156,6 +165,17 @@
         if writer.can_write_eof():
             writer.write_eof()
 
+    def _chunk_bytes(self) -> int:
+        limited = self.faults.kb_per_s is not None
+        return LIMITED_CHUNK_BYTES if limited else CHUNK_BYTES
+
+    async def _pass_link(self, size: int, kb_per_s: float) -> None:
+        """Wait until the link has carried so many bytes after those before them."""
+        now = time.monotonic()
+        took_s = size / (kb_per_s * BYTES_PER_KB)
+        self.link_free_at = max(now, self.link_free_at) + took_s
+        await asyncio.sleep(self.link_free_at - now)
+
     async def _delay_or_block(self, connection: _Connection, to_caller: bool) -> None:
         """Wait for the delay, then for as long as this direction is silent."""
         if self._is_faulty(connection) and self.faults.delay_ms:
--- a/packages/geraniumshored/src/geraniumshored/node/hedging.py
+++ b/packages/geraniumshored/src/geraniumshored/node/hedging.py
@@ -15,9 +15,11 @@
 
 from geraniumshore_scheduler import PlatformUnavailableError, UnknownOutcomeError
 from geraniumshored.node.logs import log_event
+from geraniumshored.node.page_turns import PageTurns
 from geraniumshored.node.ports import (
     Appended,
     Membership,
+    NewestPage,
     Page,
     Record,
     Store,
@@ -188,12 +190,13 @@
 
     All of them are idempotent. The store applies an append by a writer once, however
     often it is sent. Accepted jobs and status records may be appended twice without
-    harm, and a join may be repeated.
+    harm, and a join may be repeated. Pages of newest records pass one at a time.
     """
 
     def __init__(self, store: Store, now: Callable[[], float]) -> None:
         self._store = store
         self._now = now
+        self._page_turns = PageTurns()
         self._workers = WorkerThreads("attempt", MAX_IDLE_WORKERS)
 
     def append(
@@ -210,9 +213,10 @@
         """Read records from an offset on."""
         return self._store.read(stream, offset, wait_ms, max_kb)
 
-    def newest(self, stream: Stream) -> Page:
-        """Read the newest record of each key."""
-        return self._store.newest(stream)
+    def newest(self, stream: Stream, after: str | None) -> NewestPage:
+        """Read a page of newest records once no other page passes the link."""
+        with self._page_turns.turn(stream):
+            return self._store.newest(stream, after)
 
     def join(self, member: str, generation: int) -> Membership:
         """Join the group, or stay in it."""
--- a/packages/geraniumshored/src/geraniumshored/node/job_requests.py
+++ b/packages/geraniumshored/src/geraniumshored/node/job_requests.py
@@ -46,6 +46,7 @@
 REFRESH_TIMEOUT_S = 0.04
 CANCEL_MARK = b"1"
 STORE_AWAY = "the store is away"
+READING_LOG = "this node has not read the job log yet"
 MAX_RECORD_BYTES = 262_144
 JOB_ID = re.compile("[0-9A-Fa-f]{16}")
 
@@ -218,6 +219,9 @@
                 "admit", caller.path, answer, configuration.version
             )
         job_id = caller.path[len(queue.path_prefix) :]
+        if not self._jobs.has_read_log:
+            # The job may be in the part of the log that is not read yet.
+            return self._record_answer("admit", job_id, self._refusal(READING_LOG))
         return configuration, queue, team, job_id
 
     def _find_state(
--- a/packages/geraniumshored/src/geraniumshored/node/node.py
+++ b/packages/geraniumshored/src/geraniumshored/node/node.py
@@ -72,6 +72,7 @@
             now,
         )
         self.metrics.gauge("log_age_seconds", lambda: self._jobs.age(now()))
+        self.metrics.gauge("has_read_log", lambda: float(self._jobs.has_read_log))
         self.metrics.gauge("log_offset", lambda: self._jobs.progress_offset)
 
     def start(self) -> None:
--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -77,7 +77,9 @@
 # How often the records of completed jobs are deleted, and how many jobs at a time.
 CLEANUP_INTERVAL_S = 2.0
 MAX_JOBS_PER_CLEANUP = 200
-# A takeover fails when the log has not been read up to its end within this time.
+# A takeover fails when the epoch could not be opened within this time, or when reads of
+# the log have brought nothing for as long. How long they take in all depends on the
+# link and on the size of the log.
 TAKEOVER_TIMEOUT_S = 5.0
 
 
@@ -117,6 +119,8 @@
             host_of(member), settings.ownership_lease_s
         )
         self._append_number = 0
+        # A complete read of the log that began later shows this epoch or a newer one.
+        self._opened_at = float("inf")
         self._cleaned_up_at = now()
 
     @property
@@ -145,7 +149,7 @@
         """Confirm or end ownership according to the owner record in the log."""
         owner = self._jobs.registry.owner
         if owner is None or owner.epoch != self.authority.epoch:
-            if begun_at > self.authority.taken_at:
+            if begun_at > self._opened_at:
                 self.stop("the log has another owner")
             return
         with self._lock:
@@ -185,10 +189,12 @@
         end = self._open_epoch(deadline)
         if end is None:
             return False
+        self._opened_at = reading_since = self._now()
         self._jobs.on_progress_read = self._on_progress_read
         while self._jobs.progress_offset < end:
-            if self._stopped.wait(RETRY_S) or self._now() > deadline:
-                self.stop("the log could not be read within the takeover timeout")
+            stalled_s = self._jobs.progress_stalled_s(reading_since)
+            if self._stopped.wait(RETRY_S) or stalled_s > TAKEOVER_TIMEOUT_S:
+                self.stop("reading the log made no progress")
                 return False
         with self._jobs.lock:
             self._jobs.on_job = self._on_job
--- a/packages/geraniumshored/src/geraniumshored/node/page_size.py
+++ b/packages/geraniumshored/src/geraniumshored/node/page_size.py
@@ -10,13 +10,15 @@
 MIN_PAGE_KB = 16
 # A full page that came within this time shows that a larger one would come in time.
 QUICK_PAGE_S = 0.25
+# A page that took longer than this delays the node's other reads over the same link.
+SLOW_PAGE_S = 1.0
 
 
 class PageSize:
     """The size in KiB of the next page of a stream.
 
     A node that was cut off from the store has much to read afterwards. Over a slow link
-    a page of the full size would time out each time, so that it never caught up.
+    a page of the full size would hold up the node's other reads, or time out.
     """
 
     def __init__(self) -> None:
@@ -27,6 +29,11 @@
         self.kb = max(MIN_PAGE_KB, self.kb // 2)
 
     def on_full_page(self, took_s: float) -> None:
-        """Double the size if a page that left records for the next one came quickly."""
+        """Adapt the size to a page that left records for the next one.
+
+        It doubles if the page came quickly, and halves if the page took long.
+        """
         if took_s < QUICK_PAGE_S:
             self.kb = min(MAX_PAGE_KB, self.kb * 2)
+        elif took_s > SLOW_PAGE_S:
+            self.kb = max(MIN_PAGE_KB, self.kb // 2)
--- a/packages/geraniumshored/src/geraniumshored/node/ports.py
+++ b/packages/geraniumshored/src/geraniumshored/node/ports.py
@@ -27,6 +27,7 @@
     "Machines",
     "Membership",
     "Minions",
+    "NewestPage",
     "OperatorRecord",
     "Page",
     "Platform",
@@ -95,6 +96,18 @@
     end: int
 
 
+@dataclass(frozen=True, slots=True)
+class NewestPage:
+    """The newest records of some keys, and the log's end when they were read.
+
+    ``next_after`` is the key after which the next page begins, None on the last page.
+    """
+
+    records: tuple[Record, ...]
+    end: int
+    next_after: str | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Writer:
     """Fences appends: an older epoch is refused, a repeated number is applied once."""
@@ -165,10 +178,11 @@
         """
 
     @abstractmethod
-    def newest(self, stream: Stream) -> Page:
-        """Return the newest record of each key.
+    def newest(self, stream: Stream, after: str | None) -> NewestPage:
+        """Return the newest records of the keys after ``after``, of the first if None.
 
-        Continue reading at ``end``. Some records may be newer than that.
+        Pages are no snapshot. Continue reading the log at the first page's ``end``.
+        Some records may be newer than that.
         """
 
     @abstractmethod
--- a/packages/geraniumshored/src/geraniumshored/node/schedule_status.py
+++ b/packages/geraniumshored/src/geraniumshored/node/schedule_status.py
@@ -16,6 +16,7 @@
     RegisteredJob,
     WaveProgress,
 )
+from geraniumshored.node.catch_up import newest_records
 from geraniumshored.node.members import host_of, is_strong
 from geraniumshored.node.ports import Platform, Record, Stream
 
@@ -89,7 +90,7 @@
             Stream.PROGRESS: status._apply_job_record,
         }
         for stream, handle in handler_by_stream.items():
-            for record in platform.store.newest(stream).records:
+            for record in newest_records(platform.store, stream):
                 try:
                     handle(platform, record)
                 except InvalidInputError as error:
--- a/packages/geraniumshored/src/geraniumshored/node/views.py
+++ b/packages/geraniumshored/src/geraniumshored/node/views.py
@@ -22,6 +22,7 @@
     UnknownOutcomeError,
     split_key,
 )
+from geraniumshored.node.catch_up import CatchUp, ReadProgress
 from geraniumshored.node.clock import wall_ms
 from geraniumshored.node.logs import log_event
 from geraniumshored.node.page_size import PageSize
@@ -56,6 +57,11 @@
         self._read_started_at = float("-inf")
         self._disconnected_since: float | None = None
         self._page_size = PageSize()
+        # Set until all records since the beginning have been read.
+        self._catch_up: CatchUp | None = None
+        self._read_progress = ReadProgress()
+        # Whether the last read left records in the log for the next one.
+        self._behind = True
         # Values that were ignored, so that one that is written again is not reported.
         self._ignored_by_key: dict[str, bytes] = {}
         self._read_requested = threading.Event()
@@ -86,6 +92,15 @@
         """Whether the last read that ended was answered."""
         return self._disconnected_since is None
 
+    @property
+    def has_read_log(self) -> bool:
+        """Whether the stream has been read up to its end at least once."""
+        return self._caught_up_at > float("-inf")
+
+    def stalled_s(self, since: float) -> float:
+        """Return for how many seconds reads have brought nothing, from ``since`` on."""
+        return self._read_progress.stalled_s(since)
+
     @property
     def offset(self) -> int:
         """The offset up to which the stream is folded."""
@@ -101,7 +116,7 @@
 
     @abstractmethod
     def _on_folded(self) -> None:
-        """Notify others after each read."""
+        """Notify others after each read of the log, and after the last newest page."""
 
     def _pause_s(self) -> float:
         """Return the delay in seconds between reads."""
@@ -118,10 +133,12 @@
 
     def read_once(self) -> bool:
         """Read and fold new records; return whether that succeeded."""
+        began_at = self._now()
         try:
             self._step()
             return True
         except (PlatformUnavailableError, UnknownOutcomeError) as error:
+            self._read_progress.on_read(began_at, self._now(), brought=False)
             if self._disconnected_since is None:
                 self._disconnected_since = self._now()
                 log_event(
@@ -132,6 +149,7 @@
                     cause=str(error),
                 )
         except Exception:
+            self._read_progress.on_read(began_at, self._now(), brought=False)
             # If the thread ended here, the node would answer from an outdated view.
             logger.exception("fault while following %s", self._stream.value)
         return False
@@ -139,26 +157,18 @@
     def _step(self) -> None:
         self._read_requested.clear()
         self._read_started_at = started_at = self._open_read_started_at = self._now()
-        if self._offset is None:
-            page = self._platform.store.newest(self._stream)
-            self._reset()
-            self._fold(page.records)
-            self._offset = page.end
-        else:
-            try:
-                page = self._read_page(self._offset, self._wait_ms())
-            except RecordsTrimmedError as error:
-                log_event(
-                    logger,
-                    "stream trimmed",
-                    stream=self._stream.value,
-                    offset=self._offset,
-                    first=error.first,
-                )
-                self._offset = None
-                return
-            self._fold(page.records)
-            self._offset += len(page.records)
+        newest = self._offset is None
+        try:
+            page = (
+                self._read_newest(started_at)
+                if self._offset is None
+                else self._read_log(self._offset, started_at)
+            )
+        except RecordsTrimmedError as error:
+            self._restart(error)
+            return
+        self._read_progress.on_read(started_at, self._now(), bool(page.records))
+        self._open_read_started_at = None
         if self._disconnected_since is not None:
             self._disconnected_since = None
             log_event(
@@ -167,16 +177,73 @@
                 stream=self._stream.value,
                 offset=self._offset,
             )
-        # A read without records waited at the end of the stream until now.
-        behind = self._offset < page.end
-        self._open_read_started_at = None
-        if not behind:
-            self._caught_up_at = started_at if page.records else self._now()
+        if self._offset is None:
+            return
+        self._behind = self._offset < page.end
+        if not self._behind:
+            # A read of the log without records waited at its end until now.
+            waited = not newest and not page.records
+            self._caught_up_at = self._now() if waited else self._read_started_at
+            self._report_catch_up()
         self._on_folded()
         pause = self._pause_s()
-        if pause and not behind:
+        if pause and not self._behind:
             self._read_requested.wait(pause)
 
+    def _read_log(self, offset: int, started_at: float) -> Page:
+        page = self._read_page(offset, self._wait_ms())
+        self._fold(page.records)
+        self._offset = offset + len(page.records)
+        if self._catch_up is not None:
+            self._catch_up.on_log(page, started_at)
+        return page
+
+    def _read_newest(self, started_at: float) -> Page:
+        """Read one page towards the newest record of each key, or of the log since.
+
+        Sets ``_offset`` with the last page. What that page shows is as old as the first
+        one, so the read counts as begun then.
+        """
+        catch_up = self._catch_up
+        if catch_up is None or catch_up.has_all_keys:
+            self._reset()
+            catch_up = self._catch_up = CatchUp(started_at)
+        if catch_up.offset is not None and catch_up.log_read_due(started_at):
+            page = self._read_page(catch_up.offset, 0)
+            self._fold(page.records)
+            catch_up.on_log(page, started_at)
+            return page
+        newest = self._platform.store.newest(self._stream, catch_up.after)
+        self._fold(newest.records)
+        catch_up.on_newest(newest, started_at)
+        if catch_up.has_all_keys:
+            self._offset = catch_up.offset
+            self._read_started_at = catch_up.began_at
+        return Page(newest.records, newest.end)
+
+    def _report_catch_up(self) -> None:
+        catch_up, self._catch_up = self._catch_up, None
+        if catch_up is not None:
+            log_event(
+                logger,
+                "stream caught up",
+                stream=self._stream.value,
+                took_s=round(self._now() - catch_up.began_at, 3),
+                records=catch_up.records,
+                pages=catch_up.pages,
+            )
+
+    def _restart(self, error: RecordsTrimmedError) -> None:
+        """Read from the beginning again: records after the last read one are gone."""
+        log_event(
+            logger,
+            "stream trimmed",
+            stream=self._stream.value,
+            offset=self._offset if self._catch_up is None else self._catch_up.offset,
+            first=error.first,
+        )
+        self._offset = self._catch_up = None
+
     def _read_page(self, offset: int, wait_ms: int) -> Page:
         started_at = self._now()
         try:
@@ -255,6 +322,8 @@
         self.configuration: Configuration | None = None
         self.wave_by_number: dict[int, AnnouncedWave] = {}
         self.on_configuration: Callable[[Configuration], None] = lambda _: None
+        # Read before the last page of newest records, and published with it.
+        self._pending: list[AnnouncedWave | Configuration] = []
 
     def _reset(self) -> None:
         """Keep everything: configurations and waves outlive their records."""
@@ -263,25 +332,42 @@
         if not record.value:
             return
         decoded = self._platform.decode_operator_record(record)
+        if decoded is None:
+            return
         if isinstance(decoded, MaintenanceWave):
-            seen = self.wave_by_number.get(decoded.number)
-            if seen is None or seen.wave != decoded:
-                self.wave_by_number[decoded.number] = AnnouncedWave(
-                    decoded, self._caught_up_at, self._now()
-                )
-                log_event(
-                    logger,
-                    "wave announced",
-                    wave=decoded.number,
-                    machines=len(decoded.machines),
-                    within_s=decoded.within_s,
-                    most_at_once=decoded.most_at_once,
-                )
-        elif decoded is not None:
-            self._apply_configuration(decoded)
+            self._pending.append(
+                AnnouncedWave(decoded, self._caught_up_at, self._now())
+            )
+        else:
+            self._pending.append(decoded)
+        if self._offset is not None:
+            self._publish()
 
     def _on_folded(self) -> None:
-        """Do nothing: ``_apply_configuration`` reports each configuration."""
+        self._publish()
+
+    def _publish(self) -> None:
+        pending, self._pending = self._pending, []
+        for change in pending:
+            if isinstance(change, AnnouncedWave):
+                self._publish_wave(change)
+            else:
+                self._apply_configuration(change)
+
+    def _publish_wave(self, announced: AnnouncedWave) -> None:
+        wave = announced.wave
+        seen = self.wave_by_number.get(wave.number)
+        if seen is not None and seen.wave == wave:
+            return
+        self.wave_by_number[wave.number] = announced
+        log_event(
+            logger,
+            "wave announced",
+            wave=wave.number,
+            machines=len(wave.machines),
+            within_s=wave.within_s,
+            most_at_once=wave.most_at_once,
+        )
 
     def _apply_configuration(self, configuration: Configuration) -> None:
         current = self.configuration
@@ -371,6 +457,15 @@
         """Whether the last read of each stream was answered."""
         return all(follower.connected for follower in self._followers)
 
+    @property
+    def has_read_log(self) -> bool:
+        """Whether both streams have been read up to their ends at least once."""
+        return all(follower.has_read_log for follower in self._followers)
+
+    def progress_stalled_s(self, since: float) -> float:
+        """Return for how long reads of the owner's records have brought nothing."""
+        return self._followers[1].stalled_s(since)
+
     def can_accept(self, now: float) -> bool:
         """Return whether the store may accept jobs, as far as reads show."""
         return self._followers[0].disconnected_s(now) < STORE_AWAY_AFTER_S
@@ -501,7 +596,8 @@
         with self._read:
             self._read.notify_all()
         on_read = self._view.on_progress_read
-        if on_read is not None and self._confirms_owner:
+        # Records that are not read yet may be those of another owner.
+        if on_read is not None and self._confirms_owner and not self._behind:
             on_read(self._read_started_at)
 
     def _reset(self) -> None:
--- a/packages/geraniumshored/src/geraniumshored/platform/advice.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/advice.py
@@ -14,11 +14,13 @@
 from geraniumshored.node.ports import Advice, Advisers
 from geraniumshored.platform.documents import decode_advice
 from geraniumshored.platform.http import HttpClient
+from geraniumshored.platform.idle_timeout import GROWING_ANSWER_TIMEOUT_S
 
 __all__ = ["HttpAdvisers"]
 
-# The response time grows with the number of minions in the request.
-ADVICE_TIMEOUT_SECONDS = 5.0
+# The response time grows with the number of minions in the request, and so does the
+# response.
+ADVICE_IDLE_TIMEOUT_SECONDS = 5.0
 MS_PER_SECOND = 1000
 
 
@@ -38,7 +40,11 @@
             "workers": list(request.incarnation_by_minion),
         }
         reply = self._http.post_json(
-            self._address, "/v1/advise", document, ADVICE_TIMEOUT_SECONDS
+            self._address,
+            "/v1/advise",
+            document,
+            GROWING_ANSWER_TIMEOUT_S,
+            idle_timeout=ADVICE_IDLE_TIMEOUT_SECONDS,
         )
         if reply.status != 200:
             raise PlatformUnavailableError(
--- a/packages/geraniumshored/src/geraniumshored/platform/http.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/http.py
@@ -100,13 +100,17 @@
         """Return whether neither data nor EOF has arrived since the last response."""
         return not has_pending_input(self._socket)
 
-    def exchange(self, request: bytes, timeout: float) -> HttpReply:
+    def exchange(
+        self, request: bytes, timeout: float, idle_timeout: float | None = None
+    ) -> HttpReply:
         """Send a request and read the complete response within ``timeout`` seconds.
 
+        With ``idle_timeout`` each wait for further bytes takes no longer than that.
         Raises OSError, EOFError or HttpParserError if no complete response arrived.
         """
         deadline = time.monotonic() + timeout
-        self._socket.settimeout(timeout)
+        max_wait = timeout if idle_timeout is None else min(timeout, idle_timeout)
+        self._socket.settimeout(max_wait)
         self._socket.sendall(request)
         self._body = []
         self._length_known = self._in_body = self._complete = self._kept_alive = False
@@ -114,7 +118,7 @@
             left = deadline - time.monotonic()
             if left <= 0:
                 raise TimeoutError("timed out")
-            self._socket.settimeout(left)
+            self._socket.settimeout(min(left, max_wait))
             data = self._socket.recv(READ_BYTES)
             if data:
                 self._parser.feed_data(data)
@@ -208,13 +212,15 @@
         body: bytes | None = None,
         headers: Mapping[str, str] | None = None,
         send_by: float | None = None,
+        idle_timeout: float | None = None,
     ) -> HttpReply:
         """Send a request and return the complete response.
 
-        Nothing is sent after ``send_by``, a time of ``steady_seconds``: connecting may
-        be slow, and the process may be suspended at any point. Raises
-        PlatformUnavailableError if nothing was sent, UnknownOutcomeError if no
-        complete response arrived within ``timeout`` seconds.
+        With ``idle_timeout`` the response is also abandoned when no byte has arrived
+        for that long, so that ``timeout`` can be long enough for a slow link. Nothing
+        is sent after ``send_by``, a time of ``steady_seconds``: connecting may be slow,
+        and the process may be suspended at any point. Raises PlatformUnavailableError
+        if nothing was sent, UnknownOutcomeError if no complete response arrived.
         """
         self.calls += 1
         connection = self._take_idle(address) or self._connect(address)
@@ -231,7 +237,7 @@
             self._return_idle(address, connection)
             raise PlatformUnavailableError(f"{address}: too late to send {target}")
         try:
-            reply = connection.exchange(request, timeout)
+            reply = connection.exchange(request, timeout, idle_timeout)
         except (OSError, EOFError, httptools.HttpParserError) as error:
             connection.reset()
             raise UnknownOutcomeError(
@@ -251,11 +257,14 @@
         timeout: float,
         headers: Mapping[str, str] | None = None,
         send_by: float | None = None,
+        idle_timeout: float | None = None,
     ) -> HttpReply:
         """Send a JSON document by POST. Raises the same errors as ``request``."""
         body = json.dumps(document).encode()
         all_headers = {**JSON_HEADERS, **(headers or {})}
-        return self.request(address, "POST", path, timeout, body, all_headers, send_by)
+        return self.request(
+            address, "POST", path, timeout, body, all_headers, send_by, idle_timeout
+        )
 
     def _connect(self, address: str) -> _Connection:
         self.connections_opened += 1
--- a/packages/geraniumshored/src/geraniumshored/platform/machines.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/machines.py
@@ -15,10 +15,13 @@
 from geraniumshored.node.ports import Machines
 from geraniumshored.platform.documents import decode_machines
 from geraniumshored.platform.http import HttpClient
+from geraniumshored.platform.idle_timeout import GROWING_ANSWER_TIMEOUT_S
 
 __all__ = ["HttpMachines"]
 
 CALL_TIMEOUT_SECONDS = 1.0
+# The list grows with the fleet, so its time limit is one on the time without a byte.
+LIST_IDLE_TIMEOUT_SECONDS = 1.0
 
 
 class HttpMachines(Machines):
@@ -41,7 +44,11 @@
             if token is not None:
                 target += f"?page_token={quote(token)}"
             reply = self._http.request(
-                self._address, "GET", target, CALL_TIMEOUT_SECONDS
+                self._address,
+                "GET",
+                target,
+                GROWING_ANSWER_TIMEOUT_S,
+                idle_timeout=LIST_IDLE_TIMEOUT_SECONDS,
             )
             if reply.status != 200:
                 raise PlatformUnavailableError(
--- a/packages/geraniumshored/src/geraniumshored/platform/store.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/store.py
@@ -17,6 +17,7 @@
 from geraniumshored.node.ports import (
     Appended,
     Membership,
+    NewestPage,
     Page,
     Record,
     Store,
@@ -24,15 +25,22 @@
     Writer,
 )
 from geraniumshored.platform.http import HttpClient, HttpReply
+from geraniumshored.platform.idle_timeout import GROWING_ANSWER_TIMEOUT_S, IdleTimeout
 
 __all__ = ["LogStore"]
 
 # The store responds in about 10 ms, on a bad day in up to 60 times as long. Concurrent
 # appends to a partition queue for up to 2 s before the store refuses them.
 CALL_TIMEOUT_SECONDS = 2.0
+# A page of newest records fails when no byte has arrived for this long. After failures
+# the time grows up to the second one.
+NEWEST_IDLE_SECONDS = 2.0
+MAX_NEWEST_IDLE_SECONDS = 6.0
 # Added to the wait time of a long-polling read before the connection counts as dead.
+# Applies to the time without a byte.
 READ_MARGIN_SECONDS = 1.0
-# A join must return well within the group's time to live.
+# A join must return well within the group's time to live. Applies to the time without
+# a byte, also of the call that reads the group.
 GROUP_TIMEOUT_SECONDS = 0.8
 MS_PER_SECOND = 1000
 GROUP = "geraniumshore"
@@ -59,6 +67,10 @@
         self._http = http
         self._address = address
         self._group_ttl_ms = group_ttl_ms
+        self._newest_idle_by_stream = {
+            stream: IdleTimeout(NEWEST_IDLE_SECONDS, MAX_NEWEST_IDLE_SECONDS)
+            for stream in PARTITION_BY_STREAM
+        }
 
     def append(
         self, stream: Stream, records: Sequence[Record], writer: Writer | None = None
@@ -96,36 +108,36 @@
             "max_kb": max_kb,
             "wait_ms": wait_ms,
         }
-        timeout = wait_ms / MS_PER_SECOND + READ_MARGIN_SECONDS
-        reply = self._call("GET", "/v1/log-read", query, timeout)
+        idle_timeout = wait_ms / MS_PER_SECOND + READ_MARGIN_SECONDS
+        reply = self._call_growing("/v1/log-read", query, idle_timeout)
         if reply.status == 410:
             raise RecordsTrimmedError(int(reply.document().get("first", 0)))
         _require_ok(reply)
         return _decode_page(reply.body, offset)
 
-    def newest(self, stream: Stream) -> Page:
-        """Return the newest record of each key, read page by page."""
-        records: list[Record] = []
-        end: int | None = None
-        after: str | None = None
-        while True:
-            query = _partition_query(stream)
-            if after is not None:
-                # In this call the parameter is the last key of the previous page.
-                query["depends_on"] = after
-            reply = self._call("GET", "/v1/log-newest", query, CALL_TIMEOUT_SECONDS)
-            _require_ok(reply)
-            document = reply.document()
-            # Records appended during paging are at or after the first page's end.
-            end = int(document["end"]) if end is None else end
-            items = document.get("items") or []
-            records.extend(
-                Record(i["key"], base64.b64decode(i["value"]), int(i["offset"]))
-                for i in items
-            )
-            if not document.get("has_more") or not items:
-                return Page(tuple(records), end)
-            after = items[-1]["key"]
+    def newest(self, stream: Stream, after: str | None) -> NewestPage:
+        """Return one page of the newest records, of the keys after ``after``."""
+        query = _partition_query(stream)
+        if after is not None:
+            # In this call the parameter is the last key of the previous page.
+            query["depends_on"] = after
+        patience = self._newest_idle_by_stream[stream]
+        try:
+            reply = self._call_growing("/v1/log-newest", query, patience.seconds)
+        except UnknownOutcomeError:
+            patience.on_unanswered()
+            raise
+        patience.on_answered()
+        _require_ok(reply)
+        document = reply.document()
+        items = document.get("items") or []
+        records = tuple(
+            Record(i["key"], base64.b64decode(i["value"]), int(i["offset"]))
+            for i in items
+        )
+        has_more = bool(items and document.get("has_more"))
+        last_key = records[-1].key if has_more else None
+        return NewestPage(records, int(document["end"]), last_key)
 
     def join(self, member: str, generation: int) -> Membership:
         """Join the group; the store assigns the topic's partitions to the members."""
@@ -138,6 +150,7 @@
                 "ttl_ms": self._group_ttl_ms,
                 "generation": generation,
             },
+            GROWING_ANSWER_TIMEOUT_S,
         ).document()
         assigned = (
             int(row[1]) for row in document.get("parts") or [] if row[0] == GROUP_TOPIC
@@ -147,7 +160,7 @@
     def members(self) -> frozenset[str]:
         """Return the members that hold a partition of the group's topic."""
         query: dict[str, object] = {"group": GROUP}
-        reply = self._call("GET", "/v1/log-owners", query, GROUP_TIMEOUT_SECONDS)
+        reply = self._call_growing("/v1/log-owners", query, GROUP_TIMEOUT_SECONDS)
         _require_ok(reply)
         rows = next(
             (rows for rows in reply.document().values() if isinstance(rows, list)), []
@@ -156,11 +169,18 @@
 
     def leave(self, member: str) -> None:
         """Leave the group."""
-        self._post("/v1/log-leave", {"group": GROUP, "member": member})
+        document: dict[str, object] = {"group": GROUP, "member": member}
+        self._post("/v1/log-leave", document, GROUP_TIMEOUT_SECONDS)
 
-    def _post(self, path: str, document: dict[str, object]) -> HttpReply:
+    def _post(
+        self, path: str, document: dict[str, object], timeout: float
+    ) -> HttpReply:
         reply = self._http.post_json(
-            self._address, path, document, GROUP_TIMEOUT_SECONDS
+            self._address,
+            path,
+            document,
+            timeout,
+            idle_timeout=GROUP_TIMEOUT_SECONDS,
         )
         _require_ok(reply)
         return reply
@@ -173,9 +193,25 @@
         timeout: float,
         body: bytes | None = None,
     ) -> HttpReply:
-        target = f"{path}?{urlencode(query, quote_via=quote)}"
+        target = _target(path, query)
         return self._http.request(self._address, method, target, timeout, body)
 
+    def _call_growing(
+        self, path: str, query: dict[str, object], idle_timeout: float
+    ) -> HttpReply:
+        """Make a call whose answer may be long, so that a slow link takes its time."""
+        return self._http.request(
+            self._address,
+            "GET",
+            _target(path, query),
+            GROWING_ANSWER_TIMEOUT_S,
+            idle_timeout=idle_timeout,
+        )
+
+
+def _target(path: str, query: dict[str, object]) -> str:
+    return f"{path}?{urlencode(query, quote_via=quote)}"
+
 
 def _partition_query(stream: Stream) -> dict[str, object]:
     topic, partition = PARTITION_BY_STREAM[stream]
--- a/tests/common/lagging_node.py
+++ b/tests/common/lagging_node.py
@@ -15,7 +15,7 @@
 from geraniumshored.node.appender import AppendOutcome
 from geraniumshored.node.job_requests import Caller, JobRequestHandler
 from geraniumshored.node.metrics import NodeMetrics
-from geraniumshored.node.ports import Page, Record, Stream
+from geraniumshored.node.ports import NewestPage, Page, Record, Stream
 from geraniumshored.node.views import JobsView
 from geraniumshored.platform.job_api import JsonJobDecoder
 from tests.common.schedule_parts import SMALL, configuration, job
@@ -35,8 +35,8 @@
         self.records: list[Record] = []
         self.reachable = True
 
-    def newest(self, stream: Stream) -> Page:
-        return Page((), 0)
+    def newest(self, stream: Stream, after: str | None) -> NewestPage:
+        return NewestPage((), 0)
 
     def read(self, stream: Stream, offset: int, wait_ms: int, max_kb: int) -> Page:
         if not self.reachable:
@@ -51,9 +51,12 @@
 
 
 class LaggingNode:
-    """A node that read the log before the latest jobs were accepted."""
+    """A node that read the log before the latest jobs were accepted.
 
-    def __init__(self, open_to_all: bool = False) -> None:
+    Without ``has_read_log`` the node has just started and has not read it at all.
+    """
+
+    def __init__(self, open_to_all: bool = False, has_read_log: bool = True) -> None:
         self.now = 0.0
         self.store = LogStore()
         self.jobs = JobsView(
@@ -75,7 +78,8 @@
             NodeMetrics(),
             lambda: self.now,
         )
-        self.read()
+        if has_read_log:
+            self.read()
 
     def append(self, record: Record, deadline: float) -> AppendOutcome:
         self.store.append(record)
--- a/tests/cover/test_faults_in_threads.py
+++ b/tests/cover/test_faults_in_threads.py
@@ -29,7 +29,14 @@
 from geraniumshored.node.metrics import NodeMetrics
 from geraniumshored.node.owner import MAX_CONSECUTIVE_FAULTS, Owner
 from geraniumshored.node.ownership import Ownership
-from geraniumshored.node.ports import Appended, Membership, Page, Record, Stream
+from geraniumshored.node.ports import (
+    Appended,
+    Membership,
+    NewestPage,
+    Page,
+    Record,
+    Stream,
+)
 from geraniumshored.node.settings import NodeSettings
 from geraniumshored.node.views import JobsView, MinionsView, OperatorsView
 from geraniumshored.platform.documents import decode_report
@@ -57,8 +64,9 @@
             self.faults -= 1
             raise KeyError("unexpected")
 
-    def newest(self, stream: Stream) -> Page:
-        return self.read(stream, 0, 0, 0)
+    def newest(self, stream: Stream, after: str | None) -> NewestPage:
+        page = self.read(stream, 0, 0, 0)
+        return NewestPage(page.records, page.end)
 
     def read(self, stream: Stream, offset: int, wait_ms: int, max_kb: int) -> Page:
         self._fail()
--- a/tests/cover/test_late_readers.py
+++ b/tests/cover/test_late_readers.py
@@ -10,7 +10,7 @@
 from types import SimpleNamespace
 
 from geraniumshore_scheduler import MaintenanceWave, PlatformUnavailableError
-from geraniumshored.node.ports import Page, Record, Stream
+from geraniumshored.node.ports import NewestPage, Page, Record, Stream
 from geraniumshored.node.views import OperatorsView
 
 WAVE = MaintenanceWave(7, ("m-0",), 24, 1)
@@ -23,8 +23,9 @@
         self.reachable = True
         self.records: list[Record] = []
 
-    def newest(self, stream: Stream) -> Page:
-        return self.read(stream, 0, 0, 0)
+    def newest(self, stream: Stream, after: str | None) -> NewestPage:
+        page = self.read(stream, 0, 0, 0)
+        return NewestPage(page.records, page.end)
 
     def read(self, stream: Stream, offset: int, wait_ms: int, max_kb: int) -> Page:
         if not self.reachable:
--- a/tests/cover/test_lost_answers.py
+++ b/tests/cover/test_lost_answers.py
@@ -180,7 +180,7 @@
     def read(self, stream, offset, wait_ms, max_kb):
         raise NotImplementedError
 
-    def newest(self, stream):
+    def newest(self, stream, after):
         raise NotImplementedError
 
     def members(self):
--- a/tests/cover/test_odd_minion_entries.py
+++ b/tests/cover/test_odd_minion_entries.py
@@ -20,7 +20,7 @@
 )
 from geraniumshore_standins.internal.fleet import wait_for
 from geraniumshore_standins.internal.users_platform import PlatformFleet
-from geraniumshored.node.ports import Page, Record
+from geraniumshored.node.ports import NewestPage, Record
 from geraniumshored.node.views import MinionsView
 from geraniumshored.platform.documents import decode_minion, decode_report
 from geraniumshored.platform.http import HttpClient, HttpReply
@@ -111,7 +111,8 @@
 def test_all_decisions_are_taken_beside_an_odd_entry(data):
     records = [Record("odd", data, 0)]
     records += [Record(f"i-{n}", entry(addr=f"10.0.0.{n}:80"), n + 1) for n in range(2)]
-    store = SimpleNamespace(newest=lambda stream: Page(tuple(records), len(records)))
+    page = NewestPage(tuple(records), len(records))
+    store = SimpleNamespace(newest=lambda stream, after: page)
     platform = SimpleNamespace(
         store=store,
         decode_minion=lambda record: decode_minion(record.key, record.value),
--- a/tests/cover/test_reads_over_a_slow_link.py
+++ b/tests/cover/test_reads_over_a_slow_link.py
@@ -13,7 +13,7 @@
 from geraniumshore_standins.internal.fleet import free_port
 from geraniumshore_standins.internal.users_platform import PlatformSimulator
 from geraniumshored.node.page_size import MAX_PAGE_KB, MIN_PAGE_KB, PageSize
-from geraniumshored.node.ports import Page, Record, Stream
+from geraniumshored.node.ports import NewestPage, Page, Record, Stream
 from geraniumshored.node.views import OperatorsView
 from geraniumshored.platform.http import HttpClient
 from geraniumshored.platform.store import LogStore
@@ -36,8 +36,8 @@
             Record(f"wave/{number}", b"x", number) for number in range(RECORDS)
         )
 
-    def newest(self, stream: Stream) -> Page:
-        return Page((), 0)
+    def newest(self, stream: Stream, after: str | None) -> NewestPage:
+        return NewestPage((), 0)
 
     def read(self, stream: Stream, offset: int, wait_ms: int, max_kb: int) -> Page:
         self.reads += 1
--- a/tests/cover/test_store_cut_nodes.py
+++ b/tests/cover/test_store_cut_nodes.py
@@ -18,7 +18,7 @@
 from geraniumshored.node.job_requests import Caller, JobRequestHandler, Verdict
 from geraniumshored.node.metrics import NodeMetrics
 from geraniumshored.node.node import Node
-from geraniumshored.node.ports import Page, Stream
+from geraniumshored.node.ports import NewestPage, Page, Stream
 from geraniumshored.node.settings import NodeSettings
 from geraniumshored.node.views import STORE_AWAY_AFTER_S, Follower, JobsView
 from geraniumshored.platform.job_api import JsonJobDecoder
@@ -34,8 +34,9 @@
     def __init__(self) -> None:
         self.reachable = True
 
-    def newest(self, stream: Stream) -> Page:
-        return self.read(stream, 0, 0, 0)
+    def newest(self, stream: Stream, after: str | None) -> NewestPage:
+        page = self.read(stream, 0, 0, 0)
+        return NewestPage(page.records, page.end)
 
     def read(self, stream: Stream, offset: int, wait_ms: int, max_kb: int) -> Page:
         if not self.reachable:
