--- a/packages/geraniumshored/src/geraniumshored/node/node.py
+++ b/packages/geraniumshored/src/geraniumshored/node/node.py
@@ -88,6 +88,7 @@
             "known_members", lambda: len(self._ownership.others() - {member})
         )
         self.metrics.gauge("log_age_seconds", lambda: self._jobs.age(now()))
+        self.metrics.gauge("has_read_log", lambda: float(self._jobs.has_read_log))
         self.metrics.gauge("log_offset", lambda: self._jobs.progress_offset)
 
     def _make_relay(self) -> CallRelay | None:
