--- a/packages/geraniumshore-cli/src/geraniumshore_cli/internal/schedule_commands.py
+++ b/packages/geraniumshore-cli/src/geraniumshore_cli/internal/schedule_commands.py
@@ -16,6 +16,7 @@
     UnknownOutcomeError,
 )
 from geraniumshored.node.schedule_status import (
+    EvacuationRow,
     NodeRow,
     QueueRow,
     ScheduleStatus,
@@ -114,6 +115,15 @@
     )
 
 
+@app.command
+def evacuations(*, settings: Settings = None, as_json: AsJson = False) -> int:
+    """List the evacuated data centres, since when, and the jobs that run there."""
+    return _with_status(
+        settings,
+        lambda s: _show_rows(_column_names(EvacuationRow), s.evacuations(), as_json),
+    )
+
+
 @app.command
 def caps(*, settings: Settings = None, as_json: AsJson = False) -> int:
     """List the teams with their share, in jobs per second, and their cap."""
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/__init__.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/__init__.py
@@ -21,6 +21,7 @@
 )
 from geraniumshore_scheduler.internal.authority import Authority, OwnershipTimes
 from geraniumshore_scheduler.internal.burst_history import BurstHistory
+from geraniumshore_scheduler.internal.evacuation import EvacuationLog, StartPermission
 from geraniumshore_scheduler.internal.job_registry import (
     JobRegistry,
     Reading,
@@ -41,6 +42,7 @@
 from geraniumshore_scheduler.internal.model import (
     CompletedRun,
     Configuration,
+    Evacuation,
     Job,
     MachineListing,
     MaintenanceWave,
@@ -79,22 +81,26 @@
     UncordonMachine,
 )
 from geraniumshore_scheduler.internal.records import (
+    EVACUATIONS_KEY,
     MACHINE_ORDERS_KEY,
     OWNER_KEY,
     OWNER_RESIGNED_KEY,
     UNRESPONSIVE_KEY,
+    EvacuationsRecord,
     JobState,
     OwnerRecord,
     Placement,
     Progress,
     RecordKind,
     WaveProgress,
+    decode_evacuations,
     decode_job,
     decode_machine_orders,
     decode_owner,
     decode_progress,
     decode_unresponsive,
     decode_wave_progress,
+    encode_evacuations,
     encode_job,
     encode_machine_orders,
     encode_owner,
@@ -114,6 +120,7 @@
 
 __all__ = [
     "ANNOUNCEMENT_VALID_S",
+    "EVACUATIONS_KEY",
     "MACHINE_ORDERS_KEY",
     "OWNER_KEY",
     "OWNER_RESIGNED_KEY",
@@ -130,6 +137,9 @@
     "Configuration",
     "CordonMachine",
     "Decision",
+    "Evacuation",
+    "EvacuationLog",
+    "EvacuationsRecord",
     "Finding",
     "FirstComeFirstServed",
     "GeraniumshoreError",
@@ -177,6 +187,7 @@
     "Service",
     "StartOrder",
     "StartOutcome",
+    "StartPermission",
     "Step",
     "StepKey",
     "StopOrder",
@@ -187,12 +198,14 @@
     "UnresponsiveMinions",
     "WaveProgress",
     "WaveRegistry",
+    "decode_evacuations",
     "decode_job",
     "decode_machine_orders",
     "decode_owner",
     "decode_progress",
     "decode_unresponsive",
     "decode_wave_progress",
+    "encode_evacuations",
     "encode_job",
     "encode_machine_orders",
     "encode_owner",
--- /dev/null
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/evacuation.py
@@ -0,0 +1,168 @@
+"""Evacuated data centres: which they are, and which long-running tasks move out.
+
+Operators request an evacuation with a record that stays in force until it is removed.
+Nothing starts on the minions of an evacuated data centre.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass, field
+
+from geraniumshore_scheduler.internal.maintenance import may_interrupt
+from geraniumshore_scheduler.internal.minion_view import MinionView
+from geraniumshore_scheduler.internal.model import Evacuation, Resources, Step
+from geraniumshore_scheduler.internal.runs import OpenJob, Run
+
+__all__ = ["EvacuationLog", "RoomElsewhere", "StartPermission", "plan_moves"]
+
+# The platform allows starts in an evacuated data centre until 5 s after the operator's
+# request. An owner whose reads of the requests get no answer starts nothing from this
+# age of the last reading on; the rest is for a start that is under way.
+MAX_UNREAD_S = 4.0
+
+
+@dataclass(slots=True)
+class _Request:
+    data_centre: str
+    active: bool
+    offset: int
+
+
+@dataclass(slots=True)
+class EvacuationLog:
+    """The fold of the operators' requests to evacuate data centres.
+
+    A node that missed records reads the newest record of each key instead. A request
+    whose key is missing there was removed, and its record may be deleted since. While
+    the newest records are read, the requests known before stay in force.
+    """
+
+    _request_by_key: dict[str, _Request] = field(default_factory=dict)
+    _listed_keys: set[str] = field(default_factory=set)
+
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """The data centres that are evacuated."""
+        requests = self._request_by_key.values()
+        return frozenset(r.data_centre for r in requests if r.active)
+
+    def begin_reading(self) -> None:
+        """Record that the newest record of each key is going to be read."""
+        self._listed_keys = set()
+
+    def mark_listed(self, key: str) -> None:
+        """Record that a key has a record, even if it cannot be decoded."""
+        if key in self._request_by_key:
+            self._listed_keys.add(key)
+
+    def fold(self, key: str, evacuation: Evacuation, offset: int) -> None:
+        """Apply a record. Records may be read again, after newer ones of their key."""
+        known = self._request_by_key.get(key)
+        if known is None or offset >= known.offset:
+            self._request_by_key[key] = _Request(
+                evacuation.data_centre, evacuation.active, offset
+            )
+        self._listed_keys.add(key)
+
+    def end_missing(self) -> None:
+        """End the evacuations that the newest records, all read now, do not have."""
+        for key, request in self._request_by_key.items():
+            if key not in self._listed_keys:
+                request.active = False
+
+
+@dataclass(slots=True)
+class StartPermission:
+    """Whether an owner's knowledge of the evacuations is recent enough for starts.
+
+    After a takeover, and after a time without authority, the requests must have been
+    read since. A store that refuses reads of the requests accepts no new ones either,
+    so the last known state holds then.
+    """
+
+    _required_since: float = -math.inf
+    _read_at: float = -math.inf
+
+    def require_reading(self, since: float) -> None:
+        """Allow starts only after a reading that began at ``since`` or later."""
+        self._required_since = max(self._required_since, since)
+
+    def record_reading(self, began_at: float) -> None:
+        """Record that all requests made before ``began_at`` have been read."""
+        self._read_at = max(self._read_at, began_at)
+
+    def allows_starts(self, refused: bool, now: float) -> bool:
+        """Return whether starts are allowed.
+
+        ``refused`` means that the store refused the last read.
+        """
+        if self._read_at < self._required_since:
+            return False
+        return refused or now - self._read_at < MAX_UNREAD_S
+
+
+class RoomElsewhere:
+    """The free capacity of the minions that accept work, reserved task by task."""
+
+    def __init__(self, views: Iterable[MinionView]) -> None:
+        self._views_by_service: dict[str, list[MinionView]] = {}
+        for view in views:
+            if view.listing is not None:
+                service = view.listing.service
+                self._views_by_service.setdefault(service, []).append(view)
+        self._free_by_id: dict[str, Resources] = {}
+        self._reserved: Counter[tuple[str, str, int, int]] = Counter()
+
+    def reserve(self, service: str, run: Run) -> bool:
+        """Reserve room for a run's task; return whether there was any."""
+        step = run.step
+        for view in self._views_by_service.get(service, ()):
+            assert view.listing is not None
+            if step.label and step.label not in view.listing.labels:
+                continue
+            free = self._free_by_id.get(view.minion_id, view.free)
+            if not step.room.fits_in(free):
+                continue
+            same_step = (view.minion_id, *run.task[:3])
+            if step.most_per_minion:
+                there = sum(other[:3] == run.task[:3] for other in view.runs)
+                if there + self._reserved[same_step] >= step.most_per_minion:
+                    continue
+            self._reserved[same_step] += 1
+            self._free_by_id[view.minion_id] = free.minus(step.room)
+            return True
+        return False
+
+
+def plan_moves(
+    view_by_id: Mapping[str, MinionView],
+    job_by_id: Mapping[str, OpenJob],
+    room: RoomElsewhere,
+    steps_without_room: dict[str, list[Step]],
+) -> Iterator[Run]:
+    """Yield the long-running tasks to stop, so that they start elsewhere.
+
+    The caller must request each stop before it takes the next run, as the budget of a
+    step counts the stops requested so far. Tasks for which no minion elsewhere has room
+    stay, and their steps are added by service to ``steps_without_room``. Members of a
+    gang stay, as the stop of one would end all.
+    """
+    runs = [
+        run
+        for view in view_by_id.values()
+        if view.evacuated and view.responsive
+        for run in view.runs.values()
+        if run.step.lasting and not run.step.gang
+    ]
+    # Those whose stop is requested need their room first.
+    for run in sorted(runs, key=lambda run: not run.stop_wanted):
+        job = job_by_id.get(run.task.job_id)
+        if job is None or job.set_aside:
+            continue
+        if not room.reserve(job.service, run):
+            steps_without_room.setdefault(job.service, []).append(run.step)
+        elif not run.stop_wanted and may_interrupt(run, job, view_by_id):
+            yield run
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_registry.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_registry.py
@@ -12,13 +12,16 @@
 from geraniumshore_scheduler.internal.progress_parts import ProgressParts
 from geraniumshore_scheduler.internal.records import (
     AGE_RESOLUTION_S,
+    EVACUATIONS_KEY,
     OWNER_RESIGNED_KEY,
     UNRESPONSIVE_KEY,
+    EvacuationsRecord,
     JobState,
     OwnerRecord,
     Progress,
     RecordKind,
     WaveProgress,
+    decode_evacuations,
     decode_job,
     decode_machine_orders,
     decode_owner,
@@ -127,6 +130,7 @@
         self.order_by_machine: dict[str, AnnouncedOrder] = {}
         # The times after which owners sent no lease to unresponsive minions.
         self.last_grants: dict[MinionEpoch, float] = {}
+        self.evacuations = EvacuationsRecord()
         self._orphans: dict[tuple[RecordKind, str], _Orphan] = {}
         self._orphan_parts_by_id: dict[str, dict[int, _Orphan]] = {}
         self._pending_by_queue: dict[str, int] = {}
@@ -160,6 +164,10 @@
             if job_id.isdigit():
                 self.progress_by_wave[int(job_id)] = decode_wave_progress(value)
             return None
+        if kind is RecordKind.EVACUATIONS:
+            if key == EVACUATIONS_KEY:
+                self.evacuations = decode_evacuations(value)
+            return None
         if key == UNRESPONSIVE_KEY:
             self.last_grants = decode_unresponsive(value, now)
             return None
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
@@ -54,6 +54,8 @@
     yet. ``completions_listed_at`` is when the minion last listed a new completion.
     ``faults`` counts the failures in a row, of different jobs, up to ``last_fault_at``.
     ``unresponsive_since`` is when the first of the latest unanswered polls was sent.
+    While its data centre is ``evacuated`` the minion gets no new work. A ``reopened``
+    minion was evacuated before. It is slow until ``cold_until``.
     ``untracked_runs`` are runs on the minion that this owner does not know; they are to
     be stopped, unless their jobs are not read yet.
     """
@@ -87,6 +89,9 @@
     stopping: bool = False
     completions_listed_at: float | None = None
     unresponsive_since: float | None = None
+    evacuated: bool = False
+    reopened: bool = False
+    cold_until: float = 0.0
 
     @property
     def draining(self) -> bool:
@@ -103,11 +108,27 @@
             and self.listing.incarnation == self.incarnation
             and not self.draining
             and not self.cordoned
+            and not self.evacuated
             and not self.unlisted
             and not self.untracked_runs
             and now >= max(self.avoid_until, self.over_leased_until)
         )
 
+    def set_listing(self, listing: MinionListing, now: float) -> None:
+        """Apply the minion's entry, read at ``now`` if it is another object."""
+        if listing is not self.listing:
+            self.cold_until = now + listing.cold_left_ms / MS_PER_S
+        self.listing = listing
+
+    def set_evacuated(self, evacuated: bool) -> None:
+        """Begin or end the evacuation of the minion's data centre."""
+        self.reopened = not evacuated and (self.evacuated or self.reopened)
+        self.evacuated = evacuated
+
+    def is_warming_up(self, now: float) -> bool:
+        """Return whether the minion is cold after an evacuation."""
+        return self.reopened and now < self.cold_until
+
     @property
     def free(self) -> Resources:
         """The capacity that no run uses or may use."""
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/model.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/model.py
@@ -8,6 +8,7 @@
 __all__ = [
     "Configuration",
     "CompletedRun",
+    "Evacuation",
     "Job",
     "MachineListing",
     "MinionListing",
@@ -226,7 +227,8 @@
 
     ``incarnation`` is the start of the minion's process in Unix milliseconds;
     ``capacity`` and ``labels`` are those of that incarnation. The second label is the
-    rack.
+    rack. ``cold_left_ms`` is how much longer the minion was slow after its start, when
+    the entry was written; it counts down, so that alone makes no entry a new one.
     """
 
     minion_id: str
@@ -238,6 +240,7 @@
     capacity: Resources
     labels: tuple[str, ...]
     remaining_ms: int | None = None
+    cold_left_ms: int = field(default=0, compare=False)
 
     @property
     def rack(self) -> str:
@@ -318,3 +321,11 @@
     machines: tuple[str, ...]
     within_s: float
     most_at_once: int
+
+
+@dataclass(frozen=True, slots=True)
+class Evacuation:
+    """A request to start nothing in a data centre, or its end if not ``active``."""
+
+    data_centre: str
+    active: bool
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/placer.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/placer.py
@@ -5,10 +5,8 @@
 from collections.abc import Iterator
 
 from geraniumshore_scheduler.internal.advice import StepKey
-from geraniumshore_scheduler.internal.minion_selection import (
-    choose_minion,
-    has_room_for_all,
-)
+from geraniumshore_scheduler.internal.cold_minions import choose_warm_first, find_cold
+from geraniumshore_scheduler.internal.minion_selection import has_room_for_all
 from geraniumshore_scheduler.internal.minion_view import MinionView
 from geraniumshore_scheduler.internal.model import TaskKey
 from geraniumshore_scheduler.internal.orders import StartOrder, StopOrder
@@ -76,6 +74,8 @@
         Every ``FULL_PASS_INTERVAL_S`` all services are visited: some tasks become
         placeable by the passage of time alone, such as the end of a retry delay.
         """
+        if self._starts_held:
+            return
         full_pass = now >= self._placed_all_at + FULL_PASS_INTERVAL_S
         changed = self._changed_services
         if not full_pass and not changed:
@@ -100,6 +100,7 @@
                 continue
             if view.accepts(now):
                 views_by_service.setdefault(listing.service, []).append(view)
+        self._cold_minions = find_cold(self.view_by_id.values(), now)
         for service, jobs in jobs_by_service.items():
             views = views_by_service.get(service, [])
             jobs.sort(key=lambda job: self._order.rank(job, now))
@@ -143,7 +144,10 @@
                 if unplaceable_sizes.covers(step.room):
                     job.unplaced.add(step_number)
                     break
-                view = choose_minion(step, task, allowed, job.failed_on.get(task, ()))
+                avoided = job.failed_on.get(task, ())
+                view = choose_warm_first(
+                    step, task, allowed, avoided, self._cold_minions
+                )
                 if view is None:
                     job.unplaced.add(step_number)
                     if allowed is views and not step.label and not step.most_per_minion:
@@ -169,7 +173,9 @@
             for member in members:
                 if not self._within_cap(job, step.size):
                     break
-                view = choose_minion(step, member, candidates, avoided)
+                view = choose_warm_first(
+                    step, member, candidates, avoided, self._cold_minions
+                )
                 if view is None:
                     break
                 placed.append(self._plan_run(job, member, view, number, now))
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pool_meter.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pool_meter.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from functools import reduce
 
 from geraniumshore_scheduler.internal.minion_view import MinionView
-from geraniumshore_scheduler.internal.model import Job, Resources
+from geraniumshore_scheduler.internal.model import Job, Resources, Step
 from geraniumshore_scheduler.internal.ordering import JobOrder
 from geraniumshore_scheduler.internal.pools import PoolLoad
 from geraniumshore_scheduler.internal.runs import OpenJob, critical_path_s
@@ -129,14 +129,17 @@
         has_had_jobs: bool,
         recent_jobs: int,
         now: float,
+        moving_out: Sequence[Step] = (),
     ) -> PoolLoad:
         """Return the load of one pool.
 
         ``headroom_by_team`` is what teams with a cap may still start. Work beyond it
         waits for other work of the same team, so more machines would not help it.
+        ``moving_out`` has the step of each long-running task in an evacuated data
+        centre for which no other minion has room.
         """
-        long_running_machines = 0.0
-        has_unplaced_tasks = False
+        long_running_machines = sum(map(self._long_running_share, moving_out))
+        has_unplaced_tasks = bool(moving_out)
         all_by_team: dict[str | None, _Backlog] = {}
         timely_by_team: dict[str | None, _Backlog] = {}
         for job in self._jobs.get(pool, []):
@@ -149,11 +152,10 @@
                     continue
                 has_unplaced_tasks = True
                 step = job.job.steps[number]
-                share = self._machine_share(step.room)
                 if step.lasting:
-                    each = 1.0 if step.most_per_minion == 1 else share
-                    long_running_machines += tasks * each
+                    long_running_machines += tasks * self._long_running_share(step)
                     continue
+                share = self._machine_share(step.room)
                 for backlog in backlogs:
                     backlog.add(tasks * share, step.estimate_ms / MS_PER_S)
         everything = self._within_caps(all_by_team, headroom_by_team)
@@ -171,8 +173,13 @@
             has_had_jobs=has_had_jobs,
             batch_use=self._batch_use(self._views.get(pool, [])),
             recent_jobs=recent_jobs,
+            evacuated_capacity=self._evacuated_capacity(pool),
         )
 
+    def _long_running_share(self, step: Step) -> float:
+        """Return the part of a machine that a long-running task needs."""
+        return 1.0 if step.most_per_minion == 1 else self._machine_share(step.room)
+
     def _within_caps(
         self,
         backlog_by_team: Mapping[str | None, _Backlog],
@@ -208,6 +215,12 @@
         free = sum(max(0.0, self._min_machine_share(view.free)) for view in accepting)
         return self._batch_use(accepting) + free
 
+    def _evacuated_capacity(self, pool: str) -> float:
+        """Return the capacity for such tasks that the pool has lost to evacuations."""
+        lost = [v for v in self._views.get(pool, []) if v.evacuated and not v.unlisted]
+        free = sum(max(0.0, self._min_machine_share(view.free)) for view in lost)
+        return self._batch_use(lost) + free
+
     def _machine_share(self, amount: Resources) -> float:
         """Return the largest share of a machine that any of the resources takes."""
         share = 0.0
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pools.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pools.py
@@ -43,6 +43,7 @@
         has_had_jobs: Whether the owner knows a job of the pool, ended or not.
         batch_use: What running tasks that end by themselves use.
         recent_jobs: Number of jobs that the offered load comes from.
+        evacuated_capacity: What the pool has lost with evacuated data centres.
     """
 
     pool: str
@@ -57,6 +58,7 @@
     has_had_jobs: bool = True
     batch_use: float = 0.0
     recent_jobs: int = 0
+    evacuated_capacity: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,7 +91,8 @@
     """The machines of each pool and whether they may be moved.
 
     Attributes:
-        size_by_pool: Number of machines, without those that are being moved.
+        size_by_pool: Number of machines, without those that are being moved. Machines
+            in evacuated data centres are left out here and in the following.
         idle_by_pool: Machines on which nothing runs.
         cordonable_by_pool: Busy machines that may be cordoned, soonest free first.
         inbound_by_pool: Number of machines that are being moved to the pool.
@@ -196,6 +199,9 @@
         )
         if standby is None:
             return
+        yield from self._replace_evacuated(
+            load_by_pool, inbound_by_pool, spare_machines, assigned, burst_reserve
+        )
         for machine in spare_machines:
             if machine.machine not in assigned and machine.pool != standby:
                 yield MoveMachine(machine.machine, standby)
@@ -251,6 +257,44 @@
             assigned.add(machine.machine)
             yield MoveMachine(machine.machine, pool)
 
+    def _replace_evacuated(
+        self,
+        load_by_pool: dict[str, PoolLoad],
+        inbound_by_pool: dict[str, int],
+        spare_machines: list[MachineListing],
+        assigned: set[str],
+        burst_reserve: float,
+    ) -> Iterator[MoveMachine]:
+        """Replace evacuated capacity up to what a pool would not release.
+
+        Work that waits now has taken its machines before. More would be released again
+        at once.
+        """
+        for machine in spare_machines:
+            if machine.machine in assigned:
+                continue
+            lacking_by_pool = {
+                pool: self._lacking_replacements(
+                    load, inbound_by_pool.get(pool, 0), burst_reserve
+                )
+                for pool, load in load_by_pool.items()
+                if pool != machine.pool and load.evacuated_capacity
+            }
+            pool = max(
+                lacking_by_pool, key=lambda name: lacking_by_pool[name], default=None
+            )
+            if pool is None or lacking_by_pool[pool] < self.thresholds.min_shortfall:
+                continue
+            inbound_by_pool[pool] = inbound_by_pool.get(pool, 0) + 1
+            assigned.add(machine.machine)
+            yield MoveMachine(machine.machine, pool)
+
+    def _lacking_replacements(
+        self, load: PoolLoad, inbound: int, burst_reserve: float
+    ) -> float:
+        kept = max(self.thresholds.headroom_factor * load.offered_load, burst_reserve)
+        return min(load.evacuated_capacity, kept - load.batch_capacity) - inbound
+
     def _reassign_busy_machines(
         self,
         load_by_pool: dict[str, PoolLoad],
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
@@ -197,6 +197,7 @@
         recorded = view.grants_after_batch <= self._durable_batch
         if (
             run.stop_wanted
+            or self._starts_held
             or not view.accepts(now)
             or view.incarnation != run.incarnation
             or not recorded
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
@@ -17,21 +17,25 @@
 __all__ = [
     "MACHINE_ORDERS_KEY",
     "AGE_RESOLUTION_S",
+    "EVACUATIONS_KEY",
     "OWNER_KEY",
     "OWNER_RESIGNED_KEY",
     "UNRESPONSIVE_KEY",
+    "EvacuationsRecord",
     "JobState",
     "OwnerRecord",
     "Placement",
     "Progress",
     "RecordKind",
     "WaveProgress",
+    "decode_evacuations",
     "decode_job",
     "decode_machine_orders",
     "decode_owner",
     "decode_progress",
     "decode_unresponsive",
     "decode_wave_progress",
+    "encode_evacuations",
     "encode_job",
     "encode_machine_orders",
     "encode_owner",
@@ -55,6 +59,7 @@
     OWNER = "o"
     WAVE = "w"
     MACHINES = "m"
+    EVACUATIONS = "e"
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,6 +75,18 @@
     end_wall_ms: int | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class EvacuationsRecord:
+    """The evacuations that an owner knows, for other nodes and operators.
+
+    ``since_ms`` gives for each data centre when an owner first read the request, in
+    milliseconds since 1970. ``everywhere`` means that no other data centre has minions.
+    """
+
+    since_ms: dict[str, int] = field(default_factory=dict)
+    everywhere: bool = False
+
+
 class JobState(enum.Enum):
     """The state of a job as callers see it."""
 
@@ -206,11 +223,13 @@
 _PROGRESS = TypeAdapter(Progress)
 _OWNER = TypeAdapter(OwnerRecord)
 _WAVE = TypeAdapter(WaveProgress)
+_EVACUATIONS = TypeAdapter(EvacuationsRecord)
 _ORDERS = TypeAdapter(dict[str, tuple[str, float]])
 _UNRESPONSIVE = TypeAdapter(list[tuple[str, int, float]])
 OWNER_KEY = f"{RecordKind.OWNER.value}/owner"
 # The last owner that resigned, that is, gave up its ownership by itself.
 OWNER_RESIGNED_KEY = f"{RecordKind.OWNER.value}/left"
+EVACUATIONS_KEY = f"{RecordKind.EVACUATIONS.value}/evacuations"
 MACHINE_ORDERS_KEY = f"{RecordKind.MACHINES.value}/orders"
 UNRESPONSIVE_KEY = f"{RecordKind.MACHINES.value}/silent"
 
@@ -280,6 +299,16 @@
     return _decode(_WAVE, value, "wave record")
 
 
+def encode_evacuations(record: EvacuationsRecord) -> bytes:
+    """Encode the evacuations that an owner knows."""
+    return _EVACUATIONS.dump_json(record)
+
+
+def decode_evacuations(value: bytes) -> EvacuationsRecord:
+    """Decode the evacuations that an owner knows. Raises InvalidInputError."""
+    return _decode(_EVACUATIONS, value, "evacuations record")
+
+
 def encode_machine_orders(
     order_by_machine: Mapping[str, AnnouncedOrder], now: float
 ) -> bytes:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
@@ -14,6 +14,7 @@
     Job,
     Queue,
     Resources,
+    Step,
     TaskKey,
 )
 from geraniumshore_scheduler.internal.ordering import ByObjective, JobOrder
@@ -26,6 +27,7 @@
 from geraniumshore_scheduler.internal.pool_meter import Arrivals
 from geraniumshore_scheduler.internal.records import (
     UNRESPONSIVE_KEY,
+    EvacuationsRecord,
     JobState,
     Placement,
     encode_unresponsive,
@@ -97,6 +99,14 @@
         self._services_by_capped_team: dict[str, set[str]] = {}
         self._placed_all_at = float("-inf")
         self._stragglers_checked_at = float("-inf")
+        # Data centres in which nothing starts, and what is recorded of them.
+        self._evacuated: frozenset[str] = frozenset()
+        self._recorded_evacuations = EvacuationsRecord()
+        self._steps_without_room: dict[str, list[Step]] = {}
+        self._cold_minions: frozenset[str] = frozenset()
+        self._moves_checked_at = float("-inf")
+        # Whether starts wait until the operators' requests have been read.
+        self._starts_held = False
         self._arrivals = Arrivals()
         self._shares = TeamShares()
         self._replaced_incarnation_by_id: dict[str, int] = {}
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable, Mapping
 
 from geraniumshore_scheduler.internal.advice import AdviceRequest, StepKey
+from geraniumshore_scheduler.internal.evacuator import Evacuator
 from geraniumshore_scheduler.internal.job_registry import RegisteredJob
 from geraniumshore_scheduler.internal.minion_view import MinionView
 from geraniumshore_scheduler.internal.model import (
@@ -25,7 +26,6 @@
     PaceOrder,
     StopOrder,
 )
-from geraniumshore_scheduler.internal.placer import Placer
 from geraniumshore_scheduler.internal.pool_meter import PoolMeter
 from geraniumshore_scheduler.internal.pools import PoolLoad
 from geraniumshore_scheduler.internal.records import JobState, progress_key
@@ -38,7 +38,7 @@
 __all__ = ["Scheduler"]
 
 
-class Scheduler(Placer):
+class Scheduler(Evacuator):
     """The state machine of one owner's epoch. Not thread-safe."""
 
     def set_configuration(self, configuration: Configuration) -> None:
@@ -166,7 +166,8 @@
                 continue
             if view.listing != listing or view.unlisted:
                 self._changed_services.add(listing.service)
-            view.listing = listing
+            view.set_listing(listing, now)
+            view.set_evacuated(listing.data_centre in self._evacuated)
             restarted = (
                 view.incarnation is not None and listing.incarnation > view.incarnation
             )
@@ -227,9 +228,11 @@
         self._release_lapsed_runs(now)
         self._open_occurrences(wall_ms)
         self._evacuate_draining_minions()
+        self._move_long_running_tasks(now)
         self._stop_stragglers(now)
         self._place_waiting_tasks(now)
         self._send_stops(now)
+        self._record_evacuations(wall_ms)
         values = self._values_to_record()
         if not values:
             self._durable_batch = self._next_batch - 1
@@ -300,6 +303,7 @@
                 pool in self._used_services,
                 self._arrivals.recent_jobs(pool, now),
                 now,
+                self._steps_without_room.get(pool, ()),
             )
             for pool in self._pools()
         ]
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/platform_simulator.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/platform_simulator.py
@@ -29,6 +29,7 @@
 # From a truncated response, a caller cannot tell whether the call was applied.
 TRUNCATED_ANSWER = Answer(200, b"lost", cut=True)
 MACHINE_MOVE_S = 0.5
+DATA_CENTRE = "a"
 
 
 @dataclass(slots=True)
@@ -40,6 +41,9 @@
     machine: str
     rack: str
     port: int
+    data_centre: str = DATA_CENTRE
+    # It is slow until then.
+    cold_until: float = 0.0
     state: str = "ready"
     # How often it has written its entry.
     reports: int = 0
@@ -50,6 +54,7 @@
     name: str
     pool: str
     rack: str
+    data_centre: str = DATA_CENTRE
     state: str = "up"
     minion: SimulatedMinion | None = None
     wave: int | None = None
@@ -119,10 +124,27 @@
         with self.lock:
             self.log.put("keyed.op", key, json.dumps(document).encode())
 
-    def add_machine(self, name: str, pool: str, rack: str, off: bool = False) -> None:
+    def evacuate(self, data_centre: str) -> None:
+        """Request that nothing starts in a data centre any more."""
+        with self.lock:
+            self.log.put("keyed.op", f"evacuate/{data_centre}", b"{}")
+
+    def end_evacuation(self, data_centre: str) -> None:
+        """Withdraw the request to evacuate a data centre."""
+        with self.lock:
+            self.log.put("keyed.op", f"evacuate/{data_centre}", b"")
+
+    def add_machine(
+        self,
+        name: str,
+        pool: str,
+        rack: str,
+        off: bool = False,
+        data_centre: str = DATA_CENTRE,
+    ) -> None:
         """Add a machine and start a minion on it unless the machine is off."""
         with self.lock:
-            self.machine_by_name[name] = _Machine(name, pool, rack)
+            self.machine_by_name[name] = _Machine(name, pool, rack, data_centre)
             if not off:
                 self._start_minion(self.machine_by_name[name])
 
@@ -162,7 +184,12 @@
         )
         port = self._allocate_port()
         minion = SimulatedMinion(
-            model, machine.pool, machine.name, machine.rack, self.advertised_port(port)
+            model,
+            machine.pool,
+            machine.name,
+            machine.rack,
+            self.advertised_port(port),
+            machine.data_centre,
         )
         self._servers.append(
             serve_in_thread(
@@ -192,14 +219,14 @@
         entry = {
             "service": minion.service,
             "addr": f"127.0.0.1:{minion.port}",
-            "zone": "a",
+            "zone": minion.data_centre,
             "version": "v1",
             "slots": 8,
             "state": minion.state,
-            "cold_left_ms": 0,
+            "cold_left_ms": int(max(0.0, minion.cold_until - self.now()) * 1000),
             "seq": minion.reports,
             "capacity": {"cpu": model.cpu_capacity, "mem_mb": 32768, "gpu": 0},
-            "labels": ["a", minion.rack],
+            "labels": [minion.data_centre, minion.rack],
             "clock_ms": int(model.clock_ms(self.now())),
             "born": model.born,
         }
@@ -364,8 +391,8 @@
         "machine": machine.name,
         "pool": machine.pool,
         "state": machine.state,
-        "zone": "a",
-        "labels": ["a", machine.rack],
+        "zone": machine.data_centre,
+        "labels": [machine.data_centre, machine.rack],
         "capacity": {"cpu": 16_000, "mem_mb": 32_768, "gpu": 0},
         "id": "" if minion is None else minion.model.minion_id,
     }
--- a/packages/geraniumshored/src/geraniumshored/node/job_requests.py
+++ b/packages/geraniumshored/src/geraniumshored/node/job_requests.py
@@ -7,7 +7,7 @@
 import re
 from abc import ABC, abstractmethod
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from geraniumshore_scheduler import (
     Configuration,
@@ -46,6 +46,7 @@
 REFRESH_TIMEOUT_S = 0.04
 CANCEL_MARK = b"1"
 STORE_AWAY = "the store is away"
+EVACUATED = "all data centres are evacuated, the job waits"
 MAX_RECORD_BYTES = 262_144
 JOB_ID = re.compile("[0-9A-Fa-f]{16}")
 
@@ -155,6 +156,8 @@
             answer = Answer(Verdict.MALFORMED, detail="the job has too many steps")
             return self._record_answer("submit", job_id, answer)
         answer = self._write(record, caller)
+        if answer.verdict is Verdict.OK:
+            answer = replace(answer, detail=self._waiting_detail())
         if answer.verdict is Verdict.UNCERTAIN and self._jobs.find(job_id) is not None:
             answer = Answer(Verdict.OK, detail="seen in the log")
         return self._record_answer("submit", job_id, answer, configuration.version)
@@ -247,6 +250,11 @@
             return self._refusal(STORE_AWAY)
         return Answer(Verdict.UNCERTAIN, detail="the store did not answer")
 
+    def _waiting_detail(self) -> str:
+        """Return why no job can start now, if this node knows a reason."""
+        everywhere = self._jobs.registry.evacuations.everywhere
+        return EVACUATED if everywhere and self._operators.evacuated else ""
+
     def _unknown_job(self, call: str, job_id: str) -> Answer:
         if not self._is_current():
             return self._outdated_answer()
--- a/packages/geraniumshored/src/geraniumshored/node/machine_controller.py
+++ b/packages/geraniumshored/src/geraniumshored/node/machine_controller.py
@@ -309,18 +309,24 @@
     def _classify_machines(self, standby: str | None, now: float) -> PoolMachines:
         """Return which machines may be moved, and which cordoned for a move."""
         in_maintenance = self._waves.unavailable_machines()
-        inbound_by_pool = Counter(move.pool for move, _ in self._moving.values())
+        inbound_by_pool = Counter(
+            move.pool
+            for name, (move, _) in self._moving.items()
+            if not self._is_evacuated(name)
+        )
         size_by_pool: Counter[str] = Counter()
         idle_by_pool: dict[str, list[MachineListing]] = defaultdict(list)
         cordonable_by_pool: dict[str, list[MachineListing]] = defaultdict(list)
         for name, machine in self._machine_by_name.items():
             if name in self._moving:
                 continue
-            size_by_pool[machine.pool] += 1
+            # An evacuated machine stays where it is and counts for no pool.
+            evacuated = self._is_evacuated(name)
+            size_by_pool[machine.pool] += not evacuated
             if name in in_maintenance:
                 # Its maintenance wave drains it now.
                 self._cordoned.pop(name, None)
-            elif not self._orders.may_announce(name, now):
+            elif evacuated or not self._orders.may_announce(name, now):
                 self._uncordon(name)
             elif self._is_idle(machine, standby):
                 idle_by_pool[machine.pool].append(machine)
@@ -336,6 +342,12 @@
             self._cordoned_machines(),
         )
 
+    def _is_evacuated(self, name: str) -> bool:
+        machine = self._machine_by_name.get(name)
+        return machine is not None and (
+            machine.data_centre in self._scheduler.evacuated
+        )
+
     def _is_idle(self, machine: MachineListing, standby: str | None) -> bool:
         if not machine.up:
             return False
@@ -417,6 +429,10 @@
         machine = self._machine_by_name[move.machine]
         moved: bool | None = None
         epoch = self._scheduler.authority.epoch
+        if self._is_evacuated(move.machine):
+            # It was planned before the evacuation. An order without an answer is
+            # repeated all the same, as it may be carried out.
+            moved = False
         while moved is None and self._prepare_order(move.machine):
             moved = self._send_order(
                 "move",
--- a/packages/geraniumshored/src/geraniumshored/node/node.py
+++ b/packages/geraniumshored/src/geraniumshored/node/node.py
@@ -72,6 +72,9 @@
             now,
         )
         self.metrics.gauge("log_age_seconds", lambda: self._jobs.age(now()))
+        self.metrics.gauge(
+            "evacuated_data_centres", lambda: len(self._operators.evacuated)
+        )
         self.metrics.gauge("log_offset", lambda: self._jobs.progress_offset)
 
     def start(self) -> None:
--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -24,6 +24,7 @@
     SequenceError,
     StartOrder,
     StartOutcome,
+    StartPermission,
     StopOrder,
     UnknownOutcomeError,
     encode_owner,
@@ -116,6 +117,7 @@
         self._machine_orders = MachineOrders(
             host_of(member), settings.ownership_lease_s
         )
+        self._start_permission = StartPermission()
         self._append_number = 0
         self._cleaned_up_at = now()
 
@@ -135,6 +137,7 @@
             self._jobs.on_job = None
             self._jobs.on_progress_read = None
             self._minions.on_change = None
+            self._operators.owned = False
             self._wake.set()
             # Session threads block on their queues and would otherwise never exit.
             for session in list(self._session_by_minion.values()):
@@ -149,8 +152,21 @@
                 self.stop("the log has another owner")
             return
         with self._lock:
+            if not self.authority.holds(begun_at, self._settings.times):
+                # Requests of operators may have been missed while orders were not sent.
+                self._start_permission.require_reading(begun_at)
             self.authority.confirm(begun_at)
 
+    def _apply_evacuations(self) -> None:
+        """Apply what is known of evacuations now; hold starts if that is too old."""
+        operators, now = self._operators, self._now()
+        permission = self._start_permission
+        permission.record_reading(operators.caught_up_at)
+        self._scheduler.set_evacuated(operators.evacuated, now)
+        held = not permission.allows_starts(operators.refused, now)
+        if self._scheduler.hold_starts(held):
+            log_event(logger, "starts held" if held else "starts released")
+
     # Takeover.
 
     def _run(self) -> None:
@@ -190,6 +206,7 @@
             if self._stopped.wait(RETRY_S) or self._now() > deadline:
                 self.stop("the log could not be read within the takeover timeout")
                 return False
+        self._read_operators(opened_at)
         with self._jobs.lock:
             self._jobs.on_job = self._on_job
             with self._lock:
@@ -200,6 +217,8 @@
                 self._scheduler.restore_last_grants(self._jobs.registry.last_grants)
                 if self._operators.configuration is not None:
                     self._scheduler.set_configuration(self._operators.configuration)
+                self._scheduler.restore_evacuations(self._jobs.registry.evacuations)
+                self._apply_evacuations()
                 self._scheduler.set_listings(self._minions.listing_by_id, now)
                 self._scheduler.expect_jobs(self._jobs.registry.unread_placed_jobs())
                 jobs = self._jobs.registry.job_by_id.values()
@@ -217,9 +236,22 @@
             jobs=len(self._scheduler.job_by_id),
             minions=len(self._scheduler.view_by_id),
             unread_jobs=self._scheduler.unread_jobs,
+            evacuated=sorted(self._scheduler.evacuated),
         )
         return True
 
+    def _read_operators(self, opened_at: float) -> None:
+        """Read the operators' requests up to now.
+
+        Without an answer the takeover goes on, so that leases are renewed, and starts
+        are held until the follower has read the requests.
+        """
+        self._operators.owned = True
+        self._start_permission.require_reading(opened_at)
+        began_at = self._now()
+        if self._operators.read_to_end():
+            self._start_permission.record_reading(began_at)
+
     def _open_epoch(self, deadline: float) -> int | None:
         """Fence off the previous owner's appends; return the end of the log.
 
@@ -332,6 +364,7 @@
         with self._lock:
             if not self.authority.holds(self._now(), self._settings.times):
                 return
+            self._apply_evacuations()
             self._resolve_unread_jobs()
             batch = self._scheduler.plan(self._now(), wall_ms())
             stops = self._scheduler.take_stops()
@@ -528,6 +561,7 @@
                 # again, so the run is released and can be placed anew.
                 self._scheduler.on_start_not_sent(order.run, self._now())
                 return
+            self._apply_evacuations()
             until_ms = self._scheduler.prepare_start(order.run, self._now())
         if until_ms is None:
             return
--- a/packages/geraniumshored/src/geraniumshored/node/ports.py
+++ b/packages/geraniumshored/src/geraniumshored/node/ports.py
@@ -10,6 +10,7 @@
 from geraniumshore_scheduler import (
     AdviceRequest,
     Configuration,
+    Evacuation,
     MachineListing,
     MaintenanceWave,
     MinionListing,
@@ -137,7 +138,7 @@
     valid_s: float
 
 
-OperatorRecord = Configuration | MaintenanceWave
+OperatorRecord = Configuration | MaintenanceWave | Evacuation
 
 
 class Store(ABC):
@@ -250,7 +251,10 @@
 
     @abstractmethod
     def decode_operator_record(self, record: Record) -> OperatorRecord | None:
-        """Decode an operators' record. Raises InvalidInputError."""
+        """Decode an operators' record, which may have an empty value.
+
+        Returns None if it means nothing here. Raises InvalidInputError.
+        """
 
     @abstractmethod
     def decode_minion(self, record: Record) -> MinionListing:
--- a/packages/geraniumshored/src/geraniumshored/node/schedule_status.py
+++ b/packages/geraniumshored/src/geraniumshored/node/schedule_status.py
@@ -5,21 +5,26 @@
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
+from datetime import UTC, datetime
 
 from geraniumshore_scheduler import (
     Configuration,
+    Evacuation,
     InvalidInputError,
     JobRegistry,
     MachineListing,
     MaintenanceWave,
     MinionListing,
     RegisteredJob,
+    TaskKey,
     WaveProgress,
 )
 from geraniumshored.node.members import host_of, is_strong
 from geraniumshored.node.ports import Platform, Record, Stream
 
-__all__ = ["NodeRow", "QueueRow", "ScheduleStatus", "WaveRow"]
+__all__ = ["EvacuationRow", "NodeRow", "QueueRow", "ScheduleStatus", "WaveRow"]
+
+MS_PER_S = 1000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +63,22 @@
     within_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class EvacuationRow:
+    """One evacuated data centre and a job that still runs there, if there is any.
+
+    ``since`` is when an owner first read the request; None if none has recorded it.
+    """
+
+    data_centre: str
+    since: str | None
+    job: str | None = None
+    queue: str | None = None
+    team: str | None = None
+    batch_tasks: int = 0
+    long_running_tasks: int = 0
+
+
 @dataclass(slots=True)
 class ScheduleStatus:
     """A snapshot of the store, read without joining the group of nodes.
@@ -68,6 +89,7 @@
     configuration: Configuration | None = None
     registry: JobRegistry = field(default_factory=JobRegistry)
     wave_by_number: dict[int, MaintenanceWave] = field(default_factory=dict)
+    evacuated: set[str] = field(default_factory=set)
     minion_by_id: dict[str, MinionListing] = field(default_factory=dict)
     machines: tuple[MachineListing, ...] = ()
     members: frozenset[str] = frozenset()
@@ -105,6 +127,8 @@
             self.configuration = decoded
         elif isinstance(decoded, MaintenanceWave):
             self.wave_by_number[decoded.number] = decoded
+        elif isinstance(decoded, Evacuation) and decoded.active:
+            self.evacuated.add(decoded.data_centre)
 
     def _apply_minion(self, platform: Platform, record: Record) -> None:
         listing = platform.decode_minion(record)
@@ -165,6 +189,41 @@
                 wave.within_s,
             )
 
+    def evacuations(self) -> Iterator[EvacuationRow]:
+        """Yield the evacuated data centres, each with the jobs that still run there."""
+        since_ms = self.registry.evacuations.since_ms
+        for name in sorted(self.evacuated):
+            since = None
+            if name in since_ms:
+                at = datetime.fromtimestamp(since_ms[name] / MS_PER_S, UTC)
+                since = at.isoformat(timespec="milliseconds")
+            rows = list(self._jobs_running_in(name, since))
+            yield from rows or [EvacuationRow(name, since)]
+
+    def _jobs_running_in(
+        self, data_centre: str, since: str | None
+    ) -> Iterator[EvacuationRow]:
+        for job_id, registered in sorted(self.registry.job_by_id.items()):
+            tasks: Counter[bool] = Counter()
+            for name, places in registered.whole_progress().placed.items():
+                task = TaskKey.parse(f"{job_id}.{name}")
+                listings = (self.minion_by_id.get(p.minion_id) for p in places)
+                if any(
+                    m is not None and m.data_centre == data_centre for m in listings
+                ):
+                    tasks[registered.job.steps[task.step].lasting] += 1
+            if tasks:
+                job = registered.job
+                yield EvacuationRow(
+                    data_centre,
+                    since,
+                    job_id,
+                    job.queue,
+                    job.team,
+                    tasks[False],
+                    tasks[True],
+                )
+
     def minions(self) -> Iterable[MinionListing]:
         """Return the listed minions, sorted by service."""
         return sorted(
--- a/packages/geraniumshored/src/geraniumshored/node/views.py
+++ b/packages/geraniumshored/src/geraniumshored/node/views.py
@@ -10,6 +10,8 @@
 from geraniumshore_scheduler import (
     AnnouncedWave,
     Configuration,
+    Evacuation,
+    EvacuationLog,
     InvalidInputError,
     JobRegistry,
     MaintenanceWave,
@@ -55,6 +57,7 @@
         self._open_read_started_at: float | None = None
         self._read_started_at = float("-inf")
         self._disconnected_since: float | None = None
+        self._refused = False
         self._page_size = PageSize()
         # Values that were ignored, so that one that is written again is not reported.
         self._ignored_by_key: dict[str, bytes] = {}
@@ -86,6 +89,11 @@
         """Whether the last read that ended was answered."""
         return self._disconnected_since is None
 
+    @property
+    def refused(self) -> bool:
+        """Whether the store, or the way to it, refused the last read that ended."""
+        return self._refused
+
     @property
     def offset(self) -> int:
         """The offset up to which the stream is folded."""
@@ -99,6 +107,10 @@
     def _reset(self) -> None:
         """Reset the view before the newest records are folded again."""
 
+    def _on_newest_folded(self) -> None:
+        """Process that the newest record of each key, on all pages, has been folded."""
+        return
+
     @abstractmethod
     def _on_folded(self) -> None:
         """Notify others after each read."""
@@ -120,8 +132,10 @@
         """Read and fold new records; return whether that succeeded."""
         try:
             self._step()
+            self._refused = False
             return True
         except (PlatformUnavailableError, UnknownOutcomeError) as error:
+            self._refused = isinstance(error, PlatformUnavailableError)
             if self._disconnected_since is None:
                 self._disconnected_since = self._now()
                 log_event(
@@ -144,6 +158,7 @@
             self._reset()
             self._fold(page.records)
             self._offset = page.end
+            self._on_newest_folded()
         else:
             try:
                 page = self._read_page(self._offset, self._wait_ms())
@@ -248,20 +263,51 @@
 
 
 class OperatorsView(Follower):
-    """The newest configuration and the announced maintenance waves."""
+    """The newest configuration, the announced waves and the evacuated data centres."""
+
+    # Nothing may start in a data centre 5 s after the request to evacuate it, and a
+    # read without an answer is noticed only after its wait.
+    OWNER_READ_WAIT_MS = 200
 
     def __init__(self, platform: Platform, now: Callable[[], float]) -> None:
         super().__init__(platform, Stream.OPERATORS, now)
         self.configuration: Configuration | None = None
         self.wave_by_number: dict[int, AnnouncedWave] = {}
         self.on_configuration: Callable[[Configuration], None] = lambda _: None
+        # Set while this process owns the schedule.
+        self.owned = False
+        # Replaced as a whole, as other threads read it.
+        self.evacuated: frozenset[str] = frozenset()
+        self._evacuations = EvacuationLog()
+        # The owner also reads outside the follower's thread.
+        self._evacuations_lock = threading.Lock()
+
+    def _wait_ms(self) -> int:
+        return self.OWNER_READ_WAIT_MS if self.owned else READ_WAIT_MS
 
     def _reset(self) -> None:
-        """Keep everything: configurations and waves outlive their records."""
+        """Keep everything: configurations and waves outlive their records.
+
+        Evacuations end only once all newest records are read.
+        """
+        with self._evacuations_lock:
+            self._evacuations.begin_reading()
+
+    def _on_newest_folded(self) -> None:
+        with self._evacuations_lock:
+            self._evacuations.end_missing()
+            self._publish_evacuations()
+
+    def _publish_evacuations(self) -> None:
+        before, self.evacuated = self.evacuated, self._evacuations.evacuated
+        for name in sorted(self.evacuated - before):
+            log_event(logger, "evacuation in force", data_centre=name)
+        for name in sorted(before - self.evacuated):
+            log_event(logger, "evacuation ended", data_centre=name)
 
     def _apply(self, record: Record) -> None:
-        if not record.value:
-            return
+        with self._evacuations_lock:
+            self._evacuations.mark_listed(record.key)
         decoded = self._platform.decode_operator_record(record)
         if isinstance(decoded, MaintenanceWave):
             seen = self.wave_by_number.get(decoded.number)
@@ -277,6 +323,10 @@
                     within_s=decoded.within_s,
                     most_at_once=decoded.most_at_once,
                 )
+        elif isinstance(decoded, Evacuation):
+            with self._evacuations_lock:
+                self._evacuations.fold(record.key, decoded, record.offset)
+                self._publish_evacuations()
         elif decoded is not None:
             self._apply_configuration(decoded)
 
--- a/packages/geraniumshored/src/geraniumshored/platform/adapter.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/adapter.py
@@ -9,6 +9,7 @@
 from geraniumshored.platform.advice import HttpAdvisers
 from geraniumshored.platform.documents import (
     decode_configuration,
+    decode_evacuation,
     decode_minion,
     decode_wave,
 )
@@ -22,6 +23,7 @@
 
 CONFIGURATION_KEY = "config"
 WAVE_PREFIX = "wave/"
+EVACUATION_PREFIX = "evacuate/"
 
 
 class HttpPlatform(Platform):
@@ -35,7 +37,16 @@
         self.machines = HttpMachines(self.http, settings.machines, settings.node)
 
     def decode_operator_record(self, record: Record) -> OperatorRecord | None:
-        """Decode a configuration or a wave; return None for any other record."""
+        """Decode an operators' record; return None for any other record.
+
+        Without a value a record ends an evacuation. Configurations and waves outlive
+        their records.
+        """
+        if record.key.startswith(EVACUATION_PREFIX):
+            data_centre = record.key.removeprefix(EVACUATION_PREFIX)
+            return decode_evacuation(data_centre, record.value)
+        if not record.value:
+            return None
         if record.key == CONFIGURATION_KEY:
             return decode_configuration(record.value)
         if record.key.startswith(WAVE_PREFIX):
--- a/packages/geraniumshored/src/geraniumshored/platform/documents.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/documents.py
@@ -19,6 +19,7 @@
 from geraniumshore_scheduler import (
     CompletedRun,
     Configuration,
+    Evacuation,
     Finding,
     InvalidInputError,
     Job,
@@ -38,6 +39,7 @@
 __all__ = [
     "decode_advice",
     "decode_configuration",
+    "decode_evacuation",
     "decode_job_request",
     "decode_machines",
     "decode_minion",
@@ -190,6 +192,10 @@
     cap: Annotated[int, Field(ge=1, le=MAX_WHOLE)]
 
 
+class _Evacuation(_Document):
+    """A request to evacuate the data centre that its key names."""
+
+
 class _Server(_Document):
     """A minion's entry.
 
@@ -342,6 +348,18 @@
     return MaintenanceWave(wave.wave, wave.machines, wave.finish_by_s, wave.cap)
 
 
+def decode_evacuation(data_centre: str, data: bytes) -> Evacuation:
+    """Decode a request to evacuate a data centre, or its end if there is no data.
+
+    Raises InvalidInputError.
+    """
+    if not data_centre:
+        raise InvalidInputError([Finding("evacuation", "names no data centre")])
+    if data:
+        _load(_Evacuation, data, f"evacuation of {data_centre}")
+    return Evacuation(data_centre, active=bool(data))
+
+
 def decode_minion(minion_id: str, data: bytes) -> MinionListing:
     """Decode a minion's entry in the list. Raises InvalidInputError."""
     server = _load(_Server, data, f"minion {minion_id}")
@@ -359,6 +377,7 @@
         capacity=server.capacity.resources(),
         labels=server.labels,
         remaining_ms=server.remaining_ms,
+        cold_left_ms=server.cold_left_ms,
     )
 
 
