--- a/tests/common/schedule_parts.py
+++ b/tests/common/schedule_parts.py
@@ -47,17 +47,24 @@
     return MachineListing(name, pool, True, "a", ("a", "r1"), CAPACITY, f"i-{name}")
 
 
-def listing(number: int, rack: str = "r1", service: str = "s") -> MinionListing:
+def listing(
+    number: int,
+    rack: str = "r1",
+    service: str = "s",
+    data_centre: str = "a",
+    cold_left_ms: int = 0,
+) -> MinionListing:
     """Return a minion's entry in the platform's list."""
     return MinionListing(
         f"i-{number}",
         service,
         f"10.0.0.{number}:80",
-        "a",
+        data_centre,
         False,
         1,
         CAPACITY,
-        ("a", rack),
+        (data_centre, rack),
+        cold_left_ms=cold_left_ms,
     )
 
 
--- a/tests/cover/test_evacuation_processes.py
+++ b/tests/cover/test_evacuation_processes.py
@@ -16,6 +16,8 @@
 EVACUATE_S = 5.0
 # Longer than a node's read waits at the end of a stream.
 READ_WAIT_S = 1.5
+# An owner sends no orders any more so long after its last read of the log.
+AUTHORITY_S = 3.0
 WORK_MS = 300
 # More than the minions of one data centre run at once.
 STEP = {"count": 12, "cpu": 4000, "mem_mb": 10, "estimate_ms": WORK_MS}
@@ -115,6 +117,54 @@
     assert starts_in(fleet, "b", "a" * 16)
 
 
+class Outage:
+    """Refuses all calls to the store, or those on the operators' stream only."""
+
+    def __init__(self, fleet: PlatformFleet) -> None:
+        self.all_away = self.operators_away = False
+        fleet.simulator.store_faults = self._fault
+
+    def _fault(self, call) -> int | None:
+        operators = call.query.get("topic") == "keyed.op"
+        return 503 if self.all_away or (operators and self.operators_away) else None
+
+
+def expect_held_starts(fleet: PlatformFleet, outage: Outage) -> None:
+    """Expect that a job starts only once its owner has read the operators' stream."""
+    job_id = "e" * 16
+    owner = fleet.owner()
+    assert owner is not None
+    wait_for(lambda: fleet.submit(owner.name, job_id, JOB).status == 200, "accepted")
+    wait_for(lambda: logged(fleet, "starts held") > 0, "starts held")
+    assert not any(job_id in event[2] for event in list(fleet.simulator.events))
+    outage.operators_away = False
+    fleet.wait_for_state(owner.name, job_id, "done")
+    assert starts_in(fleet, "b", job_id) == 0
+
+
+def test_a_successor_starts_nothing_before_it_has_read_the_operators_stream(fleet):
+    """Guards against a request that only the former owner could have read."""
+    outage = Outage(fleet)
+    former = fleet.owner()
+    assert former is not None
+    outage.operators_away = True
+    fleet.simulator.evacuate("b")
+    fleet.signal(former.name, signal.SIGKILL)
+    wait_for(lambda: fleet.owner() is not former, "a successor")
+    expect_held_starts(fleet, outage)
+
+
+def test_an_owner_that_was_cut_off_reads_the_operators_stream_before_it_starts(fleet):
+    """Guards against a request that was made while the owner had no store."""
+    outage = Outage(fleet)
+    outage.all_away = outage.operators_away = True
+    fleet.simulator.evacuate("b")
+    # Its authority to send orders has ended by then.
+    time.sleep(AUTHORITY_S + 1)
+    outage.all_away = False
+    expect_held_starts(fleet, outage)
+
+
 def test_with_all_data_centres_evacuated_jobs_wait_and_callers_are_told(fleet):
     """Guards against a caller who cannot tell why an accepted job does not start."""
     for data_centre in "ab":
