--- a/packages/geraniumshored/src/geraniumshored/node/node.py
+++ b/packages/geraniumshored/src/geraniumshored/node/node.py
@@ -89,6 +89,9 @@
         )
         self.metrics.gauge("log_age_seconds", lambda: self._jobs.age(now()))
         self.metrics.gauge("has_read_log", lambda: float(self._jobs.has_read_log))
+        self.metrics.gauge(
+            "evacuated_data_centres", lambda: len(self._operators.evacuated)
+        )
         self.metrics.gauge("log_offset", lambda: self._jobs.progress_offset)
 
     def _make_relay(self) -> CallRelay | None:
