Poll minions without a thread for each

A process has at most some 2,000 threads and 4,100 descriptors, and a session took two threads and up to three more for starts: with 3,004 minions no owner could take the schedule over, so 300 machines served nothing. One thread now carries all polls, and sessions share the threads for reports and orders. Beyond 1,000 minions those without work answer polls at once, on connections that are not kept.

--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -6,6 +6,7 @@
 import threading
 import time
 from collections.abc import Callable
+from dataclasses import replace
 
 from geraniumshore_scheduler import (
     OWNER_KEY,
@@ -43,10 +44,12 @@
     Writer,
     split_appends,
 )
+from geraniumshored.node.session_threads import SessionThreads
 from geraniumshored.node.sessions import (
     UNRESPONSIVE_POLL_PAUSE_S,
     MinionSession,
     Order,
+    Poll,
     SessionOwner,
 )
 from geraniumshored.node.settings import NodeSettings
@@ -68,6 +71,11 @@
 UNRECORDED_POLL_PAUSE_S = 0.02
 # Delay before the next poll if the last one brought no news and was not a long poll.
 IDLE_POLL_PAUSE_S = 0.5
+# With more minions than this, those without work answer polls at once: each poll that
+# is held back takes a connection, and a process has some 4,000 descriptors.
+MAX_HELD_POLLS = 1_000
+# The rate at which all of those minions together are polled.
+IDLE_POLLS_PER_S = 2_000
 # How often steps that need advice are looked for, and the delay before a failed advice
 # request is retried.
 ADVICE_CHECK_INTERVAL_S = 0.02
@@ -116,6 +124,7 @@
             run_ages=self._jobs.registry.run_ages,
         )
         self._session_by_minion: dict[str, MinionSession] = {}
+        self._threads = SessionThreads()
         self._machine_orders = MachineOrders(
             host_of(member), settings.ownership_lease_s
         )
@@ -143,9 +152,9 @@
             self._minions.on_change = None
             self._operators.owned = False
             self._wake.set()
-            # Session threads block on their queues and would otherwise never exit.
             for session in list(self._session_by_minion.values()):
                 session.close()
+            self._threads.close()
             log_event(logger, "ownership lost", epoch=self.authority.epoch, cause=why)
 
     def _on_progress_read(self, begun_at: float) -> None:
@@ -302,7 +311,7 @@
             self._scheduler.set_listings(self._minions.listing_by_id, self._now())
             known = set(self._scheduler.view_by_id)
             for minion_id in known - set(self._session_by_minion):
-                session = MinionSession(self, minion_id)
+                session = MinionSession(self, minion_id, self._threads)
                 self._session_by_minion[minion_id] = session
                 session.start()
             for minion_id in set(self._session_by_minion) - known:
@@ -490,8 +499,8 @@
             return False
         return self.authority.holds(self._now(), self._settings.times)
 
-    def poll_minion(self, minion_id: str) -> float:
-        """Poll a minion; return the delay in seconds before the next poll."""
+    def begin_poll(self, minion_id: str) -> Poll | float:
+        """Send a poll to a minion, or return the delay in seconds before the next."""
         if not self.may_send():
             return UNRESPONSIVE_POLL_PAUSE_S
         with self._lock:
@@ -499,10 +508,18 @@
             if self._scheduler.is_recording_completions(minion_id, now):
                 return UNRECORDED_POLL_PAUSE_S
             request = self._scheduler.poll_request(minion_id, now)
-        if request is None:
-            return UNRESPONSIVE_POLL_PAUSE_S
+            if request is None:
+                return UNRESPONSIVE_POLL_PAUSE_S
+            view = self._scheduler.view_by_id[minion_id]
+            if len(self._scheduler.view_by_id) > MAX_HELD_POLLS and not view.runs:
+                request = replace(request, wait_ms=0)
+        return Poll(request, self._platform.minions.poll(request))
+
+    def finish_poll(self, poll: Poll) -> float:
+        """Process the answer to a poll; return the delay before the next one."""
+        request, minion_id = poll.request, poll.request.minion_id
         try:
-            report = self._platform.minions.poll(request)
+            report = poll.report.result()
         except (PlatformUnavailableError, UnknownOutcomeError) as error:
             self._on_poll_failed(request, error)
             return UNRESPONSIVE_POLL_PAUSE_S
@@ -511,7 +528,11 @@
             view = self._scheduler.view_by_id.get(minion_id)
             unrecorded = view is not None and bool(view.unacked)
             deferred = view is not None and bool(view.deferred)
+            idle = view is not None and not view.runs
+            minions = len(self._scheduler.view_by_id)
         self._wake.set()
+        if idle and minions > MAX_HELD_POLLS:
+            return max(IDLE_POLL_PAUSE_S, minions / IDLE_POLLS_PER_S)
         if deferred:
             # They wait for a read of the store, and the minion would answer at once.
             return IDLE_POLL_PAUSE_S
--- a/packages/geraniumshored/src/geraniumshored/node/ports.py
+++ b/packages/geraniumshored/src/geraniumshored/node/ports.py
@@ -5,6 +5,7 @@
 import enum
 from abc import ABC, abstractmethod
 from collections.abc import Iterable, Iterator, Sequence
+from concurrent.futures import Future
 from dataclasses import dataclass
 
 from geraniumshore_scheduler import (
@@ -211,8 +212,12 @@
     """
 
     @abstractmethod
-    def poll(self, request: PollRequest) -> MinionReport:
-        """Poll a minion and, if requested, renew its leases."""
+    def poll(self, request: PollRequest) -> Future[MinionReport]:
+        """Poll a minion and, if requested, renew its leases.
+
+        Does not wait for the answer: a minion may hold it back, and there may be
+        thousands of them. The future's callbacks must not block.
+        """
 
     @abstractmethod
     def start(self, order: StartOrder, until_ms: int) -> str:
--- a/packages/geraniumshored/src/geraniumshored/node/sessions.py
+++ b/packages/geraniumshored/src/geraniumshored/node/sessions.py
@@ -1,24 +1,35 @@
-"""Threads for each minion: one polls, one stops and paces runs, some start runs."""
+"""Sessions with minions: polls, and the orders to start, stop and pace runs."""
 
 from __future__ import annotations
 
 import logging
-import queue
 import threading
 from abc import ABC, abstractmethod
+from collections import deque
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import Future
+from dataclasses import dataclass
+from typing import TypeVar
 
 from geraniumshore_scheduler import (
     MinionReplacedError,
+    MinionReport,
     OwnerReplacedError,
     PaceOrder,
+    PollRequest,
     StartOrder,
     StopOrder,
 )
 from geraniumshored.node.logs import log_event
+from geraniumshored.node.session_threads import SessionThreads
 
-__all__ = ["UNRESPONSIVE_POLL_PAUSE_S", "MinionSession", "Order", "SessionOwner"]
+__all__ = [
+    "UNRESPONSIVE_POLL_PAUSE_S",
+    "MinionSession",
+    "Order",
+    "Poll",
+    "SessionOwner",
+]
 
 logger = logging.getLogger(__name__)
 
@@ -29,6 +40,15 @@
 MAX_CONCURRENT_STARTS = 3
 
 Order = StartOrder | StopOrder | PaceOrder
+T = TypeVar("T")
+
+
+@dataclass(frozen=True, slots=True)
+class Poll:
+    """A poll that is under way."""
+
+    request: PollRequest
+    report: Future[MinionReport]
 
 
 class SessionOwner(ABC):
@@ -44,8 +64,12 @@
         """End the ownership; no more orders are sent."""
 
     @abstractmethod
-    def poll_minion(self, minion_id: str) -> float:
-        """Poll a minion; return the delay in seconds before the next poll."""
+    def begin_poll(self, minion_id: str) -> Poll | float:
+        """Send a poll to a minion, or return the delay in seconds before the next."""
+
+    @abstractmethod
+    def finish_poll(self, poll: Poll) -> float:
+        """Process the answer to a poll; return the delay before the next one."""
 
     @abstractmethod
     def execute(self, order: Order) -> None:
@@ -57,67 +81,98 @@
 
 
 class MinionSession:
-    """Sends orders to one minion and polls it.
+    """Sends orders to one minion and polls it, in threads that all sessions share.
 
     Stops and paces are sent in sequence. Starts may be sent in any sequence: they are
     numbered, and no run is stopped before its start was answered or timed out.
     """
 
-    def __init__(self, owner: SessionOwner, minion_id: str) -> None:
+    def __init__(
+        self, owner: SessionOwner, minion_id: str, threads: SessionThreads
+    ) -> None:
         self._owner = owner
         self._minion_id = minion_id
-        self._orders: queue.SimpleQueue[Order | None] = queue.SimpleQueue()
-        self._starters = ThreadPoolExecutor(
-            MAX_CONCURRENT_STARTS, f"starts-{minion_id}"
-        )
-        # Guards against submitting to the executor after its shutdown.
+        self._threads = threads
         self._lock = threading.Lock()
-        self._closed = threading.Event()
+        self._closed = False
+        self._starts: deque[Order] = deque()
+        self._open_starts = 0
+        self._orders: deque[Order] = deque()
+        self._sending_orders = False
 
     def start(self) -> None:
-        """Start the threads that poll and send orders."""
-        for target, name in ((self._run_polls, "poll"), (self._run_orders, "orders")):
-            threading.Thread(
-                target=target, name=f"{name}-{self._minion_id}", daemon=True
-            ).start()
+        """Begin to poll the minion."""
+        self._threads.run_report(self._poll)
 
     def close(self) -> None:
-        """Let all threads end."""
+        """Send nothing more."""
         with self._lock:
-            self._closed.set()
-            self._starters.shutdown(wait=False, cancel_futures=True)
-        self._orders.put(None)
+            self._closed = True
+            self._starts.clear()
+            self._orders.clear()
 
     def send(self, order: Order) -> None:
         """Queue an order."""
-        if not isinstance(order, StartOrder):
-            self._orders.put(order)
-            return
         with self._lock:
-            if not self._closed.is_set():
-                self._starters.submit(self._execute, order)
+            if self._closed:
+                return
+            if isinstance(order, StartOrder):
+                self._starts.append(order)
+                if self._open_starts >= MAX_CONCURRENT_STARTS:
+                    return
+                self._open_starts += 1
+                send = self._send_starts
+            else:
+                self._orders.append(order)
+                if self._sending_orders:
+                    return
+                self._sending_orders = True
+                send = self._send_orders
+        self._threads.run_order(send)
 
     def _is_open(self) -> bool:
-        return not (self._closed.is_set() or self._owner.stopped)
-
-    def _run_polls(self) -> None:
-        while self._is_open():
-            pause = self._run_guarded(lambda: self._owner.poll_minion(self._minion_id))
-            if pause:
-                self._closed.wait(pause)
-
-    def _run_orders(self) -> None:
-        while self._is_open():
-            order = self._orders.get()
-            if order is None:
-                return
+        return not (self._closed or self._owner.stopped)
+
+    def _poll(self) -> None:
+        if not self._is_open():
+            return
+        poll = self._run_guarded(lambda: self._owner.begin_poll(self._minion_id))
+        if isinstance(poll, Poll):
+            poll.report.add_done_callback(
+                lambda _: self._threads.run_report(lambda: self._finish_poll(poll))
+            )
+        else:
+            self._threads.run_later(poll, self._poll)
+
+    def _finish_poll(self, poll: Poll) -> None:
+        if self._is_open():
+            pause = self._run_guarded(lambda: self._owner.finish_poll(poll))
+            self._threads.run_later(pause, self._poll)
+
+    def _send_starts(self) -> None:
+        while True:
+            with self._lock:
+                if not self._starts:
+                    self._open_starts -= 1
+                    return
+                order = self._starts.popleft()
+            self._execute(order)
+
+    def _send_orders(self) -> None:
+        while True:
+            with self._lock:
+                if not self._orders:
+                    self._sending_orders = False
+                    return
+                order = self._orders.popleft()
             self._execute(order)
 
     def _execute(self, order: Order) -> None:
         if self._is_open():
             self._run_guarded(lambda: self._owner.execute(order))
 
-    def _run_guarded(self, call: Callable[[], float | None]) -> float | None:
+    def _run_guarded(self, call: Callable[[], T]) -> T | float:
+        """Return the call's result, or a pause if it failed."""
         try:
             return call()
         except OwnerReplacedError as error:
--- a/packages/geraniumshored/src/geraniumshored/platform/adapter.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/adapter.py
@@ -14,6 +14,7 @@
     decode_wave,
 )
 from geraniumshored.platform.http import HttpClient
+from geraniumshored.platform.http_multiplexer import HttpMultiplexer
 from geraniumshored.platform.machines import HttpMachines
 from geraniumshored.platform.minions import HttpMinions
 from geraniumshored.platform.peers import HttpPeers
@@ -33,7 +34,7 @@
     def __init__(self, settings: PlatformSettings) -> None:
         self.http = HttpClient()
         self.store = LogStore(self.http, settings.store, settings.group_ttl_ms)
-        self.minions = HttpMinions(self.http)
+        self.minions = HttpMinions(self.http, HttpMultiplexer())
         self.peers = HttpPeers(self.http)
         self.advisers = HttpAdvisers(self.http, settings.advice)
         self.machines = HttpMachines(self.http, settings.machines, settings.node)
--- a/packages/geraniumshored/src/geraniumshored/platform/http.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/http.py
@@ -19,7 +19,14 @@
 from geraniumshored.internal.sockets import enable_keepalive, has_pending_input
 from geraniumshored.node.clock import steady_seconds
 
-__all__ = ["HttpClient", "HttpReply", "split_address"]
+__all__ = [
+    "HttpClient",
+    "HttpReply",
+    "ResponseReader",
+    "encode_request",
+    "reset_connection",
+    "split_address",
+]
 
 JSON_HEADERS = {"Content-Type": "application/json"}
 
@@ -70,90 +77,48 @@
         return document
 
 
-class _Connection:
-    """An HTTP/1.1 connection that carries one request at a time.
+class ResponseReader:
+    """Assembles the responses that arrive on one connection.
 
     The owner of the schedule makes some hundred calls per second, so of the response
     headers only those that determine the end of the message are inspected.
     """
 
-    def __init__(self, address: str) -> None:
-        self._address = address
-        self._socket = socket.create_connection(
-            split_address(address), CONNECT_TIMEOUT_SECONDS
-        )
-        enable_keepalive(self._socket)
+    def __init__(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
         self._body: list[bytes] = []
         self._length_known = False
         self._in_body = False
-        self._complete = False
         self._unsolicited = False
         self._kept_alive = False
+        self.complete = False
 
     @property
     def reusable(self) -> bool:
         """Whether the connection can carry another request after the last response."""
         return self._length_known and self._kept_alive and not self._unsolicited
 
-    def input_is_empty(self) -> bool:
-        """Return whether neither data nor EOF has arrived since the last response."""
-        return not has_pending_input(self._socket)
-
-    def exchange(
-        self, request: bytes, timeout: float, idle_timeout: float | None = None
-    ) -> HttpReply:
-        """Send a request and read the complete response within ``timeout`` seconds.
-
-        With ``idle_timeout`` each wait for further bytes takes no longer than that.
-        Raises OSError, EOFError or HttpParserError if no complete response arrived.
-        """
-        deadline = time.monotonic() + timeout
-        max_wait = timeout if idle_timeout is None else min(timeout, idle_timeout)
-        self._socket.settimeout(max_wait)
-        self._socket.sendall(request)
+    def begin(self) -> None:
+        """Expect the response to the next request."""
         self._body = []
-        self._length_known = self._in_body = self._complete = self._kept_alive = False
-        while not self._complete:
-            left = deadline - time.monotonic()
-            if left <= 0:
-                raise TimeoutError("timed out")
-            self._socket.settimeout(min(left, max_wait))
-            data = self._socket.recv(READ_BYTES)
-            if data:
-                self._parser.feed_data(data)
-            elif self._in_body and not self._length_known:
-                # A response without a length ends when the peer closes the connection.
-                break
-            else:
-                raise EOFError("connection closed before the response was complete")
-        return HttpReply(self._parser.get_status_code(), b"".join(self._body))
-
-    def close(self) -> None:
-        """Close the connection. Data already sent may still be delivered."""
-        self._socket.close()
-
-    def reset(self) -> None:
-        """Abort the connection with RST, which discards unsent data."""
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
-        self._socket.close()
+        self._length_known = self._in_body = self._kept_alive = self.complete = False
 
-    def encode_head(
-        self, method: str, target: str, headers: Mapping[str, str]
-    ) -> bytes:
-        """Encode the request line and headers.
+    def feed(self, data: bytes) -> None:
+        """Process bytes that have arrived; none mean that the peer has closed.
 
-        Raises ValueError for characters that are not printable ASCII. Minion ids come
-        from records that any client of the store may have written, so they could
-        contain line breaks that inject headers.
+        Raises EOFError or HttpParserError if no complete response can follow.
         """
-        lines = (f"{name}: {value}" for name, value in headers.items())
-        start = (f"{method} {target} HTTP/1.1", f"Host: {self._address}", *lines)
-        if not all(line.isascii() and line.isprintable() for line in start):
-            raise ValueError(
-                "request line or header contains characters other than printable ASCII"
-            )
-        return "\r\n".join(start).encode() + b"\r\n"
+        if data:
+            self._parser.feed_data(data)
+        elif self._in_body and not self._length_known:
+            # A response without a length ends when the peer closes the connection.
+            self.complete = True
+        else:
+            raise EOFError("connection closed before the response was complete")
+
+    def reply(self) -> HttpReply:
+        """Return the complete response."""
+        return HttpReply(self._parser.get_status_code(), b"".join(self._body))
 
     # Callbacks of the HTTP parser.
 
@@ -163,7 +128,7 @@
         Its connection is not reused: the next request could get the response to another
         one.
         """
-        if self._complete:
+        if self.complete:
             self._unsolicited = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -185,10 +150,90 @@
     def on_message_complete(self) -> None:
         """Mark the response as complete unless it was an interim one."""
         if self._in_body:
-            self._complete = True
+            self.complete = True
             self._kept_alive = self._parser.should_keep_alive()
 
 
+def encode_request(
+    address: str,
+    method: str,
+    target: str,
+    headers: Mapping[str, str],
+    body: bytes | None,
+) -> bytes:
+    """Encode a request.
+
+    Raises ValueError for characters that are not printable ASCII. Minion ids come from
+    records that any client of the store may have written, so they could contain line
+    breaks that inject headers.
+    """
+    lines = (f"{name}: {value}" for name, value in headers.items())
+    start = (f"{method} {target} HTTP/1.1", f"Host: {address}", *lines)
+    if not all(line.isascii() and line.isprintable() for line in start):
+        raise ValueError(
+            "request line or header contains characters other than printable ASCII"
+        )
+    head = "\r\n".join(start).encode() + b"\r\n"
+    if body is None:
+        return head + b"\r\n"
+    return head + b"Content-Length: %d\r\n\r\n" % len(body) + body
+
+
+def reset_connection(sock: socket.socket) -> None:
+    """Abort a connection with RST, which discards unsent data."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+    sock.close()
+
+
+class _Connection:
+    """An HTTP/1.1 connection that carries one request at a time."""
+
+    def __init__(self, address: str) -> None:
+        self._socket = socket.create_connection(
+            split_address(address), CONNECT_TIMEOUT_SECONDS
+        )
+        enable_keepalive(self._socket)
+        self._reader = ResponseReader()
+
+    @property
+    def reusable(self) -> bool:
+        """Whether the connection can carry another request after the last response."""
+        return self._reader.reusable
+
+    def input_is_empty(self) -> bool:
+        """Return whether neither data nor EOF has arrived since the last response."""
+        return not has_pending_input(self._socket)
+
+    def exchange(
+        self, request: bytes, timeout: float, idle_timeout: float | None = None
+    ) -> HttpReply:
+        """Send a request and read the complete response within ``timeout`` seconds.
+
+        With ``idle_timeout`` each wait for further bytes takes no longer than that.
+        Raises OSError, EOFError or HttpParserError if no complete response arrived.
+        """
+        deadline = time.monotonic() + timeout
+        max_wait = timeout if idle_timeout is None else min(timeout, idle_timeout)
+        self._socket.settimeout(max_wait)
+        self._socket.sendall(request)
+        self._reader.begin()
+        while not self._reader.complete:
+            left = deadline - time.monotonic()
+            if left <= 0:
+                raise TimeoutError("timed out")
+            self._socket.settimeout(min(left, max_wait))
+            self._reader.feed(self._socket.recv(READ_BYTES))
+        return self._reader.reply()
+
+    def close(self) -> None:
+        """Close the connection. Data already sent may still be delivered."""
+        self._socket.close()
+
+    def reset(self) -> None:
+        """Abort the connection with RST, which discards unsent data."""
+        reset_connection(self._socket)
+
+
 class HttpClient:
     """A thread-safe client that pools connections by address.
 
@@ -225,14 +270,10 @@
         self.calls += 1
         connection = self._take_idle(address) or self._connect(address)
         try:
-            request = connection.encode_head(method, target, headers or {})
+            request = encode_request(address, method, target, headers or {}, body)
         except ValueError as error:
             connection.close()
             raise PlatformUnavailableError(f"{address}: {error}") from error
-        if body is not None:
-            request += b"Content-Length: %d\r\n\r\n" % len(body) + body
-        else:
-            request += b"\r\n"
         if send_by is not None and steady_seconds() >= send_by:
             self._return_idle(address, connection)
             raise PlatformUnavailableError(f"{address}: too late to send {target}")
--- a/packages/geraniumshored/src/geraniumshored/platform/minions.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/minions.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+from concurrent.futures import Future
 from typing import Any
 
 from geraniumshore_scheduler import (
@@ -19,13 +21,15 @@
 )
 from geraniumshored.node.ports import Minions
 from geraniumshored.platform.documents import decode_report
-from geraniumshored.platform.http import HttpClient, HttpReply
+from geraniumshored.platform.http import JSON_HEADERS, HttpClient, HttpReply
+from geraniumshored.platform.http_multiplexer import HttpMultiplexer
 
 __all__ = ["HttpMinions"]
 
 # Minions respond within a few ms, slow ones in up to ten times as long.
 ORDER_TIMEOUT_SECONDS = 0.7
 MS_PER_SECOND = 1000
+MINION_HEADER = "Geraniumshore-Expect-Instance"
 
 OUTCOME_BY_REASON = {
     "old": StartOutcome.OLD_RUN,
@@ -41,10 +45,11 @@
     Addresses are reused, so each call names the id of the minion that it is meant for.
     """
 
-    def __init__(self, http: HttpClient) -> None:
+    def __init__(self, http: HttpClient, polls: HttpMultiplexer) -> None:
         self._http = http
+        self._polls = polls
 
-    def poll(self, request: PollRequest) -> MinionReport:
+    def poll(self, request: PollRequest) -> Future[MinionReport]:
         """Poll a minion, and renew its leases if the request has ``until_ms``."""
         document: dict[str, Any] = {
             "fence": request.fence,
@@ -55,15 +60,17 @@
         if request.wait_ms:
             document["wait_ms"] = request.wait_ms
         timeout = request.wait_ms / MS_PER_SECOND + ORDER_TIMEOUT_SECONDS
-        reply = self._post(
-            request.address, request.minion_id, "hold", document, timeout
+        answer = self._polls.request(
+            request.address,
+            "POST",
+            "/v1/hold",
+            timeout,
+            json.dumps(document).encode(),
+            {**JSON_HEADERS, MINION_HEADER: request.minion_id},
         )
-        if reply.status != 200:
-            raise PlatformUnavailableError(f"poll failed: HTTP {reply.status}")
-        try:
-            return decode_report(reply.body)
-        except InvalidInputError as error:
-            raise UnknownOutcomeError(f"invalid report: {error}") from error
+        report: Future[MinionReport] = Future()
+        answer.add_done_callback(lambda done: _settle(report, request, done))
+        return report
 
     def start(self, order: StartOrder, until_ms: int) -> str:
         """Start a run under a lease until ``until_ms`` of the minion's clock."""
@@ -118,14 +125,37 @@
         document: dict[str, Any],
         timeout: float = ORDER_TIMEOUT_SECONDS,
     ) -> HttpReply:
-        headers = {"Geraniumshore-Expect-Instance": minion_id}
+        headers = {MINION_HEADER: minion_id}
         reply = self._http.post_json(address, f"/v1/{call}", document, timeout, headers)
-        if reply.status == 421:
-            raise MinionReplacedError(
-                f"{address} no longer belongs to minion {minion_id}"
-            )
-        if reply.status == 409 and reply.document().get("reason") == "fence":
-            raise OwnerReplacedError(
-                f"{minion_id} rejected the call: it knows a newer fencing token"
-            )
+        _require_current(reply, address, minion_id)
         return reply
+
+
+def _require_current(reply: HttpReply, address: str, minion_id: str) -> None:
+    """Raise an error if another minion answered, or if it knows a newer owner."""
+    if reply.status == 421:
+        raise MinionReplacedError(f"{address} no longer belongs to minion {minion_id}")
+    if reply.status == 409 and reply.document().get("reason") == "fence":
+        raise OwnerReplacedError(
+            f"{minion_id} rejected the call: it knows a newer fencing token"
+        )
+
+
+def _settle(
+    report: Future[MinionReport], request: PollRequest, answer: Future[HttpReply]
+) -> None:
+    """Set the outcome of a poll by the answer to its call."""
+    try:
+        report.set_result(_read_report(request, answer.result()))
+    except Exception as error:
+        report.set_exception(error)
+
+
+def _read_report(request: PollRequest, reply: HttpReply) -> MinionReport:
+    _require_current(reply, request.address, request.minion_id)
+    if reply.status != 200:
+        raise PlatformUnavailableError(f"poll failed: HTTP {reply.status}")
+    try:
+        return decode_report(reply.body)
+    except InvalidInputError as error:
+        raise UnknownOutcomeError(f"invalid report: {error}") from error
--- a/tests/cover/test_orders_without_answers.py
+++ b/tests/cover/test_orders_without_answers.py
@@ -7,6 +7,7 @@
 
 import threading
 import time
+from concurrent.futures import Future
 from dataclasses import replace
 from types import SimpleNamespace
 
@@ -17,9 +18,11 @@
 from geraniumshored.node.members import member_name
 from geraniumshored.node.metrics import NodeMetrics
 from geraniumshored.node.owner import Owner
+from geraniumshored.node.session_threads import SessionThreads
 from geraniumshored.node.sessions import (
     MAX_CONCURRENT_STARTS,
     MinionSession,
+    Poll,
     SessionOwner,
 )
 from geraniumshored.node.settings import NodeSettings
@@ -37,6 +40,7 @@
         self.done: list[object] = []
         self.all_done = threading.Event()
         self.expected_count = 0
+        self.polls = 0
 
     @property
     def stopped(self) -> bool:
@@ -45,9 +49,13 @@
     def stop(self, why: str) -> None:
         raise NotImplementedError
 
-    def poll_minion(self, minion_id: str) -> float:
-        self.released.wait(LONG_S)
-        return 0.0
+    def begin_poll(self, minion_id: str) -> Poll:
+        # The minion holds every poll back.
+        self.polls += 1
+        return Poll(None, Future())  # type: ignore[arg-type]
+
+    def finish_poll(self, poll: Poll) -> float:
+        raise NotImplementedError
 
     def execute(self, order) -> None:
         if order in self.held:
@@ -74,12 +82,13 @@
 def send_all():
     """Return a function that sends orders, some of which stay unanswered."""
     owners: list[BlockingOwner] = []
+    threads = SessionThreads()
 
     def send(orders, held):
         owner = BlockingOwner(held)
         owners.append(owner)
         owner.expected_count = len(orders) - len(held)
-        session = MinionSession(owner, "i-0")
+        session = MinionSession(owner, "i-0", threads)
         session.start()
         for order in orders:
             session.send(order)
@@ -89,6 +98,7 @@
     yield send
     for owner in owners:
         owner.released.set()
+    threads.close()
 
 
 def test_starts_are_sent_while_others_are_unanswered(send_all):
@@ -105,8 +115,22 @@
     assert send_all([*starts, *paces], starts) == paces
 
 
-def threads_of(minion_id: str) -> list[str]:
-    return [t.name for t in threading.enumerate() if minion_id in t.name]
+def session_threads() -> list[str]:
+    names = ("reports", "orders", "poll-timers")
+    return [t.name for t in threading.enumerate() if t.name.startswith(names)]
+
+
+def test_thousands_of_sessions_share_a_few_threads():
+    """3,004 minions took two threads each, and a process may have 2,000."""
+    owner = BlockingOwner([])
+    threads = SessionThreads()
+    before = len(session_threads())
+    for number in range(3_004):
+        MinionSession(owner, f"i-{number}", threads).start()
+    wait_for(lambda: owner.polls == 3_004, "all minions are polled", LONG_S)
+    assert len(session_threads()) - before < 20
+    owner.released.set()
+    threads.close()
 
 
 def test_a_stopped_owner_leaves_no_threads():
@@ -126,9 +150,10 @@
         NodeMetrics(),
         time.monotonic,
     )
+    wait_for(lambda: not session_threads(), "those of other tests have ended", LONG_S)
     owner._on_minions()
     for number in range(MAX_CONCURRENT_STARTS):
         owner._session_by_minion[minion_id].send(start(number))
-    assert threads_of(minion_id)
+    wait_for(lambda: bool(session_threads()), "its threads have begun", LONG_S)
     owner.stop("test")
-    wait_for(lambda: not threads_of(minion_id), "its threads have ended", LONG_S)
+    wait_for(lambda: not session_threads(), "its threads have ended", LONG_S)
