--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/__init__.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/experiments/__init__.py
@@ -18,6 +18,9 @@
     OverloadExperiment,
 )
 from geraniumshore_standins.internal.experiments.shares import SharesExperiment
+from geraniumshore_standins.internal.experiments.slow_start import (
+    SlowStartExperiment,
+)
 from geraniumshore_standins.internal.experiments.wave import WaveExperiment
 
 __all__ = [
@@ -34,6 +37,7 @@
     "PlannerScale",
     "Report",
     "SharesExperiment",
+    "SlowStartExperiment",
     "WaveExperiment",
     "register",
 ]
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/log_model.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/log_model.py
@@ -106,11 +106,11 @@
             producer_state.replies.pop(number - KEPT_REPLIES, None)
         return reply
 
-    def put(self, topic: str, key: str, value: bytes) -> None:
+    def put(self, topic: str, key: str, value: bytes, part: int = 0) -> None:
         """Append one keyed record without a producer, as operators and minions do."""
         name = key.encode()
         content = bytes([len(name)]) + name + value
-        self.append(topic, 0, struct.pack(">I", len(content)) + content)
+        self.append(topic, part, struct.pack(">I", len(content)) + content)
 
     def read(
         self, topic: str, part: int, offset: int, max_kb: int = DEFAULT_READ_KB
--- a/tests/cover/test_starts_over_a_slow_link.py
+++ b/tests/cover/test_starts_over_a_slow_link.py
@@ -18,6 +18,7 @@
     RecordsTrimmedError,
     UnknownOutcomeError,
 )
+from geraniumshore_standins.internal.experiments.slow_start import measure_start
 from geraniumshore_standins.internal.fleet import free_port
 from geraniumshore_standins.internal.proxy import FaultProxy, HopFaults
 from geraniumshore_standins.internal.users_platform import PlatformSimulator
@@ -85,6 +86,13 @@
         assert len(follower.published or ()) == RECORDS
 
 
+def test_a_started_process_serves_after_a_backlog_over_a_slow_link():
+    """The process never served, as its first page took longer than a time-out."""
+    times = measure_start(RECORDS, LINK_KB_PER_S, CATCH_UP_S)
+    assert times.served_s is not None
+    assert times.caught_up_s is not None
+
+
 class PagedStore:
     """A log that is read two keys at a time, and loses records after ``keeps_s``."""
 
