--- a/tests/cover/test_starts_over_a_slow_link.py
+++ b/tests/cover/test_starts_over_a_slow_link.py
@@ -15,6 +15,7 @@
 
 from geraniumshore_scheduler import (
     Configuration,
+    JobRegistry,
     RecordsTrimmedError,
     UnknownOutcomeError,
 )
@@ -24,12 +25,17 @@
 from geraniumshore_standins.internal.users_platform import PlatformSimulator
 from geraniumshored.node.catch_up import LOG_READ_INTERVAL_S, ReadProgress
 from geraniumshored.node.job_requests import Verdict
+from geraniumshored.node.members import member_name
+from geraniumshored.node.metrics import NodeMetrics
+from geraniumshored.node.owner import Owner
 from geraniumshored.node.page_turns import PageTurns
-from geraniumshored.node.ports import NewestPage, Page, Record, Stream
+from geraniumshored.node.ports import Appended, NewestPage, Page, Record, Stream
+from geraniumshored.node.settings import NodeSettings
 from geraniumshored.node.views import Follower, JobsView, OperatorsView
 from geraniumshored.platform.http import HttpClient
 from geraniumshored.platform.store import LogStore
 from tests.common.lagging_node import LaggingNode, caller
+from tests.common.schedule_parts import TIMES
 
 # A page of 500 such records takes 2.5 s over this link, more than the 2 s after which
 # a call without an answer fails.
@@ -239,6 +245,38 @@
     assert progress.stalled_s(since=35.0) == 1.0
 
 
+@pytest.mark.parametrize(("stalled_s", "taken"), [(0.0, True), (6.0, False)])
+def test_a_takeover_lasts_while_reads_bring_records_and_ends_without(stalled_s, taken):
+    """It failed after 5 s, though reading its log over a slow link takes longer."""
+    clock = SimpleNamespace(now=0.0)
+
+    class SlowLog(SimpleNamespace):
+        @property
+        def progress_offset(self) -> int:
+            clock.now += 10.0
+            return int(clock.now) // 10
+
+    jobs = SlowLog(
+        lock=threading.RLock(),
+        registry=JobRegistry(),
+        progress_stalled_s=lambda since: stalled_s,
+    )
+    store = SimpleNamespace(append=lambda *_: Appended(2, 3))
+    operators = SimpleNamespace(configuration=None)
+    minions = SimpleNamespace(listing_by_id={}, on_change=None)
+    owner = Owner(
+        NodeSettings("n", "a", TIMES, 6, 3, 120, 1.0),
+        SimpleNamespace(store=store),  # type: ignore[arg-type]
+        (operators, minions, jobs),  # type: ignore[arg-type]
+        member_name("n", "1", 1.0),
+        128,
+        NodeMetrics(),
+        lambda: clock.now,
+    )
+    assert owner._take_over() is taken
+    assert owner.stopped is not taken
+
+
 def test_a_read_that_left_records_neither_confirms_nor_ends_an_ownership():
     """A takeover ended when its reads showed the former owner, before its own record.
 
