--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/cold_minions.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/cold_minions.py
@@ -7,13 +7,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Collection, Iterable, Iterator, Sequence
 
-from geraniumshore_scheduler.internal.minion_selection import choose_minion
 from geraniumshore_scheduler.internal.minion_view import MinionView
-from geraniumshore_scheduler.internal.model import Step, TaskKey
 
-__all__ = ["choose_warm_first", "find_cold", "may_start_on_cold"]
+__all__ = ["find_cold", "may_start_on_cold", "split_cold"]
 
 
 def find_cold(views: Iterable[MinionView], now: float) -> frozenset[str]:
@@ -26,20 +24,12 @@
     return all(run.percent > 0 for run in view.runs.values())
 
 
-def choose_warm_first(
-    step: Step,
-    task: TaskKey,
-    views: Sequence[MinionView],
-    avoided: Iterable[str],
-    cold: Collection[str],
-) -> MinionView | None:
-    """Return the minion on which a task should start, a cold one only if need be."""
+def split_cold(
+    views: Sequence[MinionView], cold: Collection[str]
+) -> Iterator[Sequence[MinionView]]:
+    """Yield the minions in groups; one is used if none before it has room."""
     if not cold:
-        return choose_minion(step, task, views, avoided)
-    avoided = set(avoided)
-    warm = [view for view in views if view.minion_id not in cold]
-    chosen = choose_minion(step, task, warm, avoided)
-    if chosen is not None:
-        return chosen
-    able = [v for v in views if v.minion_id in cold and may_start_on_cold(v)]
-    return choose_minion(step, task, able, avoided)
+        yield views
+        return
+    yield [view for view in views if view.minion_id not in cold]
+    yield [v for v in views if v.minion_id in cold and may_start_on_cold(v)]
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/placer.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/placer.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator, Sequence
 
 from geraniumshore_scheduler.internal.advice import StepKey
-from geraniumshore_scheduler.internal.cold_minions import choose_warm_first, find_cold
-from geraniumshore_scheduler.internal.minion_selection import has_room_for_all
+from geraniumshore_scheduler.internal.cold_minions import find_cold, split_cold
+from geraniumshore_scheduler.internal.minion_selection import (
+    choose_minion,
+    has_room_for_all,
+)
 from geraniumshore_scheduler.internal.minion_view import MinionView
-from geraniumshore_scheduler.internal.model import TaskKey
+from geraniumshore_scheduler.internal.model import Step, TaskKey
 from geraniumshore_scheduler.internal.orders import StartOrder, StopOrder
 from geraniumshore_scheduler.internal.reconciliation import Reconciler
 from geraniumshore_scheduler.internal.runs import OpenJob, Run, RunState
@@ -145,9 +148,7 @@
                     job.unplaced.add(step_number)
                     break
                 avoided = job.failed_on.get(task, ())
-                view = choose_warm_first(
-                    step, task, allowed, avoided, self._cold_minions
-                )
+                view = self._choose_minion(step, task, allowed, avoided)
                 if view is None:
                     job.unplaced.add(step_number)
                     if allowed is views and not step.label and not step.most_per_minion:
@@ -173,9 +174,7 @@
             for member in members:
                 if not self._within_cap(job, step.size):
                     break
-                view = choose_warm_first(
-                    step, member, candidates, avoided, self._cold_minions
-                )
+                view = self._choose_minion(step, member, candidates, avoided)
                 if view is None:
                     break
                 placed.append(self._plan_run(job, member, view, number, now))
@@ -189,6 +188,18 @@
         for run in placed:
             self._order_start(job, run)
 
+    def _choose_minion(
+        self,
+        step: Step,
+        task: TaskKey,
+        views: Sequence[MinionView],
+        avoided: Collection[str],
+    ) -> MinionView | None:
+        """Return the minion for a task, a cold one only if no warm one has room."""
+        groups = split_cold(views, self._cold_minions)
+        chosen = (choose_minion(step, task, group, avoided) for group in groups)
+        return next((view for view in chosen if view is not None), None)
+
     def _plan_run(
         self, job: OpenJob, task: TaskKey, view: MinionView, number: int, now: float
     ) -> Run:
