--- a/tests/cover/test_schedule_commands.py
+++ b/tests/cover/test_schedule_commands.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from geraniumshore_standins.internal.fleet import wait_for
 from geraniumshore_standins.internal.users_platform import PlatformFleet
 
 MAIN_PROGRAM = "from geraniumshore_cli.internal.main import main; main()"
@@ -68,6 +69,26 @@
     assert (wave["wave"], wave["machines"], wave["most_at_once"]) == (3, 0, 1)
 
 
+def test_evacuations_show_since_when_and_what_still_runs_there(fleet):
+    """Guards against operators who cannot tell when a data centre is empty."""
+    lasting = {**STEP, "long_running": True, "may_miss": 1}
+    document = {"spec": json.dumps({"how": "lasts"}), "phases": [lasting]}
+    assert fleet.submit("n0", "b" * 16, document).status == 200
+    fleet.wait_for_state("n0", "b" * 16, "running")
+    assert query(fleet, "evacuations") == []
+    fleet.simulator.evacuate("a")
+    fleet.simulator.evacuate("elsewhere")
+    wait_for(lambda: all(r["since"] for r in query(fleet, "evacuations")), "recorded")
+    here, elsewhere = query(fleet, "evacuations")
+    shown = ("data_centre", "job", "queue", "batch_tasks", "long_running_tasks")
+    assert [here[name] for name in shown] == ["a", "b" * 16, "q", 0, 2]
+    assert [elsewhere[name] for name in shown] == ["elsewhere", None, None, 0, 0]
+    for name in ("a", "elsewhere"):
+        fleet.simulator.end_evacuation(name)
+    assert query(fleet, "evacuations") == []
+    assert fleet.call("n0", "DELETE", "b" * 16).status == 200
+
+
 def test_default_output_is_a_table(fleet):
     result = run("queues", "--settings", fleet.folder / "n0.json")
     assert result.returncode == 0
