--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/nodes.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/nodes.py
@@ -127,13 +127,22 @@
         """Start minions and nodes and wait until a node owns the schedule."""
         self.simulator.configure(configuration_document(self.service))
         for number in range(minions):
-            self.simulator.add_machine(f"m-{number}", self.service, f"r{number % 2}")
+            self.simulator.add_machine(
+                f"m-{number}",
+                self.service,
+                f"r{number % 2}",
+                data_centre=self.data_centre_of(number),
+            )
         for number in range(nodes):
             self.start_node(f"n{number}")
         for node in self.node_by_name.values():
             wait_for(node.is_ready, f"{node.name} is ready")
         wait_for(lambda: self.owner() is not None, "an owner")
 
+    def data_centre_of(self, machine: int) -> str:
+        """Return the data centre of a machine that ``start`` adds."""
+        return "a"
+
     def owner(self) -> NodeProcess | None:
         """Return the node that owns the schedule."""
         takeovers = [
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/platform_simulator.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/platform_simulator.py
@@ -92,6 +92,9 @@
         self.maintenance_starts: list[tuple[float, int, int]] = []
         self.maintenance_s = MAINTENANCE_S
         self.machine_by_name: dict[str, _Machine] = {}
+        self.data_centre_by_minion: dict[str, str] = {}
+        # Tasks and runs whose start was applied late, without an answer.
+        self.late_starts: set[tuple[str, int]] = set()
         self.cpu_by_job: dict[str, int] = {}
         self._allocate_port = allocate_port
         self._minions_started = 0
@@ -197,6 +200,7 @@
             )
         )
         machine.minion = minion
+        self.data_centre_by_minion[minion_id] = machine.data_centre
         machine.state = "up"
         self._write_entry(minion)
 
@@ -275,6 +279,8 @@
         self, minion: SimulatedMinion, name: str, document: dict[str, Any]
     ) -> None:
         with self.lock:
+            if name == "run-start":
+                self.late_starts.add((str(document["task"]), int(document["run"])))
             if minion.state != "gone" and not self._closed.is_set():
                 minion.model.call(name, document, self.now())
 
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/soak.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/soak.py
@@ -20,10 +20,13 @@
     Fault,
     SoakFleet,
     draw_faults,
+    evacuate_repeatedly,
 )
 from geraniumshore_standins.internal.users_platform.soak_invariants import (
     CallerView,
+    Evacuated,
     invariant_violations,
+    late_starts_in,
 )
 
 __all__ = ["SoakReport", "SoakSize", "run_soak"]
@@ -191,12 +194,18 @@
             target=_announce_waves, args=[fleet, machines, stop], daemon=True
         )
         waves.start()
+        evacuated: list[Evacuated] = []
+        evacuations = threading.Thread(
+            target=evacuate_repeatedly, args=[fleet, seed, stop, evacuated], daemon=True
+        )
+        evacuations.start()
         _inject_faults(
             fleet, list(draw_faults(seed, size.seconds, nodes, machines)), report
         )
         stop.set()
         for client in clients:
             client.join()
+        evacuations.join()
         _await_completion(fleet, clients, report)
         view_by_job = {
             k: v for client in clients for k, v in client.view_by_job.items()
@@ -209,8 +218,11 @@
             events = list(fleet.simulator.events)
             orders = list(fleet.simulator.machine_orders)
             maintenance_starts = list(fleet.simulator.maintenance_starts)
+            delayed = set(fleet.simulator.late_starts)
+            data_centres = dict(fleet.simulator.data_centre_by_minion)
         report.starts = sum(event[1] == "start" for event in events)
         report.findings.extend(invariant_violations(events, view_by_job, orders))
+        report.findings.extend(late_starts_in(evacuated, events, data_centres, delayed))
         report.findings.extend(
             f"LIMIT {down} machines of wave {wave} in maintenance at {at:.2f}"
             for at, wave, down in maintenance_starts
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/soak_faults.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/soak_faults.py
@@ -5,6 +5,7 @@
 import random
 import signal
 import threading
+import time
 from abc import ABC, abstractmethod
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -13,9 +14,10 @@
 from geraniumshore_standins.internal.fleet import free_port
 from geraniumshore_standins.internal.proxy import FaultProxy, HopFaults
 from geraniumshore_standins.internal.users_platform.nodes import PlatformFleet
+from geraniumshore_standins.internal.users_platform.soak_invariants import Evacuated
 from geraniumshore_standins.internal.wsgi import Call
 
-__all__ = ["Fault", "SoakFleet", "draw_faults"]
+__all__ = ["Fault", "SoakFleet", "draw_faults", "evacuate_repeatedly"]
 
 # Unanswered orders are applied after this delay, as on the platform.
 ORDER_DELAY_S = (2.0, 12.0)
@@ -27,6 +29,11 @@
 FAULT_INTERVAL_S = (0.2, 2.5)
 # Killed processes are restarted after this delay, as on the platform.
 RESTART_DELAY_S = 0.5
+EVACUATED_DATA_CENTRE = "b"
+# Time between two evacuations, and how long one lasts: longer than the time after which
+# nothing may start there.
+EVACUATION_PAUSE_S = (0.5, 4.0)
+EVACUATION_S = (1.0, 10.0)
 
 
 class SoakFleet(PlatformFleet):
@@ -49,6 +56,10 @@
         self.simulator.store_faults = self._store_fault
         self.simulator.order_delay = self._order_delay
 
+    def data_centre_of(self, machine: int) -> str:
+        """Return the data centre of a machine; a third of them is in the second."""
+        return EVACUATED_DATA_CENTRE if machine % 3 == 2 else "a"
+
     def store_address(self, name: str) -> str:
         """Return the address of the node's own proxy hop to the store."""
         if name not in self.store_hop_by_node:
@@ -233,6 +244,22 @@
             fleet.simulator.restart(name)
 
 
+def evacuate_repeatedly(
+    fleet: SoakFleet, seed: int, stop: threading.Event, evacuated: list[Evacuated]
+) -> None:
+    """Evacuate a data centre again and again; add each time to ``evacuated``.
+
+    The times have a random source of their own, so that each seed keeps its faults.
+    """
+    rng = random.Random(f"evacuations-{seed}")
+    while not stop.wait(rng.uniform(*EVACUATION_PAUSE_S)):
+        fleet.simulator.evacuate(EVACUATED_DATA_CENTRE)
+        since = time.monotonic()
+        stop.wait(rng.uniform(*EVACUATION_S))
+        evacuated.append(Evacuated(EVACUATED_DATA_CENTRE, since, time.monotonic()))
+        fleet.simulator.end_evacuation(EVACUATED_DATA_CENTRE)
+
+
 def draw_faults(
     seed: int, seconds: float, nodes: list[str], machines: list[str]
 ) -> Iterator[Fault]:
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/soak_invariants.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/soak_invariants.py
@@ -10,16 +10,25 @@
 - REFUSED: a job ran although every attempt to submit it was refused.
 - MIXED: callers were shown a state that contradicts what ran.
 - LOST: an accepted job was unknown to a node or had no final state in the end.
+- EVACUATED: a task started in a data centre later than allowed after the request to
+  evacuate it.
 - ONE: two owners sent orders to one machine within a lease, or with one fencing token.
 """
 
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
-__all__ = ["CallerView", "SoakEvent", "invariant_violations", "unfinished_tasks"]
+__all__ = [
+    "CallerView",
+    "Evacuated",
+    "SoakEvent",
+    "invariant_violations",
+    "late_starts_in",
+    "unfinished_tasks",
+]
 
 SoakEvent = tuple[float, str, str, int, str, str]
 
@@ -28,6 +37,8 @@
 OWNERSHIP_LEASE_S = 3.0
 # Nodes that respond to a query must know a job this long after it was accepted.
 VISIBILITY_TIMEOUT_S = 3.0
+# The platform's limit: no start in a data centre later than this after the request.
+EVACUATE_S = 5.0
 
 
 @dataclass(slots=True)
@@ -45,6 +56,37 @@
     states: list[tuple[float, str]] = field(default_factory=list)
 
 
+@dataclass(frozen=True, slots=True)
+class Evacuated:
+    """A data centre and the time for which operators had it evacuated."""
+
+    data_centre: str
+    since: float
+    until: float
+
+
+def late_starts_in(
+    evacuated: Iterable[Evacuated],
+    events: Iterable[SoakEvent],
+    data_centre_by_minion: Mapping[str, str],
+    delayed: Collection[tuple[str, int]],
+) -> Iterator[str]:
+    """Yield a line for each start in an evacuated data centre.
+
+    Starts that the platform applied late may have been sent before the request.
+    """
+    times = list(evacuated)
+    for at, kind, task, run, minion, _ in events:
+        if kind != "start" or (task, run) in delayed:
+            continue
+        if any(
+            data_centre_by_minion[minion] == time.data_centre
+            and time.since + EVACUATE_S < at < time.until
+            for time in times
+        ):
+            yield f"EVACUATED {task} at {at:.2f} on {minion}"
+
+
 def invariant_violations(
     events: Iterable[SoakEvent],
     view_by_job: Mapping[str, CallerView],
--- a/tests/cover/test_platform_soak.py
+++ b/tests/cover/test_platform_soak.py
@@ -7,10 +7,13 @@
 from geraniumshore_standins.internal.users_platform.soak import SoakSize, run_soak
 from geraniumshore_standins.internal.users_platform.soak_faults import draw_faults
 from geraniumshore_standins.internal.users_platform.soak_invariants import (
+    EVACUATE_S,
     OWNERSHIP_LEASE_S,
     VISIBILITY_TIMEOUT_S,
     CallerView,
+    Evacuated,
     invariant_violations,
+    late_starts_in,
 )
 
 JOB = "a" * 16
@@ -84,6 +87,18 @@
     assert found([], orders=[*orders[:2], (late, "m", "h2", 2)]) == ["ONE"]
 
 
+def test_starts_in_an_evacuated_data_centre_are_found():
+    """Guards against a soak that passes although the operators' request is ignored."""
+    evacuated = [Evacuated("b", since=1.0, until=9.0)]
+    times = (1.1, 0.9 + EVACUATE_S, 1.1 + EVACUATE_S, 9.1)
+    events = [start(at, run=run) for run, at in enumerate(times)]
+    late = late_starts_in(evacuated, events, {"i-1": "b"}, set())
+    assert [line.split()[0] for line in late] == ["EVACUATED"]
+    assert not list(late_starts_in(evacuated, events, {"i-1": "a"}, set()))
+    delayed = {(f"{JOB}.0.0.0", 2)}
+    assert not list(late_starts_in(evacuated, events, {"i-1": "b"}, delayed))
+
+
 def test_fault_schedule_is_deterministic_and_ends_in_time():
     drawn = [str(f) for f in draw_faults(7, 30.0, NODES, MACHINES)]
     assert drawn == [str(f) for f in draw_faults(7, 30.0, NODES, MACHINES)]
