--- a/packages/geraniumshored/src/geraniumshored/platform/job_api.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/job_api.py
@@ -30,8 +30,9 @@
 
 # A call that waits for the store occupies one thread.
 API_THREADS = 24
-# Relayed calls wait for the store, too, and on a slow store those of all nodes do.
-PEER_THREADS = 24
+# Relayed calls wait for the store, too, and those of all nodes share its appends. A host
+# of hundreds of nodes may run out of threads, and most nodes use none of these.
+PEER_THREADS = 12
 CALLERS_HOST_VARIABLE = "HTTP_" + CALLERS_HOST_HEADER.upper().replace("-", "_")
 IDLE_CONNECTION_SECONDS = 60
 # How often a leaving process checks whether all calls are answered.
