--- a/packages/geraniumshored/src/geraniumshored/platform/job_api.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/job_api.py
@@ -30,8 +30,8 @@
 
 # A call that waits for the store occupies one thread.
 API_THREADS = 24
-# Relayed calls wait for the store, too, and those of all nodes share its appends. A host
-# of hundreds of nodes may run out of threads, and most nodes use none of these.
+# Relayed calls wait for the store, too, and those of all nodes share its appends. Only
+# the owner gets more than a few of them.
 PEER_THREADS = 12
 CALLERS_HOST_VARIABLE = "HTTP_" + CALLERS_HOST_HEADER.upper().replace("-", "_")
 IDLE_CONNECTION_SECONDS = 60
