--- a/packages/geraniumshored/src/geraniumshored/internal/settings.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/settings.py
@@ -77,6 +77,8 @@
     threads: Annotated[int, Field(ge=4, le=1_000)] = 96
     snapshot_seconds: Annotated[int, Field(ge=1, le=86_400)] = 240
     notice_ms: Annotated[int, Field(ge=0, le=120_000)] = 2_000
+    memory_mb: Annotated[int | None, Field(ge=1)] = None
+    max_fds: Annotated[int | None, Field(ge=1)] = None
 
 
 def load_settings(path: Path) -> Result[Settings, tuple[Finding, ...]]:
--- a/packages/geraniumshored/src/geraniumshored/platform/settings.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/settings.py
@@ -47,6 +47,8 @@
     cpu_speed: Annotated[float, Field(gt=0)] = 1.0
     append_bytes: Annotated[int, Field(ge=1)] = 2_097_152
     record_bytes: Annotated[int, Field(ge=1)] = 262_144
+    memory_mb: Annotated[int | None, Field(ge=1)] = None
+    max_fds: Annotated[int | None, Field(ge=1)] = None
 
     def node_settings(self) -> NodeSettings:
         """Return the settings without the platform's addresses."""
