One budget of bytes and descriptors for all HTTP clients of a process

Cause: 2,000 connections could each hold 4 MiB of body, 256 KiB of head and 16 MiB of unread answers, on machines with 200 MB; kernel buffers grew without a limit of ours, and at the limit of connections no further caller was accepted.

client_budget.py decides, without I/O, whom to close: the bytes held longest first, requests that wait for a thread last, requests that are being served never. The limits come from the settings (memory_mb, max_fds), the cgroup and the process's limits. Connections parse one request at a time, so that pipelined requests wait as bytes and not as answers, and the library's unlimited chunk lines and trailers are limited.

--- a/packages/geraniumshored/src/geraniumshored/entry.py
+++ b/packages/geraniumshored/src/geraniumshored/entry.py
@@ -48,7 +48,9 @@
     platform = HttpPlatform(settings)
     platform.store = HedgingStore(platform.store, steady_seconds)
     node = Node(settings.node_settings(), platform, JsonJobDecoder())
-    front = JobApiServer(node.request_handler, node.metrics, node.ready)
+    front = JobApiServer(
+        node.request_handler, node.metrics, node.ready, settings.client_limits()
+    )
     node.metrics.gauge("log_lines_dropped", lambda: writer.dropped)
     node.metrics.gauge("errors_logged", lambda: writer.errors)
     front.start(settings.front, settings.ready, settings.metrics)
--- a/packages/geraniumshored/src/geraniumshored/internal/daemon.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/daemon.py
@@ -100,7 +100,9 @@
         self._job_driver = JobDriver(tasks, self._runtime)
         self._job_appender = JobAppender(log, self._runtime)
         jobs = JobHandler(self._runtime, self._job_appender, tasks, operators)
-        self._front = HttpFront(self._runtime, self._calls, jobs, operators)
+        self._front = HttpFront(
+            self._runtime, self._calls, jobs, operators, settings.client_limits()
+        )
         self._planner = PlannerDriver(
             self._runtime,
             self._appender,
--- a/packages/geraniumshored/src/geraniumshored/internal/front.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/front.py
@@ -7,10 +7,11 @@
 import time
 from collections.abc import Iterable
 
-from waitress.channel import HTTPChannel
 from waitress.server import BaseWSGIServer
 
 from geraniumshored.internal.calls import CallHandler
+from geraniumshored.internal.client_budget import BudgetLimits
+from geraniumshored.internal.client_guard import ClientGuard, ClientMetrics
 from geraniumshored.internal.http_types import (
     HttpAnswer,
     HttpRequest,
@@ -21,10 +22,14 @@
     read_request,
 )
 from geraniumshored.internal.job_calls import JobHandler
+from geraniumshored.internal.metrics import Metrics
 from geraniumshored.internal.operators import OperatorHandler
 from geraniumshored.internal.runtime import Runtime
 from geraniumshored.internal.settings import Listen
-from geraniumshored.internal.wsgi_server import create_wsgi_server
+from geraniumshored.internal.wsgi_server import (
+    create_wsgi_server,
+    has_unanswered_requests,
+)
 
 __all__ = ["HttpFront"]
 
@@ -35,6 +40,16 @@
 SENT_POLL_SECONDS = 0.02
 
 
+class _FrontClientMetrics(ClientMetrics):
+    """Counts closed connections in the daemon's metrics."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+
+    def count_closed(self, reason: str) -> None:
+        self._metrics.clients_closed.labels(reason).inc()
+
+
 class HttpFront:
     """Serves HTTP with a fixed number of threads."""
 
@@ -44,12 +59,14 @@
         calls: CallHandler,
         jobs: JobHandler,
         operators: OperatorHandler,
+        client_limits: BudgetLimits,
     ) -> None:
         self._runtime = runtime
         self._calls = calls
         self._jobs = jobs
         self._operators = operators
         self._stopping = threading.Event()
+        self._guard = ClientGuard(client_limits, _FrontClientMetrics(runtime.metrics))
         self._server: BaseWSGIServer | None = None
         self._thread: threading.Thread | None = None
 
@@ -63,6 +80,7 @@
             MAX_BODY_BYTES,
             IDLE_CONNECTION_SECONDS,
             self._stopping,
+            self._guard,
         )
         # Reading ahead during a call detects that its caller has disconnected.
         server.adj.channel_request_lookahead = 1
@@ -86,11 +104,7 @@
     def _has_unsent_answers(self) -> bool:
         if self._server is None:
             return False
-        active: dict[int, HTTPChannel] = self._server.active_channels  # type: ignore[assignment]
-        channels = list(active.values())
-        return any(
-            channel.requests or channel.total_outbufs_len for channel in channels
-        )
+        return has_unanswered_requests(self._server)
 
     def stop(self) -> None:
         """Stop listening."""
--- a/packages/geraniumshored/src/geraniumshored/internal/metrics.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/metrics.py
@@ -27,6 +27,9 @@
         self._latency_by_queue: dict[str, HdrHistogram] = {}
         self.requests = self._counter("requests", "Calls by result", "queue", "result")
         self.attempts = self._counter("attempts", "Attempts by outcome", "outcome")
+        self.clients_closed = self._counter(
+            "clients_closed", "Connections closed before an answer", "reason"
+        )
         self.retries = self._counter("retries", "Attempts made again", "queue")
         self.host_list_reads = self._counter(
             "host_list_reads", "Reads of the list of hosts", "result"
--- a/packages/geraniumshored/src/geraniumshored/internal/settings.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/settings.py
@@ -9,6 +9,8 @@
 from result import Err, Ok, Result
 
 from geraniumshore import Finding, PlannerTimes, load_json, validation_findings
+from geraniumshored.internal.client_budget import BudgetLimits
+from geraniumshored.internal.machine_limits import MachineLimits
 
 __all__ = ["Listen", "Operator", "PlatformSettings", "Settings", "load_settings"]
 
@@ -77,9 +79,14 @@
     threads: Annotated[int, Field(ge=4, le=1_000)] = 96
     snapshot_seconds: Annotated[int, Field(ge=1, le=86_400)] = 240
     notice_ms: Annotated[int, Field(ge=0, le=120_000)] = 2_000
-    memory_mb: Annotated[int | None, Field(ge=1)] = None
+    memory_mb: Annotated[float | None, Field(gt=0)] = None
     max_fds: Annotated[int | None, Field(ge=1)] = None
 
+    def client_limits(self) -> BudgetLimits:
+        """Return what callers may hold, by these settings and the process's limits."""
+        machine = MachineLimits.from_settings(self.memory_mb, self.max_fds)
+        return BudgetLimits.from_machine(machine.memory_bytes, machine.descriptors)
+
 
 def load_settings(path: Path) -> Result[Settings, tuple[Finding, ...]]:
     """Read and validate a settings file; return all its faults if there are any."""
--- a/packages/geraniumshored/src/geraniumshored/internal/wsgi_server.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/wsgi_server.py
@@ -1,21 +1,101 @@
-"""HTTP servers that close each connection after its next answer during shutdown."""
+"""HTTP servers with bounded memory that stop without losing answers."""
 
 from __future__ import annotations
 
+import socket
 import threading
+from collections import deque
 from collections.abc import Callable, Iterable
+from typing import Any
 
 from waitress import wasyncore
-from waitress.channel import HTTPChannel
-from waitress.server import BaseWSGIServer, create_server
-from waitress.task import WSGITask
+from waitress.adjustments import Adjustments
+from waitress.server import BaseWSGIServer, TcpWSGIServer
+from waitress.task import ThreadedTaskDispatcher
 
+from geraniumshored.internal.client_budget import ClientTimeouts
+from geraniumshored.internal.client_guard import ClientGuard
+from geraniumshored.internal.guarded_channel import GuardedChannel
 from geraniumshored.internal.http_types import StartResponse, WsgiEnviron
 from geraniumshored.internal.sockets import SOCKET_OPTIONS
 
 __all__ = ["create_wsgi_server", "has_unanswered_requests", "stop_reading"]
 
-MAX_CONNECTIONS = 2_000
+# The guard limits the number of connections: at its limit the library would accept no
+# more, and ordinary callers would wait until a client goes away.
+UNLIMITED_CONNECTIONS = 1_000_000
+# A head has a path with a job's ID, a host and a key: below 1 KiB.
+MAX_HEAD_BYTES = 32_768
+# The kernel doubles these figures. What it holds for a connection counts as memory of
+# the process on the target machines; 64 KiB still pass 13 Mbit/s with 40 ms of delay.
+KERNEL_BUFFER_BYTES = 32_768
+# Connections accepted in one turn. Those that they displace are closed in the next one.
+MAX_ACCEPTS_PER_TURN = 16
+SWEEP_INTERVAL_SECONDS = 1
+
+
+class _GuardedServer(TcpWSGIServer):
+    """A server whose connections share the budget of the process."""
+
+    channel_class = GuardedChannel
+    active_channels: dict[int, GuardedChannel]  # type: ignore[assignment]
+
+    def __init__(
+        self,
+        application: Any,
+        adjustments: Adjustments,
+        guard: ClientGuard,
+        timeouts: ClientTimeouts,
+        stopping: threading.Event,
+    ) -> None:
+        self.guard = guard
+        self.stopping = stopping
+        self.thread_id = 0
+        self._timeouts = timeouts
+        self._closing: deque[GuardedChannel] = deque()
+        dispatcher = ThreadedTaskDispatcher()
+        dispatcher.set_thread_count(adjustments.threads)
+        # With a separate socket map, the servers of one process do not serve each
+        # other's connections.
+        super().__init__(application, map={}, dispatcher=dispatcher, adj=adjustments)
+
+    def bind_server_socket(self) -> None:
+        """Bind the listening socket, from which connections inherit their buffers."""
+        listener: Any = self.socket
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            listener.setsockopt(socket.SOL_SOCKET, option, KERNEL_BUFFER_BYTES)
+        super().bind_server_socket()
+
+    def run(self) -> None:
+        """Serve until the server is closed."""
+        self.thread_id = threading.get_ident()
+        super().run()
+
+    def close_soon(self, channel: GuardedChannel) -> None:
+        """Close a connection in the next turn. Called from any thread."""
+        self._closing.append(channel)
+        self.pull_trigger()
+
+    def readable(self) -> bool:
+        """Close what was selected, before descriptors of this turn are polled."""
+        while self._closing:
+            self._closing.popleft().finish_closing()
+        return super().readable()
+
+    def handle_accept(self) -> None:
+        """Accept a few connections, so that a burst does not wait in the kernel."""
+        for _ in range(MAX_ACCEPTS_PER_TURN):
+            before = len(self.active_channels)
+            super().handle_accept()
+            if len(self.active_channels) == before:
+                return
+
+    def maintenance(self, now: int) -> None:
+        """Close connections that exceed a time limit."""
+        channels = list(self.active_channels.values())
+        for channel in channels:
+            channel.count_kernel_bytes()
+        self.guard.close_overdue(channels, self._timeouts)
 
 
 def create_wsgi_server(
@@ -26,56 +106,30 @@
     max_body_bytes: int,
     idle_seconds: int,
     stopping: threading.Event,
+    guard: ClientGuard,
 ) -> BaseWSGIServer:
     """Listen on a port; call ``run`` to serve. Raises OSError if the port is in use.
 
-    Request and answer bodies of up to ``max_body_bytes`` are buffered in memory.
+    Request and answer bodies of up to ``max_body_bytes`` are buffered in memory, within
+    the guard's budget. Connections close after their next answer once ``stopping`` is
+    set.
     """
-    server = create_server(
-        application,
+    adjustments = Adjustments(
         host=host,
         port=port,
         threads=threads,
-        channel_timeout=idle_seconds,
-        connection_limit=MAX_CONNECTIONS,
+        connection_limit=UNLIMITED_CONNECTIONS,
+        cleanup_interval=SWEEP_INTERVAL_SECONDS,
         asyncore_use_poll=True,
+        max_request_header_size=MAX_HEAD_BYTES,
         max_request_body_size=max_body_bytes,
         inbuf_overflow=max_body_bytes,
         outbuf_overflow=max_body_bytes,
         ident="geraniumshore",
-        # With a separate socket map, the servers of one process do not serve each
-        # other's connections.
-        map={},
     )
-    # A single address results in a single socket.
-    assert isinstance(server, BaseWSGIServer)
-    server.adj.socket_options = SOCKET_OPTIONS
-    server.channel_class = _closing_channel(stopping)
-    return server
-
-
-def _closing_channel(stopping: threading.Event) -> type[HTTPChannel]:
-    """Return a channel class that closes connections once ``stopping`` is set.
-
-    A caller that keeps its connection open could otherwise send its next request just
-    as the process exits, and lose it.
-    """
-
-    class ClosingTask(WSGITask):
-        def build_response_header(self) -> bytes:
-            if stopping.is_set():
-                self.set_close_on_finish()
-            header: bytes = super().build_response_header()
-            return header
-
-    class ClosingChannel(HTTPChannel):
-        task_class = ClosingTask
-
-        def readable(self) -> bool:
-            # The server accepts nothing any more after ``stop_reading``.
-            return bool(self.server.accepting and super().readable())
-
-    return ClosingChannel
+    adjustments.socket_options = SOCKET_OPTIONS
+    timeouts = ClientTimeouts(idle_s=float(idle_seconds))
+    return _GuardedServer(application, adjustments, guard, timeouts, stopping)
 
 
 def stop_reading(server: BaseWSGIServer, timeout_s: float) -> None:
@@ -99,4 +153,4 @@
 def has_unanswered_requests(server: BaseWSGIServer) -> bool:
     """Return whether a request that was read has not been answered completely."""
     channels = list(server.active_channels.values())  # type: ignore[attr-defined]
-    return any(channel.requests or channel.total_outbufs_len for channel in channels)
+    return any(channel.unanswered for channel in channels)
--- a/packages/geraniumshored/src/geraniumshored/platform/job_api.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/job_api.py
@@ -11,6 +11,8 @@
 from waitress.server import BaseWSGIServer
 
 from geraniumshore_scheduler import Job, Queue
+from geraniumshored.internal.client_budget import BudgetLimits
+from geraniumshored.internal.client_guard import ClientGuard, ClientMetrics
 from geraniumshored.internal.http_types import HttpAnswer, StartResponse, WsgiEnviron
 from geraniumshored.internal.wsgi_server import (
     create_wsgi_server,
@@ -64,6 +66,16 @@
         return decode_job_request(body, job_id, queue, team, accepted_ms)
 
 
+class _NodeClientMetrics(ClientMetrics):
+    """Counts closed connections in the node's metrics."""
+
+    def __init__(self, metrics: NodeMetrics) -> None:
+        self._metrics = metrics
+
+    def count_closed(self, reason: str) -> None:
+        self._metrics.count("clients_closed_total", reason)
+
+
 class JobApiServer:
     """Serves the job API, the readiness probe and the metrics on separate addresses."""
 
@@ -72,12 +84,16 @@
         request_handler: JobRequestHandler,
         metrics: NodeMetrics,
         ready: Callable[[], bool],
+        client_limits: BudgetLimits,
     ) -> None:
         self._request_handler = request_handler
         self._metrics = metrics
         self._ready = ready
         self._stopping = threading.Event()
         self._front: BaseWSGIServer | None = None
+        self._guard = ClientGuard(client_limits, _NodeClientMetrics(metrics))
+        metrics.gauge("client_held_bytes", lambda: self._guard.held_bytes)
+        metrics.gauge("client_connections", lambda: self._guard.connections)
 
     def start(self, front: str, ready: str, metrics: str) -> None:
         """Start listening. Raises OSError if a port is in use."""
@@ -119,6 +135,7 @@
             MAX_BODY_BYTES,
             IDLE_CONNECTION_SECONDS,
             self._stopping,
+            self._guard,
         )
         threading.Thread(target=server.run, name=f"http-{port}", daemon=True).start()
         return server
--- a/packages/geraniumshored/src/geraniumshored/platform/settings.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/settings.py
@@ -9,6 +9,8 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from geraniumshore_scheduler import Finding, InvalidInputError, OwnershipTimes
+from geraniumshored.internal.client_budget import BudgetLimits
+from geraniumshored.internal.machine_limits import MachineLimits
 from geraniumshored.node.settings import NodeSettings
 
 __all__ = ["PlatformSettings", "load_platform_settings", "settings_path"]
@@ -47,7 +49,7 @@
     cpu_speed: Annotated[float, Field(gt=0)] = 1.0
     append_bytes: Annotated[int, Field(ge=1)] = 2_097_152
     record_bytes: Annotated[int, Field(ge=1)] = 262_144
-    memory_mb: Annotated[int | None, Field(ge=1)] = None
+    memory_mb: Annotated[float | None, Field(gt=0)] = None
     max_fds: Annotated[int | None, Field(ge=1)] = None
 
     def node_settings(self) -> NodeSettings:
@@ -71,6 +73,11 @@
             record_bytes=self.record_bytes,
         )
 
+    def client_limits(self) -> BudgetLimits:
+        """Return what callers may hold, by these settings and the process's limits."""
+        machine = MachineLimits.from_settings(self.memory_mb, self.max_fds)
+        return BudgetLimits.from_machine(machine.memory_bytes, machine.descriptors)
+
 
 def settings_path() -> Path:
     """Return the path of the settings file. Raises InvalidInputError if unset."""
