--- a/packages/geraniumshored/src/geraniumshored/entry.py
+++ b/packages/geraniumshored/src/geraniumshored/entry.py
@@ -9,6 +9,7 @@
 import threading
 
 from geraniumshore_scheduler import InvalidInputError
+from geraniumshored.internal.allocator import return_large_blocks
 from geraniumshored.node.clock import steady_seconds
 from geraniumshored.node.hedging import HedgingStore
 from geraniumshored.node.logs import configure_node_logs, log_event
@@ -39,6 +40,7 @@
         for finding in error.findings:
             print(finding, file=sys.stderr)
         return EXIT_BAD_INPUT
+    return_large_blocks()
     writer = configure_node_logs(settings.node)
     stop = threading.Event()
     signal.signal(signal.SIGTERM, lambda *_: stop.set())
--- a/packages/geraniumshored/src/geraniumshored/internal/main.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/main.py
@@ -11,6 +11,7 @@
 from cyclopts import App, Parameter
 from result import Err
 
+from geraniumshored.internal.allocator import return_large_blocks
 from geraniumshored.internal.daemon import Daemon
 from geraniumshored.internal.logs import configure_logs
 from geraniumshored.internal.settings import Settings, load_settings
@@ -43,6 +44,7 @@
     again.
     """
     settings = _load(config)
+    return_large_blocks()
     daemon = Daemon.from_settings(settings)
     configure_logs(settings.host, daemon.member_id)
     stop_requested = threading.Event()
