--- a/packages/geraniumshored/src/geraniumshored/platform/job_api.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/job_api.py
@@ -12,6 +12,8 @@
 from waitress.server import BaseWSGIServer
 
 from geraniumshore_scheduler import Job, Queue
+from geraniumshored.internal.client_budget import BudgetLimits
+from geraniumshored.internal.client_guard import ClientGuard, ClientMetrics
 from geraniumshored.internal.http_types import HttpAnswer, StartResponse, WsgiEnviron
 from geraniumshored.internal.wsgi_server import (
     create_wsgi_server,
@@ -54,6 +56,16 @@
         return decode_job_request(body, job_id, queue, team, accepted_ms)
 
 
+class _NodeClientMetrics(ClientMetrics):
+    """Counts closed connections in the node's metrics."""
+
+    def __init__(self, metrics: NodeMetrics) -> None:
+        self._metrics = metrics
+
+    def count_closed(self, reason: str) -> None:
+        self._metrics.count("clients_closed", reason)
+
+
 class JobApiServer:
     """Serves the job API, the readiness probe and the metrics on separate addresses."""
 
@@ -62,12 +74,17 @@
         request_handler: RequestHandler,
         metrics: NodeMetrics,
         ready: Callable[[], bool],
+        client_limits: BudgetLimits,
     ) -> None:
         self._request_handler = request_handler
         self._metrics = metrics
         self._ready = ready
         self._stopping = threading.Event()
         self._front: BaseWSGIServer | None = None
+        self._client_limits = client_limits
+        self._guard = ClientGuard(client_limits, _NodeClientMetrics(metrics))
+        metrics.gauge("client_held_bytes", lambda: self._guard.held_bytes)
+        metrics.gauge("client_connections", lambda: self._guard.connections)
 
     def start(self, front: str, ready: str, metrics: str, peers: str = "") -> None:
         """Start listening; for other nodes only with an address for them.
@@ -76,7 +93,9 @@
         """
         self._front = self._listen(front, self._serve_job_calls, API_THREADS)
         if peers:
-            self._listen(peers, self._serve_relayed_calls, PEER_THREADS)
+            # Other nodes never wait for callers' memory, so they have their own budget.
+            guard = ClientGuard(self._client_limits, _NodeClientMetrics(self._metrics))
+            self._listen(peers, self._serve_relayed_calls, PEER_THREADS, guard)
         self._listen(ready, self._serve_probes, 1)
         self._listen(metrics, self._serve_probes, 1)
 
@@ -104,6 +123,7 @@
         address: str,
         application: Callable[[WsgiEnviron, StartResponse], Iterable[bytes]],
         threads: int,
+        guard: ClientGuard | None = None,
     ) -> BaseWSGIServer:
         host, _, port = address.partition(":")
         server = create_wsgi_server(
@@ -114,6 +134,7 @@
             MAX_BODY_BYTES,
             IDLE_CONNECTION_SECONDS,
             self._stopping,
+            guard or self._guard,
         )
         threading.Thread(target=server.run, name=f"http-{port}", daemon=True).start()
         return server
