--- a/packages/geraniumshored/src/geraniumshored/platform/http.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/http.py
@@ -38,7 +38,7 @@
 MAX_IDLE_PER_ADDRESS = 4
 # SO_LINGER with a zero timeout: closing sends RST and discards unsent data.
 LINGER_RESET = struct.pack("ii", 1, 0)
-# Below the size from which freed blocks are returned to the system, as that costs calls.
+# Below the size from which freed blocks are returned to the system, which costs time.
 READ_BYTES = 32_768
 # Responses with a lower status (1xx) are interim; the final response follows.
 FIRST_FINAL_STATUS = 200
