--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/evacuation.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/evacuation.py
@@ -16,7 +16,13 @@
 from geraniumshore_scheduler.internal.model import Evacuation, Resources, Step
 from geraniumshore_scheduler.internal.runs import OpenJob, Run
 
-__all__ = ["EvacuationLog", "RoomElsewhere", "StartPermission", "plan_moves"]
+__all__ = [
+    "EvacuationLog",
+    "RoomElsewhere",
+    "StartPermission",
+    "find_lost_labels",
+    "plan_moves",
+]
 
 # The platform allows starts in an evacuated data centre until 5 s after the operator's
 # request. An owner whose reads of the requests get no answer starts nothing from this
@@ -115,27 +121,55 @@
                 self._views_by_service.setdefault(service, []).append(view)
         self._free_by_id: dict[str, Resources] = {}
         self._reserved: Counter[tuple[str, str, int, int]] = Counter()
+        # The minions before this position have no room for a task of the step, and
+        # reservations only take room away.
+        self._position_by_step: dict[tuple[str, int, int], int] = {}
 
     def reserve(self, service: str, run: Run) -> bool:
         """Reserve room for a run's task; return whether there was any."""
-        step = run.step
-        for view in self._views_by_service.get(service, ()):
-            assert view.listing is not None
-            if step.label and step.label not in view.listing.labels:
-                continue
-            free = self._free_by_id.get(view.minion_id, view.free)
-            if not step.room.fits_in(free):
-                continue
-            same_step = (view.minion_id, *run.task[:3])
-            if step.most_per_minion:
-                there = sum(other[:3] == run.task[:3] for other in view.runs)
-                if there + self._reserved[same_step] >= step.most_per_minion:
-                    continue
-            self._reserved[same_step] += 1
-            self._free_by_id[view.minion_id] = free.minus(step.room)
-            return True
+        step, step_key = run.step, run.task[:3]
+        views = self._views_by_service.get(service, [])
+        first = self._position_by_step.get(step_key, 0)
+        for position in range(first, len(views)):
+            if self._reserve_on(views[position], step, step_key):
+                self._position_by_step[step_key] = position
+                return True
+        self._position_by_step[step_key] = len(views)
         return False
 
+    def _reserve_on(
+        self, view: MinionView, step: Step, step_key: tuple[str, int, int]
+    ) -> bool:
+        assert view.listing is not None
+        if step.label and step.label not in view.listing.labels:
+            return False
+        if not view.has_room(step.room):
+            return False
+        free = self._free_by_id.get(view.minion_id, view.free)
+        if not step.room.fits_in(free):
+            return False
+        same_step = (view.minion_id, *step_key)
+        if step.most_per_minion:
+            there = sum(other[:3] == step_key for other in view.runs)
+            if there + self._reserved[same_step] >= step.most_per_minion:
+                return False
+        self._reserved[same_step] += 1
+        self._free_by_id[view.minion_id] = free.minus(step.room)
+        return True
+
+
+def find_lost_labels(views: Iterable[MinionView]) -> frozenset[str]:
+    """Return the labels that only minions in evacuated data centres have.
+
+    More machines would not help tasks that need such a label.
+    """
+    lost: set[str] = set()
+    kept: set[str] = set()
+    for view in views:
+        if view.listing is not None:
+            (lost if view.evacuated else kept).update(view.listing.labels)
+    return frozenset(lost - kept)
+
 
 def plan_moves(
     view_by_id: Mapping[str, MinionView],
@@ -148,15 +182,18 @@
     The caller must request each stop before it takes the next run, as the budget of a
     step counts the stops requested so far. Tasks for which no minion elsewhere has room
     stay, and their steps are added by service to ``steps_without_room``. Members of a
-    gang stay, as the stop of one would end all.
+    gang stay, as the stop of one would end all, and so do tasks that need a label of
+    evacuated minions only.
     """
+    lost_labels = find_lost_labels(view_by_id.values())
     runs = [
         run
         for view in view_by_id.values()
         if view.evacuated and view.responsive
         for run in view.runs.values()
-        if run.step.lasting and not run.step.gang
+        if run.step.lasting and not run.step.gang and run.step.label not in lost_labels
     ]
+    exhausted_budgets: set[tuple[str, int, int]] = set()
     # Those whose stop is requested need their room first.
     for run in sorted(runs, key=lambda run: not run.stop_wanted):
         job = job_by_id.get(run.task.job_id)
@@ -164,5 +201,10 @@
             continue
         if not room.reserve(job.service, run):
             steps_without_room.setdefault(job.service, []).append(run.step)
-        elif not run.stop_wanted and may_interrupt(run, job, view_by_id):
+        elif run.stop_wanted or (run.at_work and run.task[:3] in exhausted_budgets):
+            continue
+        elif may_interrupt(run, job, view_by_id):
             yield run
+        elif run.at_work:
+            # The same tasks are missing for each other task that is at work.
+            exhausted_budgets.add(run.task[:3])
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/evacuator.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/evacuator.py
@@ -45,14 +45,17 @@
         self._evacuated = evacuated
         self._steps_without_room = {}
         self._moves_checked_at = float("-inf")
+        reopened_services: set[str] = set()
         for view in self.view_by_id.values():
             if view.listing is None:
                 continue
             accepted = view.accepts(now)
             view.set_evacuated(view.listing.data_centre in evacuated)
             if not accepted and view.accepts(now):
-                self._mark_capacity_changed(view)
-                self._end_pauses(view.listing.service)
+                reopened_services.add(view.listing.service)
+        self._changed_services |= reopened_services
+        for service in reopened_services:
+            self._end_pauses(service)
 
     def hold_starts(self, held: bool) -> bool:
         """Hold or release all starts; return whether that is a change."""
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pool_meter.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pool_meter.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from functools import reduce
 
+from geraniumshore_scheduler.internal.evacuation import find_lost_labels
 from geraniumshore_scheduler.internal.minion_view import MinionView
 from geraniumshore_scheduler.internal.model import Job, Resources, Step
 from geraniumshore_scheduler.internal.ordering import JobOrder
@@ -108,6 +109,8 @@
         self, views: Iterable[MinionView], jobs: Iterable[OpenJob], order: JobOrder
     ) -> None:
         self._order = order
+        views = list(views)
+        self._lost_labels = find_lost_labels(views)
         self._views: dict[str, list[MinionView]] = {}
         for view in views:
             if view.listing is not None:
@@ -150,8 +153,10 @@
             for (occurrence, number), tasks in job.waiting.count_by_step().items():
                 if not tasks or (occurrence, number) not in job.unplaced:
                     continue
-                has_unplaced_tasks = True
                 step = job.job.steps[number]
+                if step.label in self._lost_labels:
+                    continue
+                has_unplaced_tasks = True
                 if step.lasting:
                     long_running_machines += tasks * self._long_running_share(step)
                     continue
--- a/tests/cover/test_evacuation.py
+++ b/tests/cover/test_evacuation.py
@@ -154,6 +154,21 @@
     assert load.long_running_machines == 0
 
 
+def test_tasks_that_need_a_label_of_the_evacuated_data_centre_ask_for_no_machines():
+    """Guards against a pool that draws machines which can never run the tasks."""
+    site = Site(2, ("a", "b"))
+    site.fleet.add(job("a" * 16, Step(1, SMALL, lasting=True, label="b")))
+    site.step()
+    site.evacuate("b")
+    site.fleet.add(job("c" * 16, Step(3, SMALL, 500, label="b")))
+    for _ in range(3):
+        site.step()
+    assert site.tasks_by_data_centre(lasting=True) == {"b": 1}
+    (load,) = site.scheduler.pool_loads(site.fleet.now)
+    assert (load.long_running_machines, load.backlog) == (0, 0)
+    assert not load.has_unplaced_tasks
+
+
 def test_a_start_that_is_planned_but_not_sent_is_placed_elsewhere():
     """Guards against starts that were recorded before the request was read."""
     site = Site(2, ("a", "b"))
