Learn how long tasks take and correct declared durations

The owner keeps, by queue and step and by image, the ratio of measured to declared duration. Its median corrects the order, the pools' load and the stall limit; the record d/durations hands it to the next owner.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/__init__.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/__init__.py
@@ -21,6 +21,18 @@
 )
 from geraniumshore_scheduler.internal.authority import Authority, OwnershipTimes
 from geraniumshore_scheduler.internal.burst_history import BurstHistory
+from geraniumshore_scheduler.internal.durations import (
+    DeclaredDurations,
+    DurationEstimates,
+    DurationKey,
+    LearnedDuration,
+    LearnedDurations,
+)
+from geraniumshore_scheduler.internal.durations_record import (
+    DURATIONS_KEY,
+    decode_durations,
+    encode_durations,
+)
 from geraniumshore_scheduler.internal.job_registry import (
     JobRegistry,
     Reading,
@@ -114,6 +126,7 @@
 
 __all__ = [
     "ANNOUNCEMENT_VALID_S",
+    "DURATIONS_KEY",
     "MACHINE_ORDERS_KEY",
     "OWNER_KEY",
     "OWNER_RESIGNED_KEY",
@@ -130,6 +143,9 @@
     "Configuration",
     "CordonMachine",
     "Decision",
+    "DeclaredDurations",
+    "DurationEstimates",
+    "DurationKey",
     "Finding",
     "FirstComeFirstServed",
     "GeraniumshoreError",
@@ -138,6 +154,8 @@
     "JobOrder",
     "JobRegistry",
     "JobState",
+    "LearnedDuration",
+    "LearnedDurations",
     "MachineListing",
     "MachineMaintenance",
     "MachineOrders",
@@ -187,12 +205,14 @@
     "UnresponsiveMinions",
     "WaveProgress",
     "WaveRegistry",
+    "decode_durations",
     "decode_job",
     "decode_machine_orders",
     "decode_owner",
     "decode_progress",
     "decode_unresponsive",
     "decode_wave_progress",
+    "encode_durations",
     "encode_job",
     "encode_machine_orders",
     "encode_owner",
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_registry.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_registry.py
@@ -6,12 +6,13 @@
 from dataclasses import dataclass, field
 from itertools import islice
 
-from geraniumshore_scheduler.errors import InvalidInputError
+from geraniumshore_scheduler.errors import Finding, InvalidInputError
 from geraniumshore_scheduler.internal.machine_orders import AnnouncedOrder
 from geraniumshore_scheduler.internal.model import Job
 from geraniumshore_scheduler.internal.progress_parts import ProgressParts
 from geraniumshore_scheduler.internal.records import (
     AGE_RESOLUTION_S,
+    MAX_LEARNED_BYTES,
     OWNER_RESIGNED_KEY,
     UNRESPONSIVE_KEY,
     JobState,
@@ -41,6 +42,8 @@
 # Epochs that began earlier are left out of the owner's record: all leases from before
 # them have lapsed.
 EPOCH_RETENTION_S = 60.0
+# Owners use few keys; other writers must not fill the memory with further ones.
+MAX_LEARNED_KEYS = 8
 
 
 @dataclass(slots=True)
@@ -127,6 +130,8 @@
         self.order_by_machine: dict[str, AnnouncedOrder] = {}
         # The times after which owners sent no lease to unresponsive minions.
         self.last_grants: dict[MinionEpoch, float] = {}
+        # What owners have learned, not decoded, by key.
+        self.learned_by_key: dict[str, bytes] = {}
         self._orphans: dict[tuple[RecordKind, str], _Orphan] = {}
         self._orphan_parts_by_id: dict[str, dict[int, _Orphan]] = {}
         self._pending_by_queue: dict[str, int] = {}
@@ -166,6 +171,9 @@
         if kind is RecordKind.MACHINES:
             self.order_by_machine = decode_machine_orders(value, now)
             return None
+        if kind is RecordKind.LEARNED:
+            self._record_learned(key, value)
+            return None
         if kind is RecordKind.PROGRESS:
             job_id, part = split_progress_name(job_id)
             if part:
@@ -290,6 +298,16 @@
         """Return the number of accepted jobs of a queue that have not started."""
         return self._pending_by_queue.get(queue, 0)
 
+    def _record_learned(self, key: str, value: bytes) -> None:
+        """Keep a record of what an owner has learned until an owner needs it."""
+        if len(value) > MAX_LEARNED_BYTES:
+            problem = f"{len(value)} bytes, at most {MAX_LEARNED_BYTES} expected"
+            raise InvalidInputError([Finding(key, problem)])
+        if not value:
+            self.learned_by_key.pop(key, None)
+        elif key in self.learned_by_key or len(self.learned_by_key) < MAX_LEARNED_KEYS:
+            self.learned_by_key[key] = value
+
     def _record_owner(self, owner: OwnerRecord, now: float) -> None:
         """Record an owner, and when its epoch and earlier ones had certainly begun."""
         if self.owner is None or owner.epoch > self.owner.epoch:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/placer.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/placer.py
@@ -57,7 +57,7 @@
             if not view.responsive:
                 continue
             for run in view.runs.values():
-                if run.stop_wanted or not is_straggler(run, now):
+                if run.stop_wanted or not is_straggler(run, self.estimate_s, now):
                     continue
                 view.request_stop(run)
                 self._record_decision(
@@ -210,6 +210,8 @@
         assert view.listing is not None
         self._record_placement(job, run)
         job.mark_running()
+        checkpoint = self._resume_checkpoint(job, run)
+        run.resumed = bool(checkpoint)
         if job.first_start_after_s is None:
             job.first_start_after_s = round(run.since - job.arrived_at, 3)
         self._starts.append(
@@ -217,7 +219,7 @@
                 run,
                 view.listing.address,
                 job.job.spec,
-                self._resume_checkpoint(job, run),
+                checkpoint,
                 self.authority.epoch,
                 self._advice.ticket(StepKey(*run.task[:3]), view, run.since),
             )
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pool_meter.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pool_meter.py
@@ -6,15 +6,19 @@
 from dataclasses import dataclass, field
 from functools import reduce
 
+from geraniumshore_scheduler.internal.durations import DurationEstimates
 from geraniumshore_scheduler.internal.minion_view import MinionView
 from geraniumshore_scheduler.internal.model import Job, Resources
 from geraniumshore_scheduler.internal.ordering import JobOrder
 from geraniumshore_scheduler.internal.pools import PoolLoad
-from geraniumshore_scheduler.internal.runs import OpenJob, critical_path_s
+from geraniumshore_scheduler.internal.runs import (
+    DECLARED,
+    OpenJob,
+    critical_path_s,
+)
 
 __all__ = ["Arrivals", "PoolMeter"]
 
-MS_PER_S = 1000.0
 # The work of a job is spread over the length of its longest chain of steps, within
 # these bounds: long enough that a few jobs of a burst yield a rate, short enough that
 # the onset of the burst is detected.
@@ -41,13 +45,19 @@
 
     _jobs: dict[str, list[_Arrival]] = field(default_factory=dict)
 
-    def insert(self, job: Job, at: float) -> None:
+    def insert(
+        self, job: Job, at: float, durations: DurationEstimates = DECLARED
+    ) -> None:
         """Record an accepted job."""
-        chain_s = critical_path_s(job.steps)
+        estimates_s = [
+            durations.estimate_s(job.queue, number, step)
+            for number, step in enumerate(job.steps)
+        ]
+        chain_s = critical_path_s(job.steps, estimates_s=estimates_s)
         duration = min(MAX_SPREAD_S, max(MIN_SPREAD_S, chain_s))
         work = _sum(
-            _scaled(step.room, step.count * step.estimate_ms / MS_PER_S)
-            for step in job.steps
+            _scaled(step.room, step.count * estimate_s)
+            for step, estimate_s in zip(job.steps, estimates_s, strict=True)
             if not step.lasting
         )
         mean_use = _scaled(work, 1 / duration)
@@ -155,7 +165,7 @@
                     long_running_machines += tasks * each
                     continue
                 for backlog in backlogs:
-                    backlog.add(tasks * share, step.estimate_ms / MS_PER_S)
+                    backlog.add(tasks * share, job.estimate_s(number))
         everything = self._within_caps(all_by_team, headroom_by_team)
         timely = self._within_caps(timely_by_team, headroom_by_team)
         return PoolLoad(
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
@@ -365,6 +365,7 @@
         job.begun = True
         self._mark_changed(job, run.task)
         if completion.how == "done":
+            self._learning.on_done(job.job.queue, run, now)
             view.faults = 0
             # A long-running task only ends with its job, so it runs again.
             if not run.step.lasting:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
@@ -8,6 +8,7 @@
 
 from geraniumshore_scheduler.internal.advice import AdviceRegistry
 from geraniumshore_scheduler.internal.authority import Authority, OwnershipTimes
+from geraniumshore_scheduler.internal.duration_learning import DurationLearning
 from geraniumshore_scheduler.internal.minion_view import MinionView
 from geraniumshore_scheduler.internal.model import (
     Configuration,
@@ -98,6 +99,7 @@
         self._placed_all_at = float("-inf")
         self._stragglers_checked_at = float("-inf")
         self._arrivals = Arrivals()
+        self._learning = DurationLearning()
         self._shares = TeamShares()
         self._replaced_incarnation_by_id: dict[str, int] = {}
         self._team_use: dict[str, Resources] = {}
@@ -135,7 +137,8 @@
         job.max_attempts = settings.max_attempts
         job.needs_advice = settings.needs_advice
         job.objective_s = (
-            settings.stretch * job.work_left_s() + settings.target_latency_ms / MS_PER_S
+            settings.stretch * job.declared_work_left_s()
+            + settings.target_latency_ms / MS_PER_S
         )
 
     def _adopt(self, job: OpenJob, now: float) -> None:
@@ -217,6 +220,12 @@
         job.mark_changed(task)
         self._dirty[job.job.job_id] = None
 
+    def estimate_s(self, run: Run) -> float:
+        """Return the estimated duration of a run in seconds."""
+        job_id = run.task.job_id
+        job = self.job_by_id.get(job_id) or self._terminal_job_by_id.get(job_id)
+        return self._learning.estimate_s(job.job.queue if job else None, run)
+
     def _detach(self, run: Run) -> OpenJob | None:
         view = self.view_by_id.get(run.minion_id)
         if view is not None:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/runs.py
@@ -7,6 +7,10 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
+from geraniumshore_scheduler.internal.durations import (
+    DeclaredDurations,
+    DurationEstimates,
+)
 from geraniumshore_scheduler.internal.model import Job, Resources, Step, TaskKey
 from geraniumshore_scheduler.internal.progress_parts import ProgressParts
 from geraniumshore_scheduler.internal.records import (
@@ -18,9 +22,8 @@
 from geraniumshore_scheduler.internal.restart_backoff import RestartBackoff
 from geraniumshore_scheduler.internal.waiting_tasks import WaitingTasks
 
-__all__ = ["FULL_PACE", "OpenJob", "Run", "RunState", "critical_path_s"]
+__all__ = ["DECLARED", "FULL_PACE", "OpenJob", "Run", "RunState", "critical_path_s"]
 
-MS_PER_S = 1000.0
 # The pace of a run at its start, in percent.
 FULL_PACE = 100
 # Occurrences that are due are queued while fewer tasks of their job wait. A timed job
@@ -59,7 +62,7 @@
     means that a former owner may have stopped the run. ``pace`` is the one that was
     ordered last, at ``paced_at``; None if a former owner may have ordered any. Until
     ``pace_doubtful_until`` an order that got no answer may still undo it; None if all
-    were answered.
+    were answered. A ``resumed`` run continues from a checkpoint.
     """
 
     task: TaskKey
@@ -87,6 +90,7 @@
     foreign_epoch: int | None = None
     foreign_lease: float | None = None
     foreign_unheard_until: float = math.inf
+    resumed: bool = False
     # The task's name as minions report it.
     name: str = ""
 
@@ -100,14 +104,25 @@
         return self.step.room
 
 
+# Takes the declarations as they are.
+DECLARED = DeclaredDurations()
+
+
 def critical_path_s(
-    steps: Sequence[Step], done: Callable[[int], bool] = lambda _: False
+    steps: Sequence[Step],
+    done: Callable[[int], bool] = lambda _: False,
+    estimates_s: Sequence[float] | None = None,
 ) -> float:
-    """Return the length of the critical path through the steps, from estimates."""
+    """Return the length of the critical path through the steps.
+
+    ``estimates_s`` has the duration of a task of each step, as declared by default.
+    """
+    if estimates_s is None:
+        estimates_s = [DECLARED.estimate_s("", 0, step) for step in steps]
     ends: list[float] = []
     for number, step in enumerate(steps):
         start = max((ends[n] for n in step.depends_on), default=0.0)
-        ends.append(start + (0.0 if done(number) else step.estimate_ms / MS_PER_S))
+        ends.append(start + (0.0 if done(number) else estimates_s[number]))
     return max(ends, default=0.0)
 
 
@@ -125,7 +140,8 @@
     than their team's share allows. ``set_aside`` jobs start no more tasks, as
     scheduling them raised an error. Occurrences before ``next_occurrence`` have been
     opened, once they were due on this owner's clock. ``changed_parts`` are the parts of
-    the progress that the next record must have.
+    the progress that the next record must have. ``durations`` estimates how long the
+    tasks take.
     """
 
     job: Job
@@ -149,7 +165,11 @@
     changed_parts: set[int] = field(default_factory=set)
     parts: ProgressParts = field(init=False)
     waiting: WaitingTasks = field(init=False)
+    durations: DurationEstimates = DECLARED
     _work_left_s: float | None = None
+    # Of the revision of the estimates, None before the first use.
+    _estimates_s: list[float] = field(default_factory=list)
+    _estimates_revision: int | None = None
 
     def __post_init__(self) -> None:
         self.parts = ProgressParts(self.job)
@@ -282,14 +302,41 @@
             self.progress.state = JobState.RUNNING
 
     def work_left_s(self) -> float:
-        """Return the critical path of the work left, from the declared estimates."""
+        """Return the critical path of the work left, from estimated durations."""
+        self._update_estimates()
         if self._work_left_s is None:
-            occurrence = max(0, self.next_occurrence - 1)
-            self._work_left_s = critical_path_s(
-                self.job.steps, lambda number: self._step_done(occurrence, number)
-            )
+            self._work_left_s = self._critical_path_s(self._estimates_s)
         return self._work_left_s
 
+    def declared_work_left_s(self) -> float:
+        """Return the critical path of the work left, from declared durations."""
+        return self._critical_path_s(None)
+
+    def estimate_s(self, number: int) -> float:
+        """Return the estimated duration of a task of a step."""
+        self._update_estimates()
+        return self._estimates_s[number]
+
+    def _update_estimates(self) -> None:
+        revision = self.durations.revision
+        if self._estimates_revision == revision:
+            return
+        self._estimates_revision = revision
+        self._work_left_s = None
+        queue = self.job.queue
+        self._estimates_s = [
+            self.durations.estimate_s(queue, number, step)
+            for number, step in enumerate(self.job.steps)
+        ]
+
+    def _critical_path_s(self, estimates_s: Sequence[float] | None) -> float:
+        occurrence = max(0, self.next_occurrence - 1)
+        return critical_path_s(
+            self.job.steps,
+            lambda number: self._step_done(occurrence, number),
+            estimates_s,
+        )
+
     def _step_done(self, occurrence: int, number: int) -> bool:
         count = self.job.steps[number].count
         return self.progress.step_done(occurrence, number, count)
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -11,6 +11,8 @@
 from collections.abc import Iterable, Mapping
 
 from geraniumshore_scheduler.internal.advice import AdviceRequest, StepKey
+from geraniumshore_scheduler.internal.durations import LearnedDuration
+from geraniumshore_scheduler.internal.durations_record import DURATIONS_KEY
 from geraniumshore_scheduler.internal.job_registry import RegisteredJob
 from geraniumshore_scheduler.internal.minion_view import MinionView
 from geraniumshore_scheduler.internal.model import (
@@ -61,6 +63,19 @@
         """
         self._unresponsive = UnresponsiveMinions(last_grants)
 
+    def restore_durations(self, entries: Iterable[LearnedDuration], now: float) -> None:
+        """Load the durations that a former owner learned."""
+        self._learning.restore(entries, now)
+
+    def take_learning_counts(self) -> Mapping[str, int]:
+        """Return and clear how many runs durations were learned from, or not."""
+        return self._learning.take_counts()
+
+    @property
+    def corrected_durations(self) -> int:
+        """The number of queues' steps and images whose durations are corrected."""
+        return len(self._learning.durations.correction_by_key)
+
     def expect_jobs(self, job_ids: Iterable[str]) -> None:
         """Name the jobs that former owners placed and that will be added later.
 
@@ -96,7 +111,7 @@
     def _open_job(self, registered: RegisteredJob, now: float) -> None:
         job = registered.job
         self._used_services.add(job.service)
-        self._arrivals.insert(job, registered.accepted_at)
+        self._arrivals.insert(job, registered.accepted_at, self._learning.durations)
         beyond_share = self._exceeds_share(job, registered.accepted_at)
         if job.job_id in self.job_by_id or job.job_id in self._terminal_job_by_id:
             return
@@ -113,6 +128,7 @@
             objective_s=0.0,
             max_attempts=1,
             beyond_share=beyond_share,
+            durations=self._learning.durations,
         )
         # A former release wrote one record, so all parts go with the first change.
         opened.changed_parts.update(opened.parts.split(opened.progress))
@@ -230,6 +246,7 @@
         self._stop_stragglers(now)
         self._place_waiting_tasks(now)
         self._send_stops(now)
+        self._record_durations(now)
         values = self._values_to_record()
         if not values:
             self._durable_batch = self._next_batch - 1
@@ -340,6 +357,12 @@
             if job.open_due_occurrences(wall_ms):
                 self._changed_services.add(job.service)
 
+    def _record_durations(self, now: float) -> None:
+        learned = self._learning.take_record(now)
+        if learned is not None:
+            self._records[DURATIONS_KEY] = learned
+            self.decisions.append(self._learning.decision())
+
     def _values_to_record(self) -> dict[str, bytes]:
         values, self._records = self._records, {}
         further_parts: dict[str, bytes] = {}
--- a/packages/geraniumshored/src/geraniumshored/node/machine_controller.py
+++ b/packages/geraniumshored/src/geraniumshored/node/machine_controller.py
@@ -367,7 +367,7 @@
         view = self._scheduler.view_by_id[machine.minion_id or ""]
         return max(
             (
-                run.step.estimate_ms / MS_PER_S * (1 - run.percent / 100)
+                self._scheduler.estimate_s(run) * (1 - run.percent / 100)
                 for run in view.runs.values()
             ),
             default=0.0,
--- a/packages/geraniumshored/src/geraniumshored/node/metrics.py
+++ b/packages/geraniumshored/src/geraniumshored/node/metrics.py
@@ -67,7 +67,8 @@
                 yield counter
             for name, histograms in self._histogram_by_name.items():
                 yield self._summary(name, histograms)
-        for name, read in self._gauge_by_name.items():
+        # A copy, as an owner registers gauges while scrapers read.
+        for name, read in list(self._gauge_by_name.items()):
             yield GaugeMetricFamily(PREFIX + name, name, value=read())
 
     def exposition(self) -> bytes:
--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -8,10 +8,12 @@
 from collections.abc import Callable
 
 from geraniumshore_scheduler import (
+    DURATIONS_KEY,
     OWNER_KEY,
     Authority,
     Batch,
     GeraniumshoreError,
+    InvalidInputError,
     MachineOrders,
     OwnerRecord,
     OwnerReplacedError,
@@ -26,6 +28,7 @@
     StartOutcome,
     StopOrder,
     UnknownOutcomeError,
+    decode_durations,
     encode_owner,
     job_key,
 )
@@ -198,6 +201,7 @@
                 self.authority.confirm(opened_at)
                 self._machine_orders.take_over(self._jobs.registry.order_by_machine)
                 self._scheduler.restore_last_grants(self._jobs.registry.last_grants)
+                self._restore_durations(now)
                 if self._operators.configuration is not None:
                     self._scheduler.set_configuration(self._operators.configuration)
                 self._scheduler.set_listings(self._minions.listing_by_id, now)
@@ -206,6 +210,10 @@
                 # Teams' shares count jobs in the order of their acceptance.
                 for registered in sorted(jobs, key=lambda job: job.accepted_at):
                     self._scheduler.add_job(registered, now)
+        self._metrics.gauge(
+            "durations_corrected",
+            lambda: 0 if self.stopped else self._scheduler.corrected_durations,
+        )
         self._operators.on_configuration = self._on_configuration
         self._minions.on_change = self._on_minions
         self._on_minions()
@@ -220,6 +228,16 @@
         )
         return True
 
+    def _restore_durations(self, now: float) -> None:
+        """Start from the durations that the former owner learned."""
+        value = self._jobs.registry.learned_by_key.get(DURATIONS_KEY)
+        if value is None:
+            return
+        try:
+            self._scheduler.restore_durations(decode_durations(value), now)
+        except InvalidInputError as error:
+            log_event(logger, "record ignored", key=DURATIONS_KEY, cause=str(error))
+
     def _open_epoch(self, deadline: float) -> int | None:
         """Fence off the previous owner's appends; return the end of the log.
 
@@ -338,8 +356,11 @@
             paces = self._scheduler.take_paces()
             decisions = self._scheduler.take_decisions()
             restart_causes = self._scheduler.take_restart_causes()
+            learning_counts = self._scheduler.take_learning_counts()
         for cause, count in restart_causes.items():
             self._metrics.count("restarts", cause, amount=count)
+        for use, count in learning_counts.items():
+            self._metrics.count("durations", use, amount=count)
         for line in summarize(decisions):
             self._metrics.count("decisions", line.event)
             log_event(logger, line.event, epoch=self.authority.epoch, **line.fields)
