--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/durations.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/durations.py
@@ -56,9 +56,9 @@
 # the median per deviation of the values.
 QUARTILES_PER_DEVIATION = 1.35
 MEDIAN_ERROR_FACTOR = 1.25
-# A job is useless to its caller after three times its objective, which is more than 4/3
-# of its declared work. With a larger correction a job could go last from its arrival.
-MAX_CORRECTION = 4.0
+# A job is useless to its caller after three times its objective, which is at least its
+# declared work. With a larger correction a job could go last from its arrival on.
+MAX_CORRECTION = 3.0
 # Interval between updates of the biases in use, and between those of entries whose
 # evidence only decays.
 REFRESH_INTERVAL_S = 1.0
