--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/duration_learning.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/duration_learning.py
@@ -13,6 +13,7 @@
 )
 from geraniumshore_scheduler.internal.durations_record import encode_durations
 from geraniumshore_scheduler.internal.orders import Decision
+from geraniumshore_scheduler.internal.records import MAX_LEARNED_BYTES
 from geraniumshore_scheduler.internal.runs import FULL_PACE, Run
 
 __all__ = ["DurationLearning"]
@@ -25,10 +26,14 @@
 
 
 class DurationLearning:
-    """Passes the durations of comparable runs on, and records them for successors."""
+    """Passes the durations of comparable runs on, and records them for successors.
+
+    A record has at most ``max_record_bytes``.
+    """
 
     def __init__(self) -> None:
         self.durations = LearnedDurations()
+        self.max_record_bytes = MAX_LEARNED_BYTES
         # Completed runs, by whether their duration was used.
         self._runs_by_use: Counter[str] = Counter()
         self._recorded_at = -math.inf
@@ -70,7 +75,7 @@
             return None
         self._recorded_at = now
         self._recorded_revision = self.durations.revision
-        return encode_durations(self.durations.to_record(now))
+        return encode_durations(self.durations.to_record(now), self.max_record_bytes)
 
     def decision(self) -> Decision:
         """Return what was learned, for a log line."""
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/durations_record.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/durations_record.py
@@ -65,7 +65,9 @@
     entries: Annotated[list[_Entry], Field(max_length=MAX_ENTRIES)]
 
 
-def encode_durations(entries: Iterable[LearnedDuration]) -> bytes:
+def encode_durations(
+    entries: Iterable[LearnedDuration], max_bytes: int = MAX_LEARNED_BYTES
+) -> bytes:
     """Encode the first entries, as many as fit into a record."""
     encoded = [
         _Entry.from_learned(entry).model_dump_json(exclude_defaults=True)
@@ -74,7 +76,7 @@
     empty = _Document(entries=[]).model_dump_json()
     # Each entry is followed by a comma.
     sizes = accumulate(len(entry.encode()) + 1 for entry in encoded)
-    limit = MAX_LEARNED_BYTES - len(empty)
+    limit = max_bytes - len(empty)
     fitting = sum(1 for _ in takewhile(lambda size: size <= limit, sizes))
     return empty.replace("[]", f"[{','.join(encoded[:fitting])}]").encode()
 
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -67,6 +67,11 @@
         """Load the durations that a former owner learned."""
         self._learning.restore(entries, now)
 
+    def limit_durations_record(self, max_bytes: int) -> None:
+        """Keep records of learned durations within what the store accepts."""
+        learning = self._learning
+        learning.max_record_bytes = min(learning.max_record_bytes, max_bytes)
+
     def take_learning_counts(self) -> Mapping[str, int]:
         """Return and clear how many runs durations were learned from, or not."""
         return self._learning.take_counts()
--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -115,6 +115,9 @@
             lease_by_epoch=self._jobs.registry.lease_by_epoch,
             run_ages=self._jobs.registry.run_ages,
         )
+        # A record that the store rejects would hold up all others of its batch.
+        overhead = Record(DURATIONS_KEY, b"").size
+        self._scheduler.limit_durations_record(settings.record_bytes - overhead)
         self._session_by_minion: dict[str, MinionSession] = {}
         self._machine_orders = MachineOrders(
             host_of(member), settings.ownership_lease_s
--- a/tests/cover/test_learned_durations.py
+++ b/tests/cover/test_learned_durations.py
@@ -162,6 +162,7 @@
     record = encode_durations(durations.to_record(10_000.0))
     assert len(record) <= MAX_LEARNED_BYTES
     assert len(decode_durations(record)) > 50
+    assert len(encode_durations(durations.to_record(10_000.0), 999)) <= 999
     # One queue's jobs with any number of images evict no other queue.
     measure(durations, "q", 0.5, 1)
     for number in range(MAX_ENTRIES):
