--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -141,6 +141,8 @@
             self._jobs.on_job = None
             self._jobs.on_progress_read = None
             self._minions.on_change = None
+            # The metrics must not keep the schedule of an ended epoch in memory.
+            self._metrics.gauge("durations_corrected", float)
             self._wake.set()
             # Session threads block on their queues and would otherwise never exit.
             for session in list(self._session_by_minion.values()):
@@ -213,10 +215,7 @@
                 # Teams' shares count jobs in the order of their acceptance.
                 for registered in sorted(jobs, key=lambda job: job.accepted_at):
                     self._scheduler.add_job(registered, now)
-        self._metrics.gauge(
-            "durations_corrected",
-            lambda: 0 if self.stopped else self._scheduler.corrected_durations,
-        )
+        self._metrics.gauge("durations_corrected", self._corrected_durations)
         self._operators.on_configuration = self._on_configuration
         self._minions.on_change = self._on_minions
         self._on_minions()
@@ -241,6 +240,10 @@
         except InvalidInputError as error:
             log_event(logger, "record ignored", key=DURATIONS_KEY, cause=str(error))
 
+    def _corrected_durations(self) -> float:
+        with self._lock:
+            return 0 if self.stopped else self._scheduler.corrected_durations
+
     def _open_epoch(self, deadline: float) -> int | None:
         """Fence off the previous owner's appends; return the end of the log.
 
--- a/tests/cover/test_learned_durations.py
+++ b/tests/cover/test_learned_durations.py
@@ -72,30 +72,24 @@
     return durations
 
 
-def latest_starts(jobs, durations, biased: bool) -> list[float]:
-    """Return the ranks of jobs with an objective of 10 s from arrival."""
-    starts = []
-    for number, (queue, ms, at) in enumerate(jobs):
-        step = Step(1, SMALL, int(ms * (BIAS_BY_QUEUE[queue] if biased else 1)))
-        added = job(f"{number:016x}", step, queue=queue)
-        opened = OpenJob(added, Progress(), at, "s", 0, 10.0, 1, durations=durations)
-        starts.append(ByObjective().rank(opened, 0.0)[2])
-    return starts
-
-
-def inversions(left: list[float], right: list[float]) -> int:
-    pairs = combinations(zip(left, right, strict=True), 2)
-    return sum((a[0] < b[0]) != (a[1] < b[1]) for a, b in pairs)
-
-
 @pytest.mark.parametrize("seed", range(5))
 def test_the_order_comes_closer_to_the_truth(seed):
     rng, queues = random.Random(seed), list(BIAS_BY_QUEUE)
     jobs = [(rng.choice(queues), rng.randrange(500, 2500), n / 30) for n in range(60)]
-    truth = latest_starts(jobs, DECLARED, biased=False)
-    declared = latest_starts(jobs, DECLARED, biased=True)
-    corrected = latest_starts(jobs, learned(seed), biased=True)
-    assert inversions(corrected, truth) < 0.7 * inversions(declared, truth)
+    ranks: list[list[float]] = []
+    for durations, biased in (DECLARED, 0), (DECLARED, 1), (learned(seed), 1):
+        ranks.append([])
+        for queue, ms, at in jobs:
+            step = replace(SECOND, estimate_ms=int(ms * BIAS_BY_QUEUE[queue] ** biased))
+            opened = OpenJob(job("a", step, queue=queue), Progress(), at, "s", 0, 10, 1)
+            opened.durations = durations
+            ranks[-1].append(ByObjective().rank(opened, 0.0)[2])
+    truth, *others = ranks
+    declared, corrected = (
+        sum((a < b) != (c < d) for (a, c), (b, d) in combinations(pairs, 2))
+        for pairs in (list(zip(truth, other, strict=True)) for other in others)
+    )
+    assert corrected < 0.7 * declared
 
 
 @pytest.mark.parametrize(("queue", "bias"), BIAS_BY_QUEUE.items())
@@ -199,7 +193,10 @@
     ignored = [] if valid else ["record ignored"]
     events = [record.getMessage() for record in caplog.records]
     assert events == [*ignored, "ownership taken"]
-    assert owner._scheduler.corrected_durations == (3 if valid else 0)
+    gauge = f"durations_corrected {3.0 if valid else 0.0}\n"
+    assert gauge.encode() in metrics.exposition()
+    owner.stop("test")
+    assert b"durations_corrected 0.0\n" in metrics.exposition()
 
 
 def run_jobs(fleet: Fleet, count: int) -> None:
@@ -265,9 +262,13 @@
 def test_runs_that_do_not_show_a_tasks_duration_are_left_out(changed):
     fleet = Fleet(1)
     fleet.add(job("a" * 16, SECOND))
+    if changed == "resumed":
+        progress = fleet.scheduler.job_by_id["a" * 16].progress
+        progress.checkpoints["0.0.0"] = "c"
     (start,) = fleet.plan()
     run = start.run
-    setattr(run, changed, 1)
+    if changed != "resumed":
+        setattr(run, changed, 1)
     fleet.now += 2.0
     fleet.report("i-0", ended=(CompletedRun(1, run.name, run.number, "done", ""),))
     use = "used" if changed == "percent" else "left out"
