--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/__init__.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/__init__.py
@@ -21,6 +21,18 @@
 )
 from geraniumshore_scheduler.internal.authority import Authority, OwnershipTimes
 from geraniumshore_scheduler.internal.burst_history import BurstHistory
+from geraniumshore_scheduler.internal.durations import (
+    DeclaredDurations,
+    DurationEstimates,
+    DurationKey,
+    LearnedDuration,
+    LearnedDurations,
+)
+from geraniumshore_scheduler.internal.durations_record import (
+    DURATIONS_KEY,
+    decode_durations,
+    encode_durations,
+)
 from geraniumshore_scheduler.internal.evacuation import EvacuationLog, StartPermission
 from geraniumshore_scheduler.internal.job_registry import (
     JobRegistry,
@@ -121,6 +133,7 @@
 __all__ = [
     "ANNOUNCEMENT_VALID_S",
     "EVACUATIONS_KEY",
+    "DURATIONS_KEY",
     "MACHINE_ORDERS_KEY",
     "OWNER_KEY",
     "OWNER_RESIGNED_KEY",
@@ -140,6 +153,9 @@
     "Evacuation",
     "EvacuationLog",
     "EvacuationsRecord",
+    "DeclaredDurations",
+    "DurationEstimates",
+    "DurationKey",
     "Finding",
     "FirstComeFirstServed",
     "GeraniumshoreError",
@@ -148,6 +164,8 @@
     "JobOrder",
     "JobRegistry",
     "JobState",
+    "LearnedDuration",
+    "LearnedDurations",
     "MachineListing",
     "MachineMaintenance",
     "MachineOrders",
@@ -199,6 +217,7 @@
     "WaveProgress",
     "WaveRegistry",
     "decode_evacuations",
+    "decode_durations",
     "decode_job",
     "decode_machine_orders",
     "decode_owner",
@@ -206,6 +225,7 @@
     "decode_unresponsive",
     "decode_wave_progress",
     "encode_evacuations",
+    "encode_durations",
     "encode_job",
     "encode_machine_orders",
     "encode_owner",
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
@@ -18,6 +18,7 @@
     "MACHINE_ORDERS_KEY",
     "AGE_RESOLUTION_S",
     "EVACUATIONS_KEY",
+    "MAX_LEARNED_BYTES",
     "OWNER_KEY",
     "OWNER_RESIGNED_KEY",
     "UNRESPONSIVE_KEY",
@@ -60,6 +61,7 @@
     WAVE = "w"
     MACHINES = "m"
     EVACUATIONS = "e"
+    LEARNED = "d"
 
 
 @dataclass(frozen=True, slots=True)
@@ -232,6 +234,8 @@
 EVACUATIONS_KEY = f"{RecordKind.EVACUATIONS.value}/evacuations"
 MACHINE_ORDERS_KEY = f"{RecordKind.MACHINES.value}/orders"
 UNRESPONSIVE_KEY = f"{RecordKind.MACHINES.value}/silent"
+# Size limit of a record of what an owner has learned.
+MAX_LEARNED_BYTES = 32 * 1024
 
 
 def job_key(kind: RecordKind, job_id: str) -> str:
--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -9,10 +9,12 @@
 from dataclasses import replace
 
 from geraniumshore_scheduler import (
+    DURATIONS_KEY,
     OWNER_KEY,
     Authority,
     Batch,
     GeraniumshoreError,
+    InvalidInputError,
     MachineOrders,
     OwnerRecord,
     OwnerReplacedError,
@@ -28,6 +30,7 @@
     StartPermission,
     StopOrder,
     UnknownOutcomeError,
+    decode_durations,
     encode_owner,
     job_key,
 )
@@ -123,6 +126,9 @@
             lease_by_epoch=self._jobs.registry.lease_by_epoch,
             run_ages=self._jobs.registry.run_ages,
         )
+        # A record that the store rejects would hold up all others of its batch.
+        overhead = Record(DURATIONS_KEY, b"").size
+        self._scheduler.limit_durations_record(settings.record_bytes - overhead)
         self._session_by_minion: dict[str, MinionSession] = {}
         self._threads = SessionThreads()
         self._machine_orders = MachineOrders(
@@ -151,6 +157,8 @@
             self._jobs.on_progress_read = None
             self._minions.on_change = None
             self._operators.owned = False
+            # The metrics must not keep the schedule of an ended epoch in memory.
+            self._metrics.gauge("durations_corrected", float)
             self._wake.set()
             for session in list(self._session_by_minion.values()):
                 session.close()
@@ -230,6 +238,7 @@
                 self.authority.confirm(opened_at)
                 self._machine_orders.take_over(self._jobs.registry.order_by_machine)
                 self._scheduler.restore_last_grants(self._jobs.registry.last_grants)
+                self._restore_durations(now)
                 if self._operators.configuration is not None:
                     self._scheduler.set_configuration(self._operators.configuration)
                 self._scheduler.restore_evacuations(self._jobs.registry.evacuations)
@@ -240,6 +249,7 @@
                 # Teams' shares count jobs in the order of their acceptance.
                 for registered in sorted(jobs, key=lambda job: job.accepted_at):
                     self._scheduler.add_job(registered, now)
+        self._metrics.gauge("durations_corrected", self._corrected_durations)
         self._operators.on_configuration = self._on_configuration
         self._minions.on_change = self._on_minions
         self._on_minions()
@@ -267,6 +277,20 @@
         if self._operators.read_to_end():
             self._start_permission.record_reading(began_at)
 
+    def _restore_durations(self, now: float) -> None:
+        """Start from the durations that the former owner learned."""
+        value = self._jobs.registry.learned_by_key.get(DURATIONS_KEY)
+        if value is None:
+            return
+        try:
+            self._scheduler.restore_durations(decode_durations(value), now)
+        except InvalidInputError as error:
+            log_event(logger, "record ignored", key=DURATIONS_KEY, cause=str(error))
+
+    def _corrected_durations(self) -> float:
+        with self._lock:
+            return 0 if self.stopped else self._scheduler.corrected_durations
+
     def _open_epoch(self, deadline: float) -> int | None:
         """Fence off the previous owner's appends; return the end of the log.
 
@@ -386,8 +410,11 @@
             paces = self._scheduler.take_paces()
             decisions = self._scheduler.take_decisions()
             restart_causes = self._scheduler.take_restart_causes()
+            learning_counts = self._scheduler.take_learning_counts()
         for cause, count in restart_causes.items():
             self._metrics.count("restarts", cause, amount=count)
+        for use, count in learning_counts.items():
+            self._metrics.count("durations", use, amount=count)
         for line in summarize(decisions):
             self._metrics.count("decisions", line.event)
             log_event(logger, line.event, epoch=self.authority.epoch, **line.fields)
