Estimate how much images slow each other, and keep them apart

Placement had no notion of tasks that share more than their capacity. A Bayesian linear model per image, bounded in number, learns effects from reported tail latencies and from run times. Placement uses it as a late tie-breaker while there is room to spare, and serving tasks move when what pacing costs amounts to the cost of a move. The summary is the record d/interference.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/__init__.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/__init__.py
@@ -21,6 +21,11 @@
 )
 from geraniumshore_scheduler.internal.authority import Authority, OwnershipTimes
 from geraniumshore_scheduler.internal.burst_history import BurstHistory
+from geraniumshore_scheduler.internal.interference import (
+    Effect,
+    ImagePair,
+    InterferenceEstimator,
+)
 from geraniumshore_scheduler.internal.job_registry import (
     JobRegistry,
     Reading,
@@ -79,6 +84,7 @@
     UncordonMachine,
 )
 from geraniumshore_scheduler.internal.records import (
+    INTERFERENCE_KEY,
     MACHINE_ORDERS_KEY,
     OWNER_KEY,
     OWNER_RESIGNED_KEY,
@@ -114,6 +120,7 @@
 
 __all__ = [
     "ANNOUNCEMENT_VALID_S",
+    "INTERFERENCE_KEY",
     "MACHINE_ORDERS_KEY",
     "OWNER_KEY",
     "OWNER_RESIGNED_KEY",
@@ -130,9 +137,12 @@
     "Configuration",
     "CordonMachine",
     "Decision",
+    "Effect",
     "Finding",
     "FirstComeFirstServed",
     "GeraniumshoreError",
+    "ImagePair",
+    "InterferenceEstimator",
     "InvalidInputError",
     "Job",
     "JobOrder",
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_registry.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_registry.py
@@ -127,6 +127,8 @@
         self.order_by_machine: dict[str, AnnouncedOrder] = {}
         # The times after which owners sent no lease to unresponsive minions.
         self.last_grants: dict[MinionEpoch, float] = {}
+        # What owners learned, in the encoding of the modules that learn it.
+        self.learned_by_key: dict[str, bytes] = {}
         self._orphans: dict[tuple[RecordKind, str], _Orphan] = {}
         self._orphan_parts_by_id: dict[str, dict[int, _Orphan]] = {}
         self._pending_by_queue: dict[str, int] = {}
@@ -160,6 +162,9 @@
             if job_id.isdigit():
                 self.progress_by_wave[int(job_id)] = decode_wave_progress(value)
             return None
+        if kind is RecordKind.LEARNED:
+            self.learned_by_key[key] = value
+            return None
         if key == UNRESPONSIVE_KEY:
             self.last_grants = decode_unresponsive(value, now)
             return None
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/placer.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/placer.py
@@ -12,8 +12,8 @@
 from geraniumshore_scheduler.internal.minion_view import MinionView
 from geraniumshore_scheduler.internal.model import TaskKey
 from geraniumshore_scheduler.internal.orders import StartOrder, StopOrder
-from geraniumshore_scheduler.internal.reconciliation import Reconciler
 from geraniumshore_scheduler.internal.runs import OpenJob, Run, RunState
+from geraniumshore_scheduler.internal.separation import Separator
 from geraniumshore_scheduler.internal.stragglers import is_straggler
 from geraniumshore_scheduler.internal.unplaceable_sizes import UnplaceableSizes
 
@@ -34,7 +34,7 @@
 NEARLY_DONE_PERCENT = 90
 
 
-class Placer(Reconciler):
+class Placer(Separator):
     """Plans starts and stops from the known state of the runs."""
 
     def _evacuate_draining_minions(self) -> None:
@@ -104,9 +104,12 @@
             views = views_by_service.get(service, [])
             jobs.sort(key=lambda job: self._order.rank(job, now))
             unplaceable_sizes = UnplaceableSizes()
+            apart = self._may_keep_apart(jobs, views)
             for job in jobs:
                 try:
-                    self._place_job(job, views, unplaceable_sizes, untracked_runs, now)
+                    self._place_job(
+                        job, views, unplaceable_sizes, untracked_runs, apart, now
+                    )
                 except Exception as error:
                     self._set_aside(job.job.job_id, error)
         # The placements above only use up room, so they enable no further starts.
@@ -118,11 +121,13 @@
         views: list[MinionView],
         unplaceable_sizes: UnplaceableSizes,
         untracked_runs: set[str],
+        apart: bool,
         now: float,
     ) -> None:
         job.unplaced.clear()
         for step_number in job.waiting.steps():
             step = job.job.steps[step_number[1]]
+            losses = self._losses(step, apart)
             allowed = views
             if job.needs_advice:
                 step_key = StepKey(job.job.job_id, *step_number)
@@ -143,12 +148,15 @@
                 if unplaceable_sizes.covers(step.room):
                     job.unplaced.add(step_number)
                     break
-                view = choose_minion(step, task, allowed, job.failed_on.get(task, ()))
+                avoided = job.failed_on.get(task, ())
+                view = choose_minion(step, task, allowed, avoided, losses)
                 if view is None:
                     job.unplaced.add(step_number)
                     if allowed is views and not step.label and not step.most_per_minion:
                         unplaceable_sizes.add(step.room)
                     break
+                if losses:
+                    self._log_separation(step, task, view, allowed, avoided, losses)
                 self._start_run(job, task, view, self._allocate_run_number(), now)
 
     def _place_gang(
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
@@ -130,7 +130,10 @@
         view.remaining_ms = report.remaining_ms
         self._process_completions(view, report.ended, now)
         self._process_running(view, request, report, now)
+        self._interference.on_report(view, now)
         self._set_paces(view, now)
+        if self._interference.enabled:
+            self._suffering.on_report(view, now)
         if not accepted and view.accepts(now):
             self._mark_capacity_changed(view)
 
@@ -354,6 +357,7 @@
     def _complete_run(
         self, view: MinionView, run: Run, completion: CompletedRun, now: float
     ) -> None:
+        self._interference.on_completed(view, run, completion.how, now)
         job = self._detach(run)
         if completion.how != "done" and not (job and job.keeps_ending(run.task)):
             self._record_decision(
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
@@ -17,6 +17,7 @@
 __all__ = [
     "MACHINE_ORDERS_KEY",
     "AGE_RESOLUTION_S",
+    "INTERFERENCE_KEY",
     "OWNER_KEY",
     "OWNER_RESIGNED_KEY",
     "UNRESPONSIVE_KEY",
@@ -55,6 +56,7 @@
     OWNER = "o"
     WAVE = "w"
     MACHINES = "m"
+    LEARNED = "d"
 
 
 @dataclass(frozen=True, slots=True)
@@ -213,6 +215,7 @@
 OWNER_RESIGNED_KEY = f"{RecordKind.OWNER.value}/left"
 MACHINE_ORDERS_KEY = f"{RecordKind.MACHINES.value}/orders"
 UNRESPONSIVE_KEY = f"{RecordKind.MACHINES.value}/silent"
+INTERFERENCE_KEY = f"{RecordKind.LEARNED.value}/interference"
 
 
 def job_key(kind: RecordKind, job_id: str) -> str:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
@@ -8,6 +8,7 @@
 
 from geraniumshore_scheduler.internal.advice import AdviceRegistry
 from geraniumshore_scheduler.internal.authority import Authority, OwnershipTimes
+from geraniumshore_scheduler.internal.interference_monitor import InterferenceMonitor
 from geraniumshore_scheduler.internal.minion_view import MinionView
 from geraniumshore_scheduler.internal.model import (
     Configuration,
@@ -30,6 +31,7 @@
     Placement,
     encode_unresponsive,
 )
+from geraniumshore_scheduler.internal.relocation import SufferingTasks
 from geraniumshore_scheduler.internal.restart_backoff import (
     MAX_RESTART_PAUSE_S,
     RESTART_ROUND_S,
@@ -105,6 +107,10 @@
         self._limit_by_team: dict[str, Resources] = {}
         self._dirty: dict[str, None] = {}
         self._advice = AdviceRegistry()
+        self._interference = InterferenceMonitor()
+        self._suffering = SufferingTasks()
+        self._moved_at_by_service: dict[str, float] = {}
+        self._moves_checked_at = float("-inf")
         self._records: dict[str, bytes] = {}
         self._terminal_job_by_id: dict[str, OpenJob] = {}
         self._starts: list[StartOrder] = []
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -61,6 +61,19 @@
         """
         self._unresponsive = UnresponsiveMinions(last_grants)
 
+    def restore_interference(self, value: bytes | None, now: float) -> None:
+        """Load what a former owner learned of tasks that slow each other down."""
+        cause = self._interference.restore(value, now) if value else None
+        if cause is not None:
+            self._record_decision(
+                "interference record ignored", "", details={"cause": cause}
+            )
+
+    @property
+    def interference_pairs(self) -> int:
+        """The number of pairs of images known to slow each other down."""
+        return sum(1 for _ in self._interference.estimator.detected())
+
     def expect_jobs(self, job_ids: Iterable[str]) -> None:
         """Name the jobs that former owners placed and that will be added later.
 
@@ -127,6 +140,8 @@
             self._adopt(opened, now)
             self._stop_runs_of_ended(opened)
             return
+        if any(step.image for step in job.steps):
+            self._interference.enabled = True
         self._apply_settings(opened, job)
         self._apply_queue_settings(opened)
         self._changed_services.add(opened.service)
@@ -228,6 +243,8 @@
         self._open_occurrences(wall_ms)
         self._evacuate_draining_minions()
         self._stop_stragglers(now)
+        self._update_interference(now)
+        self._move_suffering_tasks(now)
         self._place_waiting_tasks(now)
         self._send_stops(now)
         values = self._values_to_record()
--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from geraniumshore_scheduler import (
+    INTERFERENCE_KEY,
     OWNER_KEY,
     Authority,
     Batch,
@@ -198,6 +199,10 @@
                 self.authority.confirm(opened_at)
                 self._machine_orders.take_over(self._jobs.registry.order_by_machine)
                 self._scheduler.restore_last_grants(self._jobs.registry.last_grants)
+                learned_by_key = self._jobs.registry.learned_by_key
+                self._scheduler.restore_interference(
+                    learned_by_key.get(INTERFERENCE_KEY), now
+                )
                 if self._operators.configuration is not None:
                     self._scheduler.set_configuration(self._operators.configuration)
                 self._scheduler.set_listings(self._minions.listing_by_id, now)
@@ -206,6 +211,7 @@
                 # Teams' shares count jobs in the order of their acceptance.
                 for registered in sorted(jobs, key=lambda job: job.accepted_at):
                     self._scheduler.add_job(registered, now)
+        self._metrics.gauge("interference_pairs", self._count_interference_pairs)
         self._operators.on_configuration = self._on_configuration
         self._minions.on_change = self._on_minions
         self._on_minions()
@@ -241,6 +247,10 @@
         self.stop("the epoch could not be opened within the takeover timeout")
         return None
 
+    def _count_interference_pairs(self) -> int:
+        with self._lock:
+            return 0 if self.stopped else self._scheduler.interference_pairs
+
     # Changes reported by the views.
 
     def _on_job(self, registered: RegisteredJob, kind: RecordKind) -> None:
