--- /dev/null
+++ b/tests/cover/test_separation.py
@@ -0,0 +1,326 @@
+"""Placement and moves with an estimate of which images slow each other down.
+
+The load is that of Part 6 of docs/design/README.md: fillers beside serving tasks with a
+target for their tail latency, on minions with and without room to spare.
+"""
+
+from __future__ import annotations
+
+import json
+from dataclasses import replace
+from unittest import mock
+
+import pytest
+from hypothesis import given, strategies as st
+
+from geraniumshore_scheduler import (
+    INTERFERENCE_KEY,
+    CompletedRun,
+    ImagePair,
+    Job,
+    Resources,
+    RunningTask,
+    Step,
+)
+from geraniumshore_scheduler.internal.interference_monitor import InterferenceMonitor
+from geraniumshore_scheduler.internal.minion_selection import choose_minion
+from tests.common.schedule_parts import (
+    CAPACITY,
+    SMALL,
+    Fleet,
+    LoggedFleet,
+    job,
+    listing,
+)
+
+WEB = Step(1, SMALL, lasting=True, image="web", tail_target_ms=100, may_miss=1)
+SCAN = Step(1, SMALL, lasting=True, image="scan", filler=True)
+QUIET = Step(1, SMALL, lasting=True, image="mail")
+HIGH, CALM, LOW = 130.0, 80.0, 30.0
+
+
+def record(*effects: tuple[str, str, float]) -> bytes:
+    """Return a record of certain effects: slowed image, image that slows it, size."""
+    images = sorted({image for effect in effects for image in effect[:2]})
+    models = [
+        {
+            "image": images.index(slowed),
+            "level": 0.4,
+            "noise": 0.1,
+            "weight": 50.0,
+            "usual_s": 1.0,
+            "effects": [[images.index(by), size, 0.02]],
+        }
+        for slowed, by, size in effects
+    ]
+    return json.dumps({"version": 1, "images": images, "models": models}).encode()
+
+
+def informed(fleet: Fleet, *effects: tuple[str, str, float]) -> Fleet:
+    fleet.scheduler.restore_interference(record(*effects), fleet.now)
+    return fleet
+
+
+def minions_of(fleet: Fleet, image: str) -> list[str]:
+    views = fleet.scheduler.view_by_id.values()
+    return [
+        v.minion_id for v in views for r in v.runs.values() if r.step.image == image
+    ]
+
+
+def events(fleet: Fleet) -> dict[str, dict[str, object]]:
+    return {d.event: d.details for d in fleet.scheduler.take_decisions()}
+
+
+def test_a_filler_starts_beside_a_task_that_it_does_not_slow():
+    """Guards against best fit that collects interfering tasks on one minion."""
+    fleet = informed(Fleet(3), ("web", "scan", 0.5))
+    fleet.add(job("a" * 16, WEB))
+    fleet.plan()
+    fleet.add(job("b" * 16, SCAN))
+    fleet.plan()
+    assert minions_of(fleet, "web") == ["i-0"]
+    assert minions_of(fleet, "scan") == ["i-1"]
+    apart = events(fleet)["placed apart"]
+    assert (apart["instead_of"], apart["loss_avoided"]) == ("i-0", 0.5)
+
+
+def test_avoidance_and_rack_spread_go_before_interference():
+    """Guards against losing a whole step with a rack for the sake of latency."""
+    fleet = Fleet(0)
+    fleet.scheduler.set_listings(
+        {"i-0": listing(0, "r1"), "i-1": listing(1, "r1"), "i-2": listing(2, "r2")}, 0.0
+    )
+    for minion_id in fleet.scheduler.view_by_id:
+        fleet.report(minion_id)
+    informed(fleet, ("web", "scan", 0.5))
+    fleet.add(job("a" * 16, replace(SCAN, label="r2")))
+    fleet.plan()
+    fleet.add(job("b" * 16, replace(WEB, count=2)))
+    fleet.plan()
+    assert sorted(minions_of(fleet, "web")) == ["i-0", "i-2"]
+
+
+sizes = st.builds(
+    Resources, st.integers(500, 9_000), st.integers(500, 20_000), st.just(0)
+)
+steps = st.builds(
+    Step,
+    count=st.integers(1, 4),
+    size=sizes,
+    estimate_ms=st.integers(100, 3_000),
+    label=st.sampled_from(["", "", "", "a", "r9"]),
+    most_per_minion=st.sampled_from([0, 0, 1, 2]),
+    lasting=st.booleans(),
+    filler=st.booleans(),
+    gang=st.sampled_from([False, False, False, True]),
+    image=st.sampled_from(["", "web", "scan", "mail"]),
+)
+rounds = st.lists(st.lists(steps, min_size=1, max_size=5), min_size=1, max_size=3)
+
+
+@given(rounds)
+def test_no_task_waits_because_others_are_kept_apart(waiting):
+    """Guards against tasks that are spread out until a large one finds no room.
+
+    Each round is planned from the same state, with and without the estimate.
+    """
+    fleet = informed(
+        Fleet(3), ("web", "scan", 0.5), ("mail", "web", 0.3), ("scan", "scan", 0.2)
+    )
+    for number, added in enumerate(waiting):
+        started = []
+        for apart in (False, True):
+            trial = fleet if apart else informed(Fleet(3), ("web", "scan", 0.5))
+            if not apart:
+                copy_runs(fleet, trial)
+            for index, step in enumerate(added):
+                trial.add(job(f"{number:08x}{index:08x}", step))
+            with mock.patch.object(InterferenceMonitor, "has_detected", apart):
+                started.append({str(order.run.task) for order in trial.plan()})
+        assert started[0] == started[1]
+
+
+def copy_runs(fleet: Fleet, other: Fleet) -> None:
+    """Bring another fleet into the state of a fleet."""
+    for open_job in fleet.scheduler.job_by_id.values():
+        other.add(open_job.job)
+        copied = other.scheduler.job_by_id[open_job.job.job_id]
+        for run in open_job.runs.values():
+            other.scheduler._attach(copied, replace(run))
+
+
+def test_without_room_to_spare_best_fit_decides():
+    """Guards against a large task that waits because small ones were spread out."""
+    fleet = informed(Fleet(2), ("web", "scan", 0.5))
+    fleet.add(job("a" * 16, WEB))
+    fleet.plan()
+    # The largest task needs a whole minion, and only one is empty.
+    fleet.add(job("b" * 16, replace(QUIET, image="scan")))
+    fleet.add(job("c" * 16, Step(1, CAPACITY, 640)))
+    assert len(fleet.plan()) == 2
+    assert minions_of(fleet, "scan") == ["i-0"]
+
+
+def test_without_images_nothing_is_learned_or_recorded():
+    """Guards against costs where no step names an image."""
+    fleet = LoggedFleet(2)
+    informed(fleet, ("web", "scan", 0.5))
+    fleet.add(job("a" * 16, replace(WEB, image=""), replace(SCAN, image="")))
+    with mock.patch(
+        "geraniumshore_scheduler.internal.placer.choose_minion", wraps=choose_minion
+    ) as choose:
+        fleet.plan()
+    assert all(call.args[-1] == {} for call in choose.call_args_list)
+    for _ in range(20):
+        fleet.now += 1.0
+        fleet.report("i-0", fleet.running("i-0"))
+        fleet.plan()
+    assert INTERFERENCE_KEY not in fleet.registry.learned_by_key
+
+
+class ServingFleet(LoggedFleet):
+    """A serving task and a filler that slows it on one minion, and further minions."""
+
+    def serve(self, *added: Job) -> None:
+        """Start the jobs, and only then tell the scheduler what slows what."""
+        for one in added:
+            self.add(one)
+        self.plan()
+        informed(self, ("web", "scan", 0.9))
+        for minion_id in self.scheduler.view_by_id:
+            self.report(minion_id, self.rows(minion_id, CALM))
+
+    def rows(self, minion_id: str, tail_ms: float) -> tuple[RunningTask, ...]:
+        view = self.scheduler.view_by_id[minion_id]
+        targets = [bool(run.step.tail_target_ms) for run in view.runs.values()]
+        return tuple(
+            replace(row, measured=tail_ms if serving else 500.0)
+            for row, serving in zip(self.running(minion_id), targets, strict=True)
+        )
+
+    def pass_time(self, seconds: int, *tails: float) -> list[str]:
+        """Report once per second; return the images of the runs that are stopped."""
+        for second in range(seconds):
+            self.now += 1.0
+            for minion_id in self.scheduler.view_by_id:
+                tail = tails[min(second, len(tails) - 1)]
+                self.report(minion_id, self.rows(minion_id, tail))
+            self.plan()
+        views = self.scheduler.view_by_id.values()
+        runs = [run for view in views for run in view.runs.values()]
+        return [run.step.image for run in runs if run.stop_wanted]
+
+
+def test_a_task_that_suffers_moves_to_a_minion_without_its_neighbour():
+    """Guards against fillers that stand still for good beside a sensitive task."""
+    fleet = ServingFleet(3)
+    fleet.serve(job("a" * 16, WEB, SCAN))
+    (minion_id,) = minions_of(fleet, "web")
+    assert minions_of(fleet, "scan") == [minion_id]
+    assert fleet.pass_time(6, HIGH, CALM) == ["web"]
+    assert events(fleet)["moved apart"]["slowed_by"] == ["scan"]
+    (web,) = (
+        r
+        for r in fleet.scheduler.view_by_id[minion_id].runs.values()
+        if r.number and r.step.image == "web"
+    )
+    ended = CompletedRun(1, web.name, web.number, "stopped", "")
+    rest = tuple(r for r in fleet.rows(minion_id, 0.0) if r.task != web.name)
+    fleet.report(minion_id, rest, (ended,))
+    fleet.plan()
+    (moved_to,) = minions_of(fleet, "web")
+    assert moved_to != minion_id
+
+
+@pytest.mark.parametrize(
+    ("web", "minions", "tails"),
+    [
+        (WEB, 3, (CALM,)),
+        (WEB, 3, (HIGH, LOW)),
+        (replace(WEB, may_miss=None), 3, (HIGH, CALM)),
+        (replace(WEB, may_miss=0), 3, (HIGH, CALM)),
+        (replace(WEB, count=2, most_per_minion=1), 1, (HIGH, CALM)),
+        (WEB, 1, (HIGH, CALM)),
+        (replace(WEB, label="r9"), 3, (HIGH, CALM)),
+        (replace(WEB, image=""), 3, (HIGH, CALM)),
+    ],
+    ids=[
+        "does not suffer",
+        "pacing costs less",
+        "no budget",
+        "budget of none",
+        "budget used up",
+        "no other minion",
+        "no other minion with the label",
+        "no image",
+    ],
+)
+def test_a_task_stays_where_a_move_is_not_allowed_or_not_worth_it(web, minions, tails):
+    """Guards against moves that break may_miss, or cost more than they save."""
+    fleet = ServingFleet(minions)
+    if web.label:
+        labelled = listing(0, web.label)
+        fleet.scheduler.set_listings({"i-0": labelled, "i-1": listing(1)}, 0.0)
+    fleet.serve(job("a" * 16, web, replace(SCAN, label=web.label)))
+    assert fleet.pass_time(20, *tails) == []
+
+
+def test_tasks_of_one_service_move_one_after_the_other():
+    """Guards against moves of several tasks before a report shows what one changed."""
+    fleet = ServingFleet(6)
+    fleet.serve(*(job(f"{n:016x}", WEB, SCAN) for n in range(3)))
+    assert len(minions_of(fleet, "web")) == 3
+    assert len(fleet.pass_time(4, HIGH)) == 1
+
+
+def test_a_new_owner_continues_with_what_the_former_one_learned():
+    """Guards against an estimate that is lost when its owner is killed."""
+    fleet = ServingFleet(2)
+    both = replace(WEB, most_per_minion=1, count=2)
+    fleet.add(job("a" * 16, both, replace(SCAN, label="r1")))
+    fleet.plan()
+    beside = minions_of(fleet, "scan")[0]
+    for second in range(40):
+        fleet.now += 1.0
+        for minion_id in fleet.scheduler.view_by_id:
+            tail = 70.0 + second % 7 if minion_id == beside else 30.0 + second % 5
+            fleet.report(minion_id, fleet.rows(minion_id, tail))
+        fleet.plan()
+    pair = ImagePair("web", "scan")
+    effect = fleet.scheduler._interference.estimator.effect(pair)
+    assert 0.3 < effect.size < 0.5
+    assert "interference found" in events(fleet)
+    successor = fleet.successor().scheduler
+    value = fleet.registry.learned_by_key[INTERFERENCE_KEY]
+    successor.restore_interference(value, fleet.now)
+    assert successor.interference_pairs == 1
+    assert successor._interference.estimator.effect(pair).size == pytest.approx(
+        effect.size, abs=0.02
+    )
+
+
+@pytest.mark.parametrize("value", [b"{", b'{"version":2}'])
+def test_a_record_that_cannot_be_read_is_logged_and_ignored(value):
+    """Guards against a takeover that fails for a record of another release."""
+    fleet = Fleet(1)
+    fleet.scheduler.restore_interference(value, 0.0)
+    fleet.scheduler.restore_interference(None, 0.0)
+    assert "cause" in events(fleet)["interference record ignored"]
+    assert fleet.scheduler.interference_pairs == 0
+
+
+def test_the_summary_is_recorded_at_most_once_in_five_seconds():
+    """Guards against writes that delay the records of starts, also while none of them
+    is durable because the store is away."""
+    fleet = ServingFleet(1)
+    fleet.serve(job("a" * 16, WEB, SCAN))
+    recorded = []
+    for _ in range(50):
+        fleet.now += 0.2
+        fleet.report("i-0", fleet.rows("i-0", CALM))
+        batch = fleet.scheduler.plan(fleet.now, 0.0)
+        if batch is not None and INTERFERENCE_KEY in batch.value_by_key:
+            recorded.append(fleet.now)
+    assert len(recorded) == 2
+    assert recorded[1] - recorded[0] >= 5.0
