--- a/tests/cover/test_separation.py
+++ b/tests/cover/test_separation.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Mapping
 from dataclasses import replace
 from unittest import mock
 
@@ -162,6 +163,36 @@
     assert minions_of(fleet, "scan") == ["i-0"]
 
 
+@pytest.mark.parametrize(
+    ("scans", "labelled"),
+    [
+        (1, Step(1, Resources(10_000, 1_000), 640, label="r9")),
+        (2, Step(2, Resources(7_000, 1_000), 640, label="r9", most_per_minion=1)),
+    ],
+    ids=["label", "label and limit for each minion"],
+)
+def test_the_minions_of_a_step_keep_room_for_it(scans, labelled):
+    """Guards against tasks kept apart on the only minions that another step may use."""
+    fleet = Fleet(0)
+    last_labelled = 3 - labelled.count
+    listings = {}
+    for number in range(3):
+        rack = "r9" if number >= last_labelled else "r1"
+        labels = ("a", rack, f"m{number}")
+        listings[f"i-{number}"] = replace(listing(number), labels=labels)
+    fleet.scheduler.set_listings(listings, 0.0)
+    for minion_id in listings:
+        fleet.report(minion_id)
+    informed(fleet, ("web", "scan", 0.5))
+    for number in range(2):
+        fleet.add(job(f"{number:016x}", replace(WEB, label=f"m{number}")))
+    assert len(fleet.plan()) == 2
+    size = Resources(8_000, 1_000)
+    fleet.add(job("a" * 16, Step(scans, size, 640, image="scan")))
+    fleet.add(job("b" * 16, labelled))
+    assert len(fleet.plan()) == scans + labelled.count
+
+
 def test_without_images_nothing_is_learned_or_recorded():
     """Guards against costs where no step names an image."""
     fleet = LoggedFleet(2)
@@ -180,7 +211,9 @@
 
 
 class ServingFleet(LoggedFleet):
-    """A serving task and a filler that slows it on one minion, and further minions."""
+    """Serving tasks and fillers that slow them, and minions without any."""
+
+    percent_by_run: Mapping[str, int] = {}
 
     def serve(self, *added: Job) -> None:
         """Start the jobs, and only then tell the scheduler what slows what."""
@@ -195,7 +228,11 @@
         view = self.scheduler.view_by_id[minion_id]
         targets = [bool(run.step.tail_target_ms) for run in view.runs.values()]
         return tuple(
-            replace(row, measured=tail_ms if serving else 500.0)
+            replace(
+                row,
+                measured=tail_ms if serving else 500.0,
+                percent=self.percent_by_run.get(row.task, 100),
+            )
             for row, serving in zip(self.running(minion_id), targets, strict=True)
         )
 
@@ -220,11 +257,8 @@
     assert minions_of(fleet, "scan") == [minion_id]
     assert fleet.pass_time(6, HIGH, CALM) == ["web"]
     assert events(fleet)["moved apart"]["slowed_by"] == ["scan"]
-    (web,) = (
-        r
-        for r in fleet.scheduler.view_by_id[minion_id].runs.values()
-        if r.number and r.step.image == "web"
-    )
+    runs = fleet.scheduler.view_by_id[minion_id].runs.values()
+    web = next(run for run in runs if run.step.image == "web")
     ended = CompletedRun(1, web.name, web.number, "stopped", "")
     rest = tuple(r for r in fleet.rows(minion_id, 0.0) if r.task != web.name)
     fleet.report(minion_id, rest, (ended,))
@@ -240,7 +274,6 @@
         (WEB, 3, (HIGH, LOW)),
         (replace(WEB, may_miss=None), 3, (HIGH, CALM)),
         (replace(WEB, may_miss=0), 3, (HIGH, CALM)),
-        (replace(WEB, count=2, most_per_minion=1), 1, (HIGH, CALM)),
         (WEB, 1, (HIGH, CALM)),
         (replace(WEB, label="r9"), 3, (HIGH, CALM)),
         (replace(WEB, image=""), 3, (HIGH, CALM)),
@@ -250,7 +283,6 @@
         "pacing costs less",
         "no budget",
         "budget of none",
-        "budget used up",
         "no other minion",
         "no other minion with the label",
         "no image",
@@ -266,6 +298,33 @@
     assert fleet.pass_time(20, *tails) == []
 
 
+def test_a_task_stays_while_another_of_its_step_is_unavailable():
+    """Guards against a move that takes more of a step away than may_miss allows."""
+    fleet = ServingFleet(4)
+    fleet.serve(job("a" * 16, replace(WEB, count=2, most_per_minion=1), SCAN))
+    beside, other = sorted(
+        minions_of(fleet, "web"), key=lambda m: m not in minions_of(fleet, "scan")
+    )
+    (web,) = fleet.scheduler.view_by_id[other].runs.values()
+    for at_work in (False, True):
+        fleet.percent_by_run = {} if at_work else {web.name: 50}
+        assert fleet.pass_time(8, HIGH, CALM) == (["web"] if at_work else [])
+    assert not web.stop_wanted
+
+
+def test_a_task_stays_where_no_minion_is_better():
+    """Guards against moves from one minion with a neighbour to the next."""
+    fleet = ServingFleet(0)
+    listings = {"i-0": listing(0), "i-1": listing(1, "r9")}
+    fleet.scheduler.set_listings(listings, 0.0)
+    scans = replace(SCAN, count=2, most_per_minion=1)
+    fleet.add(job("b" * 16, WEB, scans))
+    fleet.plan()
+    fleet.serve(job("a" * 16, replace(QUIET, label="r9", size=Resources(9_000))))
+    assert minions_of(fleet, "web") == ["i-0"]
+    assert fleet.pass_time(20, HIGH, CALM) == []
+
+
 def test_tasks_of_one_service_move_one_after_the_other():
     """Guards against moves of several tasks before a report shows what one changed."""
     fleet = ServingFleet(6)
