--- a/tests/cover/test_separation.py
+++ b/tests/cover/test_separation.py
@@ -166,8 +166,8 @@
 @pytest.mark.parametrize(
     ("scans", "labelled"),
     [
-        (1, Step(1, Resources(10_000, 1_000), 640, label="r9")),
-        (2, Step(2, Resources(7_000, 1_000), 640, label="r9", most_per_minion=1)),
+        (1, Step(1, Resources(12_000, 1_000), 640, label="r9")),
+        (3, Step(2, Resources(4_000, 1_000), 640, label="r9", most_per_minion=1)),
     ],
     ids=["label", "label and limit for each minion"],
 )
@@ -187,7 +187,7 @@
     for number in range(2):
         fleet.add(job(f"{number:016x}", replace(WEB, label=f"m{number}")))
     assert len(fleet.plan()) == 2
-    size = Resources(8_000, 1_000)
+    size = Resources(5_000, 1_000)
     fleet.add(job("a" * 16, Step(scans, size, 640, image="scan")))
     fleet.add(job("b" * 16, labelled))
     assert len(fleet.plan()) == scans + labelled.count
