--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/interference_monitor.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/interference_monitor.py
@@ -29,9 +29,10 @@
 MAX_ENDED_RUNS = 32
 # The longest that the end of a run is kept for runs that it was beside.
 ENDED_RETENTION_S = 60.0
-# The time between two records. It bounds the writes to the log, and what a new owner
-# has to learn again.
-RECORD_INTERVAL_S = 5.0
+# The time between two records. Every node reads each of them, so one that only has more
+# evidence for the same effects waits for half of the evidence's half-life.
+CHANGE_RECORD_INTERVAL_S = 5.0
+RECORD_INTERVAL_S = 30.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +57,7 @@
         self._ended_by_minion: dict[str, deque[_EndedRun]] = {}
         self._sampled_at_by_run: dict[int, float] = {}
         self._recorded_at = float("-inf")
+        self._effects_changed = False
 
     def restore(self, value: bytes, now: float) -> str | None:
         """Load a former owner's record; return why it was ignored, None if not."""
@@ -110,13 +112,21 @@
 
     def solve(self, now: float) -> list[PairChange]:
         """Update the estimate; return the effects that became certain or ceased."""
-        return self.estimator.solve(now) if self.enabled else []
+        if not self.enabled:
+            return []
+        changes = self.estimator.solve(now)
+        self._effects_changed |= bool(changes)
+        return changes
 
     def record_due(self, now: float) -> bytes | None:
         """Return the record for the next owner if it is time to write it."""
-        if not self.estimator.changed or now < self._recorded_at + RECORD_INTERVAL_S:
+        interval_s = (
+            CHANGE_RECORD_INTERVAL_S if self._effects_changed else RECORD_INTERVAL_S
+        )
+        if not self.estimator.changed or now < self._recorded_at + interval_s:
             return None
         self._recorded_at = now
+        self._effects_changed = False
         self._forget_old(now)
         return self.estimator.to_record(now)
 
@@ -164,13 +174,15 @@
         self._sampled_at_by_run = {
             number: at
             for number, at in self._sampled_at_by_run.items()
-            if at > now - RECORD_INTERVAL_S
+            if at > now - REPORT_WINDOW_S
         }
 
 
 def _pace(run: Run) -> float:
-    """Return a run's pace as a share; one of a former owner's order is not known."""
-    return 1.0 if run.pace is None else run.pace / FULL_PACE
+    """Return a run's pace as a share, for an unknown one whether it works at all."""
+    if run.pace is None:
+        return 0.0 if run.step.filler and not run.measured else 1.0
+    return run.pace / FULL_PACE
 
 
 def _pace_just_changed(view: MinionView, now: float) -> bool:
