--- a/tests/cover/test_separation.py
+++ b/tests/cover/test_separation.py
@@ -360,6 +360,42 @@
     )
 
 
+def test_run_times_of_batch_tasks_show_what_slows_them():
+    """Guards against runs that are attributed to neighbours of other times: "mail" runs
+    on the same minions, but only before the measured runs."""
+    fleet = Fleet(2)
+    fleet.add(job("a" * 16, replace(SCAN, count=1)))
+    fleet.plan()
+    (slow,) = minions_of(fleet, "scan")
+    numbers = dict.fromkeys(fleet.scheduler.view_by_id, 0)
+
+    def run_all(number: int, image: str, duration_by_minion: dict[str, float]) -> None:
+        both = Step(2, SMALL, 1_000, image=image, most_per_minion=1)
+        fleet.add(job(f"{number:08x}{image:>08}", both))
+        assert len(fleet.plan()) == 2
+        began_at = fleet.now
+        for minion_id in sorted(duration_by_minion, key=duration_by_minion.__getitem__):
+            fleet.now = began_at + duration_by_minion[minion_id]
+            view = fleet.scheduler.view_by_id[minion_id]
+            run = next(r for r in view.runs.values() if r.step.image == image)
+            rows = (r for r in fleet.running(minion_id) if r.task != run.name)
+            numbers[minion_id] += 1
+            ended = CompletedRun(numbers[minion_id], run.name, run.number, "done", "")
+            fleet.report(minion_id, tuple(rows), (ended,))
+            fleet.plan()
+
+    for number in range(40):
+        jitter = number % 5 / 20
+        run_all(number, "mail", dict.fromkeys(numbers, 0.3))
+        durations = {m: 1.0 + jitter + (0.8 if m == slow else 0.0) for m in numbers}
+        run_all(number, "batch", durations)
+    found = dict(fleet.scheduler._interference.estimator.detected())
+    assert found.keys() == {ImagePair("batch", "scan")}
+    # Usual runs take the mean of both minions.
+    (effect,) = found.values()
+    assert 0.4 < effect.size < 0.65
+
+
 @pytest.mark.parametrize("value", [b"{", b'{"version":2}'])
 def test_a_record_that_cannot_be_read_is_logged_and_ignored(value):
     """Guards against a takeover that fails for a record of another release."""
