--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/interference.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/interference.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 from types import MappingProxyType
+from zlib import crc32
 
 from pydantic import TypeAdapter, ValidationError
 
@@ -254,10 +255,17 @@
     def _tracked(
         self, exposure_by_image: Mapping[str, float], now: float
     ) -> Iterator[tuple[str, float]]:
-        """Yield the exposures to images that are tracked, or are from now on."""
-        for image, exposure in sorted(
-            exposure_by_image.items(), key=lambda item: (-item[1], item[0])
-        ):
+        """Yield the exposures to images that are tracked, or are from now on.
+
+        The order in which images are admitted differs from sample to sample, so that
+        each of many gets its turn.
+        """
+
+        def turn(image: str) -> tuple[int, str]:
+            return crc32(image.encode(errors="replace"), int(now)), image
+
+        for image in sorted(exposure_by_image, key=turn):
+            exposure = exposure_by_image[image]
             if exposure <= 0.0 or not 0 < len(image) <= MAX_IMAGE_LENGTH:
                 continue
             if image not in self.admitted_at_by_image and not self._admit(image, now):
--- a/tests/cover/test_interference.py
+++ b/tests/cover/test_interference.py
@@ -132,8 +132,9 @@
             image, *beside = (f"image-{rng.randrange(10_000)}" for _ in range(6))
             exposures = dict.fromkeys(beside, 1.0)
             learning.estimator.observe(image, rng.random(), exposures, 1.0, second)
-        beside = ["scan"] if rng.random() < 0.5 else []
-        exposures = dict.fromkeys([*beside, f"image-{rng.randrange(10_000)}"], 1.0)
+        others = [f"image-{rng.randrange(10_000)}" for _ in range(6)]
+        beside = ["scan", *others] if rng.random() < 0.5 else others
+        exposures = dict.fromkeys(beside, 1.0)
         value = learning.value("web", beside)
         learning.estimator.observe("web", value, exposures, 0.25, second)
         learning.estimator.solve(second)
--- a/tests/cover/test_separation.py
+++ b/tests/cover/test_separation.py
@@ -22,11 +22,13 @@
     Job,
     Resources,
     RunningTask,
+    StartOrder,
     Step,
 )
 from geraniumshore_scheduler.internal.interference_monitor import InterferenceMonitor
 from geraniumshore_scheduler.internal.minion_selection import choose_minion
 from tests.common.schedule_parts import (
+    CAPACITY,
     SMALL,
     Fleet,
     LoggedFleet,
@@ -124,7 +126,7 @@
     fleet = informed(
         Fleet(3), ("web", "scan", 0.5), ("mail", "web", 0.3), ("scan", "scan", 0.2)
     )
-    starts = ()
+    starts: tuple[StartOrder, ...] = ()
     for group, added, used in (("a", running, False), ("b", waiting, apart)):
         for number, step in enumerate(added):
             fleet.add(job(f"{group}{number:015x}", step))
@@ -140,6 +142,17 @@
     assert started(running, waiting, apart=True) == expected
 
 
+def test_without_room_to_spare_best_fit_decides():
+    """Guards against a large task that waits because small ones were spread out."""
+    fleet = informed(Fleet(2), ("web", "scan", 0.5))
+    fleet.add(job("a" * 16, WEB))
+    fleet.plan()
+    # The largest task needs a whole minion, and only one is empty.
+    fleet.add(job("b" * 16, replace(QUIET, image="scan")))
+    fleet.add(job("c" * 16, Step(1, CAPACITY, 640)))
+    assert len(fleet.plan()) == 2
+
+
 @pytest.mark.parametrize(
     ("scans", "labelled"),
     [
