Replace neighbours that are not there any more, keep those that are there often

A trial of 20 s replaced an image that was there half of the time by others that were there once: with 10,000 images its effect was never found in 400 s.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/interference.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/interference.py
@@ -56,9 +56,11 @@
 MAX_NEIGHBOURS = 12
 MAX_EXPOSURE = 4.0
 MAX_IMAGE_LENGTH = 200
-# A neighbour is not replaced by another before this time, so that evidence on it can
-# accumulate where a task has more neighbours than are tracked.
-TRIAL_S = 20.0
+# A neighbour without a detected effect is replaced by another once it has not been
+# there for UNSEEN_S, or has been tracked for TRIAL_S. So evidence accumulates on those
+# that are there often, and each of many gets its turn.
+UNSEEN_S = 10.0
+TRIAL_S = 60.0
 # Models are solved at most this often, and a few of them at a time.
 SOLVE_INTERVAL_S = 1.0
 MAX_SOLVED_AT_ONCE = 8
@@ -279,7 +281,11 @@
             replaceable = [
                 other
                 for other, admitted_at in self.admitted_at_by_image.items()
-                if other not in self.detected and now >= admitted_at + TRIAL_S
+                if other not in self.detected
+                and (
+                    now >= self.seen_at_by_image[other] + UNSEEN_S
+                    or now >= admitted_at + TRIAL_S
+                )
             ]
             if not replaceable:
                 return False
