--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/interference.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/interference.py
@@ -69,6 +69,9 @@
 
 RECORD_VERSION = 1
 MAX_RECORD_BYTES = 32 * 1024
+# Samples are at most MAX_VALUE, and those of an image come at most as often as polls.
+MAX_RECORDED_VALUE = 100.0
+MAX_RECORDED_WEIGHT = 1e6
 # The part of the record that is neither an image name nor a row.
 RECORD_OVERHEAD_BYTES = 100
 
@@ -516,16 +519,21 @@
 
 
 def _is_sound(row: _ModelRow, images: int) -> bool:
-    """Return whether the values of a row are such as this module writes."""
+    """Return whether the values of a row are such as this module writes.
+
+    Much larger ones would leave nothing of the samples that are added to them.
+    """
     indices = [row.image, *(index for index, _, _ in row.effects)]
     values = [row.level, *(size for _, size, _ in row.effects)]
-    amounts = [row.weight, row.usual_s, *(sd for _, _, sd in row.effects)]
+    uncertainties = [uncertainty for _, _, uncertainty in row.effects]
     return (
         all(0 <= index < images for index in indices)
         and len(row.effects) <= MAX_NEIGHBOURS
-        and all(abs(value) < 1e6 for value in values)
-        and all(0.0 <= amount < 1e9 for amount in amounts)
-        and MIN_NOISE <= row.noise < 1e6
+        and all(abs(value) <= MAX_RECORDED_VALUE for value in values)
+        and all(0.0 <= amount <= PRIOR_DEVIATION for amount in uncertainties)
+        and MIN_NOISE <= row.noise <= MAX_RECORDED_VALUE
+        and 0.0 <= row.weight <= MAX_RECORDED_WEIGHT
+        and 0.0 <= row.usual_s < float("inf")
     )
 
 
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/interference_monitor.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/interference_monitor.py
@@ -29,6 +29,7 @@
 MAX_ENDED_RUNS = 32
 # The longest that the end of a run is kept for runs that it was beside.
 ENDED_RETENTION_S = 60.0
+FORGET_INTERVAL_S = 5.0
 # The time between two records. Every node reads each of them, so one that only has more
 # evidence for the same effects waits for half of the evidence's half-life.
 CHANGE_RECORD_INTERVAL_S = 5.0
@@ -58,6 +59,7 @@
         self._sampled_at_by_run: dict[int, float] = {}
         self._recorded_at = float("-inf")
         self._effects_changed = False
+        self._forgot_at = float("-inf")
 
     def restore(self, value: bytes, now: float) -> str | None:
         """Load a former owner's record; return why it was ignored, None if not."""
@@ -114,6 +116,9 @@
         """Update the estimate; return the effects that became certain or ceased."""
         if not self.enabled:
             return []
+        if now >= self._forgot_at + FORGET_INTERVAL_S:
+            self._forgot_at = now
+            self._forget_old(now)
         changes = self.estimator.solve(now)
         self._effects_changed |= bool(changes)
         return changes
@@ -127,7 +132,6 @@
             return None
         self._recorded_at = now
         self._effects_changed = False
-        self._forget_old(now)
         return self.estimator.to_record(now)
 
     @property
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -37,6 +37,9 @@
 
 __all__ = ["Scheduler"]
 
+# A record with many faults names each of them.
+MAX_CAUSE_LENGTH = 200
+
 
 class Scheduler(Placer):
     """The state machine of one owner's epoch. Not thread-safe."""
@@ -65,9 +68,8 @@
         """Load what a former owner learned of tasks that slow each other down."""
         cause = self._interference.restore(value, now) if value else None
         if cause is not None:
-            self._record_decision(
-                "interference record ignored", "", details={"cause": cause}
-            )
+            details: dict[str, object] = {"cause": cause[:MAX_CAUSE_LENGTH]}
+            self._record_decision("interference record ignored", "", details=details)
 
     @property
     def interference_pairs(self) -> int:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/separation.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/separation.py
@@ -20,7 +20,11 @@
 from geraniumshore_scheduler.internal.records import INTERFERENCE_KEY
 from geraniumshore_scheduler.internal.relocation import SufferingTask
 from geraniumshore_scheduler.internal.runs import OpenJob, Run
-from geraniumshore_scheduler.internal.spare_room import Demand, has_spare_room
+from geraniumshore_scheduler.internal.spare_room import (
+    Demand,
+    count_slots,
+    has_spare_room,
+)
 
 __all__ = ["Separator"]
 
@@ -54,7 +58,21 @@
         # Which minions have a ticket for a step is not known beforehand.
         if any(job.needs_advice for job in jobs):
             return False
-        return has_spare_room(_demands(jobs), views)
+        return has_spare_room(self._demands(jobs), views)
+
+    def _demands(self, jobs: Iterable[OpenJob]) -> Iterator[Demand]:
+        """Yield the waiting tasks that the caps of their teams let start."""
+        for job in jobs:
+            team = job.job.team or ""
+            limit = self._limit_by_team.get(team)
+            for (occurrence, number), count in job.waiting.count_by_step().items():
+                step = job.job.steps[number]
+                if limit is not None:
+                    use = self._team_use.get(team, Resources())
+                    count = count_slots(limit.minus(use), step.size, count)
+                yield Demand(
+                    step, TaskKey(job.job.job_id, occurrence, number, 0), count
+                )
 
     def _losses(self, step: Step, apart: bool) -> Mapping[str, float]:
         """Return what a task loses beside each image, if that counts now."""
@@ -170,7 +188,7 @@
         own = Demand(run.step, run.task, 1)
         if any(other.needs_advice for other in waiting):
             return None
-        if not has_spare_room([*_demands(waiting), own], views):
+        if not has_spare_room([*self._demands(waiting), own], views):
             return None
         losses = self._interference.losses(run.step.image)
         avoided = job.failed_on.get(run.task, ())
@@ -194,11 +212,3 @@
             "uncertainty": round(change.effect.uncertainty, 2),
         }
         self._record_decision(event, "", details=details)
-
-
-def _demands(jobs: Iterable[OpenJob]) -> Iterator[Demand]:
-    """Yield the waiting tasks of all steps."""
-    for job in jobs:
-        for (occurrence, number), count in job.waiting.count_by_step().items():
-            task = TaskKey(job.job.job_id, occurrence, number, 0)
-            yield Demand(job.job.steps[number], task, count)
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/spare_room.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/spare_room.py
@@ -13,12 +13,12 @@
 from geraniumshore_scheduler.internal.minion_view import MinionView
 from geraniumshore_scheduler.internal.model import Resources, Step, TaskKey
 
-__all__ = ["Demand", "has_spare_room"]
+__all__ = ["Demand", "count_slots", "has_spare_room"]
 
 
 @dataclass(frozen=True, slots=True)
 class Demand:
-    """Waiting tasks of a step; ``task`` is any task of it."""
+    """Tasks of a step that may start; ``task`` is any task of it."""
 
     step: Step
     task: TaskKey
@@ -42,7 +42,7 @@
     slot = Resources(
         *(max(demand.step.room[part] for demand in startable) for part in range(3))
     )
-    slots = [_slots(view.free, slot, total) for view in views]
+    slots = [count_slots(view.free, slot, total) for view in views]
     if sum(slots) < total:
         return False
     return all(
@@ -52,8 +52,8 @@
     )
 
 
-def _slots(free: Resources, slot: Resources, limit: int) -> int:
-    """Return how many slots fit, at most ``limit``."""
+def count_slots(free: Resources, slot: Resources, limit: int) -> int:
+    """Return how many slots of a size fit, at most ``limit``."""
     if min(free) < 0:
         return 0
     fitting = (part // size for part, size in zip(free, slot, strict=True) if size)
--- a/tests/cover/test_separation.py
+++ b/tests/cover/test_separation.py
@@ -32,6 +32,7 @@
     SMALL,
     Fleet,
     LoggedFleet,
+    configuration,
     job,
     listing,
 )
@@ -153,6 +154,17 @@
     assert len(fleet.plan()) == 2
 
 
+def test_tasks_that_wait_for_a_cap_need_no_room():
+    """Guards against a team at its cap that ends separation in its pool."""
+    fleet = informed(Fleet(3, configuration(cap=SMALL)), ("web", "scan", 0.5))
+    fleet.add(job("a" * 16, WEB))
+    fleet.add(job("b" * 16, Step(500, SMALL, 640), team="team"))
+    assert len(fleet.plan()) == 2
+    fleet.add(job("c" * 16, SCAN))
+    fleet.plan()
+    assert set(minions_of(fleet, "web")).isdisjoint(minions_of(fleet, "scan"))
+
+
 @pytest.mark.parametrize(
     ("scans", "labelled"),
     [
