--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/relocation.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/relocation.py
@@ -2,7 +2,7 @@
 
 Slowing the fillers beside a task costs their work for as long as it lasts; moving the
 task costs its own work once. So a task moves when what was lost beside it amounts to
-the cost of the move, which loses at most twice what knowing the future would.
+the cost of the move: at most twice the least loss possible, if the move ends it.
 """
 
 from __future__ import annotations
