--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/__init__.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/__init__.py
@@ -34,6 +34,11 @@
     encode_durations,
 )
 from geraniumshore_scheduler.internal.evacuation import EvacuationLog, StartPermission
+from geraniumshore_scheduler.internal.interference import (
+    Effect,
+    ImagePair,
+    InterferenceEstimator,
+)
 from geraniumshore_scheduler.internal.job_registry import (
     JobRegistry,
     Reading,
@@ -94,6 +99,7 @@
 )
 from geraniumshore_scheduler.internal.records import (
     EVACUATIONS_KEY,
+    INTERFERENCE_KEY,
     MACHINE_ORDERS_KEY,
     OWNER_KEY,
     OWNER_RESIGNED_KEY,
@@ -134,6 +140,7 @@
     "ANNOUNCEMENT_VALID_S",
     "EVACUATIONS_KEY",
     "DURATIONS_KEY",
+    "INTERFERENCE_KEY",
     "MACHINE_ORDERS_KEY",
     "OWNER_KEY",
     "OWNER_RESIGNED_KEY",
@@ -156,9 +163,12 @@
     "DeclaredDurations",
     "DurationEstimates",
     "DurationKey",
+    "Effect",
     "Finding",
     "FirstComeFirstServed",
     "GeraniumshoreError",
+    "ImagePair",
+    "InterferenceEstimator",
     "InvalidInputError",
     "Job",
     "JobOrder",
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/placer.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/placer.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterator, Sequence
+from collections.abc import Collection, Iterator, Mapping, Sequence
 
 from geraniumshore_scheduler.internal.advice import StepKey
 from geraniumshore_scheduler.internal.cold_minions import find_cold, split_cold
+from geraniumshore_scheduler.internal.interference import NO_LOSSES
 from geraniumshore_scheduler.internal.minion_selection import (
     choose_minion,
     has_room_for_all,
@@ -13,8 +14,8 @@
 from geraniumshore_scheduler.internal.minion_view import MinionView
 from geraniumshore_scheduler.internal.model import Step, TaskKey
 from geraniumshore_scheduler.internal.orders import StartOrder, StopOrder
-from geraniumshore_scheduler.internal.reconciliation import Reconciler
 from geraniumshore_scheduler.internal.runs import OpenJob, Run, RunState
+from geraniumshore_scheduler.internal.separation import Separator
 from geraniumshore_scheduler.internal.stragglers import is_straggler
 from geraniumshore_scheduler.internal.unplaceable_sizes import UnplaceableSizes
 
@@ -35,7 +36,7 @@
 NEARLY_DONE_PERCENT = 90
 
 
-class Placer(Reconciler):
+class Placer(Separator):
     """Plans starts and stops from the known state of the runs."""
 
     def _evacuate_draining_minions(self) -> None:
@@ -108,9 +109,12 @@
             views = views_by_service.get(service, [])
             jobs.sort(key=lambda job: self._order.rank(job, now))
             unplaceable_sizes = UnplaceableSizes()
+            apart = self._may_keep_apart(jobs, views)
             for job in jobs:
                 try:
-                    self._place_job(job, views, unplaceable_sizes, untracked_runs, now)
+                    self._place_job(
+                        job, views, unplaceable_sizes, untracked_runs, apart, now
+                    )
                 except Exception as error:
                     self._set_aside(job.job.job_id, error)
         # The placements above only use up room, so they enable no further starts.
@@ -122,11 +126,13 @@
         views: list[MinionView],
         unplaceable_sizes: UnplaceableSizes,
         untracked_runs: set[str],
+        apart: bool,
         now: float,
     ) -> None:
         job.unplaced.clear()
         for step_number in job.waiting.steps():
             step = job.job.steps[step_number[1]]
+            losses = self._losses(step, apart)
             allowed = views
             if job.needs_advice:
                 step_key = StepKey(job.job.job_id, *step_number)
@@ -148,12 +154,14 @@
                     job.unplaced.add(step_number)
                     break
                 avoided = job.failed_on.get(task, ())
-                view = self._choose_minion(step, task, allowed, avoided)
+                view = self._choose_minion(step, task, allowed, avoided, losses)
                 if view is None:
                     job.unplaced.add(step_number)
                     if allowed is views and not step.label and not step.most_per_minion:
                         unplaceable_sizes.add(step.room)
                     break
+                if losses:
+                    self._log_separation(step, task, view, allowed, avoided, losses)
                 self._start_run(job, task, view, self._allocate_run_number(), now)
 
     def _place_gang(
@@ -194,10 +202,11 @@
         task: TaskKey,
         views: Sequence[MinionView],
         avoided: Collection[str],
+        losses: Mapping[str, float] = NO_LOSSES,
     ) -> MinionView | None:
         """Return the minion for a task, a cold one only if no warm one has room."""
         groups = split_cold(views, self._cold_minions)
-        chosen = (choose_minion(step, task, group, avoided) for group in groups)
+        chosen = (choose_minion(step, task, group, avoided, losses) for group in groups)
         return next((view for view in chosen if view is not None), None)
 
     def _plan_run(
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
@@ -19,6 +19,7 @@
     "AGE_RESOLUTION_S",
     "EVACUATIONS_KEY",
     "MAX_LEARNED_BYTES",
+    "INTERFERENCE_KEY",
     "OWNER_KEY",
     "OWNER_RESIGNED_KEY",
     "UNRESPONSIVE_KEY",
@@ -236,6 +237,7 @@
 UNRESPONSIVE_KEY = f"{RecordKind.MACHINES.value}/silent"
 # Size limit of a record of what an owner has learned.
 MAX_LEARNED_BYTES = 32 * 1024
+INTERFERENCE_KEY = f"{RecordKind.LEARNED.value}/interference"
 
 
 def job_key(kind: RecordKind, job_id: str) -> str:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -39,6 +39,9 @@
 
 __all__ = ["Scheduler"]
 
+# A record with many faults names each of them.
+MAX_CAUSE_LENGTH = 200
+
 
 class Scheduler(Evacuator):
     """The state machine of one owner's epoch. Not thread-safe."""
@@ -81,6 +84,18 @@
         """The number of queues' steps and images whose durations are corrected."""
         return len(self._learning.durations.correction_by_key)
 
+    def restore_interference(self, value: bytes | None, now: float) -> None:
+        """Load what a former owner learned of tasks that slow each other down."""
+        cause = self._interference.restore(value, now) if value else None
+        if cause is not None:
+            details: dict[str, object] = {"cause": cause[:MAX_CAUSE_LENGTH]}
+            self._record_decision("interference record ignored", "", details=details)
+
+    @property
+    def interference_pairs(self) -> int:
+        """The number of pairs of images known to slow each other down."""
+        return sum(1 for _ in self._interference.estimator.detected())
+
     def expect_jobs(self, job_ids: Iterable[str]) -> None:
         """Name the jobs that former owners placed and that will be added later.
 
@@ -148,6 +163,8 @@
             self._adopt(opened, now)
             self._stop_runs_of_ended(opened)
             return
+        if any(step.image for step in job.steps):
+            self._interference.enabled = True
         self._apply_settings(opened, job)
         self._apply_queue_settings(opened)
         self._changed_services.add(opened.service)
@@ -251,6 +268,8 @@
         self._evacuate_draining_minions()
         self._move_long_running_tasks(now)
         self._stop_stragglers(now)
+        self._update_interference(now)
+        self._move_suffering_tasks(now)
         self._place_waiting_tasks(now)
         self._send_stops(now)
         self._record_evacuations(wall_ms)
--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -10,6 +10,7 @@
 
 from geraniumshore_scheduler import (
     DURATIONS_KEY,
+    INTERFERENCE_KEY,
     OWNER_KEY,
     Authority,
     Batch,
@@ -239,6 +240,10 @@
                 self._machine_orders.take_over(self._jobs.registry.order_by_machine)
                 self._scheduler.restore_last_grants(self._jobs.registry.last_grants)
                 self._restore_durations(now)
+                learned_by_key = self._jobs.registry.learned_by_key
+                self._scheduler.restore_interference(
+                    learned_by_key.get(INTERFERENCE_KEY), now
+                )
                 if self._operators.configuration is not None:
                     self._scheduler.set_configuration(self._operators.configuration)
                 self._scheduler.restore_evacuations(self._jobs.registry.evacuations)
@@ -250,6 +255,7 @@
                 for registered in sorted(jobs, key=lambda job: job.accepted_at):
                     self._scheduler.add_job(registered, now)
         self._metrics.gauge("durations_corrected", self._corrected_durations)
+        self._metrics.gauge("interference_pairs", self._count_interference_pairs)
         self._operators.on_configuration = self._on_configuration
         self._minions.on_change = self._on_minions
         self._on_minions()
@@ -312,6 +318,10 @@
         self.stop("the epoch could not be opened within the takeover timeout")
         return None
 
+    def _count_interference_pairs(self) -> int:
+        with self._lock:
+            return 0 if self.stopped else self._scheduler.interference_pairs
+
     # Changes reported by the views.
 
     def _on_job(self, registered: RegisteredJob, kind: RecordKind) -> None:
