--- a/packages/geraniumshored/src/geraniumshored/internal/wsgi_server.py
+++ b/packages/geraniumshored/src/geraniumshored/internal/wsgi_server.py
@@ -11,13 +11,13 @@
 from waitress import wasyncore
 from waitress.adjustments import Adjustments
 from waitress.server import BaseWSGIServer, TcpWSGIServer
-from waitress.task import ThreadedTaskDispatcher
 
 from geraniumshored.internal.client_budget import ClientTimeouts
 from geraniumshored.internal.client_guard import ClientGuard
 from geraniumshored.internal.guarded_channel import GuardedChannel
 from geraniumshored.internal.http_types import StartResponse, WsgiEnviron
 from geraniumshored.internal.sockets import SOCKET_OPTIONS
+from geraniumshored.internal.task_dispatcher import OnDemandDispatcher
 
 __all__ = ["create_wsgi_server", "has_unanswered_requests", "stop_reading"]
 
@@ -62,8 +62,7 @@
         self._parse_s = 0.0
         self._pipelined = 0
         self._closing: deque[GuardedChannel] = deque()
-        dispatcher = ThreadedTaskDispatcher()
-        dispatcher.set_thread_count(adjustments.threads)
+        dispatcher = OnDemandDispatcher(adjustments.threads)
         # With a separate socket map, the servers of one process do not serve each
         # other's connections.
         super().__init__(application, map={}, dispatcher=dispatcher, adj=adjustments)
