--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/minion_view.py
@@ -23,7 +23,8 @@
 class PollRequest:
     """A poll of a minion; with ``until_ms`` it renews all leases there until then.
 
-    The minion may hold the answer back for up to ``wait_ms`` until a run completes.
+    The minion may hold the answer back for up to ``wait_ms`` until a run completes; it
+    counts as unanswered ``answer_s`` after that.
     """
 
     minion_id: str
@@ -33,6 +34,7 @@
     until_ms: int | None
     wait_ms: int
     sent_at: float
+    answer_s: float
 
 
 @dataclass(slots=True)
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
@@ -46,8 +46,6 @@
 UNRESPONSIVE_RECORD_INTERVAL_S = 2.0
 # Delay before the same pace is ordered again.
 PACE_RETRY_S = 1.0
-# How long a minion holds a poll open while no run completes.
-POLL_WAIT_MS = 1000
 
 
 class Reconciler(RunRegistry):
@@ -73,6 +71,10 @@
             and now < view.completions_listed_at + COMPLETION_RECORDING_WAIT_S
         )
 
+    def order_timeout_s(self, now: float) -> float:
+        """Return how long to wait for the answer to an order that is sent now."""
+        return self._answer_loss.call_times(now).answer_s
+
     def poll_request(self, minion_id: str, now: float) -> PollRequest | None:
         """Return the next poll of a minion, or None if its address is not known.
 
@@ -90,7 +92,8 @@
             view.granted_at = now
         doubtful = any(run.state is RunState.DOUBTFUL for run in view.runs.values())
         may_wait = until_ms is not None and not view.unacked and not doubtful
-        wait_ms = POLL_WAIT_MS if may_wait else 0
+        times = self._answer_loss.call_times(now)
+        wait_ms = times.poll_wait_ms if may_wait else 0
         return PollRequest(
             minion_id,
             view.listing.address,
@@ -99,6 +102,7 @@
             until_ms,
             wait_ms,
             now,
+            times.answer_s,
         )
 
     def on_report(self, request: PollRequest, report: MinionReport, now: float) -> None:
@@ -106,6 +110,8 @@
         view = self.view_by_id.get(request.minion_id)
         if view is None:
             return
+        if view.responsive:
+            self._answer_loss.observe(True, now)
         same_incarnation = view.incarnation == report.incarnation
         if view.incarnation is not None and report.incarnation < view.incarnation:
             return
@@ -145,6 +151,7 @@
         if request.until_ms is not None:
             view.record_unanswered_grant(request.sent_at)
         if view.responsive:
+            self._answer_loss.observe(False, now)
             view.responsive = False
             self._record_decision(
                 "minion silent", "", view.minion_id, {"runs": len(view.runs)}
@@ -226,6 +233,11 @@
         job = self.job_by_id.get(run.task.job_id)
         if job is not None and outcome in MAY_HAVE_STARTED:
             job.begun = True
+        if view.responsive and outcome in (
+            StartOutcome.STARTED,
+            StartOutcome.NO_ANSWER,
+        ):
+            self._answer_loss.observe(outcome == StartOutcome.STARTED, now)
         if outcome == StartOutcome.NO_ANSWER:
             # A poll may have listed the run before the start timed out.
             if run.state is not RunState.RUNNING:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
@@ -7,6 +7,7 @@
 from collections.abc import Mapping
 
 from geraniumshore_scheduler.internal.advice import AdviceRegistry
+from geraniumshore_scheduler.internal.answer_loss import AnswerLoss
 from geraniumshore_scheduler.internal.authority import Authority, OwnershipTimes
 from geraniumshore_scheduler.internal.duration_learning import DurationLearning
 from geraniumshore_scheduler.internal.interference_monitor import InterferenceMonitor
@@ -111,6 +112,7 @@
         # Whether starts wait until the operators' requests have been read.
         self._starts_held = False
         self._arrivals = Arrivals()
+        self._answer_loss = AnswerLoss()
         self._learning = DurationLearning()
         self._shares = TeamShares()
         self._replaced_incarnation_by_id: dict[str, int] = {}
--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -558,8 +558,7 @@
         try:
             report = poll.report.result()
         except (PlatformUnavailableError, UnknownOutcomeError) as error:
-            self._on_poll_failed(request, error)
-            return UNRESPONSIVE_POLL_PAUSE_S
+            return self._on_poll_failed(request, error)
         with self._lock:
             self._scheduler.on_report(request, report, self._now())
             view = self._scheduler.view_by_id.get(minion_id)
@@ -577,12 +576,20 @@
             return UNRECORDED_POLL_PAUSE_S
         return 0.0 if request.wait_ms or request.until_ms is None else IDLE_POLL_PAUSE_S
 
-    def _on_poll_failed(self, request: PollRequest, error: GeraniumshoreError) -> None:
+    def _on_poll_failed(self, request: PollRequest, error: GeraniumshoreError) -> float:
+        """Process a poll without an answer; return the delay before the next one.
+
+        A minion that had answered before is polled again at once: often only an answer
+        is lost.
+        """
         self._metrics.count("looks", "unanswered")
         with self._lock:
+            view = self._scheduler.view_by_id.get(request.minion_id)
+            had_answered = view is not None and view.responsive
             self._scheduler.on_poll_unanswered(request, self._now())
         log_event(logger, "poll unanswered", minion=request.minion_id, cause=str(error))
         self._wake.set()
+        return 0.0 if had_answered else UNRESPONSIVE_POLL_PAUSE_S
 
     def on_minion_replaced(self, minion_id: str) -> None:
         """Record that another minion has taken the address."""
@@ -627,11 +634,12 @@
                 return
             self._apply_evacuations()
             until_ms = self._scheduler.prepare_start(order.run, self._now())
+            timeout_s = self._scheduler.order_timeout_s(self._now())
         if until_ms is None:
             return
         began = self._now()
         try:
-            outcome = self._platform.minions.start(order, until_ms)
+            outcome = self._platform.minions.start(order, until_ms, timeout_s)
         except UnknownOutcomeError:
             outcome = StartOutcome.NO_ANSWER
         except PlatformUnavailableError:
--- a/packages/geraniumshored/src/geraniumshored/node/ports.py
+++ b/packages/geraniumshored/src/geraniumshored/node/ports.py
@@ -220,7 +220,7 @@
         """
 
     @abstractmethod
-    def start(self, order: StartOrder, until_ms: int) -> str:
+    def start(self, order: StartOrder, until_ms: int, timeout_s: float) -> str:
         """Start a run; return one of ``StartOutcome``."""
 
     @abstractmethod
--- a/packages/geraniumshored/src/geraniumshored/platform/minions.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/minions.py
@@ -59,7 +59,7 @@
             document["until_ms"] = request.until_ms
         if request.wait_ms:
             document["wait_ms"] = request.wait_ms
-        timeout = request.wait_ms / MS_PER_SECOND + ORDER_TIMEOUT_SECONDS
+        timeout = request.wait_ms / MS_PER_SECOND + request.answer_s
         answer = self._polls.request(
             request.address,
             "POST",
@@ -72,7 +72,7 @@
         answer.add_done_callback(lambda done: _settle(report, request, done))
         return report
 
-    def start(self, order: StartOrder, until_ms: int) -> str:
+    def start(self, order: StartOrder, until_ms: int, timeout_s: float) -> str:
         """Start a run under a lease until ``until_ms`` of the minion's clock."""
         document: dict[str, Any] = {
             "task": str(order.run.task),
@@ -85,7 +85,9 @@
             document["checkpoint"] = order.checkpoint
         if order.ticket is not None:
             document["ticket"] = order.ticket
-        reply = self._post(order.address, order.run.minion_id, "run-start", document)
+        reply = self._post(
+            order.address, order.run.minion_id, "run-start", document, timeout_s
+        )
         if reply.status == 200:
             return StartOutcome.STARTED
         if reply.status == 409:
