--- a/tests/cover/test_learned_durations.py
+++ b/tests/cover/test_learned_durations.py
@@ -42,6 +42,7 @@
 from geraniumshored.node.owner import Owner
 from geraniumshored.node.ports import Appended
 from geraniumshored.node.settings import NodeSettings
+from tests.common.operators import no_requests
 from tests.common.schedule_parts import SMALL, TIMES, Fleet, LoggedFleet, job
 
 TASKS = 8
@@ -182,14 +183,7 @@
         registry.fold(DURATIONS_KEY, b"x" * (MAX_LEARNED_BYTES + 1), 2, 0.0)
     jobs = SimpleNamespace(registry=registry, lock=RLock(), progress_offset=9)
     minions = SimpleNamespace(listing_by_id={})
-    operators = SimpleNamespace(
-        configuration=None,
-        evacuated=frozenset(),
-        refused=False,
-        caught_up_at=float("inf"),
-        read_to_end=lambda: True,
-    )
-    views = operators, minions, jobs
+    views = no_requests(), minions, jobs
     store = SimpleNamespace(append=lambda *_: Appended(0, 1))
     settings = NodeSettings("n", "a", TIMES, 6, 3, 120, 1.0)
     platform, metrics = SimpleNamespace(store=store), NodeMetrics()
--- a/tests/cover/test_starts_over_a_slow_link.py
+++ b/tests/cover/test_starts_over_a_slow_link.py
@@ -35,6 +35,7 @@
 from geraniumshored.platform.http import HttpClient
 from geraniumshored.platform.store import LogStore
 from tests.common.lagging_node import LaggingNode, caller
+from tests.common.operators import no_requests
 from tests.common.schedule_parts import TIMES
 
 # A page of 500 such records takes 2.5 s over this link, more than the 2 s after which
@@ -265,12 +266,11 @@
         progress_stalled_s=lambda since: stalled_s,
     )
     store = SimpleNamespace(append=lambda *_: Appended(2, 3))
-    operators = SimpleNamespace(configuration=None)
     minions = SimpleNamespace(listing_by_id={}, on_change=None)
     owner = Owner(
         NodeSettings("n", "a", TIMES, 6, 3, 120, 1.0),
         SimpleNamespace(store=store),  # type: ignore[arg-type]
-        (operators, minions, jobs),  # type: ignore[arg-type]
+        (no_requests(), minions, jobs),  # type: ignore[arg-type]
         member_name("n", "1", 1.0),
         128,
         NodeMetrics(),
