Notice a slow store from refused appends and from those that are still open

With 0.15 s an append, appends waited for up to 2 s in the store's queue or were refused, and only those that had ended counted: 45 jobs were refused in the first second, and none was relayed.

--- a/packages/geraniumshored/src/geraniumshored/node/append_latency.py
+++ b/packages/geraniumshored/src/geraniumshored/node/append_latency.py
@@ -17,6 +17,8 @@
 # Weight of the newest observation. Two slow appends in a row show a slow store, a
 # single late answer does not.
 EWMA_WEIGHT = 0.4
+# What a refused append counts as: the store refuses when 2 s of appends wait.
+REFUSED_APPEND_S = 2.0
 # Without newer appends the store counts as slow for this long; then a caller's append
 # shows whether it still is.
 OBSERVATION_VALID_S = 3.0
@@ -29,6 +31,23 @@
         self._now = now
         self._average_s = 0.0
         self._observed_at = float("-inf")
+        # When the appends that are under way began, the oldest first.
+        self._open_since: list[float] = []
+
+    def begin(self) -> float:
+        """Record that an append begins; return the value to end it with."""
+        began = self._now()
+        self._open_since.append(began)
+        return began
+
+    def end(self, began: float, refused: bool) -> None:
+        """Record that an append has ended.
+
+        The store refuses at once what would wait for too long in its queue.
+        """
+        self._open_since.remove(began)
+        took_s = self._now() - began
+        self.observe(max(took_s, REFUSED_APPEND_S) if refused else took_s)
 
     def observe(self, took_s: float) -> None:
         """Record how long an append took, here or at the node that it was relayed to.
@@ -42,10 +61,11 @@
 
     @property
     def expected_s(self) -> float:
-        """How long an append that begins now takes, 0 if that is not known."""
-        if self._now() >= self._observed_at + OBSERVATION_VALID_S:
-            return 0.0
-        return self._average_s
+        """How long an append that begins now takes at least, 0 if that is not known."""
+        now = self._now()
+        fresh = now < self._observed_at + OBSERVATION_VALID_S
+        open_for_s = max((now - began for began in self._open_since), default=0.0)
+        return max(self._average_s if fresh else 0.0, open_for_s)
 
     @property
     def slow(self) -> bool:
--- a/packages/geraniumshored/src/geraniumshored/node/appender.py
+++ b/packages/geraniumshored/src/geraniumshored/node/appender.py
@@ -122,11 +122,13 @@
                 del self._pending[: len(batch)]
                 began = self._now()
                 self._open_since.append(began)
+            measured_from = self.latency.begin()
             try:
                 outcome = self._commit(batch)
             except Exception:
                 logger.exception("fault while appending %d records", len(batch))
                 outcome = AppendOutcome.UNKNOWN
+            self.latency.end(measured_from, outcome is AppendOutcome.NOT_DONE)
             requeued = outcome is AppendOutcome.NOT_DONE and self._store_answers()
             with self._condition:
                 self._on_outcome(outcome)
@@ -138,9 +140,6 @@
                     took - self._average_latency_s
                 )
                 self._condition.notify()
-            if outcome is not AppendOutcome.NOT_DONE:
-                # A refusal comes at once, whatever an append would take.
-                self.latency.observe(took)
             if requeued:
                 continue
             for pending in batch:
--- a/tests/cover/test_relayed_calls.py
+++ b/tests/cover/test_relayed_calls.py
@@ -169,6 +169,25 @@
     assert node.own.calls == 1
 
 
+def test_an_append_that_takes_long_shows_a_slow_store_before_it_ends():
+    """Appends took up to 2 s in the store's queue, and none had ended by then."""
+    node = Relaying(Verdict.OK)
+    began = node.latency.begin()
+    node.now += SLOW_APPEND_S / 2
+    assert not node.latency.slow
+    node.now += SLOW_APPEND_S
+    assert node.latency.slow
+    node.latency.end(began, refused=False)
+    assert node.latency.slow
+
+
+def test_a_refused_append_shows_that_others_wait_in_the_store():
+    node = Relaying(Verdict.OK)
+    node.latency.end(node.latency.begin(), refused=True)
+    node.submit()
+    assert (node.peers.asked, node.own.calls) == (["owner:1"], 0)
+
+
 def test_quick_answers_of_the_owner_show_that_the_store_is_quick_again():
     node = Relaying(Verdict.OK)
     node.latency.observe(2 * SLOW_APPEND_S)
