Check tasks that suffer at an interval of their own

Moves out of evacuated data centres and moves away from neighbours stored the time of their last check in the same attribute. While any data centre was evacuated, the former reset it each 0.25 s, so no task that suffered moved, and runs that had suffered were kept until the evacuation ended.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
@@ -122,7 +122,7 @@
         self._interference = InterferenceMonitor()
         self._suffering = SufferingTasks()
         self._moved_at_by_service: dict[str, float] = {}
-        self._moves_checked_at = float("-inf")
+        self._suffering_checked_at = float("-inf")
         self._records: dict[str, bytes] = {}
         self._terminal_job_by_id: dict[str, OpenJob] = {}
         self._starts: list[StartOrder] = []
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/separation.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/separation.py
@@ -103,9 +103,9 @@
         """Stop serving tasks that lose less by a move than by staying."""
         if not self._interference.enabled:
             return
-        if now < self._moves_checked_at + MOVE_CHECK_INTERVAL_S:
+        if now < self._suffering_checked_at + MOVE_CHECK_INTERVAL_S:
             return
-        self._moves_checked_at = now
+        self._suffering_checked_at = now
         for suffering in self._suffering.due(now):
             run = suffering.run
             view = self.view_by_id.get(run.minion_id)
--- a/tests/cover/test_separation.py
+++ b/tests/cover/test_separation.py
@@ -269,6 +269,17 @@
     assert moved_to != minion_id
 
 
+def test_a_task_that_suffers_moves_during_an_evacuation():
+    """Guards against moves that wait, and runs that are kept, until an evacuation ends.
+
+    Both kinds of moves are checked at intervals, which must not share a time.
+    """
+    fleet = ServingFleet(3)
+    fleet.serve(job("a" * 16, WEB, SCAN))
+    fleet.scheduler.set_evacuated({"z"}, fleet.now)
+    assert fleet.pass_time(6, HIGH, CALM) == ["web"]
+
+
 @pytest.mark.parametrize(
     ("web", "minions", "tails"),
     [
