Move no long-running task while starts are held

While the operators' requests are not read, nothing starts, so a task that was stopped to move out of an evacuated data centre, or away from its neighbours, was missing until the requests had been read.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/evacuator.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/evacuator.py
@@ -66,8 +66,9 @@
         return True
 
     def _move_long_running_tasks(self, now: float) -> None:
-        if not self._evacuated or self._unread_jobs:
-            # Teams with a cap start nothing while jobs are unread.
+        if not self._evacuated or self._unread_jobs or self._starts_held:
+            # Teams with a cap start nothing while jobs are unread, and no task starts
+            # while starts are held.
             return
         if now < self._moves_checked_at + MOVE_CHECK_INTERVAL_S:
             return
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/separation.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/separation.py
@@ -101,7 +101,7 @@
 
     def _move_suffering_tasks(self, now: float) -> None:
         """Stop serving tasks that lose less by a move than by staying."""
-        if not self._interference.enabled:
+        if not self._interference.enabled or self._starts_held:
             return
         if now < self._suffering_checked_at + MOVE_CHECK_INTERVAL_S:
             return
--- a/tests/cover/test_evacuation.py
+++ b/tests/cover/test_evacuation.py
@@ -223,6 +223,25 @@
     assert site.starts_by_data_centre == {"a": 1}
 
 
+def test_long_running_tasks_stay_while_starts_are_held():
+    """Guards against a stop of a task that could not start again."""
+    site = Site(2, ("a", "b"))
+    site.fleet.add(job("a" * 16, Step(1, SMALL, lasting=True)))
+    for _ in range(2):
+        site.step()
+    (data_centre,) = site.tasks_by_data_centre(lasting=True)
+    site.scheduler.hold_starts(True)
+    site.evacuate(data_centre)
+    for _ in range(4):
+        site.step()
+    assert site.missing("a" * 16) == 0
+    site.scheduler.hold_starts(False)
+    for _ in range(4):
+        site.step()
+    assert site.tasks_by_data_centre(lasting=True)[data_centre] == 0
+    assert site.missing("a" * 16) == 0
+
+
 def test_a_successor_keeps_the_begin_of_an_evacuation():
     """Guards against an evacuation that seems to begin anew with each owner."""
     fleet = LoggedFleet(2)
--- a/tests/cover/test_separation.py
+++ b/tests/cover/test_separation.py
@@ -280,6 +280,16 @@
     assert fleet.pass_time(6, HIGH, CALM) == ["web"]
 
 
+def test_a_task_that_suffers_stays_while_starts_are_held():
+    """Guards against a stop of a task that could not start again."""
+    fleet = ServingFleet(3)
+    fleet.serve(job("a" * 16, WEB, SCAN))
+    fleet.scheduler.hold_starts(True)
+    assert fleet.pass_time(10, HIGH, CALM) == []
+    fleet.scheduler.hold_starts(False)
+    assert fleet.pass_time(1, CALM) == ["web"]
+
+
 @pytest.mark.parametrize(
     ("web", "minions", "tails"),
     [
