--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/separation.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/separation.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 
+from geraniumshore_scheduler.internal.cold_minions import find_cold, split_cold
 from geraniumshore_scheduler.internal.interference import (
     MIN_EFFECT,
     NO_LOSSES,
@@ -195,7 +196,12 @@
         # The choice is that of the next round, in which the task is not there any more.
         view.detach(run)
         try:
-            target = choose_minion(run.step, run.task, views, avoided, losses)
+            groups = split_cold(views, find_cold(views, now))
+            chosen = (
+                choose_minion(run.step, run.task, group, avoided, losses)
+                for group in groups
+            )
+            target = next((other for other in chosen if other is not None), None)
             if target is None or target is view:
                 return None
             gain = expected_loss(view, losses) - expected_loss(target, losses)
--- a/tests/cover/test_separation.py
+++ b/tests/cover/test_separation.py
@@ -290,6 +290,20 @@
     assert fleet.pass_time(1, CALM) == ["web"]
 
 
+def test_a_task_that_suffers_stays_if_only_a_cold_minion_is_better():
+    """Guards against stops whose tasks start again where they were.
+
+    Placement uses a cold minion only if no warm one has room.
+    """
+    fleet = ServingFleet(0)
+    cold = listing(1, data_centre="b", cold_left_ms=600_000)
+    fleet.scheduler.set_evacuated({"b"}, fleet.now)
+    fleet.scheduler.set_listings({"i-0": listing(0), "i-1": cold}, fleet.now)
+    fleet.serve(job("a" * 16, WEB, SCAN))
+    fleet.scheduler.set_evacuated((), fleet.now)
+    assert fleet.pass_time(20, HIGH, CALM) == []
+
+
 @pytest.mark.parametrize(
     ("web", "minions", "tails"),
     [
