Move no task of a team that uses more than its cap out of a data centre

Operators may lower a cap while more than that runs. A task that was stopped to move out of an evacuated data centre could not start again then.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/evacuator.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/evacuator.py
@@ -5,7 +5,7 @@
 from collections.abc import Collection
 
 from geraniumshore_scheduler.internal.evacuation import RoomElsewhere, plan_moves
-from geraniumshore_scheduler.internal.model import Step
+from geraniumshore_scheduler.internal.model import Resources, Step
 from geraniumshore_scheduler.internal.placer import Placer
 from geraniumshore_scheduler.internal.records import (
     EVACUATIONS_KEY,
@@ -75,8 +75,17 @@
         self._moves_checked_at = now
         accepting = (view for view in self.view_by_id.values() if view.accepts(now))
         without_room: dict[str, list[Step]] = {}
+        beyond_cap = {
+            team
+            for team, limit in self._limit_by_team.items()
+            if not self._team_use.get(team, Resources()).fits_in(limit)
+        }
         moves = plan_moves(
-            self.view_by_id, self.job_by_id, RoomElsewhere(accepting), without_room
+            self.view_by_id,
+            self.job_by_id,
+            RoomElsewhere(accepting),
+            without_room,
+            beyond_cap,
         )
         for run in moves:
             self._request_stop(run)
--- a/tests/cover/test_evacuation.py
+++ b/tests/cover/test_evacuation.py
@@ -35,6 +35,7 @@
     SMALL,
     Fleet,
     LoggedFleet,
+    configuration,
     job,
     listing,
 )
@@ -154,6 +155,31 @@
     assert load.long_running_machines == 0
 
 
+def test_tasks_of_a_team_beyond_its_cap_stay():
+    """Guards against a stop of a task that its team's cap keeps from starting again.
+
+    Operators may lower a cap while more than that runs.
+    """
+    site = Site(4, ("a", "b"))
+    cap = Resources(4_000, 100_000, 0)
+    site.scheduler.set_configuration(configuration(cap))
+    step = Step(4, SMALL, lasting=True, may_miss=1)
+    site.fleet.add(job("a" * 16, step, team="team"))
+    for _ in range(2):
+        site.step()
+    assert site.tasks_by_data_centre(lasting=True) == {"a": 2, "b": 2}
+    lowered = configuration(cap._replace(cpu_milli=2_000), version=2)
+    site.scheduler.set_configuration(lowered)
+    site.evacuate("b")
+    for _ in range(4):
+        site.step()
+    assert site.missing("a" * 16) == 0
+    site.scheduler.set_configuration(configuration(cap, version=3))
+    for _ in range(20):
+        site.step()
+    assert site.tasks_by_data_centre(lasting=True) == {"a": 4}
+
+
 def test_tasks_that_need_a_label_of_the_evacuated_data_centre_ask_for_no_machines():
     """Guards against a pool that draws machines which can never run the tasks."""
     site = Site(2, ("a", "b"))
