Learn no durations of images with names of any length

A job record may hold names of 200 KB, and 128 images of them took 26 MB. A name of 40 KB ended the record for the next owner, so that the entries after it were lost. Names of over 200 characters are left out, as in the estimate of interference; their tasks count for the step of the queue.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/durations.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/durations.py
@@ -33,6 +33,9 @@
 # Entries for queues and steps, and as many for images: a job whose steps name many
 # images must not evict the entries of queues.
 MAX_ENTRIES = 256
+# Callers choose the names of images. Longer ones would fill the record and
+# the memory.
+MAX_IMAGE_LENGTH = 200
 # Steps of a job from this number on share an entry, as a job may have 1,000 steps.
 LAST_STEP_NUMBER = 15
 # Bins per octave of the ratio, and the range of bins: ratios from 1/32 to 32.
@@ -295,6 +298,8 @@
     def _add(
         self, key: DurationKey, bin_number: int, weight: float, now: float
     ) -> None:
+        if len(key.image) > MAX_IMAGE_LENGTH:
+            return
         histograms = self._images if key.image else self._steps
         histogram = histograms.get(key)
         if histogram is None:
--- a/tests/cover/test_learned_durations.py
+++ b/tests/cover/test_learned_durations.py
@@ -137,6 +137,19 @@
         assert durations.estimate_s("q", 0, step) == pytest.approx(1 / bias, 0.15)
 
 
+def test_a_long_image_name_takes_no_memory_and_hides_no_entry_from_a_successor():
+    """Guards against a record that ends before the entry of a name of any length."""
+    durations = LearnedDurations()
+    long_name = Step(1, SMALL, 1000, image="x" * 40_000)
+    for _ in range(5):
+        durations.observe("known", 0, Step(1, SMALL, 1000), 3.0, 0.0)
+    for _ in range(5):
+        durations.observe("later", 0, long_name, 3.0, 1.0)
+    recorded = decode_durations(encode_durations(durations.to_record(1.0)))
+    assert {entry.key.queue for entry in recorded} == {"known", "later"}
+    assert len(durations) == 2
+
+
 def test_a_change_is_followed_and_old_evidence_expires():
     durations = LearnedDurations()
     for bias, jobs, now in ((0.5, 500, 0), (1.0, 80, 60), (0.5, 500, 120)):
