Look for room elsewhere once for each size

A size that found no room is not tried again, and tasks of a step that are starting share the answer, as those at work did.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/evacuation.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/evacuation.py
@@ -15,6 +15,7 @@
 from geraniumshore_scheduler.internal.minion_view import MinionView
 from geraniumshore_scheduler.internal.model import Evacuation, Resources, Step
 from geraniumshore_scheduler.internal.runs import OpenJob, Run
+from geraniumshore_scheduler.internal.unplaceable_sizes import UnplaceableSizes
 
 __all__ = [
     "EvacuationLog",
@@ -124,10 +125,16 @@
         # The minions before this position have no room for a task of the step, and
         # reservations only take room away.
         self._position_by_step: dict[tuple[str, int, int], int] = {}
+        self._unplaceable_by_service: dict[str, UnplaceableSizes] = {}
 
     def reserve(self, service: str, run: Run) -> bool:
         """Reserve room for a run's task; return whether there was any."""
         step, step_key = run.step, run.task[:3]
+        unplaceable = self._unplaceable_by_service.setdefault(
+            service, UnplaceableSizes()
+        )
+        if unplaceable.covers(step.room):
+            return False
         views = self._views_by_service.get(service, [])
         first = self._position_by_step.get(step_key, 0)
         for position in range(first, len(views)):
@@ -135,6 +142,8 @@
                 self._position_by_step[step_key] = position
                 return True
         self._position_by_step[step_key] = len(views)
+        if not (step.label or step.most_per_minion):
+            unplaceable.add(step.room)
         return False
 
     def _reserve_on(
@@ -194,18 +203,20 @@
         for run in view.runs.values()
         if run.step.lasting and not run.step.gang and run.step.label not in lost_labels
     ]
-    exhausted_budgets: set[tuple[str, int, int]] = set()
+    # By step, and whether the task itself counts as available.
+    exhausted_budgets: set[tuple[tuple[str, int, int], bool]] = set()
     # Those whose stop is requested need their room first.
     for run in sorted(runs, key=lambda run: not run.stop_wanted):
         job = job_by_id.get(run.task.job_id)
         if job is None or job.set_aside or run.team in teams_beyond_cap:
             continue
+        budget = run.task[:3], run.at_work and not run.maybe_stopped
         if not room.reserve(job.service, run):
             steps_without_room.setdefault(job.service, []).append(run.step)
-        elif run.stop_wanted or (run.at_work and run.task[:3] in exhausted_budgets):
+        elif run.stop_wanted or budget in exhausted_budgets:
             continue
         elif may_interrupt(run, job, view_by_id):
             yield run
-        elif run.at_work:
-            # The same tasks are missing for each other task that is at work.
-            exhausted_budgets.add(run.task[:3])
+        else:
+            # As many tasks are missing beside each other one of the same kind.
+            exhausted_budgets.add(budget)
--- a/tests/cover/test_evacuation.py
+++ b/tests/cover/test_evacuation.py
@@ -8,6 +8,7 @@
 from functools import partial
 from types import SimpleNamespace
 from typing import cast
+from unittest import mock
 
 import pytest
 
@@ -26,6 +27,9 @@
     Step,
     decode_evacuations,
 )
+from geraniumshore_scheduler.internal import evacuation
+from geraniumshore_scheduler.internal.maintenance import may_interrupt
+from geraniumshore_scheduler.internal.minion_view import MinionView
 from geraniumshored.node.ports import NewestPage, Page, Record, Stream
 from geraniumshored.node.views import OperatorsView
 from geraniumshored.platform.adapter import HttpPlatform
@@ -180,6 +184,43 @@
     assert site.tasks_by_data_centre(lasting=True) == {"a": 4}
 
 
+def test_a_search_for_room_in_a_full_fleet_does_not_grow_with_its_jobs():
+    """Load: 300 long-running jobs, an evacuation, and no room elsewhere.
+
+    Guards against a look at each minion for each job, four times per second.
+    """
+    site = Site(300)
+    whole = Step(1, CAPACITY, lasting=True)
+    for number in range(300):
+        site.fleet.add(job(f"{number:016x}", whole))
+    site.fleet.plan()
+    for minion_id in site.listing_by_id:
+        site.fleet.report(minion_id, site.fleet.running(minion_id))
+    site.evacuate("b")
+    with mock.patch.object(
+        MinionView, "has_room", autospec=True, side_effect=MinionView.has_room
+    ) as looks:
+        site.scheduler._move_long_running_tasks(0.0)
+    assert len(site.scheduler.steps_without_room["s"]) == 100
+    assert looks.call_count < 1_000
+
+
+def test_tasks_that_are_starting_are_compared_once_with_the_others_of_their_step():
+    """Guards against a decision that takes a time quadratic in the tasks of a step."""
+    site = Site(300)
+    site.fleet.add(job("a" * 16, Step(300, SMALL, lasting=True, may_miss=10)))
+    site.fleet.plan()
+    for minion_id in site.listing_by_id:
+        site.fleet.report(minion_id, site.fleet.running(minion_id, percent=50))
+    data_centres = set(site.tasks_by_data_centre(lasting=True))
+    site.evacuate(min(data_centres))
+    with mock.patch.object(
+        evacuation, "may_interrupt", side_effect=may_interrupt
+    ) as compared:
+        site.scheduler._move_long_running_tasks(0.0)
+    assert compared.call_count == 1
+
+
 def test_tasks_that_need_a_label_of_the_evacuated_data_centre_ask_for_no_machines():
     """Guards against a pool that draws machines which can never run the tasks."""
     site = Site(2, ("a", "b"))
