--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/durations.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/durations.py
@@ -33,8 +33,7 @@
 # Entries for queues and steps, and as many for images: a job whose steps name many
 # images must not evict the entries of queues.
 MAX_ENTRIES = 256
-# Callers choose the names of images. Longer ones would fill the record and
-# the memory.
+# Callers choose the names of images. Longer ones would fill the record and the memory.
 MAX_IMAGE_LENGTH = 200
 # Steps of a job from this number on share an entry, as a job may have 1,000 steps.
 LAST_STEP_NUMBER = 15
