Leave jobs that wait for a cap out of the search for spare room

Jobs of a team that was at its cap took a look at each minion each, if their tasks need a label or exclude each other: 0.81 s in each round with 450 such jobs and 3,000 minions, though none could start.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/spare_room.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/spare_room.py
@@ -35,7 +35,11 @@
     largest_free = Resources(
         *(max((view.free[part] for view in views), default=0) for part in range(3))
     )
-    startable = [demand for demand in demands if demand.step.room.fits_in(largest_free)]
+    startable = [
+        demand
+        for demand in demands
+        if demand.count and demand.step.room.fits_in(largest_free)
+    ]
     if not startable:
         return True
     total = sum(demand.count for demand in startable)
--- a/tests/cover/test_separation.py
+++ b/tests/cover/test_separation.py
@@ -26,8 +26,12 @@
     StartOrder,
     Step,
 )
+from geraniumshore_scheduler.internal import spare_room
 from geraniumshore_scheduler.internal.interference_monitor import InterferenceMonitor
-from geraniumshore_scheduler.internal.minion_selection import choose_minion
+from geraniumshore_scheduler.internal.minion_selection import (
+    choose_minion,
+    count_tasks_of_step,
+)
 from geraniumshore_scheduler.internal.separation import MAX_SEARCHES, Separator
 from tests.common.schedule_parts import (
     CAPACITY,
@@ -197,6 +201,25 @@
     assert len(fleet.plan()) == scans + labelled.count
 
 
+def test_jobs_that_wait_for_their_teams_cap_are_counted_at_little_cost():
+    """Load: 60 jobs of a capped team, whose tasks exclude each other on a minion.
+
+    Guards against a round that looks at each minion for each waiting job.
+    """
+    fleet = informed(Fleet(30), ("web", "scan", 0.5))
+    fleet.scheduler.set_configuration(configuration(Resources(1_500, 100_000, 0)))
+    for number in range(60):
+        web = replace(WEB, count=4, most_per_minion=1, lasting=False)
+        fleet.add(job(f"{number:016x}", web, team="team"))
+    fleet.plan()
+    fleet.now = 1.0
+    with mock.patch.object(
+        spare_room, "count_tasks_of_step", side_effect=count_tasks_of_step
+    ) as counted:
+        assert fleet.plan() == ()
+    assert counted.call_count < 300
+
+
 def test_without_images_nothing_is_learned_or_recorded():
     """Guards against costs where no step names an image."""
     fleet = LoggedFleet(2)
