Keep the record of interference within what the store accepts

The record of learned durations was limited by the setting record_bytes, that of interference was not. Where the setting is below 32 KiB, the store would reject the batch with the record each time, and no task would start any more.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/interference.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/interference.py
@@ -401,7 +401,7 @@
             self._update_losses()
         return changes
 
-    def to_record(self, now: float) -> bytes:
+    def to_record(self, now: float, max_bytes: int = MAX_RECORD_BYTES) -> bytes:
         """Return a summary for the next owner, the most certain effects first."""
         self.changed = False
 
@@ -422,7 +422,7 @@
             row = _row(image, model, {**index_by_image, **position}, now)
             size += len(_ROW.dump_json(row)) + 1
             size += sum(len(_IMAGE.dump_json(name)) + 1 for name in new)
-            if size > MAX_RECORD_BYTES:
+            if size > max_bytes:
                 break
             index_by_image.update(position)
             rows.append(row)
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/interference_monitor.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/interference_monitor.py
@@ -8,6 +8,7 @@
 
 from geraniumshore_scheduler.errors import InvalidInputError
 from geraniumshore_scheduler.internal.interference import (
+    MAX_RECORD_BYTES,
     NO_LOSSES,
     InterferenceEstimator,
     PairChange,
@@ -49,12 +50,14 @@
 class InterferenceMonitor:
     """The estimate of an owner and the runs from which it learns.
 
-    It does nothing until a job names an image.
+    It does nothing until a job names an image. A record has at most
+    ``max_record_bytes``.
     """
 
     def __init__(self) -> None:
         self.estimator = InterferenceEstimator()
         self.enabled = False
+        self.max_record_bytes = MAX_RECORD_BYTES
         self._ended_by_minion: dict[str, deque[_EndedRun]] = {}
         self._sampled_at_by_run: dict[int, float] = {}
         self._recorded_at = float("-inf")
@@ -132,7 +135,7 @@
             return None
         self._recorded_at = now
         self._effects_changed = False
-        return self.estimator.to_record(now)
+        return self.estimator.to_record(now, self.max_record_bytes)
 
     @property
     def has_detected(self) -> bool:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -75,6 +75,11 @@
         learning = self._learning
         learning.max_record_bytes = min(learning.max_record_bytes, max_bytes)
 
+    def limit_interference_record(self, max_bytes: int) -> None:
+        """Keep records of interference within what the store accepts."""
+        monitor = self._interference
+        monitor.max_record_bytes = min(monitor.max_record_bytes, max_bytes)
+
     def take_learning_counts(self) -> Mapping[str, int]:
         """Return and clear how many runs durations were learned from, or not."""
         return self._learning.take_counts()
--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -130,6 +130,8 @@
         # A record that the store rejects would hold up all others of its batch.
         overhead = Record(DURATIONS_KEY, b"").size
         self._scheduler.limit_durations_record(settings.record_bytes - overhead)
+        overhead = Record(INTERFERENCE_KEY, b"").size
+        self._scheduler.limit_interference_record(settings.record_bytes - overhead)
         self._session_by_minion: dict[str, MinionSession] = {}
         self._threads = SessionThreads()
         self._machine_orders = MachineOrders(
--- a/tests/cover/test_separation.py
+++ b/tests/cover/test_separation.py
@@ -487,6 +487,22 @@
     assert fleet.scheduler.interference_pairs == 0
 
 
+def test_the_summary_has_at_most_the_size_that_the_store_accepts():
+    """Guards against a record that the store rejects with all others of its batch."""
+    fleet = ServingFleet(1)
+    effects = [(f"web{n}", "scan", 0.5) for n in range(40)]
+    informed(fleet, *effects)
+    fleet.scheduler.limit_interference_record(1_000)
+    fleet.add(job("a" * 16, WEB, SCAN))
+    fleet.plan()
+    for _ in range(40):
+        fleet.now += 1.0
+        fleet.report("i-0", fleet.rows("i-0", CALM))
+        fleet.plan()
+    recorded = fleet.registry.learned_by_key[INTERFERENCE_KEY]
+    assert 500 < len(recorded) <= 1_000
+
+
 def test_the_summary_is_recorded_when_effects_change_and_seldom_otherwise():
     """Guards against writes that every node reads while nothing new is known.
 
