Keep an error in what is learned from stopping the schedule

Errors in the estimates of durations and interference reached the decision round and the processing of reports. A round that fails starts nothing, and a completion is processed only once, so its task would never end, or run again. Such errors are logged as "learning failed" now; no actual one is known.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/reconciliation.py
@@ -130,10 +130,10 @@
         view.remaining_ms = report.remaining_ms
         self._process_completions(view, report.ended, now)
         self._process_running(view, request, report, now)
-        self._interference.on_report(view, now)
+        self._guard_learning(lambda: self._interference.on_report(view, now))
         self._set_paces(view, now)
         if self._interference.enabled:
-            self._suffering.on_report(view, now)
+            self._guard_learning(lambda: self._suffering.on_report(view, now))
         if not accepted and view.accepts(now):
             self._mark_capacity_changed(view)
 
@@ -358,7 +358,9 @@
     def _complete_run(
         self, view: MinionView, run: Run, completion: CompletedRun, now: float
     ) -> None:
-        self._interference.on_completed(view, run, completion.how, now)
+        self._guard_learning(
+            lambda: self._interference.on_completed(view, run, completion.how, now)
+        )
         job = self._detach(run)
         if completion.how != "done" and not (job and job.keeps_ending(run.task)):
             self._record_decision(
@@ -370,7 +372,8 @@
         job.begun = True
         self._mark_changed(job, run.task)
         if completion.how == "done":
-            self._learning.on_done(job.job.queue, run, now)
+            queue = job.job.queue
+            self._guard_learning(lambda: self._learning.on_done(queue, run, now))
             view.faults = 0
             # A long-running task only ends with its job, so it runs again.
             if not run.step.lasting:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
@@ -4,7 +4,7 @@
 
 import random
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from geraniumshore_scheduler.internal.advice import AdviceRegistry
 from geraniumshore_scheduler.internal.authority import Authority, OwnershipTimes
@@ -48,7 +48,7 @@
     UnresponsiveMinions,
 )
 
-__all__ = ["AVOID_S", "RunRegistry"]
+__all__ = ["AVOID_S", "MAX_CAUSE_LENGTH", "RunRegistry"]
 
 MS_PER_S = 1000.0
 # Each epoch has its own range of run numbers, so that numbers rise across owners.
@@ -59,6 +59,8 @@
 MAX_AVOID_S = 8.0
 # Consecutive failures, of different jobs, after which a minion is held at fault.
 FAULTS_TO_AVOID = 2
+# A record with many faults names each of them.
+MAX_CAUSE_LENGTH = 200
 
 
 class RunRegistry:
@@ -405,6 +407,19 @@
         cause = f"{type(error).__name__}: {error}"
         self._record_decision("job set aside", job_id, details={"cause": cause})
 
+    def _guard_learning(self, call: Callable[[], None]) -> None:
+        """Call what learns from runs or uses it; only log an error in it.
+
+        The schedule does not depend on it, and the next owner would fail in the same
+        way.
+        """
+        try:
+            call()
+        except Exception as error:
+            cause = f"{type(error).__name__}: {error}"
+            details: dict[str, object] = {"cause": cause[:MAX_CAUSE_LENGTH]}
+            self._record_decision("learning failed", "", details=details)
+
     def _request_stop(self, run: Run) -> None:
         run.stop_wanted = True
         view = self.view_by_id.get(run.minion_id)
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -31,6 +31,7 @@
 from geraniumshore_scheduler.internal.pool_meter import PoolMeter
 from geraniumshore_scheduler.internal.pools import PoolLoad
 from geraniumshore_scheduler.internal.records import JobState, progress_key
+from geraniumshore_scheduler.internal.run_registry import MAX_CAUSE_LENGTH
 from geraniumshore_scheduler.internal.runs import OpenJob
 from geraniumshore_scheduler.internal.unresponsive import (
     MinionEpoch,
@@ -39,9 +40,6 @@
 
 __all__ = ["Scheduler"]
 
-# A record with many faults names each of them.
-MAX_CAUSE_LENGTH = 200
-
 
 class Scheduler(Evacuator):
     """The state machine of one owner's epoch. Not thread-safe."""
@@ -273,12 +271,12 @@
         self._evacuate_draining_minions()
         self._move_long_running_tasks(now)
         self._stop_stragglers(now)
-        self._update_interference(now)
-        self._move_suffering_tasks(now)
+        self._guard_learning(lambda: self._update_interference(now))
+        self._guard_learning(lambda: self._move_suffering_tasks(now))
         self._place_waiting_tasks(now)
         self._send_stops(now)
         self._record_evacuations(wall_ms)
-        self._record_durations(now)
+        self._guard_learning(lambda: self._record_durations(now))
         values = self._values_to_record()
         if not values:
             self._durable_batch = self._next_batch - 1
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/separation.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/separation.py
@@ -62,7 +62,14 @@
         # Which minions have a ticket for a step is not known beforehand.
         if any(job.needs_advice for job in jobs):
             return False
-        return has_spare_room(self._demands(jobs), views)
+        found = False
+
+        def search() -> None:
+            nonlocal found
+            found = has_spare_room(self._demands(jobs), views)
+
+        self._guard_learning(search)
+        return found
 
     def _demands(self, jobs: Iterable[OpenJob]) -> Iterator[Demand]:
         """Yield the waiting tasks that the caps of their teams let start."""
--- a/tests/cover/test_separation.py
+++ b/tests/cover/test_separation.py
@@ -477,6 +477,51 @@
     assert 0.4 < effect.size < 0.65
 
 
+@pytest.mark.parametrize(
+    "faulty",
+    [
+        "interference.InterferenceEstimator.solve",
+        "interference.InterferenceEstimator.observe",
+        "interference.InterferenceEstimator.observe_run_time",
+        "interference_monitor.InterferenceMonitor.on_completed",
+        "interference_monitor.InterferenceMonitor.on_report",
+        "relocation.SufferingTasks.on_report",
+        "relocation.SufferingTasks.due",
+        "separation.has_spare_room",
+        "durations.LearnedDurations.observe",
+        "durations.LearnedDurations.refresh",
+    ],
+)
+def test_an_error_in_what_is_learned_does_not_stop_the_schedule(faulty):
+    """Guards against completions that are lost, and starts and paces that stop.
+
+    A completion is processed once, so a task whose completion met an error would run
+    again or never end.
+    """
+    fleet = ServingFleet(2)
+    fleet.serve(job("a" * 16, WEB, SCAN))
+    batch = Step(1, SMALL, 500, image="batch")
+    fleet.add(job("b" * 16, batch, replace(batch, depends_on=(0,))))
+    fleet.plan()
+    with mock.patch(
+        f"geraniumshore_scheduler.internal.{faulty}", side_effect=ValueError("fault")
+    ):
+        assert fleet.pass_time(1, HIGH) == []
+        assert [pace.percent for pace in fleet.scheduler.take_paces()] == [0]
+        for number in (1, 2):
+            (run,) = fleet.scheduler.job_by_id["b" * 16].runs.values()
+            fleet.now += 1.0
+            rows = fleet.rows(run.minion_id, CALM)
+            fleet.report(
+                run.minion_id,
+                tuple(row for row in rows if row.task != run.name),
+                (CompletedRun(number, run.name, run.number, "done", ""),),
+            )
+            fleet.plan()
+    assert "b" * 16 not in fleet.scheduler.job_by_id
+    assert "learning failed" in events(fleet)
+
+
 @pytest.mark.parametrize("value", [b"{", b'{"version":2}'])
 def test_a_record_that_cannot_be_read_is_logged_and_ignored(value):
     """Guards against a takeover that fails for a record of another release."""
