Log no separation where a cold minion was left out

The log compared a start with the best fit of warm and cold minions, and named images for a choice that placement makes without the estimate, with the same loss on both.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/separation.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/separation.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator, Mapping, Sequence
+from collections.abc import Collection, Iterable, Iterator, Mapping, Sequence
 
 from geraniumshore_scheduler.internal.cold_minions import find_cold, split_cold
 from geraniumshore_scheduler.internal.interference import (
@@ -99,7 +99,7 @@
         loss_by_image: Mapping[str, float],
     ) -> None:
         """Log a placement that would be another without the estimate."""
-        otherwise = choose_minion(step, task, views, avoided)
+        otherwise = _choose_warm_first(step, task, views, self._cold_minions, avoided)
         if otherwise is None or otherwise is view:
             return
         details: dict[str, object] = {
@@ -210,12 +210,10 @@
         # The choice is that of the next round, in which the task is not there any more.
         view.detach(run)
         try:
-            groups = split_cold(views, find_cold(views, now))
-            chosen = (
-                choose_minion(run.step, run.task, group, avoided, losses)
-                for group in groups
+            cold = find_cold(views, now)
+            target = _choose_warm_first(
+                run.step, run.task, views, cold, avoided, losses
             )
-            target = next((other for other in chosen if other is not None), None)
             if target is None or target is view:
                 return None
             gain = expected_loss(view, losses) - expected_loss(target, losses)
@@ -232,3 +230,17 @@
             "uncertainty": round(change.effect.uncertainty, 2),
         }
         self._record_decision(event, "", details=details)
+
+
+def _choose_warm_first(
+    step: Step,
+    task: TaskKey,
+    views: Sequence[MinionView],
+    cold: Collection[str],
+    avoided: Iterable[str],
+    losses: Mapping[str, float] = NO_LOSSES,
+) -> MinionView | None:
+    """Return the minion that placement chooses, a cold one only without a warm one."""
+    groups = split_cold(views, cold)
+    chosen = (choose_minion(step, task, group, avoided, losses) for group in groups)
+    return next((view for view in chosen if view is not None), None)
--- a/tests/cover/test_separation.py
+++ b/tests/cover/test_separation.py
@@ -149,6 +149,23 @@
     assert started(running, waiting, apart=True) == expected
 
 
+def test_a_choice_between_cold_and_warm_is_not_logged_as_separation():
+    """Guards against a log that blames images for what an evacuation changed."""
+    fleet = Fleet(0)
+    fleet.scheduler.set_evacuated({"b"}, fleet.now)
+    small = CAPACITY._replace(cpu_milli=9_000)
+    cold = replace(listing(1, data_centre="b", cold_left_ms=60_000), capacity=small)
+    fleet.scheduler.set_listings({"i-0": listing(0), "i-1": cold}, fleet.now)
+    for minion_id in ("i-0", "i-1"):
+        fleet.report(minion_id)
+    fleet.scheduler.set_evacuated((), fleet.now)
+    informed(fleet, ("web", "scan", 0.5))
+    fleet.add(job("a" * 16, WEB))
+    fleet.plan()
+    assert minions_of(fleet, "web") == ["i-0"]
+    assert "placed apart" not in events(fleet)
+
+
 def test_without_room_to_spare_best_fit_decides():
     """Guards against a large task that waits because small ones were spread out."""
     fleet = informed(Fleet(2), ("web", "scan", 0.5))
