Count tasks that are being stopped before another one moves apart

A task on its way out of an evacuated data centre or a machine in maintenance does not wait yet while it ends. A task that suffered was stopped for the same room meanwhile, and had to start where it was.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/separation.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/separation.py
@@ -85,6 +85,16 @@
                     step, TaskKey(job.job.job_id, occurrence, number, 0), count
                 )
 
+    def _stopping_tasks(self, service: str) -> Iterator[Demand]:
+        """Yield the tasks of a service that are stopped and start again later."""
+        for view in self.view_by_id.values():
+            if not view.stopping:
+                continue
+            for run in view.runs.values():
+                job = self.job_by_id.get(run.task.job_id)
+                if run.stop_wanted and job is not None and job.service == service:
+                    yield Demand(run.step, run.task, 1)
+
     def _losses(self, step: Step, apart: bool) -> Mapping[str, float]:
         """Return what a task loses beside each image, if that counts now."""
         return self._interference.losses(step.image) if apart else NO_LOSSES
@@ -203,7 +213,8 @@
         own = Demand(run.step, run.task, 1)
         if any(other.needs_advice for other in waiting):
             return None
-        if not has_spare_room([*self._demands(waiting), own], views):
+        stopping = self._stopping_tasks(job.service)
+        if not has_spare_room([*self._demands(waiting), *stopping, own], views):
             return None
         losses = self._interference.losses(run.step.image)
         avoided = job.failed_on.get(run.task, ())
--- a/tests/cover/test_separation.py
+++ b/tests/cover/test_separation.py
@@ -346,6 +346,27 @@
     assert fleet.pass_time(20, HIGH, CALM) == []
 
 
+def test_a_task_that_suffers_stays_while_a_stopped_one_needs_the_room():
+    """Guards against two tasks that are stopped for the same room.
+
+    A task on its way out of an evacuated data centre does not wait before it has ended.
+    """
+    fleet = ServingFleet(0)
+    large = Resources(9_000, 1_000)
+    outside = listing(2, data_centre="b")
+    fleet.scheduler.set_listings({"i-2": outside}, fleet.now)
+    fleet.add(job("b" * 16, replace(QUIET, size=large)))
+    fleet.plan()
+    everywhere = {"i-0": listing(0), "i-1": listing(1), "i-2": outside}
+    fleet.scheduler.set_listings(everywhere, fleet.now)
+    beside = replace(WEB, size=large, label="a"), replace(SCAN, label="a")
+    fleet.report("i-0")
+    fleet.serve(job("a" * 16, *beside))
+    assert minions_of(fleet, "mail") == ["i-2"]
+    fleet.scheduler.set_evacuated({"b"}, fleet.now)
+    assert fleet.pass_time(10, HIGH) == ["mail"]
+
+
 @pytest.mark.parametrize(
     ("web", "minions", "tails"),
     [
