Close idle connections that may not be reused

Idle connections were closed only when their address was called again. The owner of 3,004 minions kept up to four connections to each minion that it had sent an order to, and a former owner kept up to 1,000 connections for polls; the descriptors of a process (some 4,000) could run out. Polls of minions that were gone counted against the limit of idle connections for good, after which no connection was reused. Expired ones are now closed, and those for calls are limited in number; the address that was not called for longest goes first.

tests/cover/test_idle_connections.py: 4 of 5 failed before.

--- a/packages/geraniumshored/src/geraniumshored/platform/http.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/http.py
@@ -8,7 +8,6 @@
 import struct
 import threading
 import time
-from collections import defaultdict
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -36,6 +35,9 @@
 # connections are reused only for a short time.
 MAX_IDLE_SECONDS = 4.0
 MAX_IDLE_PER_ADDRESS = 4
+# Of some 4,000 descriptors of a process. The owner of 3,004 minions sends orders to
+# most of them within seconds.
+MAX_IDLE_CONNECTIONS = 1_000
 # SO_LINGER with a zero timeout: closing sends RST and discards unsent data.
 LINGER_RESET = struct.pack("ii", 1, 0)
 # Below the size from which freed blocks are returned to the system, which costs time.
@@ -243,9 +245,9 @@
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
-        self._idle_by_address: dict[str, list[tuple[_Connection, float]]] = defaultdict(
-            list
-        )
+        self._idle_by_address: dict[str, list[tuple[_Connection, float]]] = {}
+        self._idle_count = 0
+        self._swept_at = time.monotonic()
         self.calls = 0
         self.connections_opened = 0
 
@@ -318,10 +320,13 @@
     def _take_idle(self, address: str) -> _Connection | None:
         while True:
             with self._lock:
-                idle = self._idle_by_address[address]
+                idle = self._idle_by_address.get(address)
                 if not idle:
                     return None
                 connection, since = idle.pop()
+                self._idle_count -= 1
+                if not idle:
+                    del self._idle_by_address[address]
             if (
                 time.monotonic() - since < MAX_IDLE_SECONDS
                 and connection.input_is_empty()
@@ -330,9 +335,45 @@
             connection.close()
 
     def _return_idle(self, address: str, connection: _Connection) -> None:
+        now = time.monotonic()
         with self._lock:
-            idle = self._idle_by_address[address]
+            closing = self._take_expired(now)
+            # Addresses are kept in the order of their last use.
+            idle = self._idle_by_address.pop(address, [])
             if len(idle) < MAX_IDLE_PER_ADDRESS:
-                idle.append((connection, time.monotonic()))
-                return
-        connection.close()
+                idle.append((connection, now))
+                self._idle_count += 1
+            else:
+                closing.append(connection)
+            self._idle_by_address[address] = idle
+            if self._idle_count > MAX_IDLE_CONNECTIONS:
+                closing.append(self._take_least_used())
+        for closed in closing:
+            closed.close()
+
+    def _take_least_used(self) -> _Connection:
+        """Remove a connection to the address that was not called for longest."""
+        address, idle = next(iter(self._idle_by_address.items()))
+        connection, _ = idle.pop(0)
+        if not idle:
+            del self._idle_by_address[address]
+        self._idle_count -= 1
+        return connection
+
+    def _take_expired(self, now: float) -> list[_Connection]:
+        """Remove the connections of all addresses that are too old to be reused.
+
+        Many addresses are never called again: their minions are gone, or belong to
+        another owner by now.
+        """
+        if now < self._swept_at + MAX_IDLE_SECONDS:
+            return []
+        self._swept_at = now
+        expired: list[_Connection] = []
+        for address, idle in list(self._idle_by_address.items()):
+            expired.extend(c for c, since in idle if now - since >= MAX_IDLE_SECONDS)
+            idle[:] = [kept for kept in idle if now - kept[1] < MAX_IDLE_SECONDS]
+            if not idle:
+                del self._idle_by_address[address]
+        self._idle_count -= len(expired)
+        return expired
--- a/packages/geraniumshored/src/geraniumshored/platform/http_multiplexer.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/http_multiplexer.py
@@ -97,6 +97,7 @@
         self._deadlines: list[tuple[float, int, _Call, bool]] = []
         self._idle_by_address: dict[str, list[_Connection]] = defaultdict(list)
         self._idle_count = 0
+        self._swept_at = time.monotonic()
         self._lock = threading.Lock()
         self._thread: threading.Thread | None = None
 
@@ -156,6 +157,7 @@
                 self._advance(key.data)
         # What has arrived is processed before any call is given up.
         self._give_up_overdue()
+        self._close_expired()
         while True:
             try:
                 begin = self._requests.get_nowait()
@@ -166,9 +168,10 @@
     def _next_deadline_in(self) -> float | None:
         while self._deadlines and self._deadlines[0][2].answer.done():
             heapq.heappop(self._deadlines)
-        if not self._deadlines:
-            return None
-        return max(0.0, self._deadlines[0][0] - time.monotonic())
+        due = [self._deadlines[0][0]] if self._deadlines else []
+        if self._idle_count:
+            due.append(self._swept_at + MAX_IDLE_SECONDS)
+        return max(0.0, min(due) - time.monotonic()) if due else None
 
     def _give_up_overdue(self) -> None:
         now = time.monotonic()
@@ -274,3 +277,24 @@
             connection.socket.close()
         self._idle_by_address.pop(address, None)
         return None
+
+    def _close_expired(self) -> None:
+        """Close the connections of all addresses that are too old to be reused.
+
+        Many addresses are never polled again: their minions are gone, or belong to
+        another owner by now.
+        """
+        now = time.monotonic()
+        if now < self._swept_at + MAX_IDLE_SECONDS:
+            return
+        self._swept_at = now
+        for address, idle in list(self._idle_by_address.items()):
+            fresh = [c for c in idle if now - c.idle_since < MAX_IDLE_SECONDS]
+            for connection in idle:
+                if now - connection.idle_since >= MAX_IDLE_SECONDS:
+                    connection.socket.close()
+            self._idle_count -= len(idle) - len(fresh)
+            if fresh:
+                self._idle_by_address[address] = fresh
+            else:
+                del self._idle_by_address[address]
