Pass over no node because of what a caller sent

A node without an answer is passed over for 2 s. A caller with a deadline of 20 ms got none in that time, and a key or host beyond printable ASCII could not be sent; either ended the relaying of all callers' jobs to the owner. Calls with under 0.3 s left or with such headers are not relayed, and only a node that had the whole time for a relayed call is passed over.

tests/cover/test_relayed_calls.py: the 6 new tests failed before.

--- a/packages/geraniumshored/src/geraniumshored/node/relay.py
+++ b/packages/geraniumshored/src/geraniumshored/node/relay.py
@@ -21,7 +21,7 @@
 from geraniumshored.node.metrics import NodeMetrics
 from geraniumshored.node.ports import Peers, RelayedCall
 
-__all__ = ["CallRelay", "KnownMembers"]
+__all__ = ["MIN_RELAY_S", "CallRelay", "KnownMembers"]
 
 logger = logging.getLogger(__name__)
 
@@ -32,6 +32,8 @@
 MAX_PEERS_PER_CALL = 2
 # An answer takes as long as an append; a slow store needs most of a second.
 RELAY_TIMEOUT_S = 1.2
+# With less time than this left a call is not relayed: the other node would refuse it.
+MIN_RELAY_S = 0.3
 
 
 class KnownMembers(ABC):
@@ -78,12 +80,14 @@
         PlatformUnavailableError if no node was sent the call, and UnknownOutcomeError
         if one was and may have carried it out.
         """
+        if not _fits_headers(call):
+            raise PlatformUnavailableError("the call cannot be relayed")
         deadline = self._now() + call.caller.timeout_s
         unanswered: UnknownOutcomeError | None = None
         for member in self._candidates(owner_only):
             address = address_of(member)
             left_s = deadline - self._now()
-            if left_s <= 0:
+            if left_s < MIN_RELAY_S:
                 break
             caller = replace(call.caller, timeout_s=min(left_s, RELAY_TIMEOUT_S))
             try:
@@ -92,7 +96,11 @@
                 self._on_failure(address, "not sent", error)
                 continue
             except UnknownOutcomeError as error:
-                self._on_failure(address, "unanswered", error)
+                # In less time a node that works may give no answer either.
+                if caller.timeout_s >= RELAY_TIMEOUT_S:
+                    self._on_failure(address, "unanswered", error)
+                else:
+                    self._metrics.count("relays_failed", "unanswered")
                 unanswered = error
                 continue
             self._metrics.count("relayed", call.method, answer.verdict.value)
@@ -132,3 +140,12 @@
             }
             self._failed_at_by_address[address] = now
         log_event(logger, "peer passed over", peer=address, cause=str(error))
+
+
+def _fits_headers(call: RelayedCall) -> bool:
+    """Return whether the caller's host and key can be sent in headers as they are.
+
+    A caller may send any bytes, and no node is at fault for them.
+    """
+    values = call.caller.host + (call.caller.key or "")
+    return values.isascii() and values.isprintable()
--- a/packages/geraniumshored/src/geraniumshored/node/relayed_requests.py
+++ b/packages/geraniumshored/src/geraniumshored/node/relayed_requests.py
@@ -9,13 +9,10 @@
 from geraniumshored.node.answers import Answer, Caller, RequestHandler, Verdict
 from geraniumshored.node.append_latency import AppendLatency
 from geraniumshored.node.ports import RelayedCall
-from geraniumshored.node.relay import CallRelay
+from geraniumshored.node.relay import MIN_RELAY_S, CallRelay
 
 __all__ = ["RelayingRequestHandler"]
 
-# With less time than this left a call is not relayed: the other node would refuse it.
-MIN_RELAY_S = 0.3
-
 
 class RelayingRequestHandler(RequestHandler):
     """Relays calls that this node would refuse, and jobs while the store is slow.
--- a/tests/cover/test_relayed_calls.py
+++ b/tests/cover/test_relayed_calls.py
@@ -9,6 +9,8 @@
 import contextlib
 import http.client
 import json
+import socket
+from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
@@ -28,6 +30,8 @@
 from geraniumshored.node.ports import Peers, RelayedCall
 from geraniumshored.node.relay import PEER_RETRY_S, CallRelay, KnownMembers
 from geraniumshored.node.relayed_requests import RelayingRequestHandler
+from geraniumshored.platform.http import HttpClient
+from geraniumshored.platform.peers import HttpPeers
 
 CALLER = Caller("h", "/q/" + "a" * 16, "key", 3.0)
 OWN = member_name("own", "1", 1.0, "own:1")
@@ -187,6 +191,44 @@
     assert node.own.calls == 1
 
 
+@pytest.mark.parametrize("own", [Verdict.OK, Verdict.NOT_RUN])
+def test_a_caller_that_hardly_waits_does_not_discredit_the_owner(own):
+    """One job with a deadline of 20 ms ended the relaying of all jobs for 2 s."""
+    node = Relaying(own)
+    node.latency.observe(2 * SLOW_APPEND_S)
+    node.peers.outcome_by_address["owner:1"] = NO_ANSWER
+    for timeout_s in (0.02, 0.29, 0.9):
+        node.handler.submit(replace(CALLER, timeout_s=timeout_s), b"{}")
+    node.peers.outcome_by_address.clear()
+    node.peers.asked.clear()
+    assert node.submit() is Verdict.OK
+    assert node.peers.asked == ["owner:1"]
+
+
+def test_a_node_is_not_asked_for_an_answer_that_cannot_be_in_time():
+    """The other node would carry the call out for a caller that is gone."""
+    node = Relaying(Verdict.OK)
+    node.latency.observe(2 * SLOW_APPEND_S)
+    node.handler.submit(replace(CALLER, timeout_s=0.1), b"{}")
+    assert not node.peers.asked
+
+
+@pytest.mark.parametrize(
+    "odd", [{"key": "k\xe9y"}, {"key": "k\ty"}, {"host": "h\xe9"}], ids=str
+)
+def test_a_header_that_cannot_be_relayed_does_not_discredit_the_owner(odd):
+    """One client's key with a letter beyond ASCII ended the relaying of all jobs."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        owner = member_name("owner", "1", 1.0, address)
+        known = SimpleNamespace(owner=lambda: owner, others=lambda: frozenset())
+        peers = HttpPeers(HttpClient())
+        relay = CallRelay(peers, OWN, known, NodeMetrics(), lambda: 0.0)  # type: ignore[arg-type]
+        with pytest.raises(PlatformUnavailableError):
+            relay.relay(RelayedCall("GET", replace(CALLER, **odd)))
+        assert relay.has_owner_elsewhere()
+
+
 def test_members_of_former_releases_are_passed_over():
     peers = FakePeers()
     former = member_name("old", "1", 1.0)
