Disconnect an ended owner from the views

An owner that was stopped during its takeover connected itself to the views afterwards, so its node read the list of minions every 0.1 s and passed all jobs to a schedule that nobody used. One that ended late cleared the connections of a later epoch. The callback for configurations and a gauge kept the schedule of an ended epoch in memory.

tests/cover/test_faults_in_threads.py: the 3 new tests failed before.

--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -90,6 +90,8 @@
 # How often the records of completed jobs are deleted, and how many jobs at a time.
 CLEANUP_INTERVAL_S = 2.0
 MAX_JOBS_PER_CLEANUP = 200
+# Metrics that an owner replaces by those of its own schedule.
+GAUGES = ("durations_corrected", "interference_pairs")
 # A takeover fails when the epoch could not be opened within this time, or when reads of
 # the log have brought nothing for as long. How long they take in all depends on the
 # link and on the size of the log.
@@ -154,18 +156,27 @@
         """End this epoch; no more orders are sent."""
         if not self._stopped.is_set():
             self._stopped.set()
-            self._jobs.on_job = None
-            self._jobs.on_progress_read = None
-            self._minions.on_change = None
-            self._operators.owned = False
-            # The metrics must not keep the schedule of an ended epoch in memory.
-            self._metrics.gauge("durations_corrected", float)
+            self._disconnect()
             self._wake.set()
             for session in list(self._session_by_minion.values()):
                 session.close()
             self._threads.close()
             log_event(logger, "ownership lost", epoch=self.authority.epoch, cause=why)
 
+    def _disconnect(self) -> None:
+        """Receive no more from the views, unless a later epoch already does."""
+        if self._jobs.on_progress_read not in (None, self._on_progress_read):
+            return
+        self._jobs.on_job = None
+        self._jobs.on_progress_read = None
+        self._minions.on_change = None
+        self._operators.owned = False
+        # Neither the views nor the metrics must keep the schedule of an ended epoch in
+        # memory.
+        self._operators.on_configuration = lambda _: None
+        for gauge in GAUGES:
+            self._metrics.gauge(gauge, float)
+
     def _on_progress_read(self, begun_at: float) -> None:
         """Confirm or end ownership according to the owner record in the log."""
         owner = self._jobs.registry.owner
@@ -216,6 +227,9 @@
         except Exception:
             logger.exception("fault in the owner")
             self.stop("fault")
+        finally:
+            # The takeover may have connected to the views after it was stopped.
+            self._disconnect()
 
     def _take_over(self) -> bool:
         deadline = self._now() + TAKEOVER_TIMEOUT_S
@@ -269,7 +283,7 @@
             unread_jobs=self._scheduler.unread_jobs,
             evacuated=sorted(self._scheduler.evacuated),
         )
-        return True
+        return not self.stopped
 
     def _read_operators(self, opened_at: float) -> None:
         """Read the operators' requests up to now.
--- a/tests/cover/test_faults_in_threads.py
+++ b/tests/cover/test_faults_in_threads.py
@@ -5,11 +5,13 @@
 
 from __future__ import annotations
 
+import gc
 import io
 import logging
 import sys
 import threading
 import time
+import weakref
 from types import SimpleNamespace
 from unittest import mock
 
@@ -264,3 +266,67 @@
     serve(owner).join(2.0)
     assert owner.stopped
     assert owner._decide.call_count == 1
+
+
+def test_an_owner_that_is_replaced_during_its_takeover_leaves_the_views_alone():
+    """Its node read the list of minions ten times a second until its next takeover."""
+    owner = make_owner()
+    operators, minions, jobs = owner._operators, owner._minions, owner._jobs
+    ends = Appended(0, 0)
+
+    def end_while_reading() -> bool:
+        owner.stop("another owner")
+        return False
+
+    with (
+        mock.patch.object(owner._platform.store, "append", lambda *_: ends),
+        mock.patch.object(operators, "read_to_end", end_while_reading),
+    ):
+        owner._run()
+    assert owner.stopped
+    assert jobs.on_job is None
+    assert jobs.on_progress_read is None
+    assert minions.on_change is None
+    assert not operators.owned
+
+
+def test_an_ended_epoch_is_not_kept_in_memory():
+    """Its schedule is as large as that of the present owner."""
+    owner = make_owner()
+    operators, views_of_owner = owner._operators, (owner._minions, owner._jobs)
+    metrics = owner._metrics
+    ends = Appended(0, 0)
+    with mock.patch.object(owner._platform.store, "append", lambda *_: ends):
+        owner._take_over()
+    assert not owner.stopped
+    owner.stop("end of the test")
+    ended = weakref.ref(owner)
+    del owner
+    gc.collect()
+    assert ended() is None
+    assert operators
+    assert views_of_owner
+    assert metrics
+
+
+def test_an_owner_that_ends_late_does_not_disconnect_its_successor():
+    """A node whose process was suspended may own the schedule in a later epoch."""
+    former = make_owner()
+    successor = Owner(
+        SETTINGS,
+        former._platform,
+        (former._operators, former._minions, former._jobs),
+        "h/strong-1",
+        6,
+        NodeMetrics(),
+        time.monotonic,
+    )
+    ends = Appended(0, 0)
+    with mock.patch.object(former._platform.store, "append", lambda *_: ends):
+        former._take_over()
+        successor._take_over()
+    former.stop("another owner")
+    assert successor._jobs.on_job is not None
+    assert successor._jobs.on_progress_read is not None
+    assert successor._minions.on_change is not None
+    successor.stop("end of the test")
