--- a/packages/geraniumshored/src/geraniumshored/node/ownership.py
+++ b/packages/geraniumshored/src/geraniumshored/node/ownership.py
@@ -239,10 +239,12 @@
             self._leave_group()
             return
         self._claimed_generation = membership.generation
-        self._owner = self._make_owner(
+        claimant = self._make_owner(
             EPOCHS_PER_GENERATION * membership.generation + partition
         )
-        self._owner.start()
+        claimant.start()
+        # If no thread could be started, this node claims again in a later epoch.
+        self._owner = claimant
 
     def _schedule_is_free(self, restarted: bool) -> bool:
         now = self._now()
--- a/packages/geraniumshored/src/geraniumshored/node/session_threads.py
+++ b/packages/geraniumshored/src/geraniumshored/node/session_threads.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
+from geraniumshored.node.logs import log_event
+
 __all__ = ["SessionThreads"]
 
 logger = logging.getLogger(__name__)
@@ -54,15 +56,16 @@
         with self._condition:
             if self._closed:
                 return
-            if not self._started:
-                self._started = True
-                threading.Thread(
-                    target=self._run_timers, name="poll-timers", daemon=True
-                ).start()
             due = (time.monotonic() + delay_s, next(self._numbers), task)
             heapq.heappush(self._due, due)
             if self._due[0] is due:
                 self._condition.notify()
+            if not self._started:
+                # If that fails, the next call tries again.
+                threading.Thread(
+                    target=self._run_timers, name="poll-timers", daemon=True
+                ).start()
+                self._started = True
 
     def close(self) -> None:
         """Run nothing more; let all threads end."""
@@ -76,8 +79,14 @@
     def _submit(self, pool: ThreadPoolExecutor, task: Callable[[], None]) -> None:
         # The lock guards against submitting to a pool after its shutdown.
         with self._condition:
-            if not self._closed:
+            if self._closed:
+                return
+            try:
                 pool.submit(_run_logged, task)
+            except RuntimeError as error:
+                # The task is queued for the pool's other threads, or for the one that
+                # the next call starts.
+                log_event(logger, "no thread can be started", cause=str(error))
 
     def _run_timers(self) -> None:
         while True:
--- a/packages/geraniumshored/src/geraniumshored/platform/http_multiplexer.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/http_multiplexer.py
@@ -122,18 +122,17 @@
         except ValueError as error:
             answer.set_exception(PlatformUnavailableError(f"{address}: {error}"))
             return answer
-        self._requests.put(lambda: self._begin(address, request, what, timeout, answer))
         self._start_thread()
+        self._requests.put(lambda: self._begin(address, request, what, timeout, answer))
         self._wake()
         return answer
 
     def _start_thread(self) -> None:
         with self._lock:
             if self._thread is None:
-                self._thread = threading.Thread(
-                    target=self._run, name="polls", daemon=True
-                )
-                self._thread.start()
+                thread = threading.Thread(target=self._run, name="polls", daemon=True)
+                thread.start()
+                self._thread = thread
 
     def _wake(self) -> None:
         try:
