Read the group's members beside the joins

Each member reads the list of members every 2 s, between its joins. A read without an answer takes 0.8 s, after which the next join came later than the 1 s for which the group keeps a member: an idle owner was taken for gone. A failed read also counted as the loss of the group, which delays claims by 0.6 s each time. The list is now read in another thread, and its failures concern nothing else.

tests/cover/test_ownership.py: the 2 new tests failed before. An existing test waits for the read now, and checks the same.

--- a/packages/geraniumshored/src/geraniumshored/node/ownership.py
+++ b/packages/geraniumshored/src/geraniumshored/node/ownership.py
@@ -23,6 +23,7 @@
 from geraniumshored.node.ports import Membership, Record, Store, Stream
 from geraniumshored.node.relay import KnownMembers
 from geraniumshored.node.views import JobsView, MinionsView
+from geraniumshored.node.workers import WorkerThreads
 
 __all__ = ["Ownership"]
 
@@ -89,6 +90,9 @@
         self._owner: Owner | None = None
         self._members_read: frozenset[str] = frozenset()
         self._members_read_at = float("-inf")
+        # At most one read of the members is under way beside the joins.
+        self._reading_members = threading.Lock()
+        self._workers = WorkerThreads("members", 1)
         self._disconnected = False
         self._step_down_checked_at = now()
         self._reconnected_at = float("-inf")
@@ -150,7 +154,7 @@
         if not self._leaving.is_set():
             self._update_owner(membership)
         if self._now() >= self._members_read_at + MEMBERS_READ_INTERVAL_S:
-            self._read_members()
+            self._read_members_aside()
         return JOIN_INTERVAL_S
 
     def _may_join(self) -> bool:
@@ -191,6 +195,27 @@
         self._members_read_at = self._now()
         return self._members_read
 
+    def _read_members_aside(self) -> None:
+        """Read the members without keeping the next join waiting for the answer.
+
+        Waiting for a lost answer takes nearly as long as the group keeps a member that
+        does not join again.
+        """
+        if self._reading_members.locked():
+            return
+        self._members_read_at = self._now()
+        self._workers.run(self._read_members_once)
+
+    def _read_members_once(self) -> None:
+        if not self._reading_members.acquire(blocking=False):
+            return
+        try:
+            self._read_members()
+        except (PlatformUnavailableError, UnknownOutcomeError) as error:
+            log_event(logger, "members not read", cause=str(error))
+        finally:
+            self._reading_members.release()
+
     def _resign(self, why: str) -> None:
         """Give up ownership and record this in the log, so that no successor waits."""
         owner = self._owner
--- a/tests/cover/test_ownership.py
+++ b/tests/cover/test_ownership.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import threading
+import time
 from types import SimpleNamespace
 
 from geraniumshore_scheduler import (
@@ -9,9 +11,11 @@
     OWNER_RESIGNED_KEY,
     JobRegistry,
     OwnerRecord,
+    UnknownOutcomeError,
     decode_owner,
     encode_owner,
 )
+from geraniumshore_standins.internal.fleet import wait_for
 from geraniumshored.node.members import member_name
 from geraniumshored.node.ownership import (
     EPOCHS_PER_GENERATION,
@@ -327,4 +331,40 @@
     bench.step()
     bench.store.listed = {member_name("h2", "p", 1.0)}
     bench.step(MEMBERS_READ_INTERVAL_S)
-    assert bench.ownership.others() == bench.store.listed
+    wait_for(lambda: bench.ownership.others() == bench.store.listed, "it was read", 5.0)
+
+
+def test_a_member_stays_in_the_group_while_the_list_of_members_is_unanswered():
+    """An owner that waits 0.8 s for the list is no member after 1 s without a join."""
+    bench = Bench()
+    bench.step()
+    answered = threading.Event()
+    bench.store.members = lambda: answered.wait(5.0) and frozenset()  # type: ignore[method-assign]
+    began = time.monotonic()
+    for _ in range(3):
+        bench.step(MEMBERS_READ_INTERVAL_S)
+    assert time.monotonic() - began < 2.0
+    assert bench.store.joins == 4
+    answered.set()
+
+
+def test_a_member_without_the_list_of_members_is_not_cut_off():
+    """Each such failure delayed claims as if the group had been lost."""
+    bench = Bench()
+    bench.minions.list_age = float("inf")
+    bench.step()
+
+    def fail() -> frozenset[str]:
+        raise UnknownOutcomeError("no answer")
+
+    bench.store.members = fail  # type: ignore[method-assign]
+    bench.ownership._ready = lambda: True
+    leaving = iter([False, False, True])
+    bench.ownership._leaving = SimpleNamespace(  # type: ignore[assignment]
+        wait=lambda _: next(leaving), is_set=lambda: False
+    )
+    bench.now += MEMBERS_READ_INTERVAL_S
+    bench.ownership._run()
+    assert not bench.ownership._disconnected
+    bench.minions.list_age = 0.0
+    assert len(bench.step()) == 1
