Take a malformed deadline of a caller for none

A digit beyond ASCII passed str.isdigit but not int, and very large numbers could not be converted; the call ended with a fault in place of an answer.

tests/cover/test_relayed_calls.py: 3 of the 5 new cases failed before.

--- a/packages/geraniumshored/src/geraniumshored/platform/job_api.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/job_api.py
@@ -4,6 +4,7 @@
 
 import json
 import logging
+import re
 import threading
 import time
 from collections.abc import Callable, Iterable
@@ -41,6 +42,8 @@
 ANSWER_CHECK_INTERVAL_SECONDS = 0.005
 MAX_BODY_BYTES = 4 * 1024 * 1024
 DEFAULT_DEADLINE_MS = 3_000
+# More digits than any caller needs are not converted, which may fail.
+DEADLINE_MS = re.compile("[0-9]{1,9}")
 MS_PER_SECOND = 1000.0
 READY_PATH = "/v1/readyz"
 METRICS_PATH = "/metrics"
@@ -191,9 +194,8 @@
 def _read_caller(environ: WsgiEnviron) -> Caller:
     scheme, _, key = environ.get("HTTP_AUTHORIZATION", "").partition(" ")
     deadline_header = environ.get("HTTP_GERANIUMSHORE_DEADLINE_MS", "")
-    deadline_ms = (
-        int(deadline_header) if deadline_header.isdigit() else DEFAULT_DEADLINE_MS
-    )
+    valid = DEADLINE_MS.fullmatch(deadline_header) is not None
+    deadline_ms = int(deadline_header) if valid else DEFAULT_DEADLINE_MS
     return Caller(
         host=environ.get("HTTP_HOST", "").partition(":")[0],
         path=environ["PATH_INFO"],
--- a/tests/cover/test_relayed_calls.py
+++ b/tests/cover/test_relayed_calls.py
@@ -19,6 +19,7 @@
 from geraniumshore_standins.internal.fleet import free_port, wait_for
 from geraniumshore_standins.internal.proxy import FaultProxy, HopFaults
 from geraniumshore_standins.internal.users_platform import NodeProcess, PlatformFleet
+from geraniumshored.internal.client_budget import BudgetLimits
 from geraniumshored.node.answers import Answer, Caller, RequestHandler, Verdict
 from geraniumshored.node.append_latency import (
     OBSERVATION_VALID_S,
@@ -31,6 +32,7 @@
 from geraniumshored.node.relay import PEER_RETRY_S, CallRelay, KnownMembers
 from geraniumshored.node.relayed_requests import RelayingRequestHandler
 from geraniumshored.platform.http import HttpClient
+from geraniumshored.platform.job_api import JobApiServer
 from geraniumshored.platform.peers import HttpPeers
 
 CALLER = Caller("h", "/q/" + "a" * 16, "key", 3.0)
@@ -239,6 +241,22 @@
         relay.relay(RelayedCall("GET", CALLER))
 
 
+@pytest.mark.parametrize("deadline", ["\xb2", "9" * 400, "9" * 5_000, "-1", "x"])
+def test_a_malformed_deadline_counts_as_none(deadline):
+    """Digits beyond ASCII and very large numbers ended the call with a fault."""
+    limits = BudgetLimits.from_machine(200_000_000, 1_000)
+    own = OwnRequests(Verdict.OK)
+    server = JobApiServer(own, NodeMetrics(), lambda: True, limits)
+    addresses = [f"127.0.0.1:{free_port()}" for _ in range(4)]
+    server.start(*addresses)
+    for address in (addresses[0], addresses[3]):
+        connection = http.client.HTTPConnection(address, timeout=5)
+        with contextlib.closing(connection):
+            headers = {"Geraniumshore-Deadline-Ms": deadline}
+            connection.request("POST", CALLER.path, b"{}", headers)
+            assert connection.getresponse().status == 200
+
+
 class ProxiedFleet(PlatformFleet):
     """A fleet of which one node reaches the store through a proxy."""
 
