Relay no call to this node's own address

After a restart the log and the group still name the former process of the host, which had the same address. The node relayed slow jobs and refused calls to itself, and did not let records wait for a busy store, as their owner seemed to be elsewhere.

tests/cover/test_relayed_calls.py: the new test failed before.

--- a/packages/geraniumshored/src/geraniumshored/node/relay.py
+++ b/packages/geraniumshored/src/geraniumshored/node/relay.py
@@ -61,6 +61,7 @@
     ) -> None:
         self._peers = peers
         self._member = member
+        self._own_address = address_of(member)
         self._known = known
         self._metrics = metrics
         self._now = now
@@ -126,8 +127,11 @@
 
     def _is_usable(self, member: str) -> bool:
         address = address_of(member)
+        if address in ("", self._own_address):
+            # A former process of this host had the same address.
+            return False
         failed_at = self._failed_at_by_address.get(address, float("-inf"))
-        return bool(address) and self._now() >= failed_at + PEER_RETRY_S
+        return self._now() >= failed_at + PEER_RETRY_S
 
     def _on_failure(self, address: str, how: str, error: Exception) -> None:
         self._metrics.count("relays_failed", how)
--- a/tests/cover/test_relayed_calls.py
+++ b/tests/cover/test_relayed_calls.py
@@ -241,6 +241,22 @@
         relay.relay(RelayedCall("GET", CALLER))
 
 
+def test_a_node_does_not_relay_to_its_own_address():
+    """The log names the node's former process as the owner after a restart.
+
+    The node passed slow jobs on to itself, where they were recorded one by one as
+    before, or refused by the node that had relayed them.
+    """
+    peers = FakePeers()
+    former = member_name("own", "0", 1.0, "own:1")
+    known = SimpleNamespace(owner=lambda: former, others=lambda: frozenset({former}))
+    relay = CallRelay(peers, OWN, known, NodeMetrics(), lambda: 0.0)  # type: ignore[arg-type]
+    assert not relay.has_owner_elsewhere()
+    with pytest.raises(PlatformUnavailableError):
+        relay.relay(RelayedCall("GET", CALLER))
+    assert not peers.asked
+
+
 @pytest.mark.parametrize("deadline", ["\xb2", "9" * 400, "9" * 5_000, "-1", "x"])
 def test_a_malformed_deadline_counts_as_none(deadline):
     """Digits beyond ASCII and very large numbers ended the call with a fault."""
