Confirm or record a job that the owner is uncertain about

The owner answers a relayed job as uncertain after 1 s, while the caller waits for 3 s; the job is now recorded by the node that the caller reached, as if the owner had not answered. A job that one node may have accepted was reported as rejected if another one did not know the key or queue any more: it is now reported as uncertain.

--- a/packages/geraniumshored/src/geraniumshored/node/relay.py
+++ b/packages/geraniumshored/src/geraniumshored/node/relay.py
@@ -105,7 +105,7 @@
                 unanswered = error
                 continue
             self._metrics.count("relayed", call.method, answer.verdict.value)
-            if unanswered is not None and answer.verdict is Verdict.NOT_RUN:
+            if unanswered is not None and _denies(call, answer):
                 # The node that did not answer may have carried the call out.
                 break
             return answer
@@ -146,6 +146,16 @@
         log_event(logger, "peer passed over", peer=address, cause=str(error))
 
 
+def _denies(call: RelayedCall, answer: Answer) -> bool:
+    """Return whether the answer says that the call had and will have no effect.
+
+    Another node may have accepted a job with an older configuration.
+    """
+    if call.method == "POST":
+        return answer.verdict is not Verdict.OK
+    return answer.verdict is Verdict.NOT_RUN
+
+
 def _fits_headers(call: RelayedCall) -> bool:
     """Return whether the caller's host and key can be sent in headers as they are.
 
--- a/packages/geraniumshored/src/geraniumshored/node/relayed_requests.py
+++ b/packages/geraniumshored/src/geraniumshored/node/relayed_requests.py
@@ -51,13 +51,15 @@
             except PlatformUnavailableError:
                 pass
             else:
-                if answer.verdict is not Verdict.NOT_RUN:
+                uncertain = answer.verdict is Verdict.UNCERTAIN
+                if not uncertain and answer.verdict is not Verdict.NOT_RUN:
                     self._latency.observe(self._now() - began)
                     return answer
         answer = self._own.submit(self._later(caller, deadline), body)
         if answer.verdict is Verdict.NOT_RUN:
             answer = self._relay_refused(call, answer, deadline)
-        if uncertain and answer.verdict is Verdict.NOT_RUN:
+        if uncertain and answer.verdict is not Verdict.OK:
+            # The owner may have accepted the job, with an older configuration, too.
             return Answer(Verdict.UNCERTAIN, detail="another node did not answer")
         return answer
 
--- a/tests/cover/test_relayed_calls.py
+++ b/tests/cover/test_relayed_calls.py
@@ -231,6 +231,33 @@
         assert relay.has_owner_elsewhere()
 
 
+def test_a_job_that_the_owner_is_uncertain_about_is_recorded_here():
+    """The owner gives up after 1 s, while the caller still waits."""
+    node = Relaying(Verdict.OK)
+    node.latency.observe(2 * SLOW_APPEND_S)
+    node.peers.outcome_by_address["owner:1"] = Verdict.UNCERTAIN
+    assert node.submit() is Verdict.OK
+    node.own.verdict = Verdict.NOT_RUN
+    node.peers.outcome_by_address["other:1"] = Verdict.NOT_RUN
+    assert node.submit() is Verdict.UNCERTAIN
+
+
+@pytest.mark.parametrize("unconfirmed", [NO_ANSWER, Verdict.UNCERTAIN], ids=str)
+@pytest.mark.parametrize("slow", [False, True])
+def test_a_job_that_may_have_been_accepted_is_not_rejected_by_another_node(
+    slow, unconfirmed
+):
+    """A key may have been withdrawn for one of two nodes, and the job would run."""
+    node = Relaying(Verdict.UNKNOWN_KEY if slow else Verdict.NOT_RUN)
+    if slow:
+        node.latency.observe(2 * SLOW_APPEND_S)
+    node.peers.outcome_by_address = {
+        "owner:1": unconfirmed,
+        "other:1": Verdict.UNKNOWN_KEY,
+    }
+    assert node.submit() is Verdict.UNCERTAIN
+
+
 def test_members_of_former_releases_are_passed_over():
     peers = FakePeers()
     former = member_name("old", "1", 1.0)
