Poll an idle minion of a large fleet once it was given a run

Among 3,004 minions one without work is polled every 1.5 s. A run that it was given in between was not polled before that time was over, although short tasks take 0.7 s. The pause now ends with the answer to the start.

tests/cover/test_orders_without_answers.py: the new test failed before.

--- a/packages/geraniumshored/src/geraniumshored/node/sessions.py
+++ b/packages/geraniumshored/src/geraniumshored/node/sessions.py
@@ -99,6 +99,9 @@
         self._open_starts = 0
         self._orders: deque[Order] = deque()
         self._sending_orders = False
+        # Numbers the pauses between polls, so that only the latest one ends in a poll.
+        self._pauses = 0
+        self._pausing = False
 
     def start(self) -> None:
         """Begin to poll the minion."""
@@ -142,12 +145,38 @@
                 lambda _: self._threads.run_report(lambda: self._finish_poll(poll))
             )
         else:
-            self._threads.run_later(poll, self._poll)
+            self._poll_later(poll)
 
     def _finish_poll(self, poll: Poll) -> None:
         if self._is_open():
             pause = self._run_guarded(lambda: self._owner.finish_poll(poll))
-            self._threads.run_later(pause, self._poll)
+            self._poll_later(pause)
+
+    def _poll_later(self, pause_s: float) -> None:
+        with self._lock:
+            self._pauses += 1
+            self._pausing = True
+            number = self._pauses
+        self._threads.run_later(pause_s, lambda: self._end_pause(number))
+
+    def _poll_soon(self) -> None:
+        """End the pause before the next poll, if there is one.
+
+        An idle minion of a large fleet is polled at long intervals, and the end of a
+        run that it was given in between would be seen that much later.
+        """
+        with self._lock:
+            if not self._pausing:
+                return
+            number = self._pauses
+        self._threads.run_report(lambda: self._end_pause(number))
+
+    def _end_pause(self, number: int) -> None:
+        with self._lock:
+            if not self._pausing or number != self._pauses:
+                return
+            self._pausing = False
+        self._poll()
 
     def _send_starts(self) -> None:
         while True:
@@ -157,6 +186,7 @@
                     return
                 order = self._starts.popleft()
             self._execute(order)
+            self._poll_soon()
 
     def _send_orders(self) -> None:
         while True:
--- a/tests/cover/test_orders_without_answers.py
+++ b/tests/cover/test_orders_without_answers.py
@@ -115,6 +115,32 @@
     assert send_all([*starts, *paces], starts) == paces
 
 
+class IdleMinionOwner(BlockingOwner):
+    """Polls an idle minion of a large fleet at long intervals."""
+
+    def begin_poll(self, minion_id: str) -> Poll | float:  # type: ignore[override]
+        self.polls += 1
+        return LONG_S if not self.done else Poll(None, Future())  # type: ignore[arg-type]
+
+
+def test_an_idle_minion_is_polled_once_it_has_a_run():
+    """With 3,004 minions the end of a task was seen up to 1.5 s late."""
+    owner, threads = IdleMinionOwner([]), SessionThreads()
+    session = MinionSession(owner, "i-0", threads)
+    session.start()
+    wait_for(lambda: owner.polls == 1, "the first poll", LONG_S)
+    began = time.monotonic()
+    for number in range(5):
+        session.send(start(number))
+    wait_for(lambda: owner.polls == 2, "the next poll", LONG_S)
+    assert time.monotonic() - began < LONG_S / 2
+    wait_for(lambda: len(owner.done) == 5, "all starts", LONG_S)
+    time.sleep(0.1)
+    assert owner.polls == 2, "one poll at a time"
+    owner.released.set()
+    threads.close()
+
+
 def session_threads() -> list[str]:
     names = ("reports", "orders", "poll-timers")
     return [t.name for t in threading.enumerate() if t.name.startswith(names)]
