--- a/tests/cover/test_relayed_calls.py
+++ b/tests/cover/test_relayed_calls.py
@@ -9,6 +9,8 @@
 import contextlib
 import http.client
 import json
+import socket
+from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
@@ -17,6 +19,7 @@
 from geraniumshore_standins.internal.fleet import free_port, wait_for
 from geraniumshore_standins.internal.proxy import FaultProxy, HopFaults
 from geraniumshore_standins.internal.users_platform import NodeProcess, PlatformFleet
+from geraniumshored.internal.client_budget import BudgetLimits
 from geraniumshored.node.answers import Answer, Caller, RequestHandler, Verdict
 from geraniumshored.node.append_latency import (
     OBSERVATION_VALID_S,
@@ -28,6 +31,9 @@
 from geraniumshored.node.ports import Peers, RelayedCall
 from geraniumshored.node.relay import PEER_RETRY_S, CallRelay, KnownMembers
 from geraniumshored.node.relayed_requests import RelayingRequestHandler
+from geraniumshored.platform.http import HttpClient
+from geraniumshored.platform.job_api import JobApiServer
+from geraniumshored.platform.peers import HttpPeers
 
 CALLER = Caller("h", "/q/" + "a" * 16, "key", 3.0)
 OWN = member_name("own", "1", 1.0, "own:1")
@@ -206,6 +212,71 @@
     assert node.own.calls == 1
 
 
+@pytest.mark.parametrize("own", [Verdict.OK, Verdict.NOT_RUN])
+def test_a_caller_that_hardly_waits_does_not_discredit_the_owner(own):
+    """One job with a deadline of 20 ms ended the relaying of all jobs for 2 s."""
+    node = Relaying(own)
+    node.latency.observe(2 * SLOW_APPEND_S)
+    node.peers.outcome_by_address["owner:1"] = NO_ANSWER
+    for timeout_s in (0.02, 0.29, 0.9):
+        node.handler.submit(replace(CALLER, timeout_s=timeout_s), b"{}")
+    node.peers.outcome_by_address.clear()
+    node.peers.asked.clear()
+    assert node.submit() is Verdict.OK
+    assert node.peers.asked == ["owner:1"]
+
+
+def test_a_node_is_not_asked_for_an_answer_that_cannot_be_in_time():
+    """The other node would carry the call out for a caller that is gone."""
+    node = Relaying(Verdict.OK)
+    node.latency.observe(2 * SLOW_APPEND_S)
+    node.handler.submit(replace(CALLER, timeout_s=0.1), b"{}")
+    assert not node.peers.asked
+
+
+@pytest.mark.parametrize(
+    "odd", [{"key": "k\xe9y"}, {"key": "k\ty"}, {"host": "h\xe9"}], ids=str
+)
+def test_a_header_that_cannot_be_relayed_does_not_discredit_the_owner(odd):
+    """One client's key with a letter beyond ASCII ended the relaying of all jobs."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        owner = member_name("owner", "1", 1.0, address)
+        known = SimpleNamespace(owner=lambda: owner, others=lambda: frozenset())
+        peers = HttpPeers(HttpClient())
+        relay = CallRelay(peers, OWN, known, NodeMetrics(), lambda: 0.0)  # type: ignore[arg-type]
+        with pytest.raises(PlatformUnavailableError):
+            relay.relay(RelayedCall("GET", replace(CALLER, **odd)))
+        assert relay.has_owner_elsewhere()
+
+
+def test_a_job_that_the_owner_is_uncertain_about_is_recorded_here():
+    """The owner gives up after 1 s, while the caller still waits."""
+    node = Relaying(Verdict.OK)
+    node.latency.observe(2 * SLOW_APPEND_S)
+    node.peers.outcome_by_address["owner:1"] = Verdict.UNCERTAIN
+    assert node.submit() is Verdict.OK
+    node.own.verdict = Verdict.NOT_RUN
+    node.peers.outcome_by_address["other:1"] = Verdict.NOT_RUN
+    assert node.submit() is Verdict.UNCERTAIN
+
+
+@pytest.mark.parametrize("unconfirmed", [NO_ANSWER, Verdict.UNCERTAIN], ids=str)
+@pytest.mark.parametrize("slow", [False, True])
+def test_a_job_that_may_have_been_accepted_is_not_rejected_by_another_node(
+    slow, unconfirmed
+):
+    """A key may have been withdrawn for one of two nodes, and the job would run."""
+    node = Relaying(Verdict.UNKNOWN_KEY if slow else Verdict.NOT_RUN)
+    if slow:
+        node.latency.observe(2 * SLOW_APPEND_S)
+    node.peers.outcome_by_address = {
+        "owner:1": unconfirmed,
+        "other:1": Verdict.UNKNOWN_KEY,
+    }
+    assert node.submit() is Verdict.UNCERTAIN
+
+
 def test_members_of_former_releases_are_passed_over():
     peers = FakePeers()
     former = member_name("old", "1", 1.0)
@@ -216,6 +287,38 @@
         relay.relay(RelayedCall("GET", CALLER))
 
 
+def test_a_node_does_not_relay_to_its_own_address():
+    """The log names the node's former process as the owner after a restart.
+
+    The node passed slow jobs on to itself, where they were recorded one by one as
+    before, or refused by the node that had relayed them.
+    """
+    peers = FakePeers()
+    former = member_name("own", "0", 1.0, "own:1")
+    known = SimpleNamespace(owner=lambda: former, others=lambda: frozenset({former}))
+    relay = CallRelay(peers, OWN, known, NodeMetrics(), lambda: 0.0)  # type: ignore[arg-type]
+    assert not relay.has_owner_elsewhere()
+    with pytest.raises(PlatformUnavailableError):
+        relay.relay(RelayedCall("GET", CALLER))
+    assert not peers.asked
+
+
+@pytest.mark.parametrize("deadline", ["\xb2", "9" * 400, "9" * 5_000, "-1", "x"])
+def test_a_malformed_deadline_counts_as_none(deadline):
+    """Digits beyond ASCII and very large numbers ended the call with a fault."""
+    limits = BudgetLimits.from_machine(200_000_000, 1_000)
+    own = OwnRequests(Verdict.OK)
+    server = JobApiServer(own, NodeMetrics(), lambda: True, limits)
+    addresses = [f"127.0.0.1:{free_port()}" for _ in range(4)]
+    server.start(*addresses)
+    for address in (addresses[0], addresses[3]):
+        connection = http.client.HTTPConnection(address, timeout=5)
+        with contextlib.closing(connection):
+            headers = {"Geraniumshore-Deadline-Ms": deadline}
+            connection.request("POST", CALLER.path, b"{}", headers)
+            assert connection.getresponse().status == 200
+
+
 class ProxiedFleet(PlatformFleet):
     """A fleet of which one node reaches the store through a proxy."""
 
