Resolve no names in the thread for polls; guard what operators' records publish

Found in review: a name as a minion's address would stop all polls while it is resolved, and the follower and the owner may publish changes of the operators at the same time.

--- a/packages/geraniumshored/src/geraniumshored/node/views.py
+++ b/packages/geraniumshored/src/geraniumshored/node/views.py
@@ -349,7 +349,7 @@
         self.evacuated: frozenset[str] = frozenset()
         self._evacuations = EvacuationLog()
         # The owner also reads outside the follower's thread.
-        self._evacuations_lock = threading.Lock()
+        self._requests_lock = threading.Lock()
 
     def _wait_ms(self) -> int:
         return self.OWNER_READ_WAIT_MS if self.owned else READ_WAIT_MS
@@ -359,11 +359,11 @@
 
         Evacuations end only once all newest records are read.
         """
-        with self._evacuations_lock:
+        with self._requests_lock:
             self._evacuations.begin_reading()
 
     def _on_newest_folded(self) -> None:
-        with self._evacuations_lock:
+        with self._requests_lock:
             self._evacuations.end_missing()
             self._publish_evacuations()
 
@@ -375,22 +375,23 @@
             log_event(logger, "evacuation ended", data_centre=name)
 
     def _apply(self, record: Record) -> None:
-        with self._evacuations_lock:
+        with self._requests_lock:
             self._evacuations.mark_listed(record.key)
         decoded = self._platform.decode_operator_record(record)
         if decoded is None:
             return
         if isinstance(decoded, Evacuation):
-            with self._evacuations_lock:
+            with self._requests_lock:
                 self._evacuations.fold(record.key, decoded, record.offset)
                 self._publish_evacuations()
             return
-        if isinstance(decoded, MaintenanceWave):
-            self._pending.append(
-                AnnouncedWave(decoded, self._caught_up_at, self._now())
-            )
-        else:
-            self._pending.append(decoded)
+        change: AnnouncedWave | Configuration = (
+            AnnouncedWave(decoded, self._caught_up_at, self._now())
+            if isinstance(decoded, MaintenanceWave)
+            else decoded
+        )
+        with self._requests_lock:
+            self._pending.append(change)
         if self._offset is not None:
             self._publish()
 
@@ -398,7 +399,8 @@
         self._publish()
 
     def _publish(self) -> None:
-        pending, self._pending = self._pending, []
+        with self._requests_lock:
+            pending, self._pending = self._pending, []
         for change in pending:
             if isinstance(change, AnnouncedWave):
                 self._publish_wave(change)
--- a/packages/geraniumshored/src/geraniumshored/platform/http_multiplexer.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/http_multiplexer.py
@@ -19,6 +19,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Mapping
 from concurrent.futures import Future
+from ipaddress import IPv4Address
 from queue import Empty, SimpleQueue
 
 import httptools
@@ -54,7 +55,9 @@
         self.idle_since = 0.0
         self.connected = False
         # Parsed first, as no socket should be left open for a malformed address.
-        target = split_address(address)
+        host, port = split_address(address)
+        # A name would be resolved in the thread that carries all other calls.
+        target = str(IPv4Address(host)), port
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             self.socket.setblocking(False)
