Move at most a hundred machines in one step

A step announced all of its moves in one record and sent them one after the other; what was not sent within the second for which the announcement is valid was announced again by itself. With 3,004 machines the record has some 100 KB, each of 1,900 moves wrote it, and 300 nodes read it, which is far more than the 80 MB/s of the store: no task started.

--- a/packages/geraniumshored/src/geraniumshored/node/machine_controller.py
+++ b/packages/geraniumshored/src/geraniumshored/node/machine_controller.py
@@ -6,6 +6,7 @@
 import threading
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable, Mapping
+from itertools import islice
 
 from geraniumshore_scheduler import (
     ANNOUNCEMENT_VALID_S,
@@ -41,6 +42,11 @@
 
 logger = logging.getLogger(__name__)
 
+# The orders that are announced together. They are sent one after the other, and an
+# announcement is valid for a second: with 1,900 moves in one announcement, each one
+# after the first hundred or so was announced again by itself. Every node reads all of
+# these records, which at 300 nodes took more than the store can deliver.
+MAX_ORDERS_PER_STEP = 100
 MS_PER_S = 1000.0
 # Interval between decision rounds. A move takes over a second, so shorter is no use.
 DECISION_INTERVAL_S = 0.1
@@ -230,10 +236,12 @@
                 )
             )
         self._on_change()
-        self._announce(maintenance.machine for maintenance in orders)
-        for maintenance in orders:
-            if self._prepare_order(maintenance.machine):
-                self._maintain(maintenance)
+        for first in range(0, len(orders), MAX_ORDERS_PER_STEP):
+            group = orders[first : first + MAX_ORDERS_PER_STEP]
+            self._announce(maintenance.machine for maintenance in group)
+            for maintenance in group:
+                if self._prepare_order(maintenance.machine):
+                    self._maintain(maintenance)
 
     def _register_wave(self, announced: AnnouncedWave) -> None:
         wave = announced.wave
@@ -299,9 +307,8 @@
             machines = self._classify_machines(standby, now)
             loads = self._scheduler.pool_loads(now)
             orders = self._pools.plan(loads, machines, standby, now)
-            moves = [
-                move for order in orders if (move := self._apply_pool_order(order))
-            ]
+            applied = (self._apply_pool_order(order) for order in orders)
+            moves = list(islice(filter(None, applied), MAX_ORDERS_PER_STEP))
         self._announce(move.machine for move in moves)
         for move in moves:
             self._move(move)
--- a/tests/cover/test_machine_controller.py
+++ b/tests/cover/test_machine_controller.py
@@ -29,7 +29,10 @@
     decode_wave_progress,
     wave_key,
 )
-from geraniumshored.node.machine_controller import MachineController
+from geraniumshored.node.machine_controller import (
+    MAX_ORDERS_PER_STEP,
+    MachineController,
+)
 from geraniumshored.node.metrics import NodeMetrics
 from geraniumshored.node.settings import NodeSettings
 from tests.common.schedule_parts import CAPACITY, SMALL, TIMES, Fleet, job
@@ -290,3 +293,33 @@
     new.controller._plan_waves()
     left_s = new.controller._waves.end_at(1) - new.fleet.now
     assert left_s == pytest.approx(10, abs=1)
+
+
+@pytest.mark.parametrize("machines", [50, 500])
+def test_moves_of_many_machines_are_announced_in_groups(machines, monkeypatch):
+    """With a record for each machine, 300 nodes could not read the log any more."""
+    bench = Bench(machines)
+    bench.run_one()
+    bench.fleet.scheduler.cancel_job("a" * 16)
+    # An order takes some 10 ms, and the announcement is valid for a second.
+    bench.machines.paused_s = 0.005
+    announced: list[int] = []
+    announce = bench.controller._announce
+
+    def count(names):
+        names = list(names)
+        announced.append(len(names))
+        announce(names)
+
+    monkeypatch.setattr(bench.controller, "_announce", count)
+    bench.pass_time(5)
+    bench.controller._refresh_machines()
+    bench.controller._plan_moves()
+    moved = [machine for kind, machine in bench.machines.orders if kind == "move"]
+    assert moved
+    # One announcement for all; a group that takes too long would be announced again.
+    assert len(announced) == 1
+    assert announced[0] <= MAX_ORDERS_PER_STEP
+    # The others are moved by the next steps.
+    bench.controller._plan_moves()
+    assert len(bench.machines.orders) > len(moved) or machines < MAX_ORDERS_PER_STEP
