--- a/tests/cover/test_machine_controller.py
+++ b/tests/cover/test_machine_controller.py
@@ -321,5 +321,6 @@
     assert len(announced) == 1
     assert announced[0] <= MAX_ORDERS_PER_STEP
     # The others are moved by the next steps.
+    bench.pass_time(0.1)
     bench.controller._plan_moves()
     assert len(bench.machines.orders) > len(moved) or machines < MAX_ORDERS_PER_STEP
