--- a/packages/geraniumshored/src/geraniumshored/node/relayed_requests.py
+++ b/packages/geraniumshored/src/geraniumshored/node/relayed_requests.py
@@ -9,13 +9,10 @@
 from geraniumshored.node.answers import Answer, Caller, RequestHandler, Verdict
 from geraniumshored.node.append_latency import AppendLatency
 from geraniumshored.node.ports import RelayedCall
-from geraniumshored.node.relay import CallRelay
+from geraniumshored.node.relay import MIN_RELAY_S, CallRelay
 
 __all__ = ["RelayingRequestHandler"]
 
-# With less time than this left a call is not relayed: the other node would refuse it.
-MIN_RELAY_S = 0.3
-
 
 class RelayingRequestHandler(RequestHandler):
     """Relays calls that this node would refuse, and jobs while the store is slow.
@@ -54,13 +51,15 @@
             except PlatformUnavailableError:
                 pass
             else:
-                if answer.verdict is not Verdict.NOT_RUN:
+                uncertain = answer.verdict is Verdict.UNCERTAIN
+                if not uncertain and answer.verdict is not Verdict.NOT_RUN:
                     self._latency.observe(self._now() - began)
                     return answer
         answer = self._own.submit(self._later(caller, deadline), body)
         if answer.verdict is Verdict.NOT_RUN:
             answer = self._relay_refused(call, answer, deadline)
-        if uncertain and answer.verdict is Verdict.NOT_RUN:
+        if uncertain and answer.verdict is not Verdict.OK:
+            # The owner may have accepted the job, with an older configuration, too.
             return Answer(Verdict.UNCERTAIN, detail="another node did not answer")
         return answer
 
