--- a/packages/geraniumshored/src/geraniumshored/node/relayed_requests.py
+++ b/packages/geraniumshored/src/geraniumshored/node/relayed_requests.py
@@ -55,7 +55,7 @@
                 if not uncertain and answer.verdict is not Verdict.NOT_RUN:
                     self._latency.observe(self._now() - began)
                     return answer
-        answer = self._own.submit(self._later(caller, deadline), body)
+        answer = self._own.submit(self._with_time_left(caller, deadline), body)
         if answer.verdict is Verdict.NOT_RUN:
             answer = self._relay_refused(call, answer, deadline)
         if uncertain and answer.verdict is not Verdict.OK:
@@ -85,7 +85,7 @@
         self, call: RelayedCall, refusal: Answer, deadline: float
     ) -> Answer:
         """Return another node's answer to a call that this node has refused."""
-        caller = self._later(call.caller, deadline)
+        caller = self._with_time_left(call.caller, deadline)
         if caller.timeout_s < MIN_RELAY_S:
             return refusal
         try:
@@ -95,6 +95,6 @@
         except UnknownOutcomeError:
             return Answer(Verdict.UNCERTAIN, detail="another node did not answer")
 
-    def _later(self, caller: Caller, deadline: float) -> Caller:
+    def _with_time_left(self, caller: Caller, deadline: float) -> Caller:
         """Return the caller with the time that is left."""
         return replace(caller, timeout_s=max(0.0, deadline - self._now()))
