Explain where a job would be placed

The owner places the job with the code that decides, on copies of the minions and totals that a placement changes. A node that is not the owner admits the job and asks the owner that the log names.

--- a/packages/geraniumshore-cli/src/geraniumshore_cli/internal/schedule_commands.py
+++ b/packages/geraniumshore-cli/src/geraniumshore_cli/internal/schedule_commands.py
@@ -10,6 +10,7 @@
 
 from cyclopts import App, Parameter
 
+from geraniumshore_cli.internal.explain_command import explain_placement
 from geraniumshore_cli.internal.output import AsJson, ExitCode, show, show_table
 from geraniumshore_scheduler import (
     PlatformUnavailableError,
@@ -41,6 +42,7 @@
 )
 settings_app = App(name="settings", help="A node's settings file.")
 app.command(settings_app)
+app.command(explain_placement, name="explain")
 
 Settings = Annotated[Path | None, Parameter(help="A node's settings file.")]
 
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/__init__.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/__init__.py
@@ -34,6 +34,14 @@
     encode_durations,
 )
 from geraniumshore_scheduler.internal.evacuation import EvacuationLog, StartPermission
+from geraniumshore_scheduler.internal.explanation import (
+    Amounts,
+    CandidateMinion,
+    Explanation,
+    StepExplanation,
+    TeamStanding,
+    WaitCause,
+)
 from geraniumshore_scheduler.internal.interference import (
     Effect,
     ImagePair,
@@ -137,6 +145,12 @@
 )
 
 __all__ = [
+    "Amounts",
+    "CandidateMinion",
+    "Explanation",
+    "StepExplanation",
+    "TeamStanding",
+    "WaitCause",
     "ANNOUNCEMENT_VALID_S",
     "EVACUATIONS_KEY",
     "DURATIONS_KEY",
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
@@ -421,8 +421,8 @@
                 "minion avoided", "", view.minion_id, {"faults": view.faults}
             )
 
-    def _within_cap(self, job: OpenJob, size: Resources) -> bool:
-        team = job.job.team
+    def _fits_cap(self, team: str | None, size: Resources) -> bool:
+        """Return whether a team may use ``size`` in addition, by its cap."""
         limit = self._limit_by_team.get(team or "")
         if limit is None:
             return True
@@ -430,9 +430,14 @@
             # Their runs may be the team's.
             return False
         use = self._team_use.get(team or "", Resources())
-        if size.plus(use).fits_in(limit):
+        return size.plus(use).fits_in(limit)
+
+    def _within_cap(self, job: OpenJob, size: Resources) -> bool:
+        if self._fits_cap(job.job.team, size):
             return True
-        self._services_by_capped_team.setdefault(team or "", set()).add(job.service)
+        if not self._unread_jobs:
+            team = job.job.team or ""
+            self._services_by_capped_team.setdefault(team, set()).add(job.service)
         return False
 
     def _record_decision(
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -13,7 +13,7 @@
 from geraniumshore_scheduler.internal.advice import AdviceRequest, StepKey
 from geraniumshore_scheduler.internal.durations import LearnedDuration
 from geraniumshore_scheduler.internal.durations_record import DURATIONS_KEY
-from geraniumshore_scheduler.internal.evacuator import Evacuator
+from geraniumshore_scheduler.internal.explanation import Explainer
 from geraniumshore_scheduler.internal.job_registry import RegisteredJob
 from geraniumshore_scheduler.internal.minion_view import MinionView
 from geraniumshore_scheduler.internal.model import (
@@ -43,7 +43,7 @@
 MAX_CAUSE_LENGTH = 200
 
 
-class Scheduler(Evacuator):
+class Scheduler(Explainer):
     """The state machine of one owner's epoch. Not thread-safe."""
 
     def set_configuration(self, configuration: Configuration) -> None:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/team_shares.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/team_shares.py
@@ -28,20 +28,32 @@
 
     _bucket_by_team: dict[str, _Bucket] = field(default_factory=dict)
 
-    def exceeds_share(self, team: str, weight: float, at: float) -> bool:
-        """Count one job that arrived at ``at``; return whether it exceeds the share.
+    def would_exceed_share(self, team: str, weight: float, at: float) -> bool:
+        """Return whether a job that arrives at ``at`` exceeds the share.
 
-        A team without a weight has no share, so none of its jobs exceeds one.
+        It is not counted. A team without a weight has no share, so none of its jobs
+        exceeds one.
         """
+        return weight > 0 and self._tokens(team, weight, at) < 1
+
+    def exceeds_share(self, team: str, weight: float, at: float) -> bool:
+        """Count one job that arrived at ``at``; return whether it exceeds the share."""
         if weight <= 0:
             return False
-        max_tokens = weight * BURST_ALLOWANCE_S
-        bucket = self._bucket_by_team.setdefault(team, _Bucket(max_tokens, at))
-        bucket.tokens = min(
-            max_tokens, bucket.tokens + max(0.0, at - bucket.updated_at) * weight
-        )
+        tokens = self._tokens(team, weight, at)
+        bucket = self._bucket_by_team.setdefault(team, _Bucket(tokens, at))
+        bucket.tokens = tokens
         bucket.updated_at = max(bucket.updated_at, at)
-        if bucket.tokens < 1:
+        if tokens < 1:
             return True
         bucket.tokens -= 1
         return False
+
+    def _tokens(self, team: str, weight: float, at: float) -> float:
+        """Return how many jobs a team may submit at ``at`` within its share."""
+        max_tokens = weight * BURST_ALLOWANCE_S
+        bucket = self._bucket_by_team.get(team)
+        if bucket is None:
+            return max_tokens
+        gained = max(0.0, at - bucket.updated_at) * weight
+        return min(max_tokens, bucket.tokens + gained)
--- a/packages/geraniumshored/src/geraniumshored/entry.py
+++ b/packages/geraniumshored/src/geraniumshored/entry.py
@@ -51,7 +51,11 @@
     platform.store = HedgingStore(platform.store, steady_seconds)
     node = Node(settings.node_settings(), platform, JsonJobDecoder())
     front = JobApiServer(
-        node.request_handler, node.metrics, node.ready, settings.client_limits()
+        node.request_handler,
+        node.metrics,
+        node.ready,
+        settings.client_limits(),
+        node.make_explainer(platform.explanations),
     )
     node.metrics.gauge("log_lines_dropped", lambda: writer.dropped)
     node.metrics.gauge("errors_logged", lambda: writer.errors)
--- a/packages/geraniumshored/src/geraniumshored/node/job_requests.py
+++ b/packages/geraniumshored/src/geraniumshored/node/job_requests.py
@@ -48,6 +48,7 @@
 STORE_AWAY = "the store is away"
 READING_LOG = "this node has not read the job log yet"
 EVACUATED = "all data centres are evacuated, the job waits"
+TOO_MANY_STEPS = Answer(Verdict.MALFORMED, detail="the job has too many steps")
 MAX_RECORD_BYTES = 262_144
 JOB_ID = re.compile("[0-9A-Fa-f]{16}")
 
@@ -108,21 +109,15 @@
             return self._record_answer(
                 "submit", job_id, Answer(Verdict.OK, detail="known")
             )
-        if len(body) > configuration.max_body_bytes:
-            return Answer(Verdict.MALFORMED, detail="the body is too large")
-        team_name = None if team is None else team.name
-        try:
-            job = self._decoder.decode(body, job_id, queue, team_name, wall_ms())
-        except InvalidInputError as error:
-            answer = Answer(Verdict.MALFORMED, detail=str(error))
-            return self._record_answer("submit", job_id, answer)
+        job = self._decode("submit", body, admitted, job_id)
+        if isinstance(job, Answer):
+            return job
         if not self._jobs.can_accept(self._now()):
             answer = self._refusal(STORE_AWAY)
             return self._record_answer("submit", job_id, answer)
         record = Record(job_key(RecordKind.ACCEPTED, job_id), encode_job(job))
         if record.size > self._max_record_bytes:
-            answer = Answer(Verdict.MALFORMED, detail="the job has too many steps")
-            return self._record_answer("submit", job_id, answer)
+            return self._record_answer("submit", job_id, TOO_MANY_STEPS)
         answer = self._write(record, caller)
         if answer.verdict is Verdict.OK:
             answer = replace(answer, detail=self._waiting_detail())
@@ -130,6 +125,19 @@
             answer = Answer(Verdict.OK, detail="seen in the log")
         return self._record_answer("submit", job_id, answer, configuration.version)
 
+    def admit_job(self, caller: Caller, body: bytes, job_id: str) -> Answer | Job:
+        """Return a job as it would be accepted, or the refusal; nothing is recorded."""
+        admitted = self._admit(caller)
+        if isinstance(admitted, Answer):
+            return admitted
+        job = self._decode("explain", body, admitted, job_id)
+        if isinstance(job, Answer):
+            return job
+        record = Record(job_key(RecordKind.ACCEPTED, job_id), encode_job(job))
+        if record.size > self._max_record_bytes:
+            return self._record_answer("explain", job_id, TOO_MANY_STEPS)
+        return job
+
     def show(self, caller: Caller) -> Answer:
         """Return a job's state, or the number of a queue's pending jobs."""
         admitted = self._admit(caller)
@@ -194,6 +202,23 @@
             return self._record_answer("admit", job_id, self._refusal(READING_LOG))
         return configuration, queue, team, job_id
 
+    def _decode(
+        self,
+        call: str,
+        body: bytes,
+        admitted: tuple[Configuration, Queue, Team | None, str],
+        job_id: str,
+    ) -> Answer | Job:
+        configuration, queue, team, _ = admitted
+        if len(body) > configuration.max_body_bytes:
+            return Answer(Verdict.MALFORMED, detail="the body is too large")
+        team_name = None if team is None else team.name
+        try:
+            return self._decoder.decode(body, job_id, queue, team_name, wall_ms())
+        except InvalidInputError as error:
+            answer = Answer(Verdict.MALFORMED, detail=str(error))
+            return self._record_answer(call, job_id, answer)
+
     def _find_state(
         self, job_id: str, queue: Queue, team: Team | None
     ) -> JobState | None:
--- a/packages/geraniumshored/src/geraniumshored/node/node.py
+++ b/packages/geraniumshored/src/geraniumshored/node/node.py
@@ -11,6 +11,7 @@
 from geraniumshored.node.answers import RequestHandler
 from geraniumshored.node.appender import Appender
 from geraniumshored.node.clock import steady_seconds
+from geraniumshored.node.explanations import ExplanationPeers, PlacementExplainer
 from geraniumshored.node.job_requests import JobDecoder, JobRequestHandler
 from geraniumshored.node.logs import log_event
 from geraniumshored.node.members import member_name
@@ -109,6 +110,17 @@
             self._own_requests, self._relay, latency, self._now
         )
 
+    def make_explainer(self, peers: ExplanationPeers) -> PlacementExplainer:
+        """Return what explains placements to operators and to other nodes."""
+        return PlacementExplainer(
+            self._own_requests,
+            self._ownership,
+            (self._operators, self._minions, self._jobs),
+            peers,
+            self._member,
+            self._now,
+        )
+
     def _may_wait_for_store(self) -> bool:
         """Return whether a job that a busy store refuses should wait here.
 
--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -14,8 +14,10 @@
     OWNER_KEY,
     Authority,
     Batch,
+    Explanation,
     GeraniumshoreError,
     InvalidInputError,
+    Job,
     MachineOrders,
     OwnerRecord,
     OwnerReplacedError,
@@ -166,6 +168,17 @@
             self._threads.close()
             log_event(logger, "ownership lost", epoch=self.authority.epoch, cause=why)
 
+    def explain(self, job: Job) -> Explanation | None:
+        """Return where a job would start now; None if this owner may not decide.
+
+        Raises InvalidInputError for a job that cannot be tried.
+        """
+        with self._lock:
+            now = self._now()
+            if self.stopped or not self.authority.holds(now, self._settings.times):
+                return None
+            return self._scheduler.explain(job, now, wall_ms())
+
     def _on_progress_read(self, begun_at: float) -> None:
         """Confirm or end ownership according to the owner record in the log."""
         owner = self._jobs.registry.owner
--- a/packages/geraniumshored/src/geraniumshored/node/ownership.py
+++ b/packages/geraniumshored/src/geraniumshored/node/ownership.py
@@ -104,6 +104,12 @@
         owner = self._jobs.registry.owner
         return None if owner is None else owner.member
 
+    @property
+    def current(self) -> Owner | None:
+        """This process's ownership, unless it has ended."""
+        owner = self._owner
+        return None if owner is None or owner.stopped else owner
+
     def others(self) -> frozenset[str]:
         """Return the members of the group, as last read."""
         return self._members_read
--- a/packages/geraniumshored/src/geraniumshored/platform/adapter.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/adapter.py
@@ -13,6 +13,7 @@
     decode_minion,
     decode_wave,
 )
+from geraniumshored.platform.explanations import HttpExplanationPeers
 from geraniumshored.platform.http import HttpClient
 from geraniumshored.platform.http_multiplexer import HttpMultiplexer
 from geraniumshored.platform.machines import HttpMachines
@@ -36,6 +37,7 @@
         self.store = LogStore(self.http, settings.store, settings.group_ttl_ms)
         self.minions = HttpMinions(self.http, HttpMultiplexer())
         self.peers = HttpPeers(self.http)
+        self.explanations = HttpExplanationPeers(self.http)
         self.advisers = HttpAdvisers(self.http, settings.advice)
         self.machines = HttpMachines(self.http, settings.machines, settings.node)
 
--- a/packages/geraniumshored/src/geraniumshored/platform/job_api.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/job_api.py
@@ -21,9 +21,11 @@
     stop_reading,
 )
 from geraniumshored.node.answers import Answer, Caller, RequestHandler, Verdict
+from geraniumshored.node.explanations import PlacementExplainer
 from geraniumshored.node.job_requests import JobDecoder
 from geraniumshored.node.metrics import NodeMetrics
 from geraniumshored.platform.documents import decode_job_request
+from geraniumshored.platform.explanations import EXPLAIN_PREFIX, serve_explanation
 from geraniumshored.platform.peers import CALLERS_HOST_HEADER, STATUS_BY_VERDICT
 
 __all__ = ["JobApiServer", "JsonJobDecoder"]
@@ -75,6 +77,7 @@
         metrics: NodeMetrics,
         ready: Callable[[], bool],
         client_limits: BudgetLimits,
+        explainer: PlacementExplainer | None = None,
     ) -> None:
         self._request_handler = request_handler
         self._metrics = metrics
@@ -82,6 +85,7 @@
         self._stopping = threading.Event()
         self._front: BaseWSGIServer | None = None
         self._client_limits = client_limits
+        self._explainer = explainer
         self._guard = ClientGuard(client_limits, _NodeClientMetrics(metrics))
         metrics.gauge("client_held_bytes", lambda: self._guard.held_bytes)
         metrics.gauge("client_connections", lambda: self._guard.connections)
@@ -149,6 +153,10 @@
     ) -> Iterable[bytes]:
         host = environ.get(CALLERS_HOST_VARIABLE, "")
         caller = replace(_read_caller(environ), host=host, relayed=True)
+        if self._explainer is not None and caller.path.startswith(EXPLAIN_PREFIX):
+            caller = replace(caller, path=caller.path.removeprefix(EXPLAIN_PREFIX))
+            answer = serve_explanation(self._explainer, caller, environ)
+            return answer.send(start_response)
         return self._serve(caller, environ, start_response)
 
     def _serve(
--- a/packages/geraniumshored/src/geraniumshored/platform/peers.py
+++ b/packages/geraniumshored/src/geraniumshored/platform/peers.py
@@ -6,11 +6,18 @@
 from urllib.parse import quote
 
 from geraniumshore_scheduler import JobState, UnknownOutcomeError
-from geraniumshored.node.answers import Answer, Verdict
+from geraniumshored.node.answers import Answer, Caller, Verdict
 from geraniumshored.node.ports import Peers, RelayedCall
 from geraniumshored.platform.http import HttpClient
 
-__all__ = ["CALLERS_HOST_HEADER", "HttpPeers", "STATUS_BY_VERDICT"]
+__all__ = [
+    "CALLERS_HOST_HEADER",
+    "HttpPeers",
+    "REFUSAL_RETRY_AFTER_S",
+    "STATUS_BY_VERDICT",
+    "VERDICT_BY_STATUS",
+    "caller_headers",
+]
 
 # The host that the caller named: the Host header of a relayed call names the node.
 CALLERS_HOST_HEADER = "Geraniumshore-Callers-Host"
@@ -40,12 +47,6 @@
     def relay(self, address: str, call: RelayedCall) -> Answer:
         """Let the node at ``address`` answer a call."""
         caller = call.caller
-        headers = {
-            CALLERS_HOST_HEADER: caller.host,
-            "Geraniumshore-Deadline-Ms": str(int(caller.timeout_s * MS_PER_SECOND)),
-        }
-        if caller.key is not None:
-            headers["Authorization"] = f"Bearer {caller.key}"
         body = call.body if call.method == "POST" else None
         reply = self._http.request(
             address,
@@ -53,7 +54,7 @@
             quote(caller.path, encoding="latin-1"),
             caller.timeout_s,
             body,
-            headers,
+            caller_headers(caller),
         )
         verdict = VERDICT_BY_STATUS.get(reply.status)
         if verdict is None:
@@ -61,6 +62,17 @@
         return _decode_answer(verdict, reply.document())
 
 
+def caller_headers(caller: Caller) -> dict[str, str]:
+    """Return the headers that tell another node about a caller."""
+    headers = {
+        CALLERS_HOST_HEADER: caller.host,
+        "Geraniumshore-Deadline-Ms": str(int(caller.timeout_s * MS_PER_SECOND)),
+    }
+    if caller.key is not None:
+        headers["Authorization"] = f"Bearer {caller.key}"
+    return headers
+
+
 def _decode_answer(verdict: Verdict, document: dict[str, Any]) -> Answer:
     """Return another node's answer. Raises UnknownOutcomeError if it is malformed."""
     state, pending = document.get("state"), document.get("pending")
