--- a/packages/geraniumshored/src/geraniumshored/node/explanations.py
+++ b/packages/geraniumshored/src/geraniumshored/node/explanations.py
@@ -32,8 +32,8 @@
 
 # As long as a job's ID, but none: no job that was submitted has it.
 UNSUBMITTED_JOB_ID = "unsubmitted-job1"
-# The owner decides nothing while it explains: 0.2 s for 1,000 tasks on 600 free minions.
-# With these pauses after an explanation that takes a tenth of its time at most.
+# The owner decides nothing while it explains, which takes 0.2 s for 1,000 tasks on 600
+# free minions. These pauses limit that to a tenth of its time.
 MIN_PAUSE_S = 0.1
 PAUSE_FACTOR = 9
 RETRY_AFTER_S = 1
