--- a/packages/geraniumshored/src/geraniumshored/node/relay.py
+++ b/packages/geraniumshored/src/geraniumshored/node/relay.py
@@ -105,6 +105,14 @@
                 unanswered = error
                 continue
             self._metrics.count("relayed", call.method, answer.verdict.value)
+            log_event(
+                logger,
+                "call relayed",
+                call=call.method,
+                path=call.caller.path,
+                peer=address,
+                verdict=answer.verdict.value,
+            )
             if unanswered is not None and _denies(call, answer):
                 # The node that did not answer may have carried the call out.
                 break
