--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -13,7 +13,7 @@
 from geraniumshore_scheduler.internal.advice import AdviceRequest, StepKey
 from geraniumshore_scheduler.internal.durations import LearnedDuration
 from geraniumshore_scheduler.internal.durations_record import DURATIONS_KEY
-from geraniumshore_scheduler.internal.evacuator import Evacuator
+from geraniumshore_scheduler.internal.explanation import Explainer
 from geraniumshore_scheduler.internal.job_registry import RegisteredJob
 from geraniumshore_scheduler.internal.minion_view import MinionView
 from geraniumshore_scheduler.internal.model import (
@@ -41,7 +41,7 @@
 __all__ = ["Scheduler"]
 
 
-class Scheduler(Evacuator):
+class Scheduler(Explainer):
     """The state machine of one owner's epoch. Not thread-safe."""
 
     def set_configuration(self, configuration: Configuration) -> None:
