Give the owner time for the appends of all nodes on a slow store

Its append waited for 2 s in the store's queue, while callers' nodes gave it 1.2 s, passed it over for 2 s and appended by themselves, which kept the queue full. A job that the owner held back for a busy store is answered as it answered it.

--- a/packages/geraniumshored/src/geraniumshored/node/append_latency.py
+++ b/packages/geraniumshored/src/geraniumshored/node/append_latency.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Callable
 
-__all__ = ["AppendLatency"]
+__all__ = ["SLOW_APPEND_S", "AppendLatency"]
 
 # An append usually takes 10 to 20 ms. Relaying a call to another node takes less than
 # what is above that.
--- a/packages/geraniumshored/src/geraniumshored/node/relay.py
+++ b/packages/geraniumshored/src/geraniumshored/node/relay.py
@@ -32,6 +32,9 @@
 MAX_PEERS_PER_CALL = 2
 # An answer takes as long as an append; a slow store needs most of a second.
 RELAY_TIMEOUT_S = 1.2
+# The owner of the schedule gets more time: while the queue of a slow store is full, its
+# append waits there for 2 s, and appends of other nodes would only fill it again.
+OWNER_TIMEOUT_S = 2.4
 # With less time than this left a call is not relayed: the other node would refuse it.
 MIN_RELAY_S = 0.3
 
@@ -84,13 +87,14 @@
         if not _fits_headers(call):
             raise PlatformUnavailableError("the call cannot be relayed")
         deadline = self._now() + call.caller.timeout_s
+        timeout_s = OWNER_TIMEOUT_S if owner_only else RELAY_TIMEOUT_S
         unanswered: UnknownOutcomeError | None = None
         for member in self._candidates(owner_only):
             address = address_of(member)
             left_s = deadline - self._now()
             if left_s < MIN_RELAY_S:
                 break
-            caller = replace(call.caller, timeout_s=min(left_s, RELAY_TIMEOUT_S))
+            caller = replace(call.caller, timeout_s=min(left_s, timeout_s))
             try:
                 answer = self._peers.relay(address, replace(call, caller=caller))
             except PlatformUnavailableError as error:
@@ -98,7 +102,7 @@
                 continue
             except UnknownOutcomeError as error:
                 # In less time a node that works may give no answer either.
-                if caller.timeout_s >= RELAY_TIMEOUT_S:
+                if caller.timeout_s >= timeout_s:
                     self._on_failure(address, "unanswered", error)
                 else:
                     self._metrics.count("relays_failed", "unanswered")
--- a/packages/geraniumshored/src/geraniumshored/node/relayed_requests.py
+++ b/packages/geraniumshored/src/geraniumshored/node/relayed_requests.py
@@ -7,7 +7,7 @@
 
 from geraniumshore_scheduler import PlatformUnavailableError, UnknownOutcomeError
 from geraniumshored.node.answers import Answer, Caller, RequestHandler, Verdict
-from geraniumshored.node.append_latency import AppendLatency
+from geraniumshored.node.append_latency import SLOW_APPEND_S, AppendLatency
 from geraniumshored.node.ports import RelayedCall
 from geraniumshored.node.relay import MIN_RELAY_S, CallRelay
 
@@ -51,9 +51,13 @@
             except PlatformUnavailableError:
                 pass
             else:
+                took_s = self._now() - began
                 uncertain = answer.verdict is Verdict.UNCERTAIN
-                if not uncertain and answer.verdict is not Verdict.NOT_RUN:
-                    self._latency.observe(self._now() - began)
+                waited = took_s >= SLOW_APPEND_S
+                if not uncertain and (answer.verdict is not Verdict.NOT_RUN or waited):
+                    # The owner has waited for the busy store. An append of this node
+                    # would only add to its queue.
+                    self._latency.observe(took_s)
                     return answer
         answer = self._own.submit(self._with_time_left(caller, deadline), body)
         if answer.verdict is Verdict.NOT_RUN:
--- a/tests/cover/test_relayed_calls.py
+++ b/tests/cover/test_relayed_calls.py
@@ -66,9 +66,15 @@
     def __init__(self) -> None:
         self.outcome_by_address: dict[str, Verdict | Exception] = {}
         self.asked: list[str] = []
+        self.callers: list[Caller] = []
+        # How long an answer takes, and what makes the time pass.
+        self.takes_s = 0.0
+        self.wait = lambda seconds: None
 
     def relay(self, address: str, call: RelayedCall) -> Answer:
         self.asked.append(address)
+        self.callers.append(call.caller)
+        self.wait(self.takes_s)
         outcome = self.outcome_by_address.get(address, Verdict.OK)
         if isinstance(outcome, Exception):
             raise outcome
@@ -90,6 +96,7 @@
         self.now = 0.0
         self.own = OwnRequests(own)
         self.peers = FakePeers()
+        self.peers.wait = self.pass_time
         self.latency = AppendLatency(self.clock)
         relay = CallRelay(self.peers, OWN, Members(), NodeMetrics(), self.clock)
         self.handler = RelayingRequestHandler(self.own, relay, self.latency, self.clock)
@@ -97,6 +104,9 @@
     def clock(self) -> float:
         return self.now
 
+    def pass_time(self, seconds: float) -> None:
+        self.now += seconds
+
     def submit(self) -> Verdict:
         return self.handler.submit(CALLER, b"{}").verdict
 
@@ -277,6 +287,25 @@
     assert node.submit() is Verdict.UNCERTAIN
 
 
+def test_a_job_that_the_owner_held_back_for_a_busy_store_is_not_appended_here():
+    """Appends of 29 nodes kept the queue full in which the owner's append waited."""
+    node = Relaying(Verdict.OK)
+    node.latency.observe(2 * SLOW_APPEND_S)
+    node.peers.outcome_by_address["owner:1"] = Verdict.NOT_RUN
+    node.peers.takes_s = 0.5
+    assert node.submit() is Verdict.NOT_RUN
+    assert node.own.calls == 0
+
+
+def test_the_owner_may_answer_after_its_append_has_waited_in_the_store():
+    """It was given 1.2 s and passed over then, while appends waited for 2 s."""
+    node = Relaying(Verdict.NOT_RUN)
+    node.latency.observe(2 * SLOW_APPEND_S)
+    node.submit()
+    (caller,) = node.peers.callers
+    assert caller.timeout_s > 2.0
+
+
 def test_members_of_former_releases_are_passed_over():
     peers = FakePeers()
     former = member_name("old", "1", 1.0)
