--- a/tests/common/schedule_simulation.py
+++ b/tests/common/schedule_simulation.py
@@ -62,6 +62,7 @@
     _decode_page,
     _encode_record,
 )
+from tests.common.inline_workers import InlineWorkers
 from tests.common.minions_list import MinionsList
 
 STEP_S = 0.05
@@ -706,6 +707,8 @@
             lambda: True,
             lambda: simulation.now,
         )
+        # A thread of its own would read the simulation's state while a step changes it.
+        self.ownership._workers = InlineWorkers()  # type: ignore[assignment]
 
     def age(self, now: float) -> float:
         """Return how long ago the node last read the log."""
--- a/tests/cover/test_ownership_machine.py
+++ b/tests/cover/test_ownership_machine.py
@@ -22,6 +22,7 @@
 from geraniumshored.node.members import is_strong, member_name
 from geraniumshored.node.ownership import JOIN_INTERVAL_S, MIN_STRONG_MEMBERS, Ownership
 from geraniumshored.node.ports import Membership, Record, Stream
+from tests.common.inline_workers import InlineWorkers
 from tests.common.minions_list import MinionsList
 
 STRONG, WEAK = 2.0, 0.5
@@ -63,6 +64,8 @@
             lambda: True,
             lambda: machine.now,
         )
+        # A thread of its own would read the simulation's state while a step changes it.
+        self.ownership._workers = InlineWorkers()  # type: ignore[assignment]
 
     def age(self, now: float) -> float:
         return now - self.read_at
