--- a/packages/geraniumshored/src/geraniumshored/node/job_requests.py
+++ b/packages/geraniumshored/src/geraniumshored/node/job_requests.py
@@ -283,5 +283,6 @@
             detail=answer.detail,
             configuration=version,
             log_age_s=round(self._jobs.age(self._now()), 3),
+            log_offset=self._jobs.accepted_offset,
         )
         return answer
--- a/packages/geraniumshored/src/geraniumshored/node/views.py
+++ b/packages/geraniumshored/src/geraniumshored/node/views.py
@@ -551,6 +551,11 @@
         """The offset up to which the owner's records are folded."""
         return self._followers[1].offset
 
+    @property
+    def accepted_offset(self) -> int:
+        """The offset up to which accepted and cancelled jobs are folded."""
+        return self._followers[0].offset
+
     @property
     def accepted_read_at(self) -> float:
         """The time before which all accepted and cancelled jobs have been read."""
