Cancel jobs that come into the log after their cancellation

Cause: a job that the log does not have was answered as unknown and nothing was recorded. The node had read the log to its end, but that says nothing of submissions still on their way.

Change: cancelling an unknown job records a tombstone, and 410 is answered once that is in the log. A job that is accepted after or beside a tombstone of its queue and team is cancelled wherever the log is folded, so no owner starts its tasks, whichever way the submission was delayed. A node that knows the tombstone refuses the job at once, until the tombstone expires. Jobs of other teams and queues that have the same ID are not touched. Tombstones are deleted after the time for which ended jobs are kept; a queue and team may have 10,000.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_registry.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/job_registry.py
@@ -36,6 +36,7 @@
     split_progress_name,
 )
 from geraniumshore_scheduler.internal.run_ages import RunAges
+from geraniumshore_scheduler.internal.tombstones import Tombstones
 from geraniumshore_scheduler.internal.unresponsive import MinionEpoch
 
 __all__ = ["JobRegistry", "Reading", "RegisteredJob"]
@@ -136,6 +137,7 @@
         self.evacuations = EvacuationsRecord()
         # What owners have learned, not decoded, by key.
         self.learned_by_key: dict[str, bytes] = {}
+        self.tombstones = Tombstones()
         self._orphans: dict[tuple[RecordKind, str], _Orphan] = {}
         self._orphan_parts_by_id: dict[str, dict[int, _Orphan]] = {}
         self._pending_by_queue: dict[str, int] = {}
@@ -182,6 +184,8 @@
         if kind is RecordKind.LEARNED:
             self._record_learned(key, value)
             return None
+        if kind is RecordKind.TOMBSTONE:
+            return self._fold_tombstone(job_id, value, offset, now)
         if kind is RecordKind.PROGRESS:
             job_id, part = split_progress_name(job_id)
             if part:
@@ -197,17 +201,39 @@
         if registered is None:
             self._orphans[kind, job_id] = _Orphan(offset, value, now)
             return None
-        self._adjust_pending(registered, -1)
         if kind is RecordKind.CANCELLED:
-            registered.cancelled = True
-        elif offset > registered.progress_offset:
+            self._cancel(registered, now)
+            return registered
+        self._adjust_pending(registered, -1)
+        if offset > registered.progress_offset:
             registered.progress = decode_progress(value)
             registered.progress.reopen_long_running(registered.job)
             self.run_ages.observe(registered.progress, now)
             registered.progress_offset = offset
         self._adjust_pending(registered, 1)
+        self._record_end(registered, now)
+        return registered
+
+    def _cancel(self, registered: RegisteredJob, now: float) -> None:
+        self._adjust_pending(registered, -1)
+        registered.cancelled = True
+        self._adjust_pending(registered, 1)
+        self._record_end(registered, now)
+
+    @staticmethod
+    def _record_end(registered: RegisteredJob, now: float) -> None:
         if registered.state.final and registered.ended_at is None:
             registered.ended_at = now
+
+    def _fold_tombstone(
+        self, name: str, value: bytes, offset: int, now: float
+    ) -> RegisteredJob | None:
+        """Apply a tombstone; return the job if it had been accepted meanwhile."""
+        job_id = self.tombstones.fold(name, value, offset, now)
+        registered = self.job_by_id.get(job_id)
+        if registered is None or not self.tombstones.covers(registered.job):
+            return None
+        self._cancel(registered, now)
         return registered
 
     def expired(self, ended_before: float, max_count: int) -> list[str]:
@@ -347,6 +373,8 @@
         orphans = self._orphan_parts_by_id.pop(job.job_id, {})
         for part, orphan in orphans.items():
             self._fold_part(job.job_id, part, orphan)
+        if self.tombstones.covers(job):
+            self._cancel(registered, now)
         return registered
 
     def _drop(self, kind: RecordKind, job_id: str, now: float) -> None:
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import hashlib
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import TypeVar
@@ -29,12 +30,14 @@
     "Placement",
     "Progress",
     "RecordKind",
+    "Tombstone",
     "WaveProgress",
     "decode_evacuations",
     "decode_job",
     "decode_machine_orders",
     "decode_owner",
     "decode_progress",
+    "decode_tombstone",
     "decode_unresponsive",
     "decode_wave_progress",
     "encode_evacuations",
@@ -42,12 +45,14 @@
     "encode_machine_orders",
     "encode_owner",
     "encode_progress",
+    "encode_tombstone",
     "encode_unresponsive",
     "encode_wave_progress",
     "job_key",
     "progress_key",
     "split_key",
     "split_progress_name",
+    "tombstone_key",
     "wave_key",
 ]
 
@@ -57,6 +62,7 @@
 
     ACCEPTED = "j"
     CANCELLED = "c"
+    TOMBSTONE = "t"
     PROGRESS = "s"
     OWNER = "o"
     WAVE = "w"
@@ -218,12 +224,34 @@
             self.state = JobState.RUNNING
 
 
+@dataclass(frozen=True, slots=True)
+class Tombstone:
+    """The cancellation of a job that was not in the log.
+
+    A submission that is still on its way may put the job there later. ``team`` is None
+    if the queue is open to callers without a key, who may cancel all of its jobs.
+    """
+
+    queue: str
+    team: str | None = None
+
+    def covers(self, queue: str, team: str | None) -> bool:
+        """Return whether it cancels jobs that a team submits to a queue.
+
+        A job without a team may be cancelled by any team that may use its queue.
+        """
+        return self.queue == queue and (
+            self.team is None or team is None or self.team == team
+        )
+
+
 T = TypeVar("T")
 # Ages are rounded to milliseconds. Subtracting one unit before the rounding keeps a
 # recorded age from exceeding the real one.
 AGE_RESOLUTION_S = 0.001
 _JOB = TypeAdapter(Job)
 _PROGRESS = TypeAdapter(Progress)
+_TOMBSTONE = TypeAdapter(Tombstone)
 _OWNER = TypeAdapter(OwnerRecord)
 _WAVE = TypeAdapter(WaveProgress)
 _EVACUATIONS = TypeAdapter(EvacuationsRecord)
@@ -238,6 +266,8 @@
 # Size limit of a record of what an owner has learned.
 MAX_LEARNED_BYTES = 32 * 1024
 INTERFERENCE_KEY = f"{RecordKind.LEARNED.value}/interference"
+# The names of queues and teams may be longer than the store's keys.
+TOMBSTONE_DIGEST_BYTES = 8
 
 
 def job_key(kind: RecordKind, job_id: str) -> str:
@@ -245,6 +275,14 @@
     return f"{kind.value}/{job_id}"
 
 
+def tombstone_key(job_id: str, tombstone: Tombstone) -> str:
+    """Return the key of a tombstone; callers of each queue and team have their own."""
+    digest = hashlib.blake2b(
+        encode_tombstone(tombstone), digest_size=TOMBSTONE_DIGEST_BYTES
+    )
+    return f"{job_key(RecordKind.TOMBSTONE, job_id)}/{digest.hexdigest()}"
+
+
 def progress_key(job_id: str, part: int) -> str:
     """Return the key of a part of a job's progress."""
     key = job_key(RecordKind.PROGRESS, job_id)
@@ -363,6 +401,16 @@
     return _decode(_PROGRESS, value, "progress record")
 
 
+def encode_tombstone(tombstone: Tombstone) -> bytes:
+    """Encode the cancellation of a job that was not in the log."""
+    return _TOMBSTONE.dump_json(tombstone)
+
+
+def decode_tombstone(value: bytes) -> Tombstone:
+    """Decode the cancellation of a job not in the log. Raises InvalidInputError."""
+    return _decode(_TOMBSTONE, value, "tombstone")
+
+
 def _decode(adapter: TypeAdapter[T], value: bytes, what: str) -> T:
     try:
         return adapter.validate_json(value)
--- a/packages/geraniumshored/src/geraniumshored/node/job_requests.py
+++ b/packages/geraniumshored/src/geraniumshored/node/job_requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import re
 from abc import ABC, abstractmethod
 from collections.abc import Callable
@@ -16,8 +17,11 @@
     Queue,
     RecordKind,
     Team,
+    Tombstone,
     encode_job,
+    encode_tombstone,
     job_key,
+    tombstone_key,
 )
 from geraniumshored.node.answers import Answer, Caller, RequestHandler, Verdict
 from geraniumshored.node.appender import Appender, AppendOutcome
@@ -46,10 +50,17 @@
 REFRESH_TIMEOUT_S = 0.04
 CANCEL_MARK = b"1"
 STORE_AWAY = "the store is away"
+CANCELLED_AHEAD = "a submission that arrives later has no effect"
+CANCELLED_BEFORE = "the job was cancelled before it was submitted"
+TOO_MANY_TOMBSTONES = "too many unknown jobs were cancelled"
 READING_LOG = "this node has not read the job log yet"
 EVACUATED = "all data centres are evacuated, the job waits"
 TOO_MANY_STEPS = Answer(Verdict.MALFORMED, detail="the job has too many steps")
 MAX_RECORD_BYTES = 262_144
+# Callers may name any IDs, and each node keeps the tombstones in memory. The limit is
+# for each queue and team.
+MAX_TOMBSTONES = 10_000
+DEFAULT_STATUS_KEPT_S = 120.0
 JOB_ID = re.compile("[0-9A-Fa-f]{16}")
 
 
@@ -75,8 +86,10 @@
         metrics: NodeMetrics,
         now: Callable[[], float],
         max_record_bytes: int = MAX_RECORD_BYTES,
+        status_kept_s: float = DEFAULT_STATUS_KEPT_S,
     ) -> None:
         self._max_record_bytes = max_record_bytes
+        self._status_kept_s = status_kept_s
         self._operators = operators
         self._jobs = jobs
         self._appender = appender
@@ -112,6 +125,10 @@
         job = self._decode("submit", body, admitted, job_id)
         if isinstance(job, Answer):
             return job
+        cancelled_at = self._jobs.cancelled_before_at(job)
+        if cancelled_at is not None:
+            answer = self._refuse_cancelled(cancelled_at)
+            return self._record_answer("submit", job_id, answer, configuration.version)
         if not self._jobs.can_accept(self._now()):
             answer = self._refusal(STORE_AWAY)
             return self._record_answer("submit", job_id, answer)
@@ -158,7 +175,10 @@
         return Answer(Verdict.OK, state=state)
 
     def cancel(self, caller: Caller) -> Answer:
-        """Cancel a job; return once the cancellation is in the log."""
+        """Cancel a job; return once the cancellation is in the log.
+
+        That also holds for an unknown job, as its submission may still be on its way.
+        """
         admitted = self._admit(caller)
         if isinstance(admitted, Answer):
             return admitted
@@ -170,7 +190,8 @@
                 return self._outdated_answer()
             state = self._find_state(job_id, queue, team)
         if state is None:
-            return self._unknown_job("cancel", job_id)
+            answer = self._cancel_unknown(caller, queue, team, job_id)
+            return self._record_answer("cancel", job_id, answer, configuration.version)
         if state.final:
             return self._record_answer(
                 "cancel", job_id, Answer(Verdict.OK, state=state)
@@ -179,6 +200,30 @@
         answer = self._write(record, caller)
         return self._record_answer("cancel", job_id, answer, configuration.version)
 
+    def _cancel_unknown(
+        self, caller: Caller, queue: Queue, team: Team | None, job_id: str
+    ) -> Answer:
+        """Leave a tombstone for a job that is not in the log."""
+        if JOB_ID.fullmatch(job_id) is None:
+            return Answer(Verdict.UNKNOWN_JOB)
+        owner = None if team is None or queue.open_to_all else team.name
+        tombstone = Tombstone(queue.name, owner)
+        if self._jobs.count_tombstones(tombstone) >= MAX_TOMBSTONES:
+            return self._refusal(TOO_MANY_TOMBSTONES)
+        key = tombstone_key(job_id, tombstone)
+        answer = self._write(Record(key, encode_tombstone(tombstone)), caller)
+        if answer.verdict is Verdict.OK:
+            return Answer(Verdict.UNKNOWN_JOB, detail=CANCELLED_AHEAD)
+        return answer
+
+    def _refuse_cancelled(self, cancelled_at: float) -> Answer:
+        """Return the answer to a job whose ID is taken until its tombstone expires."""
+        left_s = cancelled_at + self._status_kept_s - self._now()
+        retry_after_s = max(UNAVAILABLE_RETRY_AFTER_S, math.ceil(left_s))
+        return Answer(
+            Verdict.NOT_RUN, retry_after_s=retry_after_s, detail=CANCELLED_BEFORE
+        )
+
     def _admit(
         self, caller: Caller
     ) -> Answer | tuple[Configuration, Queue, Team | None, str]:
--- a/packages/geraniumshored/src/geraniumshored/node/node.py
+++ b/packages/geraniumshored/src/geraniumshored/node/node.py
@@ -67,6 +67,7 @@
             self.metrics,
             now,
             settings.record_bytes,
+            settings.status_kept_s,
         )
         # A restarted process is a new member.
         process = f"{time.time_ns()}-{os.getpid()}"
--- a/packages/geraniumshored/src/geraniumshored/node/owner.py
+++ b/packages/geraniumshored/src/geraniumshored/node/owner.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import replace
+from itertools import islice
 
 from geraniumshore_scheduler import (
     DURATIONS_KEY,
@@ -92,6 +93,7 @@
 # How often the records of completed jobs are deleted, and how many jobs at a time.
 CLEANUP_INTERVAL_S = 2.0
 MAX_JOBS_PER_CLEANUP = 200
+CANCELLING_KINDS = frozenset({RecordKind.CANCELLED, RecordKind.TOMBSTONE})
 # Metrics that an owner replaces by those of its own schedule.
 GAUGES = ("durations_corrected", "interference_pairs")
 # A takeover fails when the epoch could not be opened within this time, or when reads of
@@ -357,7 +359,7 @@
         with self._lock:
             if kind is RecordKind.ACCEPTED:
                 self._scheduler.add_job(registered, self._now())
-            elif kind is RecordKind.CANCELLED and registered.cancelled:
+            elif registered.cancelled and kind in CANCELLING_KINDS:
                 self._scheduler.cancel_job(registered.job.job_id)
         self._wake.set()
 
@@ -421,12 +423,13 @@
                 for job_id in (*ids, *orphans)
                 for key in self._jobs.registry.progress_keys(job_id)
             ]
-        if not ids and not orphans:
+            expired = self._jobs.registry.tombstones.expired(ended_before)
+            tombstones = list(islice(expired, MAX_JOBS_PER_CLEANUP))
+        if not ids and not orphans and not tombstones:
             return
         kinds = (RecordKind.ACCEPTED, RecordKind.CANCELLED)
-        records = [
-            Record(job_key(kind, job_id), b"") for job_id in ids for kind in kinds
-        ]
+        job_keys = (job_key(kind, job_id) for job_id in ids for kind in kinds)
+        records = [Record(key, b"") for key in (*job_keys, *tombstones)]
         try:
             if records:
                 self._platform.store.append(Stream.ACCEPTED, records)
@@ -436,7 +439,13 @@
         with self._lock:
             for key in keys:
                 self._scheduler.record(key, b"")
-        log_event(logger, "expired jobs deleted", jobs=len(ids), orphans=len(orphans))
+        log_event(
+            logger,
+            "expired jobs deleted",
+            jobs=len(ids),
+            orphans=len(orphans),
+            tombstones=len(tombstones),
+        )
 
     def _decide(self) -> None:
         with self._lock:
--- a/packages/geraniumshored/src/geraniumshored/node/views.py
+++ b/packages/geraniumshored/src/geraniumshored/node/views.py
@@ -13,6 +13,7 @@
     Evacuation,
     EvacuationLog,
     InvalidInputError,
+    Job,
     JobRegistry,
     MaintenanceWave,
     MinionListing,
@@ -21,6 +22,7 @@
     RecordKind,
     RecordsTrimmedError,
     RegisteredJob,
+    Tombstone,
     UnknownOutcomeError,
     split_key,
 )
@@ -585,6 +587,16 @@
         with self.lock:
             return self.registry.job_by_id.get(job_id)
 
+    def cancelled_before_at(self, job: Job) -> float | None:
+        """Return when this node learned that a job not in the log yet is cancelled."""
+        with self.lock:
+            return self.registry.tombstones.read_at(job)
+
+    def count_tombstones(self, tombstone: Tombstone) -> int:
+        """Return how many unknown jobs of a queue and team have been cancelled."""
+        with self.lock:
+            return self.registry.tombstones.count(tombstone)
+
     def pending(self, queue: str) -> int:
         """Return the number of a queue's jobs that have not started."""
         with self.lock:
@@ -601,8 +613,18 @@
                 record.key, record.value, record.offset, self._now(), reading
             )
             parts = split_key(record.key)
-            if registered is not None and parts is not None and self.on_job is not None:
-                self.on_job(registered, parts[0])
+            if registered is None or parts is None:
+                return
+            kind, job_id = parts
+            if kind is RecordKind.ACCEPTED and registered.cancelled:
+                log_event(
+                    logger,
+                    "cancelled before its acceptance",
+                    job=job_id,
+                    offset=record.offset,
+                )
+            if self.on_job is not None:
+                self.on_job(registered, kind)
 
 
 class _JobFollower(Follower):
