Start a task that a cap leaves too little for, from below half of the cap

Cause: a start had to keep the team within its cap. A task cannot be divided, so one that is larger than what the cap leaves waits for as long as the team's other tasks run, and one larger than the cap for good. A gang as a whole is the same.

Change: of each resource one task, or one member of a gang, may exceed the cap if less than half of it is in use. Tasks of up to half of the cap start as before. The same rule decides where only what the cap leaves was looked at: the demand of a pool (a pool without room got no machine for such a task), the room for separated tasks, the explanation of a placement, and moves out of evacuated data centres. There a team beyond its cap kept all its tasks; now those stay that could not start again, also beside ones that were stopped and start again first.

--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/evacuation.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/evacuation.py
@@ -8,7 +8,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Collection, Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
 from geraniumshore_scheduler.internal.maintenance import may_interrupt
@@ -185,7 +185,7 @@
     job_by_id: Mapping[str, OpenJob],
     room: RoomElsewhere,
     steps_without_room: dict[str, list[Step]],
-    teams_beyond_cap: Collection[str] = (),
+    may_restart: Callable[[Run], bool] = lambda _: True,
 ) -> Iterator[Run]:
     """Yield the long-running tasks to stop, so that they start elsewhere.
 
@@ -193,7 +193,7 @@
     step counts the stops requested so far. Tasks for which no minion elsewhere has room
     stay, and their steps are added by service to ``steps_without_room``. Members of a
     gang stay, as the stop of one would end all, and so do tasks that need a label of
-    evacuated minions only, or whose team uses more than its cap.
+    evacuated minions only, or that their team's cap would keep from starting again.
     """
     lost_labels = find_lost_labels(view_by_id.values())
     runs = [
@@ -208,7 +208,7 @@
     # Those whose stop is requested need their room first.
     for run in sorted(runs, key=lambda run: not run.stop_wanted):
         job = job_by_id.get(run.task.job_id)
-        if job is None or job.set_aside or run.team in teams_beyond_cap:
+        if job is None or job.set_aside or not may_restart(run):
             continue
         budget = run.task[:3], run.at_work and not run.maybe_stopped
         if not room.reserve(job.service, run):
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/evacuator.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/evacuator.py
@@ -4,14 +4,16 @@
 
 from collections.abc import Collection
 
+from geraniumshore_scheduler.internal.caps import CapUse
 from geraniumshore_scheduler.internal.evacuation import RoomElsewhere, plan_moves
-from geraniumshore_scheduler.internal.model import Resources, Step
+from geraniumshore_scheduler.internal.model import Step
 from geraniumshore_scheduler.internal.placer import Placer
 from geraniumshore_scheduler.internal.records import (
     EVACUATIONS_KEY,
     EvacuationsRecord,
     encode_evacuations,
 )
+from geraniumshore_scheduler.internal.runs import Run
 
 __all__ = ["Evacuator"]
 
@@ -75,23 +77,42 @@
         self._moves_checked_at = now
         accepting = (view for view in self.view_by_id.values() if view.accepts(now))
         without_room: dict[str, list[Step]] = {}
-        beyond_cap = {
-            team
-            for team, limit in self._limit_by_team.items()
-            if not self._team_use.get(team, Resources()).fits_in(limit)
-        }
+        claims = self._claim_caps()
+
+        def may_restart(run: Run) -> bool:
+            claim = claims.get(run.team or "")
+            return claim is None or claim.allows_restart(run.step.size)
+
         moves = plan_moves(
             self.view_by_id,
             self.job_by_id,
             RoomElsewhere(accepting),
             without_room,
-            beyond_cap,
+            may_restart,
         )
         for run in moves:
             self._request_stop(run)
             self._record_decision("moved out", str(run.task), run.minion_id)
         self._steps_without_room = without_room
 
+    def _claim_caps(self) -> dict[str, CapUse]:
+        """Return what teams with a cap use, and need for tasks that were interrupted.
+
+        Only long-running tasks count among those that wait: they are to start again as
+        soon as they can.
+        """
+        claims = dict(self._cap_uses())
+        for job in self.job_by_id.values():
+            claim = claims.get(job.job.team or "")
+            if claim is None:
+                continue
+            for number, count in job.waiting.count_returned():
+                step = job.job.steps[number]
+                if step.lasting:
+                    claim = claim.with_tasks(step.size, count)
+            claims[job.job.team or ""] = claim
+        return claims
+
     def _record_evacuations(self, wall_ms: float) -> None:
         """Record for nodes and operators since when data centres are evacuated."""
         recorded = self._recorded_evacuations
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/explanation.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/explanation.py
@@ -365,8 +365,7 @@
         return WaitCause.ADVICE
     step = opened.job.steps[number]
     if step.gang:
-        needed = Resources(*(part * step.count for part in step.size))
-        capped = not scheduler._fits_cap(opened.job.team, needed)
+        capped = not scheduler._fits_cap(opened.job.team, step.size, step.count)
     else:
         # A job at its team's cap is left before its further tasks are tried.
         capped = (0, number) not in opened.unplaced
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/placer.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/placer.py
@@ -172,6 +172,8 @@
         # Checked first, as a gang that is too large may have any number of members.
         if not has_room_for_all(step, views):
             return
+        if not self._within_cap(job, step.size, step.count):
+            return
         members = [first._replace(position=index) for index in range(step.count)]
         if any(member not in job.waiting for member in members):
             return
@@ -180,8 +182,6 @@
         placed: list[Run] = []
         for candidates in _gang_candidates(step.same_rack, views):
             for member in members:
-                if not self._within_cap(job, step.size):
-                    break
                 view = self._choose_minion(step, member, candidates, avoided)
                 if view is None:
                     break
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pool_meter.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/pool_meter.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from functools import reduce
 
+from geraniumshore_scheduler.internal.caps import CapUse
 from geraniumshore_scheduler.internal.durations import DurationEstimates
 from geraniumshore_scheduler.internal.evacuation import find_lost_labels
 from geraniumshore_scheduler.internal.minion_view import MinionView
@@ -100,16 +101,19 @@
     """Tasks that found no minion.
 
     ``parallelism`` is the number of machines that they would fill all at once,
-    ``machine_s`` their work in machine-seconds.
+    ``machine_s`` their work in machine-seconds. ``indivisible`` is the number of
+    machines for the largest task or gang that its team's cap lets start now.
     """
 
     parallelism: float = 0.0
     machine_s: float = 0.0
+    indivisible: float = 0.0
 
-    def add(self, machines: float, estimate_s: float) -> None:
+    def add(self, machines: float, estimate_s: float, indivisible: float) -> None:
         """Add tasks that together use a number of machines."""
         self.parallelism += machines
         self.machine_s += machines * estimate_s
+        self.indivisible = max(self.indivisible, indivisible)
 
 
 class PoolMeter:
@@ -138,7 +142,7 @@
         self,
         pool: str,
         offered_use: Resources,
-        headroom_by_team: Mapping[str, Resources],
+        cap_use_by_team: Mapping[str, CapUse],
         has_had_jobs: bool,
         recent_jobs: int,
         now: float,
@@ -146,8 +150,8 @@
     ) -> PoolLoad:
         """Return the load of one pool.
 
-        ``headroom_by_team`` is what teams with a cap may still start. Work beyond it
-        waits for other work of the same team, so more machines would not help it.
+        ``cap_use_by_team`` has the teams with a cap. Work beyond it waits for other
+        work of the same team, so more machines would not help it.
         ``moving_out`` has the step of each long-running task in an evacuated data
         centre for which no other minion has room.
         """
@@ -157,6 +161,7 @@
         timely_by_team: dict[str | None, _Backlog] = {}
         for job in self._jobs.get(pool, []):
             team = job.job.team
+            cap_use = cap_use_by_team.get(team or "")
             backlogs = [all_by_team.setdefault(team, _Backlog())]
             if self._order.is_timely(job, now):
                 backlogs.append(timely_by_team.setdefault(team, _Backlog()))
@@ -171,10 +176,13 @@
                     long_running_machines += tasks * self._long_running_share(step)
                     continue
                 share = self._machine_share(step.room)
+                together = step.count if step.gang else 1
+                allowed = cap_use is None or cap_use.allows(step.size, together)
+                indivisible = together * share if allowed else 0.0
                 for backlog in backlogs:
-                    backlog.add(tasks * share, job.estimate_s(number))
-        everything = self._within_caps(all_by_team, headroom_by_team)
-        timely = self._within_caps(timely_by_team, headroom_by_team)
+                    backlog.add(tasks * share, job.estimate_s(number), indivisible)
+        everything = self._within_caps(all_by_team, cap_use_by_team)
+        timely = self._within_caps(timely_by_team, cap_use_by_team)
         return PoolLoad(
             pool,
             batch_capacity=self._batch_capacity(pool, now),
@@ -198,18 +206,16 @@
     def _within_caps(
         self,
         backlog_by_team: Mapping[str | None, _Backlog],
-        headroom_by_team: Mapping[str, Resources],
+        cap_use_by_team: Mapping[str, CapUse],
     ) -> _Backlog:
         """Return the sum of the backlogs, as far as the caps of teams let them run."""
         total = _Backlog()
         for team, backlog in backlog_by_team.items():
-            headroom = headroom_by_team.get(team or "")
-            wanted = backlog.parallelism
-            allowed = (
-                wanted
-                if headroom is None
-                else max(0.0, self._min_machine_share(headroom))
-            )
+            cap_use = cap_use_by_team.get(team or "")
+            wanted = allowed = backlog.parallelism
+            if cap_use is not None:
+                headroom = self._min_machine_share(cap_use.headroom)
+                allowed = max(backlog.indivisible, headroom)
             part = min(1.0, allowed / wanted) if wanted else 1.0
             total.parallelism += part * wanted
             total.machine_s += part * backlog.machine_s
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/run_registry.py
@@ -4,11 +4,12 @@
 
 import random
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 
 from geraniumshore_scheduler.internal.advice import AdviceRegistry
 from geraniumshore_scheduler.internal.answer_loss import AnswerLoss
 from geraniumshore_scheduler.internal.authority import Authority, OwnershipTimes
+from geraniumshore_scheduler.internal.caps import CapUse
 from geraniumshore_scheduler.internal.duration_learning import DurationLearning
 from geraniumshore_scheduler.internal.interference_monitor import InterferenceMonitor
 from geraniumshore_scheduler.internal.minion_view import MinionView
@@ -438,19 +439,30 @@
                 "minion avoided", "", view.minion_id, {"faults": view.faults}
             )
 
-    def _fits_cap(self, team: str | None, size: Resources) -> bool:
-        """Return whether a team may use ``size`` in addition, by its cap."""
+    def _cap_use(self, team: str | None) -> CapUse | None:
+        """Return the cap and the use of a team; None if it has no cap."""
         limit = self._limit_by_team.get(team or "")
         if limit is None:
+            return None
+        return CapUse(limit, self._team_use.get(team or "", Resources()))
+
+    def _cap_uses(self) -> Iterator[tuple[str, CapUse]]:
+        """Yield the teams that have a cap."""
+        for team in self._limit_by_team:
+            cap_use = self._cap_use(team)
+            if cap_use is not None:
+                yield team, cap_use
+
+    def _fits_cap(self, team: str | None, size: Resources, count: int = 1) -> bool:
+        """Return whether a team may start tasks of a size together, by its cap."""
+        cap_use = self._cap_use(team)
+        if cap_use is None:
             return True
-        if self._unread_jobs:
-            # Their runs may be the team's.
-            return False
-        use = self._team_use.get(team or "", Resources())
-        return size.plus(use).fits_in(limit)
-
-    def _within_cap(self, job: OpenJob, size: Resources) -> bool:
-        if self._fits_cap(job.job.team, size):
+        # Runs of unread jobs may be the team's.
+        return not self._unread_jobs and cap_use.allows(size, count)
+
+    def _within_cap(self, job: OpenJob, size: Resources, count: int = 1) -> bool:
+        if self._fits_cap(job.job.team, size, count):
             return True
         if not self._unread_jobs:
             team = job.job.team or ""
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/scheduler.py
@@ -20,7 +20,6 @@
     Configuration,
     Job,
     MinionListing,
-    Resources,
 )
 from geraniumshore_scheduler.internal.orders import (
     Batch,
@@ -335,15 +334,12 @@
         meter = PoolMeter(
             self.view_by_id.values(), self.job_by_id.values(), self._order
         )
-        headroom_by_team = {
-            name: limit.minus(self._team_use.get(name, Resources()))
-            for name, limit in self._limit_by_team.items()
-        }
+        cap_use_by_team = dict(self._cap_uses())
         return [
             meter.load(
                 pool,
                 self._arrivals.offered_resources(pool, self._limit_by_team, now),
-                headroom_by_team,
+                cap_use_by_team,
                 pool in self._used_services,
                 self._arrivals.recent_jobs(pool, now),
                 now,
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/separation.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/separation.py
@@ -16,14 +16,13 @@
     expected_loss,
 )
 from geraniumshore_scheduler.internal.minion_view import MinionView
-from geraniumshore_scheduler.internal.model import Resources, Step, TaskKey
+from geraniumshore_scheduler.internal.model import Step, TaskKey
 from geraniumshore_scheduler.internal.reconciliation import Reconciler
 from geraniumshore_scheduler.internal.records import INTERFERENCE_KEY
 from geraniumshore_scheduler.internal.relocation import SufferingTask
 from geraniumshore_scheduler.internal.runs import OpenJob, Run
 from geraniumshore_scheduler.internal.spare_room import (
     Demand,
-    count_slots,
     has_spare_room,
 )
 
@@ -74,13 +73,11 @@
     def _demands(self, jobs: Iterable[OpenJob]) -> Iterator[Demand]:
         """Yield the waiting tasks that the caps of their teams let start."""
         for job in jobs:
-            team = job.job.team or ""
-            limit = self._limit_by_team.get(team)
+            cap_use = self._cap_use(job.job.team)
             for (occurrence, number), count in job.waiting.count_by_step().items():
                 step = job.job.steps[number]
-                if limit is not None:
-                    use = self._team_use.get(team, Resources())
-                    count = count_slots(limit.minus(use), step.size, count)
+                if cap_use is not None:
+                    count = cap_use.count_startable(step.size, count)
                 yield Demand(
                     step, TaskKey(job.job.job_id, occurrence, number, 0), count
                 )
@@ -160,11 +157,10 @@
 
     def _team_fits_cap(self, team: str | None) -> bool:
         """Return whether a team's stopped task could start again within its cap."""
-        limit = self._limit_by_team.get(team or "")
-        if limit is None:
+        cap_use = self._cap_use(team)
+        if cap_use is None:
             return True
-        use = self._team_use.get(team or "", Resources())
-        return use.fits_in(limit) and not self._services_by_capped_team.get(team or "")
+        return not (cap_use.exceeded or self._services_by_capped_team.get(team or ""))
 
     def _move(
         self, suffering: SufferingTask, job: OpenJob, view: MinionView, now: float
--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/waiting_tasks.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/waiting_tasks.py
@@ -143,6 +143,11 @@
                 counts[step] -= 1
         return counts
 
+    def count_returned(self) -> Iterator[tuple[int, int]]:
+        """Yield each step's number and how many of its waiting tasks ran before."""
+        for (_, number), queue in self._queue_by_step.items():
+            yield number, len(queue.returned)
+
     def _advance(self, step: StepNumber, queue: _StepQueue, start: int) -> None:
         """Move on to the first untouched task from ``start`` on."""
         queue.untouched_from = self._first_untouched(step, start, queue.count)
