Soak: clients that give up cancel their job at another node

A client without an answer now cancels its job as often as it submits it again. No task of such a job may start later than `cancel_ms` and the longest fault after the acknowledgement.

--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/soak.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/soak.py
@@ -27,6 +27,7 @@
     Evacuated,
     invariant_violations,
     late_starts_in,
+    starts_after_cancellation,
 )
 
 __all__ = ["SoakReport", "SoakSize", "run_soak"]
@@ -38,8 +39,11 @@
 COMPLETION_TIMEOUT_S = 40.0
 JOB_INTERVAL_S = (0.05, 0.5)
 CANCELLED_FRACTION = 0.1
+# The part of the submissions without an answer after which a client cancels the job.
+GIVE_UP_FRACTION = 0.5
 POLL_INTERVAL_S = 0.5
 NOT_RUN = (429, 503)
+CANCELLED = (200, 410)
 # Clients give up submitting a job after this time.
 SUBMIT_TIMEOUT_S = 20.0
 # How long a machine is down for maintenance, and how many of a wave may be at once.
@@ -92,7 +96,8 @@
         while not self._stopping.wait(self._rng.uniform(*JOB_INTERVAL_S)):
             job_id = f"{self._number:04x}{len(self.view_by_job):012x}"
             self._submit(job_id)
-            if self._rng.random() < CANCELLED_FRACTION:
+            accepted = self.view_by_job[job_id].accepted_at is not None
+            if self._rng.random() < CANCELLED_FRACTION and accepted:
                 self._cancel(job_id)
             for queried_id in self._rng.sample(
                 list(self.view_by_job), min(2, len(self.view_by_job))
@@ -135,13 +140,17 @@
                 view.refused = not may_have_run
                 return
             may_have_run = True
+            if self._rng.random() < GIVE_UP_FRACTION:
+                self._cancel(job_id)
+                return
             time.sleep(RETRY_INTERVAL_S)
 
     def _cancel(self, job_id: str) -> None:
         view = self.view_by_job[job_id]
-        if view.accepted_at is not None:
-            view.cancelled = True
-            self._call(self._any_node(), "DELETE", job_id)
+        view.cancelled = True
+        status, _ = self._call(self._any_node(), "DELETE", job_id)
+        if status in CANCELLED:
+            view.cancelled_at = time.monotonic()
 
     def _any_node(self) -> str:
         return self._rng.choice(list(self._fleet.node_by_name))
@@ -223,6 +232,7 @@
         report.starts = sum(event[1] == "start" for event in events)
         report.findings.extend(invariant_violations(events, view_by_job, orders))
         report.findings.extend(late_starts_in(evacuated, events, data_centres, delayed))
+        report.findings.extend(starts_after_cancellation(view_by_job, events, delayed))
         report.findings.extend(
             f"LIMIT {down} machines of wave {wave} in maintenance at {at:.2f}"
             for at, wave, down in maintenance_starts
