--- a/tests/cover/test_late_submissions.py
+++ b/tests/cover/test_late_submissions.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import http.client
 import json
 import signal
 import threading
@@ -28,12 +30,14 @@
 )
 from geraniumshore_standins.internal.fleet import wait_for
 from geraniumshore_standins.internal.users_platform import PlatformFleet
+from geraniumshore_standins.internal.users_platform.nodes import API_KEY, QUEUE_HOST
 from geraniumshore_standins.internal.wsgi import Call
 from geraniumshored.node import job_requests
 from geraniumshored.node.appender import AppendOutcome
 from geraniumshored.node.job_requests import Caller, Verdict
 from geraniumshored.node.owner import CANCELLING_KINDS
 from geraniumshored.node.ports import Record
+from geraniumshored.platform.peers import CALLERS_HOST_HEADER
 from tests.common.lagging_node import JOB, LaggingNode, caller
 from tests.common.schedule_parts import SMALL, Fleet, job
 
@@ -217,16 +221,27 @@
         assert fleet.state(name, JOB) in ("cancelled", None)
 
 
-def test_nothing_runs_of_a_job_that_a_frozen_node_accepts_after_its_cancellation():
+def submit_at(address: str) -> None:
+    """Submit the job directly or, at an address for other nodes, as a relayed call."""
+    connection = http.client.HTTPConnection(address, timeout=5)
+    headers = {"Host": QUEUE_HOST, "Authorization": f"Bearer {API_KEY}"}
+    headers[CALLERS_HOST_HEADER] = QUEUE_HOST
+    with contextlib.suppress(OSError, http.client.HTTPException):
+        connection.request("POST", f"/jobs/{JOB}", BODY, headers)
+        connection.getresponse().read()
+    connection.close()
+
+
+@pytest.mark.parametrize("entry", ["front", "peers"])
+def test_nothing_runs_of_a_job_that_a_frozen_node_accepts_after_its_cancellation(entry):
     with PlatformFleet() as fleet:
         fleet.start(nodes=3)
         owner = fleet.owner()
         assert owner is not None
         frozen, other = (name for name in fleet.node_by_name if name != owner.name)
+        settings = json.loads((fleet.folder / f"{frozen}.json").read_text())
         fleet.signal(frozen, signal.SIGSTOP)
-        caller = threading.Thread(
-            target=fleet.submit, args=[frozen, JOB, json.loads(BODY)]
-        )
+        caller = threading.Thread(target=submit_at, args=[settings[entry]])
         caller.start()
         assert fleet.call(other, "DELETE", JOB).status == 410
         fleet.signal(frozen, signal.SIGCONT)
