Soak: clients with a short timeout

Half of the clients wait 0.7 s for an answer and give up while a node is frozen that wakes soon after; a fifth of the jobs is long-running.

--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/soak.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/soak.py
@@ -32,7 +32,8 @@
 
 __all__ = ["SoakReport", "SoakSize", "run_soak"]
 
-CALL_TIMEOUT_SECONDS = 3.0
+# Clients with a short timeout give up while a node is frozen that wakes soon after.
+CALL_TIMEOUTS_S = (3.0, 0.7)
 RETRY_INTERVAL_S = 0.2
 # Every accepted job must be done this long after the last fault. Covers two whole
 # leases with late orders, a takeover and the work itself.
@@ -40,7 +41,7 @@
 JOB_INTERVAL_S = (0.05, 0.5)
 CANCELLED_FRACTION = 0.1
 # The part of the jobs that are long-running; their callers cancel them in the end.
-LONG_RUNNING_FRACTION = 0.1
+LONG_RUNNING_FRACTION = 0.2
 # The part of the submissions without an answer after which a client cancels the job.
 GIVE_UP_FRACTION = 0.5
 POLL_INTERVAL_S = 0.5
@@ -173,9 +174,8 @@
         connection = self._connection_by_node.get(node)
         if connection is None:
             address = self._fleet.node_by_name[node].front
-            connection = http.client.HTTPConnection(
-                address, timeout=CALL_TIMEOUT_SECONDS
-            )
+            timeout = CALL_TIMEOUTS_S[self._number % len(CALL_TIMEOUTS_S)]
+            connection = http.client.HTTPConnection(address, timeout=timeout)
             self._connection_by_node[node] = connection
         body = None if document is None else json.dumps(document)
         headers = {"Host": QUEUE_HOST, "Authorization": f"Bearer {API_KEY}"}
