--- a/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/tombstones.py
+++ b/packages/geraniumshore-scheduler/src/geraniumshore_scheduler/internal/tombstones.py
@@ -22,7 +22,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Reading:
+class _KnownTombstone:
     tombstone: Tombstone
     offset: int
     read_at: float
@@ -32,7 +32,7 @@
     """All tombstones in the log, by job ID."""
 
     def __init__(self) -> None:
-        self._readings_by_id: dict[str, dict[str, _Reading]] = {}
+        self._known_by_id: dict[str, dict[str, _KnownTombstone]] = {}
         self._counts: Counter[Tombstone] = Counter()
 
     def count(self, tombstone: Tombstone) -> int:
@@ -46,20 +46,22 @@
         that cannot be decoded.
         """
         job_id, _, digest = name.partition("/")
-        readings = self._readings_by_id.get(job_id, {})
-        known = readings.get(digest)
+        known_by_digest = self._known_by_id.get(job_id, {})
+        known = known_by_digest.get(digest)
         if value and known is not None and offset <= known.offset:
             return job_id
-        reading = _Reading(decode_tombstone(value), offset, now) if value else None
+        newest = (
+            _KnownTombstone(decode_tombstone(value), offset, now) if value else None
+        )
         if known is not None:
-            del readings[digest]
+            del known_by_digest[digest]
             self._counts[known.tombstone] -= 1
-        if reading is not None:
-            readings[digest] = reading
-            self._counts[reading.tombstone] += 1
-            self._readings_by_id[job_id] = readings
-        elif not readings:
-            self._readings_by_id.pop(job_id, None)
+        if newest is not None:
+            known_by_digest[digest] = newest
+            self._counts[newest.tombstone] += 1
+            self._known_by_id[job_id] = known_by_digest
+        elif not known_by_digest:
+            self._known_by_id.pop(job_id, None)
         return job_id
 
     def covers(self, job: Job) -> bool:
@@ -68,15 +70,16 @@
 
     def read_at(self, job: Job) -> float | None:
         """Return when the newest tombstone that cancels a job was read."""
-        readings = self._readings_by_id.get(job.job_id, {}).values()
-        return max(
-            (r.read_at for r in readings if r.tombstone.covers(job.queue, job.team)),
-            default=None,
+        covering = (
+            known.read_at
+            for known in self._known_by_id.get(job.job_id, {}).values()
+            if known.tombstone.covers(job.queue, job.team)
         )
+        return max(covering, default=None)
 
     def expired(self, read_before: float) -> Iterator[str]:
         """Yield the keys of the tombstones that were read before ``read_before``."""
-        for job_id, readings in self._readings_by_id.items():
-            for digest, reading in readings.items():
-                if reading.read_at < read_before:
+        for job_id, known_by_digest in self._known_by_id.items():
+            for digest, known in known_by_digest.items():
+                if known.read_at < read_before:
                     yield f"{job_key(RecordKind.TOMBSTONE, job_id)}/{digest}"
--- a/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/soak.py
+++ b/packages/geraniumshore-standins/src/geraniumshore_standins/internal/users_platform/soak.py
@@ -313,4 +313,6 @@
         if not left or time.monotonic() > deadline:
             break
         time.sleep(POLL_INTERVAL_S)
-    report.findings.extend(f"UNASKED {task} runs on after its end" for task in left)
+    report.findings.extend(
+        f"UNASKED {task} runs on after its cancellation" for task in left
+    )
